--- /dev/null
+++ b/include/turmericwell/event.h
@@ -0,0 +1,65 @@
+// Typed events of the time line: one for each decision that changes where or whether a task runs.
+#pragma once
+
+#include "turmericwell/millis.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace turmericwell {
+
+enum class EventKind : uint8_t {
+    ProcessStarted,
+    ProcessStopping,
+    ConfigAccepted,
+    ConfigRefused,
+    EntryJoined,
+    EntryLeft,
+    AgentConnected,
+    AgentLost,
+    SubmissionAccepted,
+    SubmissionAttached,
+    SubmissionRefused,
+    SubmissionForwarded,
+    TaskQueued,
+    TaskSent,
+    TaskStarted,
+    TaskFinished,
+    TaskRefused,
+    TaskRevoked,
+    TaskRetried,
+    SubmissionAnswered,
+    TargetEjected,
+    TargetRestored,
+    TakeoverStarted,
+    TakeoverFinished,
+    ZoneWithdrawn,
+    ZoneReturned,
+    BecameStale,
+    BecameCurrent,
+};
+
+std::string_view toString(EventKind kind);
+
+// Empty text and zero mean that a field does not apply.
+struct Event
+{
+    EventKind kind = EventKind::ProcessStarted;
+    // Wall-clock time of the process that recorded the event.
+    Millis time;
+    std::string process;
+    std::string zone;
+    // Position among the events of the process; has no gaps unless the buffer overflowed.
+    uint64_t sequence = 0;
+    std::string job;
+    std::string task;
+    std::string target;
+    uint64_t configVersion = 0;
+    std::string reason;
+    // Process and sequence of the event that led to this one.
+    std::string causeProcess;
+    uint64_t causeSequence = 0;
+};
+
+} // namespace turmericwell
--- /dev/null
+++ b/include/turmericwell/fingerprint.h
@@ -0,0 +1,36 @@
+// 128-bit fingerprint of an idempotency key, which names a submission in all messages and tables.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace turmericwell {
+
+struct Fingerprint
+{
+    uint64_t high = 0;
+    uint64_t low = 0;
+
+    auto operator<=>(const Fingerprint &) const = default;
+
+    // Keys of different services never collide: the service is part of the hashed text.
+    static Fingerprint ofKey(std::string_view service, std::string_view key);
+    static std::optional<Fingerprint> fromHex(std::string_view text);
+    std::string hex() const;
+};
+
+// 64-bit hash of a body, to tell a resubmission from another submission with the same key.
+uint64_t hashBody(std::string_view body);
+
+} // namespace turmericwell
+
+template<>
+struct std::hash<turmericwell::Fingerprint>
+{
+    size_t operator()(const turmericwell::Fingerprint &fingerprint) const noexcept { return fingerprint.low; }
+};
