--- a/include/turmericwell/fingerprint.h
+++ b/include/turmericwell/fingerprint.h
@@ -29,7 +29,7 @@
 
 } // namespace turmericwell
 
-template<>
+template <>
 struct std::hash<turmericwell::Fingerprint>
 {
     size_t operator()(const turmericwell::Fingerprint &fingerprint) const noexcept { return fingerprint.low; }
--- a/include/turmericwell/millis.h
+++ b/include/turmericwell/millis.h
@@ -19,20 +19,36 @@
     }
 };
 
-constexpr Millis operator+(Millis a, Millis b) { return {a.count + b.count}; }
-constexpr Millis operator-(Millis a, Millis b) { return {a.count - b.count}; }
-constexpr Millis operator*(Millis a, int64_t factor) { return {a.count * factor}; }
-constexpr Millis operator/(Millis a, int64_t divisor) { return {a.count / divisor}; }
+constexpr Millis operator+(Millis a, Millis b)
+{
+    return {a.count + b.count};
+}
+constexpr Millis operator-(Millis a, Millis b)
+{
+    return {a.count - b.count};
+}
+constexpr Millis operator*(Millis a, int64_t factor)
+{
+    return {a.count * factor};
+}
+constexpr Millis operator/(Millis a, int64_t divisor)
+{
+    return {a.count / divisor};
+}
 
 namespace literals {
-constexpr Millis operator""_ms(unsigned long long count) { return {static_cast<int64_t>(count)}; }
+constexpr Millis operator""_ms(unsigned long long count)
+{
+    return {static_cast<int64_t>(count)};
+}
 } // namespace literals
 
 // Reads the clocks of the machine. Decision logic never calls it: time is passed in as an argument.
 class Clock
 {
 public:
-    // Monotonic time that also counts while the machine is suspended, so that a lease can lapse during a suspension.
+    // Monotonic time that also counts while the machine is suspended, so that a lease can lapse during a
+    // suspension.
     static Millis now();
     // Time since the Unix epoch, for events and for keys that carry their creation time.
     static Millis wall();
--- a/include/turmericwell/outcome.h
+++ b/include/turmericwell/outcome.h
@@ -10,14 +10,15 @@
 
 namespace turmericwell {
 
-// NotRun is a proof: no process has started the task or can still start it. Without that proof the outcome of a
-// task without an answer is Unknown.
+// NotRun is a proof: no process has started the task or can still start it. Without that proof the outcome of
+// a task without an answer is Unknown.
 enum class Outcome : uint8_t { Complete, Failed, NotRun, Unknown };
 
 // "complete", "failed", "not_run" or "unknown", as in the caller API.
 std::string_view toString(Outcome outcome);
 
-// Reasons that callers, events and operators see. The list is part of the public contract (docs/operators.md).
+// Reasons that callers, events and operators see. The list is part of the public contract
+// (docs/operators.md).
 namespace reason {
 inline constexpr std::string_view none = "";
 inline constexpr std::string_view busy = "busy";
--- a/include/turmericwell/task.h
+++ b/include/turmericwell/task.h
@@ -13,7 +13,8 @@
 
 namespace turmericwell {
 
-// One attempt of one task of a submission. Attempts differ only for repeatable calls that are retried after a start.
+// One attempt of one task of a submission. Attempts differ only for repeatable calls that are retried after a
+// start.
 struct TaskRef
 {
     Fingerprint submission;
@@ -21,7 +22,8 @@
     uint32_t attempt = 0;
 
     auto operator<=>(const TaskRef &) const = default;
-    // "<fingerprint>-<index>" with ".<attempt>" for attempts above zero; the Task-Id header of target requests.
+    // "<fingerprint>-<index>" with ".<attempt>" for attempts above zero; the Task-Id header of target
+    // requests.
     std::string text() const;
 };
 
@@ -111,7 +113,7 @@
 
 } // namespace turmericwell
 
-template<>
+template <>
 struct std::hash<turmericwell::TaskRef>
 {
     size_t operator()(const turmericwell::TaskRef &task) const noexcept
--- /dev/null
+++ b/src/agentd/agentserver.cpp
@@ -0,0 +1,408 @@
+// Wires the agent's decisions to its connections. All handlers run on one thread, so that the process stays
+// small.
+#include "agentd/agentserver.h"
+
+#include "agentd/entrylink.h"
+#include "net/http.h"
+#include "observe/eventlog.h"
+#include "observe/log.h"
+#include "target/targetclient.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+namespace turmericwell {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+const Logger &logger()
+{
+    static const Logger instance("agent");
+    return instance;
+}
+
+class AgentServer
+{
+public:
+    AgentServer(IoContext &io, const AgentSettings &settings);
+
+    void beginStop();
+
+private:
+    void tick();
+    void connectTo(const Address &address);
+    std::vector<uint8_t> helloFrame() const;
+    std::vector<uint8_t> pingFrame() const;
+
+    void handleHttp(const HttpRequest &request, const HttpResponder &respond);
+    void handleAnnouncement(const HttpRequest &request, const HttpResponder &respond);
+
+    void handleMessage(EntryLink &link, const Message &message);
+    void handlePong(EntryLink &link, const wire::PongT &pong);
+    void handleSlice(const wire::SliceT &slice);
+    void learnEntries(const std::vector<std::unique_ptr<wire::MemberT>> &members);
+    void handleLost(EntryLink &link);
+
+    void perform(const AgentActions &actions);
+    void performOne(const RunOnTarget &action);
+    void performOne(const StopOnTarget &action);
+    void performOne(const SendResult &action);
+    void performOne(const SendRevokeAck &action);
+    void performOne(const SendCredits &action);
+    void flushResults();
+    EntryLink *linkTo(const std::string &entry);
+    void record(EventKind kind, const TaskRef &task, std::string_view why);
+    void finishStop();
+
+    IoContext &m_io;
+    const AgentSettings m_settings;
+    const uint64_t m_incarnation = static_cast<uint64_t>(Clock::wall().count);
+    AgentCore m_core;
+    EventLog m_events;
+    std::unique_ptr<TargetClient> m_target;
+    std::vector<std::shared_ptr<EntryLink>> m_links;
+    // Results that go out with the next flush, by entry.
+    std::map<std::string, wire::ResultBatchT> m_results;
+    uint64_t m_newestVersion = 0;
+    uint64_t m_newestView = 0;
+    asio::steady_timer m_timer;
+    HttpServer m_http;
+    bool m_stopping = false;
+    Millis m_stopBegan;
+};
+
+AgentServer::AgentServer(IoContext &io, const AgentSettings &settings)
+    : m_io(io)
+    , m_settings(settings)
+    , m_core(settings.core)
+    , m_events({.process = settings.name, .zone = settings.zone})
+    , m_timer(io)
+    , m_http(io, settings.listen, {}, [this](const HttpRequest &request, const HttpResponder &respond) {
+        handleHttp(request, respond);
+    })
+{
+    m_events.record({.kind = EventKind::ProcessStarted});
+    for (const Address &address : m_settings.entries)
+        connectTo(address);
+    tick();
+}
+
+void AgentServer::tick()
+{
+    perform(m_core.tick(Clock::now()));
+    for (const auto &link : m_links)
+        link->send(pingFrame());
+    m_timer.expires_after(std::chrono::milliseconds(m_settings.pingInterval.count));
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            tick();
+    });
+}
+
+void AgentServer::connectTo(const Address &address)
+{
+    for (const auto &link : m_links) {
+        if (link->address() == address)
+            return;
+    }
+    auto link = std::make_shared<EntryLink>(
+        m_io, address,
+        EntryLink::Handlers{
+            .hello = [this] { return helloFrame(); },
+            .onMessage = [this](EntryLink &from, const Message &message) { handleMessage(from, message); },
+            .onLost = [this](EntryLink &from) { handleLost(from); }});
+    m_links.push_back(link);
+    link->start();
+}
+
+std::vector<uint8_t> AgentServer::helloFrame() const
+{
+    wire::HelloT hello;
+    hello.agent = m_settings.name;
+    hello.incarnation = m_incarnation;
+    hello.target = toWire(m_core.target());
+    hello.leaving = m_core.isLeaving();
+    hello.credit_epoch = m_core.creditEpoch();
+    return encodeMessage(std::move(hello));
+}
+
+std::vector<uint8_t> AgentServer::pingFrame() const
+{
+    wire::PingT ping;
+    ping.sent_ms = Clock::now().count;
+    ping.config_version = m_newestVersion;
+    ping.view = m_newestView;
+    ping.running = m_core.running();
+    ping.queued = m_core.queued();
+    ping.leaving = m_core.isLeaving() || !m_core.isTargetUp(Clock::now());
+    return encodeMessage(std::move(ping));
+}
+
+void AgentServer::handleHttp(const HttpRequest &request, const HttpResponder &respond)
+{
+    if (request.method == "POST" && request.path == "/v1/announce") {
+        handleAnnouncement(request, respond);
+    } else if (request.path == "/healthz") {
+        respond({.status = m_stopping ? 503 : 200, .body = R"({"status":"ok"})"});
+    } else if (request.path == "/metrics") {
+        respond({.body = "turmericwell_running " + std::to_string(m_core.running()) + "\nturmericwell_queued "
+                     + std::to_string(m_core.queued()) + "\n",
+                 .contentType = "text/plain; version=0.0.4"});
+    } else if (request.path == "/v1/events") {
+        std::string body;
+        for (const Event &event : m_events.since(0, SIZE_MAX))
+            body += toJsonText(event) + "\n";
+        respond({.body = std::move(body), .contentType = "application/x-ndjson"});
+    } else {
+        respond({.status = 404, .body = "{}"});
+    }
+}
+
+void AgentServer::handleAnnouncement(const HttpRequest &request, const HttpResponder &respond)
+{
+    Problems problems;
+    const json::value value = parseJsonText("announcement", request.body, problems);
+    JsonReader reader("announcement", "", value, problems);
+    TargetInfo info;
+    info.name = reader.requiredText("target");
+    info.service = reader.requiredText("service");
+    info.worker = m_settings.worker;
+    info.zone = m_settings.zone;
+    info.rack = reader.text("rack", m_settings.rack);
+    const auto count = [&](std::string_view key, IntegerRange range) {
+        return static_cast<uint32_t>(reader.integer(key, range.least, range));
+    };
+    info.slots = count("slots", {.least = 1, .most = 10'000});
+    info.connections = count("connections", {.least = 1, .most = 10'000});
+    info.cores = count("cores", {.least = 0, .most = 4'096});
+    info.memoryGb = count("memoryGb", {.least = 0, .most = 65'536});
+    info.accelerators = count("accelerators", {.least = 0, .most = 1'024});
+    const std::optional<Address> address = Address::parse(reader.requiredText("address"));
+    static constexpr std::array<std::string_view, 2> states = {"up", "leaving"};
+    const bool leaving = reader.word("state", states[0], states) == states[1];
+    reader.finish();
+    if (!address)
+        reader.problem("address", "must be IP:PORT");
+    if (!problems.empty()) {
+        respond({.status = 400, .body = json::serialize(json::object{{"error", problems.front().text()}})});
+        return;
+    }
+    if (!m_target || !(m_target->address() == *address))
+        m_target = std::make_unique<TargetClient>(m_io, *address, info.connections);
+    const bool changed = m_core.target() != info || m_core.isLeaving() != leaving;
+    perform(m_core.targetAnnounced(info, leaving, Clock::now()));
+    if (changed) {
+        for (const auto &link : m_links)
+            link->send(helloFrame());
+    }
+    respond({.body = "{}"});
+}
+
+void AgentServer::handleMessage(EntryLink &link, const Message &message)
+{
+    const Millis now = Clock::now();
+    switch (message.body.type) {
+    case wire::Body::Welcome: {
+        const wire::WelcomeT &welcome = *message.body.AsWelcome();
+        link.setEntry(welcome.entry);
+        learnEntries(welcome.entries);
+        link.send(pingFrame());
+        perform(m_core.entryConnected(welcome.entry, now));
+        break;
+    }
+    case wire::Body::Pong:
+        handlePong(link, *message.body.AsPong());
+        break;
+    case wire::Body::Slice:
+        handleSlice(*message.body.AsSlice());
+        break;
+    case wire::Body::StartBatch:
+        for (const auto &start : message.body.AsStartBatch()->tasks)
+            perform(m_core.start(link.entry(), fromWire(*start), now));
+        break;
+    case wire::Body::Revoke:
+        if (message.body.AsRevoke()->task)
+            perform(m_core.revoke(link.entry(), fromWire(*message.body.AsRevoke()->task), now));
+        break;
+    case wire::Body::Stop:
+        if (message.body.AsStop()->task)
+            perform(m_core.stop(fromWire(*message.body.AsStop()->task)));
+        break;
+    default:
+        logger().warning("an entry sent a message that agents do not take");
+    }
+}
+
+void AgentServer::handlePong(EntryLink &link, const wire::PongT &pong)
+{
+    if (pong.current)
+        m_core.evidence({pong.sent_ms - pong.checked_age_ms});
+    m_newestVersion = std::max(m_newestVersion, pong.config_version);
+    m_newestView = std::max(m_newestView, pong.view);
+    learnEntries(pong.entries);
+    const AgentSlice &slice = m_core.slice();
+    if (pong.config_version > slice.configVersion) {
+        wire::SliceRequestT request;
+        request.config_version = pong.config_version;
+        link.send(encodeMessage(std::move(request)));
+    }
+}
+
+void AgentServer::handleSlice(const wire::SliceT &slice)
+{
+    if (slice.config_version > m_core.slice().configVersion)
+        m_events.record({.kind = EventKind::ConfigAccepted, .configVersion = slice.config_version});
+    perform(m_core.applySlice({.configVersion = slice.config_version,
+                               .digest = slice.digest,
+                               .zoneWithdrawn = slice.zone_withdrawn,
+                               .targetWithdrawn = slice.target_withdrawn},
+                              Clock::now()));
+}
+
+void AgentServer::learnEntries(const std::vector<std::unique_ptr<wire::MemberT>> &members)
+{
+    for (const auto &member : members) {
+        if (const std::optional<Address> address = Address::parse(member->address))
+            connectTo(*address);
+    }
+}
+
+void AgentServer::handleLost(EntryLink &link)
+{
+    if (!link.entry().empty())
+        perform(m_core.entryDisconnected(link.entry(), Clock::now()));
+}
+
+EntryLink *AgentServer::linkTo(const std::string &entry)
+{
+    for (const auto &link : m_links) {
+        if (link->entry() == entry && link->isConnected())
+            return link.get();
+    }
+    return nullptr;
+}
+
+void AgentServer::record(EventKind kind, const TaskRef &task, std::string_view why)
+{
+    m_events.record({.kind = kind,
+                     .job = task.submission.hex(),
+                     .task = task.text(),
+                     .target = m_core.target().name,
+                     .configVersion = m_core.slice().configVersion,
+                     .reason = std::string(why)});
+}
+
+void AgentServer::perform(const AgentActions &actions)
+{
+    for (const AgentAction &action : actions)
+        std::visit([this](const auto &one) { performOne(one); }, action);
+    flushResults();
+    if (m_stopping)
+        finishStop();
+}
+
+void AgentServer::performOne(const RunOnTarget &action)
+{
+    record(EventKind::TaskStarted, action.start.task, "");
+    constexpr Millis longestRun = {3'600'000};
+    m_target->run(action.start, longestRun, [this](const TaskResult &result) {
+        record(EventKind::TaskFinished, result.task, toString(result.outcome));
+        perform(m_core.taskEnded(result, Clock::now()));
+    });
+}
+
+void AgentServer::performOne(const StopOnTarget &action)
+{
+    m_target->stop(action.task);
+}
+
+void AgentServer::performOne(const SendResult &action)
+{
+    if (action.result.outcome == Outcome::NotRun)
+        record(EventKind::TaskRefused, action.result.task, action.result.reason);
+    m_results[action.entry].results.push_back(toWire(action.result));
+}
+
+void AgentServer::performOne(const SendRevokeAck &action)
+{
+    EntryLink *link = linkTo(action.entry);
+    if (!link)
+        return;
+    wire::RevokeAckT ack;
+    ack.task = std::make_unique<wire::TaskRef>(toWire(action.task));
+    ack.state = static_cast<wire::RevokeState>(action.state);
+    ack.result = toWire(action.result);
+    link->send(encodeMessage(std::move(ack)));
+}
+
+void AgentServer::performOne(const SendCredits &action)
+{
+    EntryLink *link = linkTo(action.entry);
+    if (!link)
+        return;
+    wire::CreditGrantT grant;
+    grant.credits = action.credits;
+    grant.credit_epoch = m_core.creditEpoch();
+    link->send(encodeMessage(std::move(grant)));
+}
+
+void AgentServer::flushResults()
+{
+    for (auto &[entry, batch] : m_results) {
+        EntryLink *link = linkTo(entry);
+        if (!link)
+            continue;
+        batch.running = m_core.running();
+        batch.queued = m_core.queued();
+        batch.credit_epoch = m_core.creditEpoch();
+        link->send(encodeMessage(std::move(batch)));
+    }
+    m_results.clear();
+}
+
+void AgentServer::beginStop()
+{
+    if (m_stopping)
+        return;
+    m_stopping = true;
+    m_stopBegan = Clock::now();
+    m_events.record({.kind = EventKind::ProcessStopping});
+    logger().info("stopping after the running tasks");
+    for (const auto &link : m_links) {
+        wire::DrainT drain;
+        drain.reason = reason::stopping;
+        link->send(encodeMessage(std::move(drain)));
+    }
+    perform(m_core.drain(Clock::now()));
+}
+
+void AgentServer::finishStop()
+{
+    if (m_core.running() > 0 && Clock::now() - m_stopBegan < m_settings.stopBound)
+        return;
+    m_timer.cancel();
+    for (const auto &link : m_links)
+        link->stop();
+    auto grace = std::make_shared<asio::steady_timer>(m_io, std::chrono::milliseconds(100));
+    grace->async_wait([this, grace](const boost::system::error_code &) { m_io.stop(); });
+}
+
+} // namespace
+
+int runAgent(const AgentSettings &settings)
+{
+    IoContext io(1);
+    AgentServer server(io, settings);
+    asio::signal_set signals(io, SIGINT, SIGTERM);
+    signals.async_wait([&server](const boost::system::error_code &, int) { server.beginStop(); });
+    logger().info(settings.name + " listens on " + settings.listen.text());
+    io.run();
+    logger().info(settings.name + " has stopped");
+    return 0;
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/agentd/agentsettings.h
@@ -0,0 +1,30 @@
+// Settings of an agent process.
+#pragma once
+
+#include "agent/agentcore.h"
+#include "config/jsonreader.h"
+#include "net/address.h"
+
+#include <string>
+#include <vector>
+
+namespace turmericwell {
+
+struct AgentSettings
+{
+    std::string name;
+    std::string zone;
+    std::string rack;
+    std::string worker;
+    // HTTP: announcements of the target, metrics, health, events.
+    Address listen;
+    // Entries to start with; further ones are learned from them.
+    std::vector<Address> entries;
+    Millis pingInterval = {1'000};
+    Millis stopBound = {30'000};
+    AgentOptions core;
+};
+
+AgentSettings parseAgentSettings(const std::string &file, std::string_view text, Problems &problems);
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/agentd/entrylink.cpp
@@ -0,0 +1,100 @@
+// Dialling and message decoding of one entry connection.
+#include "agentd/entrylink.h"
+
+#include "observe/log.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace turmericwell {
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+
+static const Logger &logger()
+{
+    static const Logger instance("agent");
+    return instance;
+}
+
+EntryLink::EntryLink(IoContext &io, Address address, Handlers handlers)
+    : m_io(io)
+    , m_address(std::move(address))
+    , m_handlers(std::move(handlers))
+    , m_timer(io)
+{ }
+
+void EntryLink::start()
+{
+    dial();
+}
+
+void EntryLink::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+    if (m_link)
+        m_link->closeAfterWrites();
+}
+
+void EntryLink::send(std::vector<uint8_t> frame)
+{
+    if (m_link)
+        m_link->send(std::move(frame));
+}
+
+void EntryLink::dial()
+{
+    if (m_stopped)
+        return;
+    constexpr Millis connectTimeout = {1'000};
+    dialFrameLink(m_io, m_address, connectTimeout, [self = shared_from_this()](FrameLinkPtr link) {
+        if (link && !self->m_stopped)
+            self->connected(std::move(link));
+        else
+            self->dialLater();
+    });
+}
+
+void EntryLink::dialLater()
+{
+    if (m_stopped)
+        return;
+    constexpr Millis retryDelay = {300};
+    m_timer.expires_after(std::chrono::milliseconds(retryDelay.count));
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error)
+            self->dial();
+    });
+}
+
+void EntryLink::connected(FrameLinkPtr link)
+{
+    m_link = std::move(link);
+    m_link->start({.onFrame = [self = shared_from_this()](
+                                  std::span<const uint8_t> payload) { self->received(payload); },
+                   .onClosed = [self = shared_from_this()](const std::string &why) { self->lost(why); }});
+    m_link->send(m_handlers.hello());
+}
+
+void EntryLink::received(std::span<const uint8_t> payload)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(message, decodeMessage(payload));
+            m_handlers.onMessage(*this, *message);
+            return {};
+        },
+        [&](const CodecError &error) { m_link->close(error.detail); }, [&] { m_link->close("bad message"); });
+}
+
+void EntryLink::lost(const std::string &why)
+{
+    logger().info("connection to entry " + m_address.text() + " was lost: " + why);
+    m_link = nullptr;
+    m_handlers.onLost(*this);
+    m_entry.clear();
+    dialLater();
+}
+
+} // namespace turmericwell
--- a/src/core/fingerprint.cpp
+++ b/src/core/fingerprint.cpp
@@ -35,7 +35,7 @@
 
 std::string Fingerprint::hex() const
 {
-    std::array<char, 33> text {};
+    std::array<char, 33> text{};
     std::snprintf(text.data(), text.size(), "%016llx%016llx", static_cast<unsigned long long>(high),
                   static_cast<unsigned long long>(low));
     return text.data();
--- a/src/core/millis.cpp
+++ b/src/core/millis.cpp
@@ -7,7 +7,7 @@
 
 static Millis readClock(clockid_t id)
 {
-    timespec time {};
+    timespec time{};
     clock_gettime(id, &time);
     return {static_cast<int64_t>(time.tv_sec) * 1000 + time.tv_nsec / 1'000'000};
 }
--- /dev/null
+++ b/src/entry/agenthub.h
@@ -0,0 +1,76 @@
+// Connections from agents to this entry.
+#pragma once
+
+#include "dispatch/dispatcher.h"
+#include "membership/roster.h"
+#include "net/framelink.h"
+#include "proto/codec.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <span>
+#include <string>
+
+namespace turmericwell {
+
+// What a ping from an agent is answered with.
+struct EntryStatus
+{
+    bool current = false;
+    Millis checkedAge;
+    uint64_t configVersion = 0;
+    uint64_t view = 0;
+    std::vector<EntryMember> members;
+};
+
+// Thread-safe.
+class AgentHub
+{
+public:
+    struct Handlers
+    {
+        std::function<EntryStatus()> status;
+        std::function<void(const std::string &agent, uint64_t configVersion, uint64_t view)> onHeard;
+        std::function<void(const std::string &agent)> onGone;
+        std::function<void(DispatchActions)> perform;
+    };
+
+    AgentHub(ProcessId entry, Dispatcher &dispatcher, Handlers handlers);
+
+    // Takes over a connection whose first message was a Hello.
+    void adopt(const FrameLinkPtr &link, const wire::HelloT &hello);
+    void handle(const FrameLinkPtr &link, const Message &message);
+    void closed(const FrameLinkPtr &link);
+
+    void send(const SendTasks &action);
+    void send(const SendRevoke &action);
+    void send(const SendStop &action);
+
+    size_t size() const;
+    void closeAll();
+
+private:
+    struct Agent
+    {
+        ProcessId id;
+        TargetInfo target;
+    };
+
+    FrameLinkPtr linkTo(const std::string &agent) const;
+    std::string nameOf(const FrameLinkPtr &link) const;
+    void handlePing(const FrameLinkPtr &link, const std::string &agent, const wire::PingT &ping);
+    void handleSliceRequest(const FrameLinkPtr &link, const std::string &agent);
+    void handleResults(const std::string &agent, const wire::ResultBatchT &batch);
+    void handleRevokeAck(const std::string &agent, const wire::RevokeAckT &ack);
+
+    const ProcessId m_entry;
+    Dispatcher &m_dispatcher;
+    Handlers m_handlers;
+    mutable std::mutex m_mutex;
+    std::map<FrameLinkPtr, Agent> m_agents;
+    std::map<std::string, FrameLinkPtr> m_links;
+};
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/entry/entrysettings.cpp
@@ -0,0 +1,45 @@
+// Reads and checks entry settings.
+#include "entry/entrysettings.h"
+
+#include "net/settingsreader.h"
+
+namespace turmericwell {
+
+EntrySettings parseEntrySettings(const std::string &file, std::string_view text, Problems &problems)
+{
+    EntrySettings settings;
+    const boost::json::value value = parseJsonText(file, text, problems);
+    if (value.is_null())
+        return settings;
+    constexpr IntegerRange shortTime = {.least = 100, .most = 60'000};
+    constexpr IntegerRange longTime = {.least = 1'000, .most = 86'400'000};
+    JsonReader reader(file, "", value, problems);
+    settings.name = reader.requiredText("name");
+    settings.zone = reader.requiredText("zone");
+    settings.listen = readAddress(reader, "listen");
+    settings.linkListen = readAddress(reader, "linkListen");
+    settings.log = readAddress(reader, "log");
+    settings.peers = readAddresses(reader, "peers");
+    settings.threads =
+        static_cast<uint32_t>(reader.integer("threads", settings.threads, {.least = 1, .most = 64}));
+    settings.freshness = reader.millis("freshnessMs", settings.freshness, shortTime);
+    settings.logPollWait =
+        reader.millis("logPollWaitMs", settings.logPollWait, {.least = 10, .most = 60'000});
+    settings.peerTimeout = reader.millis("peerTimeoutMs", settings.peerTimeout, shortTime);
+    settings.reconnect = reader.millis("reconnectMs", settings.reconnect, shortTime);
+    settings.takeover = reader.millis("takeoverMs", settings.takeover, shortTime);
+    settings.dedupWindow = reader.millis("dedupWindowMs", settings.dedupWindow, longTime);
+    settings.logRetention = reader.millis("logRetentionMs", settings.logRetention, longTime);
+    settings.maxQueued = static_cast<uint32_t>(
+        reader.integer("maxQueued", settings.maxQueued, {.least = 1, .most = 10'000'000}));
+    settings.drain = reader.millis("drainMs", settings.drain, {.least = 0, .most = 60'000});
+    settings.stopBound = reader.millis("stopMs", settings.stopBound, {.least = 0, .most = 600'000});
+    if (settings.dedupWindow >= settings.logRetention)
+        reader.problem("dedupWindowMs", "must be below logRetentionMs");
+    if (settings.logPollWait >= settings.freshness)
+        reader.problem("logPollWaitMs", "must be below freshnessMs");
+    reader.finish();
+    return settings;
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/entry/entrysettings.h
@@ -0,0 +1,38 @@
+// Settings of an entry process.
+#pragma once
+
+#include "config/jsonreader.h"
+#include "net/address.h"
+
+#include <string>
+#include <vector>
+
+namespace turmericwell {
+
+struct EntrySettings
+{
+    std::string name;
+    std::string zone;
+    // HTTP for callers and operators.
+    Address listen;
+    // Framed connections of agents and other entries.
+    Address linkListen;
+    Address log;
+    // Framed addresses of other entries, for a start without the log.
+    std::vector<Address> peers;
+    uint32_t threads = 2;
+    Millis freshness = {3'000};
+    Millis logPollWait = {1'000};
+    Millis peerTimeout = {2'000};
+    Millis reconnect = {3'000};
+    Millis takeover = {5'000};
+    Millis dedupWindow = {600'000};
+    Millis logRetention = {3'600'000};
+    uint32_t maxQueued = 10'000;
+    Millis drain = {1'000};
+    Millis stopBound = {30'000};
+};
+
+EntrySettings parseEntrySettings(const std::string &file, std::string_view text, Problems &problems);
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/entry/peerhub.cpp
@@ -0,0 +1,381 @@
+// Messages among entries. Of two entries, the one with the higher name dials.
+#include "entry/peerhub.h"
+
+#include "observe/log.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace turmericwell {
+
+namespace leaf = boost::leaf;
+
+static const Logger &logger()
+{
+    static const Logger instance("peer");
+    return instance;
+}
+
+PeerHub::PeerHub(IoContext &io, EntryMember self, Dispatcher &dispatcher, Handlers handlers)
+    : m_io(io)
+    , m_self(std::move(self))
+    , m_dispatcher(dispatcher)
+    , m_handlers(std::move(handlers))
+{ }
+
+void PeerHub::connectTo(const EntryMember &member)
+{
+    if (member.id.name >= m_self.id.name || isConnected(member.id.name))
+        return;
+    if (const std::optional<Address> address = Address::parse(member.address))
+        dial(*address);
+}
+
+void PeerHub::connectToAddress(const Address &address)
+{
+    if (address.text() != m_self.address)
+        dial(address);
+}
+
+void PeerHub::dial(const Address &address)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_dialling.insert(address.text()).second)
+            return;
+    }
+    constexpr Millis connectTimeout = {1'000};
+    dialFrameLink(m_io, address, connectTimeout, [this, address](const FrameLinkPtr &link) {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_dialling.erase(address.text());
+        }
+        if (!link)
+            return;
+        link->start({.onFrame =
+                         [this, link](std::span<const uint8_t> payload) {
+                             leaf::try_handle_all(
+                                 [&]() -> leaf::result<void> {
+                                     BOOST_LEAF_AUTO(message, decodeMessage(payload));
+                                     handle(link, *message);
+                                     return {};
+                                 },
+                                 [&](const CodecError &error) { link->close(error.detail); },
+                                 [&] { link->close("bad message"); });
+                         },
+                     .onClosed = [this, link](const std::string &) { closed(link); }});
+        link->send(helloFrame());
+    });
+}
+
+std::vector<uint8_t> PeerHub::helloFrame() const
+{
+    wire::PeerHelloT hello;
+    hello.entry = m_self.id.name;
+    hello.incarnation = m_self.id.incarnation;
+    hello.zone = m_self.zone;
+    hello.address = m_self.address;
+    return encodeMessage(std::move(hello));
+}
+
+void PeerHub::adopt(const FrameLinkPtr &link, const wire::PeerHelloT &hello)
+{
+    bool answerHello = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        FrameLinkPtr &known = m_links[hello.entry];
+        answerHello = known != link && hello.entry > m_self.id.name;
+        if (known && known != link) {
+            m_names.erase(known);
+            known->close("the entry has connected again");
+        }
+        known = link;
+        m_names[link] = hello.entry;
+    }
+    // The side that was dialled answers once with its own hello.
+    if (answerHello)
+        link->send(helloFrame());
+    logger().info("entry " + hello.entry + " is connected");
+}
+
+void PeerHub::closed(const FrameLinkPtr &link)
+{
+    std::string name;
+    std::vector<AnswerHandler> lost;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_names.find(link);
+        if (found == m_names.end())
+            return;
+        name = found->second;
+        m_names.erase(found);
+        m_links.erase(name);
+        m_balances.erase(name);
+        for (auto it = m_pending.begin(); it != m_pending.end();) {
+            if (it->second.peer == name) {
+                lost.push_back(std::move(it->second.onAnswer));
+                it = m_pending.erase(it);
+            } else {
+                ++it;
+            }
+        }
+    }
+    logger().info("entry " + name + " is disconnected");
+    m_handlers.onGone(name);
+    for (const AnswerHandler &handler : lost)
+        handler({.outcome = Outcome::Unknown, .reason = std::string(reason::entryLost), .status = 504});
+}
+
+FrameLinkPtr PeerHub::linkTo(const std::string &peer) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_links.find(peer);
+    return found == m_links.end() ? nullptr : found->second;
+}
+
+std::string PeerHub::nameOf(const FrameLinkPtr &link) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_names.find(link);
+    return found == m_names.end() ? std::string() : found->second;
+}
+
+bool PeerHub::isConnected(const std::string &peer) const
+{
+    return linkTo(peer) != nullptr;
+}
+
+std::vector<std::string> PeerHub::connectedPeers() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> result;
+    for (const auto &[name, link] : m_links)
+        result.push_back(name);
+    return result;
+}
+
+uint64_t PeerHub::remember(const std::string &peer, AnswerHandler onAnswer)
+{
+    const std::lock_guard lock(m_mutex);
+    const uint64_t id = m_nextRequest++;
+    m_pending[id] = {.peer = peer, .onAnswer = std::move(onAnswer)};
+    return id;
+}
+
+bool PeerHub::forward(const std::string &peer, const SubmissionRequest &request, AnswerHandler onAnswer)
+{
+    const FrameLinkPtr link = linkTo(peer);
+    if (!link)
+        return false;
+    wire::ForwardT forward;
+    forward.request_id = remember(peer, std::move(onAnswer));
+    forward.submission = toWire(request);
+    forward.balance = balanceFor(peer);
+    link->send(encodeMessage(std::move(forward)));
+    return true;
+}
+
+bool PeerHub::lookup(const std::string &peer, const Fingerprint &key, bool cancel, AnswerHandler onAnswer)
+{
+    const FrameLinkPtr link = linkTo(peer);
+    if (!link)
+        return false;
+    wire::LookupT lookup;
+    lookup.request_id = remember(peer, std::move(onAnswer));
+    lookup.key = std::make_unique<wire::Key>(toWire(key));
+    lookup.cancel = cancel;
+    link->send(encodeMessage(std::move(lookup)));
+    return true;
+}
+
+void PeerHub::answer(const std::string &peer, uint64_t requestId, const Answer &answer)
+{
+    const FrameLinkPtr link = linkTo(peer);
+    if (!link)
+        return;
+    wire::ForwardAnswerT message;
+    message.request_id = requestId;
+    message.answer = toWire(answer);
+    message.balance = balanceFor(peer);
+    link->send(encodeMessage(std::move(message)));
+}
+
+std::unique_ptr<wire::BalanceT> PeerHub::balanceFor(const std::string &peer)
+{
+    Balance theirs;
+    bool known = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_balances.find(peer);
+        known = found != m_balances.end();
+        if (known)
+            theirs = found->second;
+    }
+    auto balance = std::make_unique<wire::BalanceT>();
+    if (known) {
+        uint32_t moved = 0;
+        for (const CreditAmount &amount : m_dispatcher.surplusFor(theirs.idle, theirs.queued)) {
+            auto credit = std::make_unique<wire::CreditT>();
+            credit->agent = amount.agent;
+            credit->credits = amount.credits;
+            credit->credit_epoch = amount.epoch;
+            moved += amount.credits;
+            balance->transfer.push_back(std::move(credit));
+        }
+        // Counts what is on its way, so that the next message does not send it again.
+        const std::lock_guard lock(m_mutex);
+        m_balances[peer].idle += moved;
+    }
+    balance->idle_credits = m_dispatcher.idleCredits();
+    balance->queued = m_dispatcher.queued();
+    return balance;
+}
+
+void PeerHub::takeBalance(const std::string &peer, const wire::BalanceT &balance)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_balances[peer] = {.idle = balance.idle_credits, .queued = balance.queued};
+    }
+    std::vector<CreditAmount> credits;
+    for (const auto &credit : balance.transfer)
+        credits.push_back(
+            {.agent = credit->agent, .credits = credit->credits, .epoch = credit->credit_epoch});
+    if (!credits.empty())
+        m_handlers.perform(m_dispatcher.creditsReceived(credits, Clock::now()));
+}
+
+void PeerHub::sendHeartbeats()
+{
+    const wire::PeerPingT ping = m_handlers.status();
+    for (const std::string &peer : connectedPeers()) {
+        if (const FrameLinkPtr link = linkTo(peer))
+            link->send(encodeMessage(wire::PeerPingT(ping)));
+    }
+}
+
+void PeerHub::askForCredits(uint32_t queued)
+{
+    std::string richest;
+    {
+        const std::lock_guard lock(m_mutex);
+        uint32_t most = 0;
+        for (const auto &[peer, balance] : m_balances) {
+            if (balance.idle > most) {
+                most = balance.idle;
+                richest = peer;
+            }
+        }
+        if (!richest.empty())
+            m_balances[richest].idle = 0;
+    }
+    const FrameLinkPtr link = richest.empty() ? nullptr : linkTo(richest);
+    if (!link)
+        return;
+    wire::CreditAskT ask;
+    ask.queued = queued;
+    ask.idle_credits = 0;
+    link->send(encodeMessage(std::move(ask)));
+}
+
+void PeerHub::pullConfig(const std::string &peer, uint64_t version, uint64_t view)
+{
+    const FrameLinkPtr link = linkTo(peer);
+    if (!link)
+        return;
+    wire::ConfigPullT pull;
+    pull.config_version = version;
+    pull.view = view;
+    link->send(encodeMessage(std::move(pull)));
+}
+
+void PeerHub::send(const std::string &peer, std::vector<uint8_t> frame)
+{
+    if (const FrameLinkPtr link = linkTo(peer))
+        link->send(std::move(frame));
+}
+
+void PeerHub::handle(const FrameLinkPtr &link, const Message &message)
+{
+    if (message.body.type == wire::Body::PeerHello) {
+        adopt(link, *message.body.AsPeerHello());
+        return;
+    }
+    const std::string peer = nameOf(link);
+    if (peer.empty())
+        return;
+    switch (message.body.type) {
+    case wire::Body::PeerPing: {
+        const wire::PeerPingT &ping = *message.body.AsPeerPing();
+        {
+            const std::lock_guard lock(m_mutex);
+            m_balances[peer] = {.idle = ping.idle_credits, .queued = ping.queued};
+        }
+        m_handlers.onHeard(peer, ping);
+        break;
+    }
+    case wire::Body::Forward: {
+        const wire::ForwardT &forward = *message.body.AsForward();
+        if (forward.balance)
+            takeBalance(peer, *forward.balance);
+        if (forward.submission)
+            m_handlers.onForward(peer, forward.request_id, fromWire(*forward.submission));
+        break;
+    }
+    case wire::Body::ForwardAnswer: {
+        const wire::ForwardAnswerT &forwardAnswer = *message.body.AsForwardAnswer();
+        if (forwardAnswer.balance)
+            takeBalance(peer, *forwardAnswer.balance);
+        AnswerHandler handler;
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto found = m_pending.find(forwardAnswer.request_id);
+            if (found == m_pending.end() || found->second.peer != peer)
+                break;
+            handler = std::move(found->second.onAnswer);
+            m_pending.erase(found);
+        }
+        if (forwardAnswer.answer)
+            handler(fromWire(*forwardAnswer.answer));
+        break;
+    }
+    case wire::Body::Lookup: {
+        const wire::LookupT &lookup = *message.body.AsLookup();
+        if (lookup.key)
+            m_handlers.onLookup(peer, lookup.request_id, fromWire(*lookup.key), lookup.cancel);
+        break;
+    }
+    case wire::Body::CreditAsk: {
+        const wire::CreditAskT &ask = *message.body.AsCreditAsk();
+        {
+            const std::lock_guard lock(m_mutex);
+            m_balances[peer] = {.idle = ask.idle_credits, .queued = ask.queued};
+        }
+        wire::CreditTransferT transfer;
+        transfer.balance = balanceFor(peer);
+        link->send(encodeMessage(std::move(transfer)));
+        break;
+    }
+    case wire::Body::CreditTransfer:
+        if (message.body.AsCreditTransfer()->balance)
+            takeBalance(peer, *message.body.AsCreditTransfer()->balance);
+        break;
+    case wire::Body::ConfigPull:
+        m_handlers.onConfigPull(peer, *message.body.AsConfigPull());
+        break;
+    case wire::Body::ConfigPush:
+        m_handlers.onConfigPush(*message.body.AsConfigPush());
+        break;
+    default:
+        logger().warning("entry " + peer + " sent a message that entries do not take from each other");
+    }
+}
+
+void PeerHub::closeAll()
+{
+    for (const std::string &peer : connectedPeers()) {
+        if (const FrameLinkPtr link = linkTo(peer))
+            link->closeAfterWrites();
+    }
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/entry/peerhub.h
@@ -0,0 +1,96 @@
+// Connections among entries: heartbeats, forwarded submissions, and the balance of credits.
+#pragma once
+
+#include "dispatch/dispatcher.h"
+#include "membership/roster.h"
+#include "net/framelink.h"
+#include "proto/codec.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace turmericwell {
+
+// Thread-safe.
+class PeerHub
+{
+public:
+    struct Handlers
+    {
+        std::function<void(const std::string &peer, const wire::PeerPingT &ping)> onHeard;
+        std::function<void(const std::string &peer)> onGone;
+        std::function<void(DispatchActions)> perform;
+        // A submission or lookup that a peer sent to this entry as the owner.
+        std::function<void(const std::string &peer, uint64_t requestId, SubmissionRequest request)> onForward;
+        std::function<void(const std::string &peer, uint64_t requestId, const Fingerprint &key, bool cancel)>
+            onLookup;
+        std::function<void(const std::string &peer, const wire::ConfigPullT &pull)> onConfigPull;
+        std::function<void(const wire::ConfigPushT &push)> onConfigPush;
+        std::function<wire::PeerPingT()> status;
+    };
+    using AnswerHandler = std::function<void(Answer answer)>;
+
+    PeerHub(IoContext &io, EntryMember self, Dispatcher &dispatcher, Handlers handlers);
+
+    // Connects to the member if this entry is the one that dials.
+    void connectTo(const EntryMember &member);
+    void connectToAddress(const Address &address);
+    // Takes over a connection whose first message was a PeerHello.
+    void adopt(const FrameLinkPtr &link, const wire::PeerHelloT &hello);
+    void handle(const FrameLinkPtr &link, const Message &message);
+    void closed(const FrameLinkPtr &link);
+
+    // Sends the submission to its owner. Returns false if there is no connection; then onAnswer is not
+    // called. onAnswer gets an Unknown answer with reason entry_lost if the connection is lost first.
+    bool forward(const std::string &peer, const SubmissionRequest &request, AnswerHandler onAnswer);
+    bool lookup(const std::string &peer, const Fingerprint &key, bool cancel, AnswerHandler onAnswer);
+    void answer(const std::string &peer, uint64_t requestId, const Answer &answer);
+    void sendHeartbeats();
+    // Asks the peer with the most idle credits.
+    void askForCredits(uint32_t queued);
+    void pullConfig(const std::string &peer, uint64_t version, uint64_t view);
+    void send(const std::string &peer, std::vector<uint8_t> frame);
+
+    bool isConnected(const std::string &peer) const;
+    std::vector<std::string> connectedPeers() const;
+    void closeAll();
+
+private:
+    struct Balance
+    {
+        uint32_t idle = 0;
+        uint32_t queued = 0;
+    };
+    struct Pending
+    {
+        std::string peer;
+        AnswerHandler onAnswer;
+    };
+
+    void dial(const Address &address);
+    std::vector<uint8_t> helloFrame() const;
+    std::unique_ptr<wire::BalanceT> balanceFor(const std::string &peer);
+    void takeBalance(const std::string &peer, const wire::BalanceT &balance);
+    uint64_t remember(const std::string &peer, AnswerHandler onAnswer);
+    FrameLinkPtr linkTo(const std::string &peer) const;
+    std::string nameOf(const FrameLinkPtr &link) const;
+
+    IoContext &m_io;
+    const EntryMember m_self;
+    Dispatcher &m_dispatcher;
+    Handlers m_handlers;
+    mutable std::mutex m_mutex;
+    std::map<FrameLinkPtr, std::string> m_names;
+    std::map<std::string, FrameLinkPtr> m_links;
+    std::map<std::string, Balance> m_balances;
+    std::set<std::string> m_dialling;
+    std::unordered_map<uint64_t, Pending> m_pending;
+    uint64_t m_nextRequest = 1;
+};
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/net/framelink.cpp
@@ -0,0 +1,231 @@
+// Framed connections on Asio sockets. Every handler of a link runs on the strand of its socket.
+#include "net/framelink.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace turmericwell {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+FrameHeader decodeFrameHeader(std::span<const uint8_t, frameHeaderBytes> bytes)
+{
+    FrameHeader header;
+    for (int i = 3; i >= 0; --i)
+        header.payloadBytes = (header.payloadBytes << 8U) | bytes[i];
+    header.version = static_cast<uint16_t>(bytes[4] | (bytes[5] << 8U));
+    return header;
+}
+
+std::string frameHeaderProblem(const FrameHeader &header)
+{
+    if (header.version != protocolVersion)
+        return "unsupported protocol version " + std::to_string(header.version);
+    if (header.payloadBytes == 0 || header.payloadBytes > maxFrameBytes)
+        return "frame of " + std::to_string(header.payloadBytes) + " bytes is not allowed";
+    return {};
+}
+
+void writeFrameHeader(std::span<uint8_t> frame)
+{
+    const auto payloadBytes = static_cast<uint32_t>(frame.size() - frameHeaderBytes);
+    for (unsigned i = 0; i < 4; ++i)
+        frame[i] = static_cast<uint8_t>(payloadBytes >> (8U * i));
+    frame[4] = protocolVersion & 0xffU;
+    frame[5] = protocolVersion >> 8U;
+}
+
+FrameLink::FrameLink(TcpSocket socket)
+    : m_socket(std::move(socket))
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    const tcp::endpoint remote = m_socket.remote_endpoint(ignored);
+    m_remoteText = remote.address().to_string() + ":" + std::to_string(remote.port());
+}
+
+void FrameLink::start(Handlers handlers)
+{
+    m_handlers = std::move(handlers);
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->readHeader(); });
+}
+
+void FrameLink::send(std::vector<uint8_t> frame)
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), frame = std::move(frame)]() mutable {
+        if (self->m_closed)
+            return;
+        self->m_queuedBytes += frame.size();
+        if (self->m_queuedBytes > maxQueuedBytes) {
+            self->finish("peer does not read: send queue is full");
+            return;
+        }
+        self->m_queue.push_back(std::move(frame));
+        if (self->m_writing.empty())
+            self->writeQueued();
+    });
+}
+
+void FrameLink::closeAfterWrites()
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_closeAfterWrites = true;
+        if (self->m_writing.empty() && self->m_queue.empty())
+            self->finish("closed by this process");
+    });
+}
+
+void FrameLink::close(const std::string &reason)
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), reason] { self->finish(reason); });
+}
+
+void FrameLink::readHeader()
+{
+    if (m_closed)
+        return;
+    asio::async_read(m_socket, asio::buffer(m_header),
+                     [self = shared_from_this()](const boost::system::error_code &error, size_t) {
+                         if (error) {
+                             self->finish(error.message());
+                             return;
+                         }
+                         const FrameHeader header = decodeFrameHeader(self->m_header);
+                         const std::string problem = frameHeaderProblem(header);
+                         if (!problem.empty()) {
+                             self->finish(problem);
+                             return;
+                         }
+                         self->m_payload.resize(header.payloadBytes);
+                         self->readPayload();
+                     });
+}
+
+void FrameLink::readPayload()
+{
+    asio::async_read(m_socket, asio::buffer(m_payload),
+                     [self = shared_from_this()](const boost::system::error_code &error, size_t bytes) {
+                         if (error) {
+                             self->finish(error.message());
+                             return;
+                         }
+                         self->m_bytesReceived += bytes + frameHeaderBytes;
+                         if (!self->m_closed)
+                             self->m_handlers.onFrame(self->m_payload);
+                         self->readHeader();
+                     });
+}
+
+void FrameLink::writeQueued()
+{
+    m_writing.assign(std::make_move_iterator(m_queue.begin()), std::make_move_iterator(m_queue.end()));
+    m_queue.clear();
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(m_writing.size());
+    for (const std::vector<uint8_t> &frame : m_writing)
+        buffers.emplace_back(frame.data(), frame.size());
+    asio::async_write(m_socket, buffers,
+                      [self = shared_from_this()](const boost::system::error_code &error, size_t bytes) {
+                          self->m_bytesSent += bytes;
+                          self->m_queuedBytes -= bytes;
+                          self->m_writing.clear();
+                          if (error)
+                              self->finish(error.message());
+                          else if (!self->m_queue.empty())
+                              self->writeQueued();
+                          else if (self->m_closeAfterWrites)
+                              self->finish("closed by this process");
+                      });
+}
+
+void FrameLink::finish(const std::string &reason)
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    boost::system::error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+    m_queue.clear();
+    // The handlers may hold the last owner of other objects; release them after the call.
+    const Handlers handlers = std::move(m_handlers);
+    m_handlers = {};
+    if (handlers.onClosed)
+        handlers.onClosed(reason);
+}
+
+struct FrameListener::State : std::enable_shared_from_this<FrameListener::State>
+{
+    State(IoContext &context, const Address &address, std::function<void(FrameLinkPtr)> handler)
+        : io(context)
+        , acceptor(context, tcp::endpoint(asio::ip::make_address(address.host), address.port))
+        , onAccept(std::move(handler))
+    { }
+
+    void accept()
+    {
+        acceptor.async_accept(
+            asio::make_strand(io),
+            [self = shared_from_this()](const boost::system::error_code &error, TcpSocket socket) {
+                if (error == asio::error::operation_aborted)
+                    return;
+                if (!error)
+                    self->onAccept(std::make_shared<FrameLink>(std::move(socket)));
+                self->accept();
+            });
+    }
+
+    IoContext &io;
+    tcp::acceptor acceptor;
+    std::function<void(FrameLinkPtr)> onAccept;
+};
+
+FrameListener::FrameListener(IoContext &io, const Address &address,
+                             std::function<void(FrameLinkPtr)> onAccept)
+    : m_state(std::make_shared<State>(io, address, std::move(onAccept)))
+{
+    m_state->accept();
+}
+
+FrameListener::~FrameListener()
+{
+    asio::post(m_state->acceptor.get_executor(), [state = m_state] {
+        boost::system::error_code ignored;
+        state->acceptor.close(ignored);
+    });
+}
+
+void dialFrameLink(IoContext &io, const Address &address, Millis timeout,
+                   std::function<void(FrameLinkPtr)> onDone)
+{
+    struct Attempt
+    {
+        TcpSocket socket;
+        asio::steady_timer timer;
+    };
+    const auto strand = asio::make_strand(io);
+    auto attempt =
+        std::make_shared<Attempt>(Attempt{.socket = TcpSocket(strand), .timer = asio::steady_timer(strand)});
+    attempt->timer.expires_after(std::chrono::milliseconds(timeout.count));
+    attempt->timer.async_wait([attempt](const boost::system::error_code &error) {
+        boost::system::error_code ignored;
+        if (!error)
+            attempt->socket.close(ignored);
+    });
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+    attempt->socket.async_connect(
+        endpoint, [attempt, onDone = std::move(onDone)](const boost::system::error_code &error) {
+            attempt->timer.cancel();
+            if (error || !attempt->socket.is_open())
+                onDone(nullptr);
+            else
+                onDone(std::make_shared<FrameLink>(std::move(attempt->socket)));
+        });
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/net/framelink.h
@@ -0,0 +1,106 @@
+// One TCP connection that carries length-framed, versioned messages between processes of the system.
+#pragma once
+
+#include "net/address.h"
+#include "turmericwell/millis.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace turmericwell {
+
+using IoContext = boost::asio::io_context;
+using TcpSocket = boost::asio::ip::tcp::socket;
+
+constexpr uint16_t protocolVersion = 1;
+constexpr size_t frameHeaderBytes = 6;
+constexpr uint32_t maxFrameBytes = 8U << 20U;
+// A peer that does not read lets the send queue grow; beyond this the connection is closed.
+constexpr size_t maxQueuedBytes = 64U << 20U;
+
+struct FrameHeader
+{
+    uint32_t payloadBytes = 0;
+    uint16_t version = 0;
+};
+
+// Reads the 6 bytes of a frame header; the caller checks the values.
+FrameHeader decodeFrameHeader(std::span<const uint8_t, frameHeaderBytes> bytes);
+// Empty if the header is acceptable, otherwise the reason to close the connection.
+std::string frameHeaderProblem(const FrameHeader &header);
+// Writes the header for a payload that starts at frameHeaderBytes in the frame.
+void writeFrameHeader(std::span<uint8_t> frame);
+
+class FrameLink : public std::enable_shared_from_this<FrameLink>
+{
+public:
+    struct Handlers
+    {
+        // Called in the order of arrival, never concurrently for one link.
+        std::function<void(std::span<const uint8_t> payload)> onFrame;
+        // Called once. No frame follows.
+        std::function<void(const std::string &reason)> onClosed;
+    };
+
+    explicit FrameLink(TcpSocket socket);
+
+    void start(Handlers handlers);
+    // Takes a whole frame with its header. Thread-safe; frames leave in the order of the calls of one thread.
+    void send(std::vector<uint8_t> frame);
+    // Closes after the queued frames have been written.
+    void closeAfterWrites();
+    void close(const std::string &reason);
+
+    uint64_t bytesSent() const { return m_bytesSent; }
+    uint64_t bytesReceived() const { return m_bytesReceived; }
+    std::string remoteText() const { return m_remoteText; }
+
+private:
+    void readHeader();
+    void readPayload();
+    void writeQueued();
+    void finish(const std::string &reason);
+
+    TcpSocket m_socket;
+    Handlers m_handlers;
+    std::string m_remoteText;
+    std::array<uint8_t, frameHeaderBytes> m_header{};
+    std::vector<uint8_t> m_payload;
+    // Only used on the socket's strand. m_writing holds the frames of the write in progress.
+    std::deque<std::vector<uint8_t>> m_queue;
+    std::vector<std::vector<uint8_t>> m_writing;
+    size_t m_queuedBytes = 0;
+    bool m_closed = false;
+    bool m_closeAfterWrites = false;
+    std::atomic<uint64_t> m_bytesSent = 0;
+    std::atomic<uint64_t> m_bytesReceived = 0;
+};
+
+using FrameLinkPtr = std::shared_ptr<FrameLink>;
+
+// Accepts frame connections until it is destroyed.
+class FrameListener
+{
+public:
+    FrameListener(IoContext &io, const Address &address, std::function<void(FrameLinkPtr)> onAccept);
+    ~FrameListener();
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+// Connects once; the callback gets null if the connection failed or took longer than the timeout.
+void dialFrameLink(IoContext &io, const Address &address, Millis timeout,
+                   std::function<void(FrameLinkPtr)> onDone);
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/observe/eventlog.h
@@ -0,0 +1,46 @@
+// Bounded buffer of the events of one process.
+#pragma once
+
+#include "turmericwell/event.h"
+
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace turmericwell {
+
+struct EventLogOptions
+{
+    std::string process;
+    std::string zone;
+    size_t capacity = 50'000;
+};
+
+// Thread-safe. When the buffer is full the oldest events are dropped; the gap shows in the sequence numbers.
+class EventLog
+{
+public:
+    explicit EventLog(EventLogOptions options);
+
+    // Fills in time, process, zone and sequence; returns the sequence.
+    uint64_t record(Event event);
+    // Events with a sequence above `after`, oldest first.
+    std::vector<Event> since(uint64_t after, size_t most) const;
+    uint64_t dropped() const;
+
+private:
+    EventLogOptions m_options;
+    mutable std::mutex m_mutex;
+    std::deque<Event> m_events;
+    uint64_t m_nextSequence = 1;
+    uint64_t m_dropped = 0;
+};
+
+std::string toJsonText(const Event &event);
+std::optional<Event> eventFromJson(std::string_view text);
+
+} // namespace turmericwell
--- /dev/null
+++ b/tools/lab/cluster.py
@@ -0,0 +1,247 @@
+"""A cluster of real processes on loopback: log stand-in, entries, agents and stand-in targets."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+def free_port():
+    """A TCP port that was free a moment ago; every process of a cluster gets its own."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def http_call(port, method, path, body=None, headers=None, timeout=60):
+    """Sends one request and returns (status, parsed JSON body)."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        data = json.dumps(body) if body is not None and not isinstance(body, str) else body
+        connection.request(method, path, data, headers or {})
+        response = connection.getresponse()
+        text = response.read().decode()
+        return response.status, json.loads(text) if text else None
+    finally:
+        connection.close()
+
+
+def wait_until(condition, timeout, what):
+    """Polls until condition() is true; the timeout only bounds a hang."""
+    end = time.monotonic() + timeout
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(0.05)
+    raise TimeoutError(f"timed out waiting for {what}")
+
+
+class Process:
+    """One child process, ended by its own id."""
+
+    def __init__(self, name, arguments, directory):
+        self.name = name
+        self.log_path = Path(directory) / f"{name}.log"
+        self._log = open(self.log_path, "ab")
+        self.popen = subprocess.Popen([str(a) for a in arguments], stdin=subprocess.DEVNULL,
+                                      stdout=self._log, stderr=self._log)
+
+    def signal(self, number):
+        if self.popen.poll() is None:
+            os.kill(self.popen.pid, number)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def pause(self):
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.signal(signal.SIGCONT)
+
+    def stop(self, timeout=40):
+        """Graceful stop; returns the exit code."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            return self.popen.wait(timeout)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise
+
+    def is_running(self):
+        return self.popen.poll() is None
+
+
+class Cluster:
+    """Processes of one deployment. Use as a context manager: leaving it ends every process."""
+
+    def __init__(self, build, example="himal", entries=None, workers=None, entry_settings=None, agent_settings=None,
+                 log_arguments=()):
+        self.build = Path(build)
+        self.example = ROOT / "examples" / example
+        self.deployment = json.loads((self.example / "deployment" / "deployment.json").read_text())
+        self.directory = Path(tempfile.mkdtemp(prefix="turmericwell-"))
+        self.entry_specs = self.deployment["entries"][:entries]
+        self.worker_specs = self.deployment["workers"][:workers]
+        self.entry_settings = entry_settings or {}
+        self.agent_settings = agent_settings or {}
+        self.log_arguments = list(log_arguments)
+        self.processes = {}
+        self.ports = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.kill_all()
+
+    def binary(self, name="turmericwell"):
+        return self.build / name
+
+    def port(self, name):
+        if name not in self.ports:
+            self.ports[name] = free_port()
+        return self.ports[name]
+
+    def address(self, name):
+        return f"127.0.0.1:{self.port(name)}"
+
+    def spawn(self, name, arguments):
+        self.processes[name] = Process(name, arguments, self.directory)
+        return self.processes[name]
+
+    # --- roles ---
+
+    def start_log(self):
+        return self.spawn("log", [self.binary("turmericwell-standin"), "log", "--listen", self.address("log"),
+                                  *self.log_arguments])
+
+    def write_settings(self, name, settings):
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        return path
+
+    def link_address(self, entry, user):
+        """Address at which `user` reaches the framed port of an entry; a proxy may stand in between."""
+        del user
+        return self.address(f"{entry}/link")
+
+    def log_address(self, user):
+        del user
+        return self.address("log")
+
+    def start_entry(self, spec):
+        name = spec["name"]
+        settings = {
+            "name": name, "zone": spec["zone"], "listen": self.address(name),
+            "linkListen": self.address(f"{name}/link"), "log": self.log_address(name),
+            "peers": [self.link_address(other["name"], name) for other in self.entry_specs if other["name"] != name],
+            **self.entry_settings,
+        }
+        path = self.write_settings(name, settings)
+        return self.spawn(name, [self.binary(), "entry", "--settings", path])
+
+    def start_agent(self, spec):
+        name = f"agent-{spec['name']}"
+        settings = {
+            "name": name, "zone": spec["zone"], "rack": spec["rack"], "worker": spec["name"],
+            "listen": self.address(name),
+            "entries": [self.link_address(entry["name"], name) for entry in self.entry_specs],
+            **self.agent_settings,
+        }
+        path = self.write_settings(name, settings)
+        return self.spawn(name, [self.binary(), "agent", "--settings", path])
+
+    def record_path(self, spec):
+        return self.directory / f"target-{spec['name']}.records"
+
+    def start_target(self, spec):
+        name = f"target-{spec['name']}"
+        return self.spawn(name, [
+            self.binary("turmericwell-standin"), "target", "--name", spec["name"],
+            "--service", self.deployment["service"], "--listen", self.address(name),
+            "--agent", self.address(f"agent-{spec['name']}"), "--slots", self.deployment["slots"],
+            "--connections", self.deployment["connections"], "--cores", self.deployment["cores"],
+            "--memory-gb", self.deployment["memoryGb"], "--rack", spec["rack"],
+            "--record-file", self.record_path(spec),
+        ])
+
+    def start(self):
+        """Starts all roles, applies the example's declarations and waits until all targets can be used."""
+        self.start_log()
+        for spec in self.entry_specs:
+            self.start_entry(spec)
+        for spec in self.worker_specs:
+            self.start_agent(spec)
+            self.start_target(spec)
+        wait_until(lambda: http_call(self.port("log"), "POST", "/control", {})[0] == 200, 20, "the log")
+        self.apply()
+        self.wait_ready()
+
+    def wait_ready(self):
+        for spec in self.entry_specs:
+            wait_until(lambda name=spec["name"]: self.is_ready(name), 30, f"{spec['name']} to be ready")
+
+    def is_ready(self, entry):
+        status, shown = http_call(self.port(entry), "GET", "/v1/show")
+        return (status == 200 and shown["current"] and shown["agents"] == len(self.worker_specs)
+                and len(shown["entries"]) == len(self.entry_specs) and shown["version"] > 0)
+
+    # --- operator and caller ---
+
+    def run(self, *arguments):
+        """Runs one turmericwell command and returns the completed process."""
+        return subprocess.run([str(self.binary()), *map(str, arguments)], capture_output=True, text=True, timeout=60,
+                              check=False)
+
+    def apply(self, directory=None, author="operator"):
+        return self.run("apply", directory or self.example, "--log", self.address("log"), "--author", author)
+
+    def request(self, entry, key, call, payload=None, **fields):
+        return http_call(self.port(entry), "POST", f"/v1/services/{self.deployment['service']}/requests",
+                         {"call": call, "payload": payload, **fields}, {"Idempotency-Key": key})
+
+    def job(self, entry, key, call, tasks, **fields):
+        return http_call(self.port(entry), "POST", "/v1/jobs",
+                         {"key": key, "service": self.deployment["service"], "call": call, "tasks": tasks, **fields})
+
+    def control_log(self, **fields):
+        return http_call(self.port("log"), "POST", "/control", fields)
+
+    def target_records(self):
+        """All starts and ends that the stand-in targets wrote themselves."""
+        records = []
+        for spec in self.worker_specs:
+            path = self.record_path(spec)
+            if path.exists():
+                records += [json.loads(line) for line in path.read_text().splitlines() if line.endswith("}")]
+        return sorted(records, key=lambda record: record["timeMs"])
+
+    # --- end ---
+
+    def stop_all(self):
+        """Stops every process gracefully, targets first; returns the exit codes by name."""
+        codes = {}
+        for prefix in ("target-", "agent-", "entry-", "log"):
+            group = [(name, p) for name, p in self.processes.items() if name.startswith(prefix) and p.is_running()]
+            for _, process in group:
+                process.signal(signal.SIGTERM)
+            for name, process in group:
+                codes[name] = process.stop()
+        return codes
+
+    def kill_all(self):
+        for process in self.processes.values():
+            process.kill()
