Split the entry process into configuration, membership and HTTP parts

Change: ConfigKeeper, MembershipKeeper, Frontend and Waiters; pending forwards belong to a connection and fail with it. Conclusion: a forward can still be lost while two entries connect to each other; open.

--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -3,17 +3,16 @@
 
 #include "dispatch/dispatcher.h"
 #include "entry/agenthub.h"
-#include "entry/callerapi.h"
-#include "entry/logfollower.h"
+#include "entry/configkeeper.h"
+#include "entry/frontend.h"
+#include "entry/membershipkeeper.h"
 #include "entry/peerhub.h"
-#include "membership/currencyguard.h"
-#include "net/http.h"
 #include "observe/eventlog.h"
 #include "observe/log.h"
-#include "platform/logclient.h"
 
 #include <atomic>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <thread>
@@ -39,70 +38,53 @@
 
     void start();
     void beginStop();
-    // Set once the graceful stop has ended.
-    bool isStopped() const { return m_stopped; }
 
 private:
-    // Who waits for an answer: a function that delivers it.
-    using Delivery = std::function<void(const Answer &)>;
+    AgentHub::Handlers agentHandlers();
+    PeerHub::Handlers peerHandlers();
+    ConfigKeeper::Handlers configHandlers();
+    Frontend::Handlers frontendHandlers();
 
     void tick();
     void acceptLink(const FrameLinkPtr &link);
-    void handleFirst(const FrameLinkPtr &link, const Message &message);
+    void handleMessage(const FrameLinkPtr &link, const Message &message);
 
-    void handleHttp(const HttpRequest &request, const HttpResponder &respond);
-    void handleCaller(const HttpRequest &request, const HttpResponder &respond);
-    void submit(const SubmissionRequest &request, Delivery deliver);
-    void submitHere(const SubmissionRequest &request, Delivery deliver);
-    void lookup(const JobLookup &lookup, const Delivery &deliver);
+    void submit(const SubmissionRequest &request, AnswerDelivery deliver);
+    void submitHere(const SubmissionRequest &request, AnswerDelivery deliver);
+    void lookup(const JobLookup &lookup, const AnswerDelivery &deliver);
     Answer lookupHere(const Fingerprint &key, bool cancel);
     std::string metricsText() const;
     std::string showText() const;
+    std::string eventsText() const;
 
     void perform(DispatchActions actions);
-    WaiterId addWaiter(Delivery deliver);
-
-    void startFollowers();
-    void applyConfigRecord(const LogRecord &record);
-    void applyRosterRecord(const LogRecord &record);
-    void versionsChanged();
-    void join();
-    EntryStatus status();
-    wire::PeerPingT peerStatus();
-    KnownVersions ownVersions();
+    void performOne(const SendTasks &action) { m_agents.send(action); }
+    void performOne(const SendRevoke &action) { m_agents.send(action); }
+    void performOne(const SendStop &action) { m_agents.send(action); }
+    void performOne(const AnswerWaiter &action) { m_waiters.answer(action.waiter, action.answer); }
+
+    void configChanged(const ConfigPtr &config);
+    EntryStatus status() const;
+    wire::PeerPingT peerStatus() const;
     void record(EventKind kind, std::string_view why, uint64_t version = 0);
-    void finishStop();
-    void leave();
+    void continueStop();
 
     IoContext &m_io;
     const EntrySettings m_settings;
     const EntryMember m_self;
     EventLog m_events;
+    Waiters m_waiters;
     Dispatcher m_dispatcher;
     AgentHub m_agents;
     PeerHub m_peers;
-    std::shared_ptr<LogClient> m_log;
-    std::shared_ptr<LogFollower> m_configFollower;
-    std::shared_ptr<LogFollower> m_rosterFollower;
-
-    // Guards configuration, roster and currency.
-    mutable std::mutex m_stateMutex;
-    ConfigState m_config;
-    Roster m_roster;
-    CurrencyGuard m_guard;
-    bool m_rosterRead = false;
-    bool m_joining = false;
+    MembershipKeeper m_membership;
+    ConfigKeeper m_config;
     bool m_wasCurrent = false;
 
-    std::mutex m_waiterMutex;
-    std::unordered_map<WaiterId, Delivery> m_waiters;
-    WaiterId m_nextWaiter = 1;
-
     asio::steady_timer m_timer;
     std::unique_ptr<FrameListener> m_linkListener;
-    std::unique_ptr<HttpServer> m_http;
+    std::unique_ptr<Frontend> m_frontend;
     std::atomic<bool> m_stopping = false;
-    std::atomic<bool> m_stopped = false;
     Millis m_stopBegan;
     bool m_leaving = false;
 };
@@ -117,77 +99,82 @@
     , m_dispatcher({.router = {.maxQueued = settings.maxQueued, .zone = settings.zone},
                     .submissions = {.dedupWindow = settings.dedupWindow},
                     .onEvent = [this](Event event) { m_events.record(std::move(event)); }})
-    , m_agents(m_self.id, m_dispatcher,
-               {.status = [this] { return status(); },
-                .onHeard =
-                    [this](const std::string &agent, uint64_t configVersion, uint64_t view) {
-                        const std::lock_guard lock(m_stateMutex);
-                        m_guard.agentHeard(agent, {.config = configVersion, .view = view}, Clock::now());
-                    },
-                .onGone = [](const std::string &) {},
-                .perform = [this](DispatchActions actions) { perform(std::move(actions)); }})
-    , m_peers(io, m_self, m_dispatcher,
-              {.onHeard =
-                   [this](const std::string &peer, const wire::PeerPingT &ping) {
-                       const KnownVersions versions = {.config = ping.config_version, .view = ping.view};
-                       bool behind = false;
-                       {
-                           const std::lock_guard lock(m_stateMutex);
-                           m_guard.peerHeard(peer, versions, Clock::now());
-                           behind = versions.config > m_config.version();
-                       }
-                       if (behind)
-                           m_peers.pullConfig(peer, versions.config, versions.view);
-                   },
-               .onGone =
-                   [this](const std::string &peer) {
-                       const std::lock_guard lock(m_stateMutex);
-                       m_guard.peerRemoved(peer);
-                   },
-               .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
-               .onForward =
-                   [this](const std::string &peer, uint64_t requestId, const SubmissionRequest &request) {
-                       submitHere(request, [this, peer, requestId](const Answer &answer) {
-                           m_peers.answer(peer, requestId, answer);
-                       });
-                   },
-               .onLookup = [this](const std::string &peer, uint64_t requestId, const Fingerprint &key,
-                                  bool cancel) { m_peers.answer(peer, requestId, lookupHere(key, cancel)); },
-               .onConfigPull =
-                   [this](const std::string &peer, const wire::ConfigPullT &) {
-                       wire::ConfigPushT push;
-                       {
-                           const std::lock_guard lock(m_stateMutex);
-                           push.config_version = m_config.version();
-                           push.state = m_config.stateText();
-                       }
-                       m_peers.send(peer, encodeMessage(std::move(push)));
-                   },
-               .onConfigPush =
-                   [this](const wire::ConfigPushT &push) {
-                       bool adopted = false;
-                       {
-                           const std::lock_guard lock(m_stateMutex);
-                           adopted = m_config.adopt(push.state);
-                       }
-                       if (adopted)
-                           versionsChanged();
-                   },
-               .status = [this] { return peerStatus(); }})
-    , m_log(std::make_shared<LogClient>(io, settings.log))
-    , m_guard({.freshness = settings.freshness})
+    , m_agents(m_self.id, m_dispatcher, agentHandlers())
+    , m_peers(io, m_self, m_dispatcher, peerHandlers())
+    , m_membership(io, std::make_shared<LogClient>(io, settings.log),
+                   {.self = m_self, .freshness = settings.freshness, .pollWait = settings.logPollWait})
+    , m_config(io, std::make_shared<LogClient>(io, settings.log), settings.logPollWait, configHandlers())
     , m_timer(io)
 { }
 
+AgentHub::Handlers EntryServer::agentHandlers()
+{
+    return {.status = [this] { return status(); },
+            .onHeard =
+                [this](const std::string &agent, uint64_t configVersion, uint64_t view) {
+                    m_membership.agentHeard(agent, {.config = configVersion, .view = view});
+                },
+            .onGone = [](const std::string &) {},
+            .perform = [this](DispatchActions actions) { perform(std::move(actions)); }};
+}
+
+PeerHub::Handlers EntryServer::peerHandlers()
+{
+    return {.onHeard =
+                [this](const std::string &peer, const wire::PeerPingT &ping) {
+                    m_membership.peerHeard(peer, {.config = ping.config_version, .view = ping.view});
+                    if (ping.config_version > m_config.version())
+                        m_peers.pullConfig(peer, ping.config_version, ping.view);
+                },
+            .onGone = [this](const std::string &peer) { m_membership.peerGone(peer); },
+            .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
+            .onForward =
+                [this](const std::string &peer, uint64_t requestId, const SubmissionRequest &request) {
+                    submitHere(request, [this, peer, requestId](const Answer &answer) {
+                        m_peers.answer(peer, requestId, answer);
+                    });
+                },
+            .onLookup = [this](const std::string &peer, uint64_t requestId, const Fingerprint &key,
+                               bool cancel) { m_peers.answer(peer, requestId, lookupHere(key, cancel)); },
+            .onConfigPull =
+                [this](const std::string &peer, const wire::ConfigPullT &) {
+                    wire::ConfigPushT push;
+                    push.config_version = m_config.version();
+                    push.state = m_config.stateText();
+                    m_peers.send(peer, encodeMessage(std::move(push)));
+                },
+            .onConfigPush = [this](const wire::ConfigPushT &push) { m_config.adopt(push.state); },
+            .status = [this] { return peerStatus(); }};
+}
+
+ConfigKeeper::Handlers EntryServer::configHandlers()
+{
+    return {.onChanged = [this](const ConfigPtr &config) { configChanged(config); },
+            .onRefused = [this](const std::string &why) { record(EventKind::ConfigRefused, why); },
+            .onLogRead = [this](Millis sentAt) { m_membership.logRead(sentAt); },
+            .onLogFailed = [this] { m_membership.logFailed(); }};
+}
+
+Frontend::Handlers EntryServer::frontendHandlers()
+{
+    return {.config = [this] { return m_dispatcher.config(); },
+            .onSubmit = [this](const SubmissionRequest &request,
+                               AnswerDelivery deliver) { submit(request, std::move(deliver)); },
+            .onLookup = [this](const JobLookup &job, const AnswerDelivery &deliver) { lookup(job, deliver); },
+            .isStopping = [this] { return m_stopping.load(); },
+            .metricsText = [this] { return metricsText(); },
+            .showText = [this] { return showText(); },
+            .eventsText = [this] { return eventsText(); }};
+}
+
 void EntryServer::start()
 {
     record(EventKind::ProcessStarted, "");
     m_linkListener = std::make_unique<FrameListener>(m_io, m_settings.linkListen,
                                                      [this](const FrameLinkPtr &link) { acceptLink(link); });
-    m_http = std::make_unique<HttpServer>(
-        m_io, m_settings.listen, HttpServerOptions{},
-        [this](const HttpRequest &request, const HttpResponder &respond) { handleHttp(request, respond); });
-    startFollowers();
+    m_frontend = std::make_unique<Frontend>(m_io, m_settings.listen, frontendHandlers());
+    m_membership.start();
+    m_config.start();
     for (const Address &address : m_settings.peers)
         m_peers.connectToAddress(address);
     tick();
@@ -195,28 +182,20 @@
 
 void EntryServer::tick()
 {
-    const Millis now = Clock::now();
-    std::vector<EntryMember> members;
-    bool current = false;
-    {
-        const std::lock_guard lock(m_stateMutex);
-        members = m_roster.members();
-        m_guard.setOwn({.config = m_config.version(), .view = m_roster.view()});
-        current = m_guard.isCurrent(now) && m_config.version() > 0;
-    }
+    const bool current = m_membership.isCurrent();
     if (current != m_wasCurrent) {
         record(current ? EventKind::BecameCurrent : EventKind::BecameStale, "");
         m_wasCurrent = current;
     }
     m_dispatcher.setMayStart(current);
-    perform(m_dispatcher.tick(now));
-    for (const EntryMember &member : members)
+    perform(m_dispatcher.tick(Clock::now()));
+    for (const EntryMember &member : m_membership.members())
         m_peers.connectTo(member);
     m_peers.sendHeartbeats();
     if (m_dispatcher.queued() > 0 && m_dispatcher.idleCredits() == 0)
         m_peers.askForCredits(m_dispatcher.queued());
     if (m_stopping)
-        finishStop();
+        continueStop();
     constexpr Millis interval = {100};
     m_timer.expires_after(std::chrono::milliseconds(interval.count));
     m_timer.async_wait([this](const boost::system::error_code &error) {
@@ -234,7 +213,7 @@
                          leaf::try_handle_all(
                              [&]() -> leaf::result<void> {
                                  BOOST_LEAF_AUTO(message, decodeMessage(payload));
-                                 handleFirst(link, *message);
+                                 handleMessage(link, *message);
                                  return {};
                              },
                              [&](const CodecError &error) { link->close(error.detail); },
@@ -248,7 +227,7 @@
                      }});
 }
 
-void EntryServer::handleFirst(const FrameLinkPtr &link, const Message &message)
+void EntryServer::handleMessage(const FrameLinkPtr &link, const Message &message)
 {
     if (message.body.type == wire::Body::Hello) {
         const wire::HelloT &hello = *message.body.AsHello();
@@ -264,89 +243,26 @@
 
 void EntryServer::perform(DispatchActions actions)
 {
-    for (DispatchAction &action : actions) {
-        if (auto *answer = std::get_if<AnswerWaiter>(&action)) {
-            Delivery deliver;
-            {
-                const std::lock_guard lock(m_waiterMutex);
-                const auto found = m_waiters.find(answer->waiter);
-                if (found == m_waiters.end())
-                    continue;
-                deliver = std::move(found->second);
-                m_waiters.erase(found);
-            }
-            deliver(answer->answer);
-        } else if (auto *tasks = std::get_if<SendTasks>(&action)) {
-            m_agents.send(*tasks);
-        } else if (auto *revoke = std::get_if<SendRevoke>(&action)) {
-            m_agents.send(*revoke);
-        } else {
-            m_agents.send(std::get<SendStop>(action));
-        }
-    }
-}
-
-WaiterId EntryServer::addWaiter(Delivery deliver)
-{
-    const std::lock_guard lock(m_waiterMutex);
-    const WaiterId id = m_nextWaiter++;
-    m_waiters[id] = std::move(deliver);
-    return id;
+    for (const DispatchAction &action : actions)
+        std::visit([this](const auto &one) { performOne(one); }, action);
 }
 
-// --- callers ---
+// --- submissions ---
 
-void EntryServer::handleHttp(const HttpRequest &request, const HttpResponder &respond)
+static Answer ownerUnavailable(Outcome outcome)
 {
-    if (request.path == "/healthz") {
-        respond({.status = m_stopping ? 503 : 200,
-                 .body = m_stopping ? R"({"status":"stopping"})" : R"({"status":"ok"})"});
-    } else if (request.path == "/metrics") {
-        respond({.body = metricsText(), .contentType = "text/plain; version=0.0.4"});
-    } else if (request.path == "/v1/show") {
-        respond({.body = showText()});
-    } else if (request.path == "/v1/events") {
-        std::string body;
-        for (const Event &event : m_events.since(0, SIZE_MAX))
-            body += toJsonText(event) + "\n";
-        respond({.body = std::move(body), .contentType = "application/x-ndjson"});
-    } else {
-        handleCaller(request, respond);
-    }
+    constexpr Millis retryAfter = {1'000};
+    return {.outcome = outcome,
+            .reason = std::string(reason::ownerUnavailable),
+            .status = 503,
+            .retryAfter = retryAfter};
 }
 
-void EntryServer::handleCaller(const HttpRequest &request, const HttpResponder &respond)
+void EntryServer::submit(const SubmissionRequest &request, AnswerDelivery deliver)
 {
-    CallerRequest parsed = parseCallerRequest(request, *m_dispatcher.config());
-    if (const auto *refusal = std::get_if<BadRequest>(&parsed)) {
-        respond(toHttpResponse(*refusal));
-    } else if (const auto *submission = std::get_if<SubmissionRequest>(&parsed)) {
-        submit(*submission,
-               [respond, kind = submission->kind, key = submission->keyText](const Answer &answer) {
-                   respond(toHttpResponse(kind, key, answer));
-               });
-    } else {
-        const auto &job = std::get<JobLookup>(parsed);
-        lookup(job, [respond, key = job.keyText](const Answer &answer) {
-            respond(toHttpResponse(SubmissionKind::Job, key, answer));
-        });
-    }
-}
-
-void EntryServer::submit(const SubmissionRequest &request, Delivery deliver)
-{
-    std::optional<EntryMember> owner;
-    {
-        const std::lock_guard lock(m_stateMutex);
-        const std::vector<EntryMember> members = m_roster.members();
-        if (const EntryMember *found = ownerOf(members, request.key))
-            owner = *found;
-    }
+    const std::optional<EntryMember> owner = m_membership.ownerOf(request.key);
     if (!owner) {
-        deliver({.outcome = Outcome::NotRun,
-                 .reason = std::string(reason::ownerUnavailable),
-                 .status = 503,
-                 .retryAfter = {1'000}});
+        deliver(ownerUnavailable(Outcome::NotRun));
         return;
     }
     if (owner->id == m_self.id) {
@@ -355,35 +271,21 @@
     }
     record(EventKind::SubmissionForwarded, owner->id.name);
     if (!m_peers.forward(owner->id.name, request, deliver))
-        deliver({.outcome = Outcome::Unknown,
-                 .reason = std::string(reason::ownerUnavailable),
-                 .status = 503,
-                 .retryAfter = {1'000}});
+        deliver(ownerUnavailable(Outcome::Unknown));
 }
 
-void EntryServer::submitHere(const SubmissionRequest &request, Delivery deliver)
+void EntryServer::submitHere(const SubmissionRequest &request, AnswerDelivery deliver)
 {
-    perform(m_dispatcher.submit(request, addWaiter(std::move(deliver)), Clock::now()));
+    perform(m_dispatcher.submit(request, m_waiters.add(std::move(deliver)), Clock::now()));
 }
 
-void EntryServer::lookup(const JobLookup &job, const Delivery &deliver)
+void EntryServer::lookup(const JobLookup &job, const AnswerDelivery &deliver)
 {
-    std::string owner;
-    {
-        const std::lock_guard lock(m_stateMutex);
-        const std::vector<EntryMember> members = m_roster.members();
-        if (const EntryMember *found = ownerOf(members, job.key))
-            owner = found->id.name;
-    }
-    if (owner.empty() || owner == m_self.id.name) {
+    const std::optional<EntryMember> owner = m_membership.ownerOf(job.key);
+    if (!owner || owner->id == m_self.id)
         deliver(lookupHere(job.key, job.cancel));
-        return;
-    }
-    if (!m_peers.lookup(owner, job.key, job.cancel, deliver))
-        deliver({.outcome = Outcome::Unknown,
-                 .reason = std::string(reason::ownerUnavailable),
-                 .status = 503,
-                 .retryAfter = {1'000}});
+    else if (!m_peers.lookup(owner->id.name, job.key, job.cancel, deliver))
+        deliver(ownerUnavailable(Outcome::Unknown));
 }
 
 Answer EntryServer::lookupHere(const Fingerprint &key, bool cancel)
@@ -396,6 +298,8 @@
         : Answer{.outcome = Outcome::Unknown, .reason = std::string(reason::unknownJob), .status = 404};
 }
 
+// --- reports ---
+
 std::string EntryServer::metricsText() const
 {
     std::string text;
@@ -408,142 +312,64 @@
     add("tasks_queued", m_dispatcher.queued());
     add("credits_idle", m_dispatcher.idleCredits());
     add("agents_connected", m_agents.size());
-    add("config_version", m_dispatcher.config()->version);
+    add("config_version", m_config.version());
     add("events_dropped_total", m_events.dropped());
     return text;
 }
 
 std::string EntryServer::showText() const
 {
-    const std::lock_guard lock(m_stateMutex);
     json::array members;
-    for (const EntryMember &member : m_roster.members()) {
+    for (const EntryMember &member : m_membership.members())
         members.push_back(
             json::object{{"entry", member.id.name}, {"address", member.address}, {"zone", member.zone}});
-    }
     const ConfigPtr config = m_config.current();
     return json::serialize(json::object{{"entry", m_self.id.name},
                                         {"version", config->version},
                                         {"changeId", config->changeId},
                                         {"author", config->author},
-                                        {"view", m_roster.view()},
-                                        {"current", m_guard.isCurrent(Clock::now())},
-                                        {"logReadable", m_guard.isLogReadable()},
+                                        {"view", m_membership.view()},
+                                        {"current", m_membership.isCurrent()},
+                                        {"logReadable", m_membership.isLogReadable()},
                                         {"agents", m_agents.size()},
                                         {"entries", std::move(members)},
                                         {"declarations", toJson(config->declarations)}});
 }
 
-// --- log, configuration and roster ---
-
-void EntryServer::startFollowers()
+std::string EntryServer::eventsText() const
 {
-    const auto onFailed = [this](const std::string &) {
-        const std::lock_guard lock(m_stateMutex);
-        m_guard.logFailed(Clock::now());
-    };
-    m_configFollower = std::make_shared<LogFollower>(
-        m_io, m_log,
-        LogFollowerOptions{.stream = std::string(stream::config), .pollWait = m_settings.logPollWait},
-        LogFollower::Handlers{.onRecord = [this](const LogRecord &entry) { applyConfigRecord(entry); },
-                              .onExpired =
-                                  [this](uint64_t oldest) {
-                                      const std::lock_guard lock(m_stateMutex);
-                                      m_config.startReadingAt(oldest);
-                                  },
-                              .onTail =
-                                  [this](Millis sentAt) {
-                                      const std::lock_guard lock(m_stateMutex);
-                                      m_guard.logRead(sentAt);
-                                  },
-                              .onFailed = onFailed});
-    m_rosterFollower = std::make_shared<LogFollower>(
-        m_io, m_log,
-        LogFollowerOptions{.stream = std::string(stream::roster), .pollWait = m_settings.logPollWait},
-        LogFollower::Handlers{.onRecord = [this](const LogRecord &entry) { applyRosterRecord(entry); },
-                              .onExpired = [](uint64_t) {},
-                              .onTail =
-                                  [this](Millis) {
-                                      {
-                                          const std::lock_guard lock(m_stateMutex);
-                                          m_rosterRead = true;
-                                      }
-                                      join();
-                                  },
-                              .onFailed = onFailed});
-    m_configFollower->start(0);
-    m_rosterFollower->start(0);
-}
-
-void EntryServer::applyConfigRecord(const LogRecord &entry)
-{
-    RecordEffect effect = RecordEffect::Ignored;
-    {
-        const std::lock_guard lock(m_stateMutex);
-        effect = m_config.apply(entry.offset, entry.data);
-    }
-    if (effect == RecordEffect::Accepted)
-        versionsChanged();
-    else if (effect == RecordEffect::Conflict)
-        record(EventKind::ConfigRefused, "conflict");
+    std::string text;
+    for (const Event &event : m_events.since(0, SIZE_MAX))
+        text += toJsonText(event) + "\n";
+    return text;
 }
 
-void EntryServer::versionsChanged()
+void EntryServer::configChanged(const ConfigPtr &config)
 {
-    ConfigPtr config;
-    {
-        const std::lock_guard lock(m_stateMutex);
-        config = m_config.current();
-    }
     record(EventKind::ConfigAccepted, config->author, config->version);
     logger().info("configuration version " + std::to_string(config->version) + " is in force");
     m_dispatcher.setConfig(config);
+    m_membership.setConfigVersion(config->version);
 }
 
-void EntryServer::applyRosterRecord(const LogRecord &entry)
+EntryStatus EntryServer::status() const
 {
-    const std::lock_guard lock(m_stateMutex);
-    m_roster.apply(entry.offset, entry.data);
-}
-
-// Appends the join record once the roster is known, and again if the answer was lost.
-void EntryServer::join()
-{
-    {
-        const std::lock_guard lock(m_stateMutex);
-        const EntryMember *member = m_roster.find(m_self.id.name);
-        if (m_joining || m_stopping || (member && member->id == m_self.id))
-            return;
-        m_joining = true;
-    }
-    constexpr Millis appendTimeout = {2'000};
-    m_log->append(stream::roster, Roster::joinRecord(m_self), appendTimeout, [this](const AppendResult &) {
-        const std::lock_guard lock(m_stateMutex);
-        m_joining = false;
-    });
-}
-
-EntryStatus EntryServer::status()
-{
-    const std::lock_guard lock(m_stateMutex);
-    const Millis now = Clock::now();
-    return {.current = m_guard.isCurrent(now) && m_config.version() > 0,
-            .checkedAge = m_guard.evidenceAge(now),
+    return {.current = m_membership.isCurrent(),
+            .checkedAge = m_membership.evidenceAge(),
             .configVersion = m_config.version(),
-            .view = m_roster.view(),
-            .members = m_roster.members()};
+            .view = m_membership.view(),
+            .members = m_membership.members()};
 }
 
-wire::PeerPingT EntryServer::peerStatus()
+wire::PeerPingT EntryServer::peerStatus() const
 {
     wire::PeerPingT ping;
     ping.sent_ms = Clock::now().count;
     ping.idle_credits = m_dispatcher.idleCredits();
     ping.queued = m_dispatcher.queued();
-    const std::lock_guard lock(m_stateMutex);
     ping.config_version = m_config.version();
-    ping.view = m_roster.view();
-    ping.log_readable = m_guard.isLogReadable();
+    ping.view = m_membership.view();
+    ping.log_readable = m_membership.isLogReadable();
     return ping;
 }
 
@@ -563,29 +389,21 @@
     logger().info("stopping after the submissions in flight");
 }
 
-void EntryServer::finishStop()
+void EntryServer::continueStop()
 {
     const Millis waited = Clock::now() - m_stopBegan;
-    if (waited < m_settings.drain || m_stopped)
+    if (waited < m_settings.drain || m_leaving)
+        return;
+    m_frontend->stopAccepting();
+    const bool idle = m_dispatcher.activeSubmissions() == 0 && m_frontend->openRequests() == 0;
+    if (!idle && waited < m_settings.stopBound)
         return;
-    if (!m_leaving)
-        m_http->stopAccepting();
-    const bool idle = m_dispatcher.activeSubmissions() == 0 && m_http->openRequests() == 0;
-    if ((idle || waited >= m_settings.stopBound) && !m_leaving)
-        leave();
-}
-
-void EntryServer::leave()
-{
     m_leaving = true;
-    constexpr Millis appendTimeout = {2'000};
-    m_log->append(stream::roster, Roster::leaveRecord(m_self.id, m_self.id.name, "planned"), appendTimeout,
-                  [this](const AppendResult &) {
-                      m_agents.closeAll();
-                      m_peers.closeAll();
-                      m_stopped = true;
-                      m_io.stop();
-                  });
+    m_membership.leave([this] {
+        m_agents.closeAll();
+        m_peers.closeAll();
+        m_io.stop();
+    });
 }
 
 } // namespace
--- a/src/entry/peerhub.cpp
+++ b/src/entry/peerhub.cpp
@@ -44,13 +44,15 @@
             return;
     }
     constexpr Millis connectTimeout = {1'000};
-    dialFrameLink(m_io, address, connectTimeout, [this, address](const FrameLinkPtr &link) {
-        {
-            const std::lock_guard lock(m_mutex);
-            m_dialling.erase(address.text());
-        }
-        if (!link)
+    const auto forget = [this, address] {
+        const std::lock_guard lock(m_mutex);
+        m_dialling.erase(address.text());
+    };
+    dialFrameLink(m_io, address, connectTimeout, [this, forget](const FrameLinkPtr &link) {
+        if (!link) {
+            forget();
             return;
+        }
         link->start({.onFrame =
                          [this, link](std::span<const uint8_t> payload) {
                              leaf::try_handle_all(
@@ -62,7 +64,11 @@
                                  [&](const CodecError &error) { link->close(error.detail); },
                                  [&] { link->close("bad message"); });
                          },
-                     .onClosed = [this, link](const std::string &) { closed(link); }});
+                     .onClosed =
+                         [this, link, forget](const std::string &) {
+                             forget();
+                             closed(link);
+                         }});
         link->send(helloFrame());
     });
 }
@@ -103,24 +109,26 @@
     std::vector<AnswerHandler> lost;
     {
         const std::lock_guard lock(m_mutex);
-        const auto found = m_names.find(link);
-        if (found == m_names.end())
-            return;
-        name = found->second;
-        m_names.erase(found);
-        m_links.erase(name);
-        m_balances.erase(name);
         for (auto it = m_pending.begin(); it != m_pending.end();) {
-            if (it->second.peer == name) {
+            if (it->second.link == link) {
                 lost.push_back(std::move(it->second.onAnswer));
                 it = m_pending.erase(it);
             } else {
                 ++it;
             }
         }
+        const auto found = m_names.find(link);
+        if (found != m_names.end()) {
+            name = found->second;
+            m_names.erase(found);
+            m_links.erase(name);
+            m_balances.erase(name);
+        }
+    }
+    if (!name.empty()) {
+        logger().info("entry " + name + " is disconnected");
+        m_handlers.onGone(name);
     }
-    logger().info("entry " + name + " is disconnected");
-    m_handlers.onGone(name);
     for (const AnswerHandler &handler : lost)
         handler({.outcome = Outcome::Unknown, .reason = std::string(reason::entryLost), .status = 504});
 }
@@ -153,11 +161,11 @@
     return result;
 }
 
-uint64_t PeerHub::remember(const std::string &peer, AnswerHandler onAnswer)
+uint64_t PeerHub::remember(const FrameLinkPtr &link, AnswerHandler onAnswer)
 {
     const std::lock_guard lock(m_mutex);
     const uint64_t id = m_nextRequest++;
-    m_pending[id] = {.peer = peer, .onAnswer = std::move(onAnswer)};
+    m_pending[id] = {.link = link, .onAnswer = std::move(onAnswer)};
     return id;
 }
 
@@ -167,7 +175,7 @@
     if (!link)
         return false;
     wire::ForwardT forward;
-    forward.request_id = remember(peer, std::move(onAnswer));
+    forward.request_id = remember(link, std::move(onAnswer));
     forward.submission = toWire(request);
     forward.balance = balanceFor(peer);
     link->send(encodeMessage(std::move(forward)));
@@ -180,7 +188,7 @@
     if (!link)
         return false;
     wire::LookupT lookup;
-    lookup.request_id = remember(peer, std::move(onAnswer));
+    lookup.request_id = remember(link, std::move(onAnswer));
     lookup.key = std::make_unique<wire::Key>(toWire(key));
     lookup.cancel = cancel;
     link->send(encodeMessage(std::move(lookup)));
@@ -329,7 +337,7 @@
         {
             const std::lock_guard lock(m_mutex);
             const auto found = m_pending.find(forwardAnswer.request_id);
-            if (found == m_pending.end() || found->second.peer != peer)
+            if (found == m_pending.end() || found->second.link != link)
                 break;
             handler = std::move(found->second.onAnswer);
             m_pending.erase(found);
--- a/src/entry/peerhub.h
+++ b/src/entry/peerhub.h
@@ -68,7 +68,7 @@
     };
     struct Pending
     {
-        std::string peer;
+        FrameLinkPtr link;
         AnswerHandler onAnswer;
     };
 
@@ -76,7 +76,7 @@
     std::vector<uint8_t> helloFrame() const;
     std::unique_ptr<wire::BalanceT> balanceFor(const std::string &peer);
     void takeBalance(const std::string &peer, const wire::BalanceT &balance);
-    uint64_t remember(const std::string &peer, AnswerHandler onAnswer);
+    uint64_t remember(const FrameLinkPtr &link, AnswerHandler onAnswer);
     FrameLinkPtr linkTo(const std::string &peer) const;
     std::string nameOf(const FrameLinkPtr &link) const;
 
@@ -88,6 +88,7 @@
     std::map<FrameLinkPtr, std::string> m_names;
     std::map<std::string, FrameLinkPtr> m_links;
     std::map<std::string, Balance> m_balances;
+    // Addresses that are being dialled or to which a dialled connection is open.
     std::set<std::string> m_dialling;
     std::unordered_map<uint64_t, Pending> m_pending;
     uint64_t m_nextRequest = 1;
--- a/tools/lab/cluster.py
+++ b/tools/lab/cluster.py
@@ -70,10 +70,16 @@
     def resume(self):
         self.signal(signal.SIGCONT)
 
-    def stop(self, timeout=40):
-        """Graceful stop; returns the exit code."""
+    def begin_stop(self):
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGTERM)
+
+    def stop(self, timeout=40):
+        """Graceful stop; returns the exit code."""
+        self.begin_stop()
+        return self.wait(timeout)
+
+    def wait(self, timeout=40):
         try:
             return self.popen.wait(timeout)
         except subprocess.TimeoutExpired:
@@ -237,9 +243,9 @@
         for prefix in ("target-", "agent-", "entry-", "log"):
             group = [(name, p) for name, p in self.processes.items() if name.startswith(prefix) and p.is_running()]
             for _, process in group:
-                process.signal(signal.SIGTERM)
+                process.begin_stop()
             for name, process in group:
-                codes[name] = process.stop()
+                codes[name] = process.wait()
         return codes
 
     def kill_all(self):
--- a/tools/lab/quickstart.py
+++ b/tools/lab/quickstart.py
@@ -36,7 +36,8 @@
         print("\n".join(lines[-10:]))
 
         codes = cluster.stop_all()
-        print("stopped gracefully:", all(code == 0 for code in codes.values()))
+        failed = {name: code for name, code in codes.items() if code != 0}
+        print("stopped gracefully:", not failed, failed or "")
         return 0 if echoes == list(range(420)) and all(code == 0 for code in codes.values()) else 1
 
 
