Complete the agent's decisions: fences, credit epochs, delivery, ramp

Cause: credits leaked with lost connections, results of tasks that ended while their entry was away were dropped, a dead entry could not be fenced, and a process paused between decision and send could start a task late. Change: credit epochs with a free pool, undelivered results sent on reconnection, RecordQuery with a fence, a check right before the request goes to the target, a ramp after a zone returns, a bound on kept answers, and the state of the target in pings.

--- a/src/agent/agentcore.cpp
+++ b/src/agent/agentcore.cpp
@@ -1,4 +1,4 @@
-// Start, refusal, revocation and credits on one target.
+// Start, refusal and revocation of tasks on one target.
 #include "agent/agentcore.h"
 
 #include <algorithm>
@@ -42,19 +42,31 @@
     return reason::none;
 }
 
+bool AgentCore::isFenced(const ProcessId &entry) const
+{
+    const auto found = m_fences.find(entry.name);
+    return found != m_fences.end() && entry.incarnation <= found->second;
+}
+
+bool AgentCore::isConnected(const ProcessId &entry) const
+{
+    return m_entries.contains(entry);
+}
+
 AgentActions AgentCore::targetAnnounced(const TargetInfo &target, bool leaving, Millis now)
 {
     AgentActions actions;
+    m_freeCredits += static_cast<int64_t>(target.slots) - m_target.slots;
     m_target = target;
     m_announcedAt = now;
     m_leaving = leaving;
     if (leaving)
         refuseQueue(reason::targetLeaving, now, actions);
-    grantCredits(actions);
+    grantFree(actions);
     return actions;
 }
 
-AgentActions AgentCore::start(const std::string &entry, const TaskStart &start, Millis now)
+AgentActions AgentCore::start(const ProcessId &entry, const TaskStart &start, Millis now)
 {
     AgentActions actions;
     const auto [found, isNew] = m_records.try_emplace(start.task);
@@ -62,16 +74,17 @@
     if (!isNew) {
         // A duplicate of a start that is under way needs no answer: the first one brings it.
         if (record.state == RecordState::Finished || record.state == RecordState::Refused)
-            actions.emplace_back(SendResult{.entry = entry, .result = record.result});
+            report(start.task, record, actions);
         return actions;
     }
     record = {.entry = entry,
+              .taskCount = start.taskCount,
+              .bodyHash = start.bodyHash,
               .usesCredit = start.usesCredit,
-              .repeatable = start.repeatable,
               .deadline = now + start.budget,
               .since = now};
     m_queue.push_back({.start = start, .entry = entry});
-    const std::string_view why = refusal(now);
+    const std::string_view why = isFenced(entry) ? reason::entryFenced : refusal(now);
     const uint32_t maxQueued = m_options.maxQueued != 0 ? m_options.maxQueued : m_target.slots;
     if (!why.empty())
         refuse(start.task, why, now, actions);
@@ -90,18 +103,18 @@
             refuseQueue(why, now, actions);
             return;
         }
-        Waiting next = std::move(m_queue.front());
-        Record &record = m_records.at(next.start.task);
+        const TaskRef task = m_queue.front().start.task;
+        Record &record = m_records.at(task);
         if (now >= record.deadline) {
-            refuse(next.start.task, reason::deadline, now, actions);
+            refuse(task, reason::deadline, now, actions);
             continue;
         }
-        m_queue.pop_front();
         assert(record.state == RecordState::Queued);
         record.state = RecordState::Running;
         record.since = now;
         ++m_running;
-        actions.emplace_back(RunOnTarget{.start = std::move(next.start)});
+        actions.emplace_back(RunOnTarget{.start = std::move(m_queue.front().start)});
+        m_queue.pop_front();
     }
 }
 
@@ -110,13 +123,8 @@
     std::erase_if(m_queue, [&](const Waiting &waiting) { return waiting.start.task == task; });
     Record &record = m_records.at(task);
     assert(record.state == RecordState::Queued);
-    record.state = RecordState::Refused;
-    record.since = now;
-    record.result = {.task = task,
-                     .outcome = Outcome::NotRun,
-                     .reason = std::string(why),
-                     .returnsCredit = record.usesCredit};
-    actions.emplace_back(SendResult{.entry = record.entry, .result = record.result});
+    end(task, record, RecordState::Refused,
+        {.task = task, .outcome = Outcome::NotRun, .reason = std::string(why)}, now, actions);
 }
 
 void AgentCore::refuseQueue(std::string_view why, Millis now, AgentActions &actions)
@@ -125,40 +133,111 @@
         refuse(TaskRef(m_queue.front().start.task), why, now, actions);
 }
 
+void AgentCore::end(const TaskRef &task, Record &record, RecordState state, TaskResult result, Millis now,
+                    AgentActions &actions)
+{
+    record.state = state;
+    record.since = now;
+    record.result = std::move(result);
+    record.result.returnsCredit = false;
+    if (record.usesCredit) {
+        // The credit goes back with the result, unless its entry is gone or the target has fewer slots now.
+        if (isConnected(record.entry) && m_freeCredits >= 0)
+            record.result.returnsCredit = true;
+        else
+            ++m_freeCredits;
+    }
+    if (!record.result.answer.empty()) {
+        m_answers.push_back(task);
+        m_answerBytes += record.result.answer.size();
+    }
+    ++m_undelivered;
+    report(task, record, actions);
+    record.result.returnsCredit = false;
+    grantFree(actions);
+    trimAnswers();
+}
+
+void AgentCore::report(const TaskRef &task, Record &record, AgentActions &actions)
+{
+    if (isConnected(record.entry)) {
+        actions.emplace_back(SendResult{.entry = record.entry, .result = record.result});
+        delivered(task);
+    }
+    const auto heirs = m_heirs.find(record.entry);
+    if (heirs == m_heirs.end())
+        return;
+    if (record.state == RecordState::Refused) {
+        // Nobody waits for the refusal of a task whose entry is gone.
+        delivered(task);
+        return;
+    }
+    for (const ProcessId &heir : heirs->second) {
+        if (!isConnected(heir))
+            continue;
+        actions.emplace_back(SendResult{.entry = heir, .result = record.result});
+        delivered(task);
+    }
+}
+
+void AgentCore::delivered(const TaskRef &task)
+{
+    const auto found = m_records.find(task);
+    if (found == m_records.end() || found->second.isDelivered)
+        return;
+    found->second.isDelivered = true;
+    --m_undelivered;
+}
+
+// An answer that was dropped is no longer known, although the task has completed.
+void AgentCore::trimAnswers()
+{
+    while (m_answerBytes > m_options.maxAnswerBytes && !m_answers.empty()) {
+        const auto found = m_records.find(m_answers.front());
+        m_answers.pop_front();
+        if (found == m_records.end())
+            continue;
+        TaskResult &result = found->second.result;
+        m_answerBytes -= result.answer.size();
+        result.answer.clear();
+        result.answer.shrink_to_fit();
+        result.outcome = Outcome::Unknown;
+        result.reason = reason::entryLost;
+    }
+}
+
 AgentActions AgentCore::taskEnded(const TaskResult &result, Millis now)
 {
     AgentActions actions;
     const auto found = m_records.find(result.task);
     if (found == m_records.end() || found->second.state != RecordState::Running)
         return actions;
-    Record &record = found->second;
-    record.state = RecordState::Finished;
-    record.since = now;
-    record.result = result;
-    record.result.returnsCredit = record.usesCredit;
     --m_running;
-    actions.emplace_back(SendResult{.entry = record.entry, .result = record.result});
+    end(result.task, found->second, RecordState::Finished, result, now, actions);
     startQueued(now, actions);
     return actions;
 }
 
-AgentActions AgentCore::revoke(const std::string &entry, const TaskRef &task, Millis now)
+AgentActions AgentCore::revoke(const ProcessId &entry, const TaskRef &task, Millis now)
 {
     AgentActions actions;
     const auto [found, isNew] = m_records.try_emplace(task);
     Record &record = found->second;
     if (isNew) {
         // Remembered, so that a start that arrives later is refused.
-        record = {.entry = entry, .state = RecordState::Refused, .since = now};
+        record = {.entry = entry, .state = RecordState::Refused, .isDelivered = true, .since = now};
         record.result = {.task = task, .outcome = Outcome::NotRun, .reason = std::string(reason::revoked)};
     } else if (record.state == RecordState::Queued) {
         refuse(task, reason::revoked, now, actions);
     }
-    SendRevokeAck ack{.entry = entry, .task = task, .result = record.result};
-    if (record.state == RecordState::Running)
+    SendRevokeAck ack{.entry = entry, .task = task};
+    if (record.state == RecordState::Running) {
         ack.state = RevokeState::Running;
-    else if (record.state == RecordState::Finished)
-        ack.state = RevokeState::Finished;
+    } else {
+        ack.state = record.state == RecordState::Finished ? RevokeState::Finished : RevokeState::Revoked;
+        ack.result = record.result;
+        delivered(task);
+    }
     actions.emplace_back(std::move(ack));
     return actions;
 }
@@ -176,9 +255,17 @@
     AgentActions actions;
     if (slice.configVersion < m_slice.configVersion)
         return actions;
+    const bool wasWithdrawn = m_slice.zoneWithdrawn || m_slice.targetWithdrawn;
+    const bool isWithdrawn = slice.zoneWithdrawn || slice.targetWithdrawn;
     m_slice = slice;
-    if (slice.zoneWithdrawn || slice.targetWithdrawn)
+    if (isWithdrawn) {
         refuseQueue(slice.zoneWithdrawn ? reason::zoneWithdrawn : reason::targetWithdrawn, now, actions);
+    } else if (wasWithdrawn && m_options.returnRamp.count > 0) {
+        m_rampBegan = now;
+        m_rampCredits = m_target.slots;
+        m_heldBack = m_target.slots;
+        startCreditEpoch(actions);
+    }
     return actions;
 }
 
@@ -190,63 +277,140 @@
     return actions;
 }
 
-AgentActions AgentCore::entryConnected(const std::string &entry, Millis)
+AgentActions AgentCore::tick(Millis now)
+{
+    AgentActions actions;
+    const std::string_view why = refusal(now);
+    if (!why.empty())
+        refuseQueue(why, now, actions);
+    else
+        startQueued(now, actions);
+    rampCredits(now, actions);
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        const Record &record = it->second;
+        const bool ended = record.state == RecordState::Finished || record.state == RecordState::Refused;
+        if (ended && now - record.since > m_options.dedupWindow) {
+            m_answerBytes -= record.result.answer.size();
+            m_undelivered -= record.isDelivered ? 0 : 1;
+            it = m_records.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return actions;
+}
+
+// --- entries ---
+
+AgentActions AgentCore::entryConnected(const ProcessId &entry, Millis)
 {
     AgentActions actions;
     m_entries.try_emplace(entry, 0);
-    ++m_creditEpoch;
-    for (auto &[name, held] : m_entries)
-        held = 0;
-    grantCredits(actions);
+    for (auto &[task, record] : m_records) {
+        const bool ended = record.state == RecordState::Finished || record.state == RecordState::Refused;
+        if (ended && !record.isDelivered)
+            report(task, record, actions);
+    }
+    startCreditEpoch(actions);
     return actions;
 }
 
-AgentActions AgentCore::entryDisconnected(const std::string &entry, Millis)
+AgentActions AgentCore::entryDisconnected(const ProcessId &entry, Millis)
 {
     AgentActions actions;
-    if (m_entries.erase(entry) == 0)
-        return actions;
+    if (m_entries.erase(entry) > 0)
+        startCreditEpoch(actions);
+    return actions;
+}
+
+AgentActions AgentCore::fence(const ProcessId &deadEntry, const ProcessId &heir, Millis now)
+{
+    AgentActions actions;
+    uint64_t &fenced = m_fences[deadEntry.name];
+    fenced = std::max(fenced, deadEntry.incarnation);
+    m_heirs[deadEntry].insert(heir);
+    std::vector<TaskRef> queued;
+    for (const Waiting &waiting : m_queue) {
+        if (isFenced(waiting.entry))
+            queued.push_back(waiting.start.task);
+    }
+    for (const TaskRef &task : queued)
+        refuse(task, reason::entryFenced, now, actions);
+    // The heir gets what has ended so far with the answer to its query.
+    for (const auto &[task, record] : m_records) {
+        const bool ended = record.state == RecordState::Finished || record.state == RecordState::Refused;
+        if (ended && record.entry == deadEntry)
+            delivered(task);
+    }
+    return actions;
+}
+
+std::vector<StartedTask> AgentCore::startedBy(const ProcessId &entry, Millis now) const
+{
+    std::vector<StartedTask> result;
+    for (const auto &[task, record] : m_records) {
+        const bool started = record.state == RecordState::Running || record.state == RecordState::Finished;
+        if (!started || record.entry != entry)
+            continue;
+        result.push_back({.task = task,
+                          .taskCount = record.taskCount,
+                          .bodyHash = record.bodyHash,
+                          .running = record.state == RecordState::Running,
+                          .result = record.result,
+                          .startedAgo = now - record.since});
+    }
+    return result;
+}
+
+// --- credits ---
+
+// Voids all credits at the entries, so that credits lost with an entry or on a broken connection come back.
+void AgentCore::startCreditEpoch(AgentActions &actions)
+{
     ++m_creditEpoch;
-    for (auto &[name, held] : m_entries)
+    for (auto &[entry, held] : m_entries)
         held = 0;
-    grantCredits(actions);
-    return actions;
+    // A task in flight keeps its credit until its result returns it.
+    int64_t inUse = 0;
+    for (const auto &[task, record] : m_records) {
+        const bool pending = record.state == RecordState::Running || record.state == RecordState::Queued;
+        inUse += pending && record.usesCredit ? 1 : 0;
+    }
+    m_freeCredits = static_cast<int64_t>(m_target.slots) - inUse;
+    grantFree(actions);
 }
 
-// Spreads the free slots of a new epoch evenly over the connected entries.
-void AgentCore::grantCredits(AgentActions &actions)
+void AgentCore::grantFree(AgentActions &actions)
 {
-    uint32_t granted = 0;
-    for (const auto &[name, held] : m_entries)
-        granted += held;
-    if (m_entries.empty() || m_target.slots <= granted)
+    if (m_entries.empty())
         return;
-    uint32_t remaining = m_target.slots - granted;
-    std::map<std::string, uint32_t> grants;
-    while (remaining > 0) {
-        for (auto it = m_entries.begin(); it != m_entries.end() && remaining > 0; ++it, --remaining)
-            ++grants[it->first];
-    }
-    for (const auto &[name, credits] : grants) {
-        m_entries[name] += credits;
-        actions.emplace_back(SendCredits{.entry = name, .credits = credits});
+    // Ties are broken by a hash, so that not all agents grant their odd credits to the same entry.
+    const auto rank = [this](const auto &item) {
+        return std::pair(item.second, Fingerprint::ofKey(m_target.name, item.first.name));
+    };
+    std::map<ProcessId, uint32_t> grants;
+    while (m_freeCredits > static_cast<int64_t>(m_heldBack)) {
+        const auto poorest =
+            std::min_element(m_entries.begin(), m_entries.end(),
+                             [&](const auto &a, const auto &b) { return rank(a) < rank(b); });
+        ++poorest->second;
+        ++grants[poorest->first];
+        --m_freeCredits;
     }
+    for (const auto &[entry, credits] : grants)
+        actions.emplace_back(SendCredits{.entry = entry, .credits = credits});
 }
 
-AgentActions AgentCore::tick(Millis now)
+void AgentCore::rampCredits(Millis now, AgentActions &actions)
 {
-    AgentActions actions;
-    const std::string_view why = refusal(now);
-    if (!why.empty())
-        refuseQueue(why, now, actions);
-    else
-        startQueued(now, actions);
-    std::erase_if(m_records, [&](const auto &item) {
-        const Record &record = item.second;
-        const bool ended = record.state == RecordState::Finished || record.state == RecordState::Refused;
-        return ended && now - record.since > m_options.dedupWindow;
-    });
-    return actions;
+    if (m_heldBack == 0)
+        return;
+    const Millis elapsed = now - m_rampBegan;
+    const int64_t released = elapsed >= m_options.returnRamp
+        ? m_rampCredits
+        : elapsed.count * m_rampCredits / m_options.returnRamp.count;
+    m_heldBack = m_rampCredits - static_cast<uint32_t>(std::min<int64_t>(released, m_rampCredits));
+    grantFree(actions);
 }
 
 } // namespace turmericwell
--- a/src/agent/agentcore.h
+++ b/src/agent/agentcore.h
@@ -9,7 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -33,21 +33,21 @@
 // Tell an entry how an attempt ended.
 struct SendResult
 {
-    std::string entry;
+    ProcessId entry;
     TaskResult result;
 };
 enum class RevokeState : uint8_t { Revoked, Running, Finished };
 struct SendRevokeAck
 {
-    std::string entry;
+    ProcessId entry;
     TaskRef task;
     RevokeState state = RevokeState::Revoked;
-    // Set if the state is Finished.
+    // Set unless the state is Running.
     TaskResult result;
 };
 struct SendCredits
 {
-    std::string entry;
+    ProcessId entry;
     uint32_t credits = 0;
 };
 using AgentAction = std::variant<RunOnTarget, StopOnTarget, SendResult, SendRevokeAck, SendCredits>;
@@ -58,8 +58,12 @@
     Millis freshness = {3'000};
     Millis targetLease = {3'000};
     Millis dedupWindow = {600'000};
+    // After a zone returns, the credits are granted one by one over this time.
+    Millis returnRamp = {500};
     // Starts without a free slot that may wait; zero means as many as there are slots.
     uint32_t maxQueued = 0;
+    // Answers of finished tasks that are kept for a takeover; beyond this the oldest are dropped.
+    size_t maxAnswerBytes = 16U << 20U;
 };
 
 // The part of the configuration that concerns this agent.
@@ -71,8 +75,22 @@
     bool targetWithdrawn = false;
 };
 
+// A task that this agent has started, as the takeover of its entry needs it.
+struct StartedTask
+{
+    TaskRef task;
+    uint32_t taskCount = 1;
+    uint64_t bodyHash = 0;
+    bool running = false;
+    // Set if the task is no longer running.
+    TaskResult result;
+    Millis startedAgo;
+};
+
 // Invariants: at most `slots` tasks run at a time; an attempt that was started, refused or revoked is never
-// started afterwards; nothing starts without fresh evidence, in a withdrawn zone, or on a leaving target.
+// started afterwards; nothing starts without fresh evidence, in a withdrawn zone, on a leaving target, or for
+// an entry that was fenced; the credits at the entries, in the free pool and used by running tasks add up to
+// the slots.
 class AgentCore
 {
 public:
@@ -83,10 +101,10 @@
     AgentActions taskEnded(const TaskResult &result, Millis now);
 
     // --- entries ---
-    AgentActions entryConnected(const std::string &entry, Millis now);
-    AgentActions entryDisconnected(const std::string &entry, Millis now);
-    AgentActions start(const std::string &entry, const TaskStart &start, Millis now);
-    AgentActions revoke(const std::string &entry, const TaskRef &task, Millis now);
+    AgentActions entryConnected(const ProcessId &entry, Millis now);
+    AgentActions entryDisconnected(const ProcessId &entry, Millis now);
+    AgentActions start(const ProcessId &entry, const TaskStart &start, Millis now);
+    AgentActions revoke(const ProcessId &entry, const TaskRef &task, Millis now);
     AgentActions stop(const TaskRef &task);
     // Evidence that an entry was current at a time on this agent's clock.
     void evidence(Millis currentAt);
@@ -94,14 +112,28 @@
     AgentActions drain(Millis now);
     AgentActions tick(Millis now);
 
+    // --- takeover of a dead entry ---
+    // Refuses all later starts of the incarnation and gives its queued tasks up. Results of its running tasks
+    // go to every heir.
+    AgentActions fence(const ProcessId &deadEntry, const ProcessId &heir, Millis now);
+    std::vector<StartedTask> startedBy(const ProcessId &entry, Millis now) const;
+
+    // False if a task that is about to be sent to the target may no longer start.
+    bool mayStillStart(Millis now) const { return refusal(now).empty(); }
     bool isFresh(Millis now) const;
     uint32_t running() const { return static_cast<uint32_t>(m_running); }
     uint32_t queued() const { return static_cast<uint32_t>(m_queue.size()); }
     uint32_t creditEpoch() const { return m_creditEpoch; }
+    // Results that no connection could take yet.
+    size_t undelivered() const { return m_undelivered; }
+    // The result was handed to a connection.
+    void delivered(const TaskRef &task);
     const AgentSlice &slice() const { return m_slice; }
     const TargetInfo &target() const { return m_target; }
     bool isTargetUp(Millis now) const;
     bool isLeaving() const { return m_leaving || m_draining; }
+    size_t recordCount() const { return m_records.size(); }
+    size_t answerBytes() const { return m_answerBytes; }
 
 private:
     enum class RecordState : uint8_t { Queued, Running, Finished, Refused };
@@ -109,11 +141,13 @@
     // What this agent knows of one attempt; kept for the deduplication window.
     struct Record
     {
-        std::string entry;
+        ProcessId entry;
         RecordState state = RecordState::Queued;
         TaskResult result;
+        uint32_t taskCount = 1;
+        uint64_t bodyHash = 0;
         bool usesCredit = false;
-        bool repeatable = false;
+        bool isDelivered = false;
         Millis deadline;
         Millis since;
     };
@@ -121,15 +155,23 @@
     struct Waiting
     {
         TaskStart start;
-        std::string entry;
+        ProcessId entry;
     };
 
     // Empty if a task may start now.
     std::string_view refusal(Millis now) const;
+    bool isFenced(const ProcessId &entry) const;
+    bool isConnected(const ProcessId &entry) const;
     void startQueued(Millis now, AgentActions &actions);
     void refuse(const TaskRef &task, std::string_view why, Millis now, AgentActions &actions);
     void refuseQueue(std::string_view why, Millis now, AgentActions &actions);
-    void grantCredits(AgentActions &actions);
+    void end(const TaskRef &task, Record &record, RecordState state, TaskResult result, Millis now,
+             AgentActions &actions);
+    void report(const TaskRef &task, Record &record, AgentActions &actions);
+    void trimAnswers();
+    void startCreditEpoch(AgentActions &actions);
+    void grantFree(AgentActions &actions);
+    void rampCredits(Millis now, AgentActions &actions);
 
     AgentOptions m_options;
     TargetInfo m_target;
@@ -141,9 +183,24 @@
     std::unordered_map<TaskRef, Record> m_records;
     std::deque<Waiting> m_queue;
     size_t m_running = 0;
-    // Credits that each connected entry holds or uses in the present epoch.
-    std::map<std::string, uint32_t> m_entries;
+    size_t m_undelivered = 0;
+    // Finished tasks with an answer, oldest first.
+    std::deque<TaskRef> m_answers;
+    size_t m_answerBytes = 0;
+
+    // Connected entries and the credits granted to each in the present epoch, for an even spread.
+    std::map<ProcessId, uint32_t> m_entries;
     uint32_t m_creditEpoch = 1;
+    // Credits that no entry holds. Negative after the target has lost slots: then results return no credit.
+    int64_t m_freeCredits = 0;
+    // Credits held back by the ramp after a return, and its start.
+    uint32_t m_heldBack = 0;
+    uint32_t m_rampCredits = 0;
+    Millis m_rampBegan;
+
+    // Highest fenced incarnation of each entry, and who gets the results of its tasks.
+    std::map<std::string, uint64_t> m_fences;
+    std::map<ProcessId, std::set<ProcessId>> m_heirs;
 };
 
 } // namespace turmericwell
--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -45,6 +45,7 @@
     void handlePong(EntryLink &link, const wire::PongT &pong);
     void handleSlice(const wire::SliceT &slice);
     void learnEntries(const std::vector<std::unique_ptr<wire::MemberT>> &members);
+    void handleRecordQuery(EntryLink &link, const wire::RecordQueryT &query);
     void handleLost(EntryLink &link);
 
     void perform(const AgentActions &actions);
@@ -54,7 +55,7 @@
     void performOne(const SendRevokeAck &action);
     void performOne(const SendCredits &action);
     void flushResults();
-    EntryLink *linkTo(const std::string &entry);
+    EntryLink *linkTo(const ProcessId &entry);
     void record(EventKind kind, const TaskRef &task, std::string_view why);
     void finishStop();
 
@@ -66,13 +67,14 @@
     std::unique_ptr<TargetClient> m_target;
     std::vector<std::shared_ptr<EntryLink>> m_links;
     // Results that go out with the next flush, by entry.
-    std::map<std::string, wire::ResultBatchT> m_results;
+    std::map<ProcessId, wire::ResultBatchT> m_results;
     uint64_t m_newestVersion = 0;
     uint64_t m_newestView = 0;
     asio::steady_timer m_timer;
     HttpServer m_http;
     bool m_stopping = false;
     Millis m_stopBegan;
+    bool m_stopped = false;
 };
 
 AgentServer::AgentServer(IoContext &io, const AgentSettings &settings)
@@ -208,10 +210,13 @@
     switch (message.body.type) {
     case wire::Body::Welcome: {
         const wire::WelcomeT &welcome = *message.body.AsWelcome();
-        link.setEntry(welcome.entry);
+        const bool isFirst = link.entry().name.empty();
+        link.setEntry({.name = welcome.entry, .incarnation = welcome.incarnation});
         learnEntries(welcome.entries);
         link.send(pingFrame());
-        perform(m_core.entryConnected(welcome.entry, now));
+        // A Hello that reports a change of the target is answered by a Welcome too.
+        if (isFirst)
+            perform(m_core.entryConnected(link.entry(), now));
         break;
     }
     case wire::Body::Pong:
@@ -228,6 +233,9 @@
         if (message.body.AsRevoke()->task)
             perform(m_core.revoke(link.entry(), fromWire(*message.body.AsRevoke()->task), now));
         break;
+    case wire::Body::RecordQuery:
+        handleRecordQuery(link, *message.body.AsRecordQuery());
+        break;
     case wire::Body::Stop:
         if (message.body.AsStop()->task)
             perform(m_core.stop(fromWire(*message.body.AsStop()->task)));
@@ -263,6 +271,28 @@
                               Clock::now()));
 }
 
+void AgentServer::handleRecordQuery(EntryLink &link, const wire::RecordQueryT &query)
+{
+    const Millis now = Clock::now();
+    const ProcessId dead = {.name = query.dead_entry, .incarnation = query.dead_incarnation};
+    m_newestView = std::max(m_newestView, query.view);
+    perform(m_core.fence(dead, link.entry(), now));
+    wire::RecordReplyT reply;
+    reply.query_id = query.query_id;
+    reply.agent = m_settings.name;
+    for (const StartedTask &started : m_core.startedBy(dead, now)) {
+        auto record = std::make_unique<wire::StartedRecordT>();
+        record->task = std::make_unique<wire::TaskRef>(toWire(started.task));
+        record->task_count = started.taskCount;
+        record->body_hash = started.bodyHash;
+        record->running = started.running;
+        record->result = toWire(started.result);
+        record->started_ms = started.startedAgo.count;
+        reply.records.push_back(std::move(record));
+    }
+    link.send(encodeMessage(std::move(reply)));
+}
+
 void AgentServer::learnEntries(const std::vector<std::unique_ptr<wire::MemberT>> &members)
 {
     for (const auto &member : members) {
@@ -273,11 +303,11 @@
 
 void AgentServer::handleLost(EntryLink &link)
 {
-    if (!link.entry().empty())
+    if (!link.entry().name.empty())
         perform(m_core.entryDisconnected(link.entry(), Clock::now()));
 }
 
-EntryLink *AgentServer::linkTo(const std::string &entry)
+EntryLink *AgentServer::linkTo(const ProcessId &entry)
 {
     for (const auto &link : m_links) {
         if (link->entry() == entry && link->isConnected())
@@ -309,7 +339,8 @@
 {
     record(EventKind::TaskStarted, action.start.task, "");
     constexpr Millis longestRun = {3'600'000};
-    m_target->run(action.start, longestRun, [this](const TaskResult &result) {
+    const auto mayStillStart = [this] { return m_core.mayStillStart(Clock::now()); };
+    m_target->run(action.start, longestRun, mayStillStart, [this](const TaskResult &result) {
         record(EventKind::TaskFinished, result.task, toString(result.outcome));
         perform(m_core.taskEnded(result, Clock::now()));
     });
@@ -382,8 +413,10 @@
 
 void AgentServer::finishStop()
 {
-    if (m_core.running() > 0 && Clock::now() - m_stopBegan < m_settings.stopBound)
+    const bool isPending = m_core.running() > 0 || m_core.undelivered() > 0;
+    if (m_stopped || (isPending && Clock::now() - m_stopBegan < m_settings.stopBound))
         return;
+    m_stopped = true;
     m_timer.cancel();
     for (const auto &link : m_links)
         link->stop();
--- a/src/agentd/agentsettings.cpp
+++ b/src/agentd/agentsettings.cpp
@@ -25,6 +25,7 @@
     core.freshness = reader.millis("freshnessMs", core.freshness, {.least = 100, .most = 60'000});
     core.targetLease = reader.millis("targetLeaseMs", core.targetLease, {.least = 100, .most = 60'000});
     core.dedupWindow = reader.millis("dedupWindowMs", core.dedupWindow, {.least = 1'000, .most = 86'400'000});
+    core.returnRamp = reader.millis("returnRampMs", core.returnRamp, {.least = 0, .most = 60'000});
     core.maxQueued =
         static_cast<uint32_t>(reader.integer("agentQueue", core.maxQueued, {.least = 0, .most = 10'000}));
     reader.finish();
--- a/src/agentd/entrylink.cpp
+++ b/src/agentd/entrylink.cpp
@@ -93,7 +93,7 @@
     logger().info("connection to entry " + m_address.text() + " was lost: " + why);
     m_link = nullptr;
     m_handlers.onLost(*this);
-    m_entry.clear();
+    m_entry = {};
     dialLater();
 }
 
--- a/src/agentd/entrylink.h
+++ b/src/agentd/entrylink.h
@@ -32,9 +32,9 @@
 
     const Address &address() const { return m_address; }
     bool isConnected() const { return m_link != nullptr; }
-    // Name of the entry at the other end; empty until it has said so.
-    const std::string &entry() const { return m_entry; }
-    void setEntry(std::string name) { m_entry = std::move(name); }
+    // The entry at the other end; its name is empty until it has said so.
+    const ProcessId &entry() const { return m_entry; }
+    void setEntry(ProcessId entry) { m_entry = std::move(entry); }
 
 private:
     void dial();
@@ -48,7 +48,7 @@
     Handlers m_handlers;
     boost::asio::steady_timer m_timer;
     FrameLinkPtr m_link;
-    std::string m_entry;
+    ProcessId m_entry;
     bool m_stopped = false;
 };
 
--- a/src/entry/agenthub.cpp
+++ b/src/entry/agenthub.cpp
@@ -34,7 +34,8 @@
 void AgentHub::adopt(const FrameLinkPtr &link, const wire::HelloT &hello)
 {
     Agent agent{.id = {.name = hello.agent, .incarnation = hello.incarnation},
-                .target = hello.target ? fromWire(*hello.target) : TargetInfo{}};
+                .target = hello.target ? fromWire(*hello.target) : TargetInfo{},
+                .leaving = hello.leaving};
     FrameLinkPtr replaced;
     {
         const std::lock_guard lock(m_mutex);
@@ -126,6 +127,7 @@
 void AgentHub::handlePing(const FrameLinkPtr &link, const std::string &agent, const wire::PingT &ping)
 {
     m_handlers.onHeard(agent, ping.config_version, ping.view);
+    takeLeaving(link, ping.leaving);
     const EntryStatus status = m_handlers.status();
     wire::PongT pong;
     pong.sent_ms = ping.sent_ms;
@@ -137,6 +139,22 @@
     link->send(encodeMessage(std::move(pong)));
 }
 
+// The agent reports in each ping whether its target takes work, also when the announcements of the target
+// have lapsed.
+void AgentHub::takeLeaving(const FrameLinkPtr &link, bool leaving)
+{
+    Agent agent;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_agents.find(link);
+        if (found == m_agents.end() || found->second.leaving == leaving || found->second.target.slots == 0)
+            return;
+        found->second.leaving = leaving;
+        agent = found->second;
+    }
+    m_handlers.perform(m_dispatcher.agentUp(agent.id, agent.target, leaving, Clock::now()));
+}
+
 void AgentHub::handleSliceRequest(const FrameLinkPtr &link, const std::string &agent)
 {
     TargetInfo target;
--- a/src/entry/agenthub.h
+++ b/src/entry/agenthub.h
@@ -56,11 +56,13 @@
     {
         ProcessId id;
         TargetInfo target;
+        bool leaving = false;
     };
 
     FrameLinkPtr linkTo(const std::string &agent) const;
     std::string nameOf(const FrameLinkPtr &link) const;
     void handlePing(const FrameLinkPtr &link, const std::string &agent, const wire::PingT &ping);
+    void takeLeaving(const FrameLinkPtr &link, bool leaving);
     void handleSliceRequest(const FrameLinkPtr &link, const std::string &agent);
     void handleResults(const std::string &agent, const wire::ResultBatchT &batch);
     void handleRevokeAck(const std::string &agent, const wire::RevokeAckT &ack);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -69,6 +69,8 @@
     std::string error;
     // False only if the peer cannot have received any part of the request.
     bool sent = false;
+    // The caller's check right before sending forbade it.
+    bool withheld = false;
 };
 
 struct HttpClientOptions
@@ -89,6 +91,9 @@
 
     // Thread-safe. The callback runs once, on a thread of the context.
     void request(HttpRequest request, Millis timeout, std::function<void(HttpResult)> onDone);
+    // Sends only if maySend returns true once a connection is ready.
+    void request(HttpRequest request, Millis timeout, std::function<bool()> maySend,
+                 std::function<void(HttpResult)> onDone);
 
 private:
     struct State;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -21,6 +21,8 @@
 {
     HttpRequest request;
     Millis timeout;
+    // May be empty.
+    std::function<bool()> maySend;
     std::function<void(HttpResult)> onDone;
 };
 
@@ -117,6 +119,10 @@
 
     void write()
     {
+        if (m_call.maySend && !m_call.maySend()) {
+            finish({.error = "withheld", .sent = false, .withheld = true});
+            return;
+        }
         m_stream.expires_after(std::chrono::milliseconds(m_call.timeout.count));
         http::async_write(m_stream, m_message,
                           [self = shared_from_this()](const beast::error_code &error, size_t) {
@@ -227,7 +233,16 @@
 
 void HttpClient::request(HttpRequest request, Millis timeout, std::function<void(HttpResult)> onDone)
 {
-    m_state->submit({.request = std::move(request), .timeout = timeout, .onDone = std::move(onDone)});
+    this->request(std::move(request), timeout, nullptr, std::move(onDone));
+}
+
+void HttpClient::request(HttpRequest request, Millis timeout, std::function<bool()> maySend,
+                         std::function<void(HttpResult)> onDone)
+{
+    m_state->submit({.request = std::move(request),
+                     .timeout = timeout,
+                     .maySend = std::move(maySend),
+                     .onDone = std::move(onDone)});
 }
 
 } // namespace turmericwell
--- a/src/target/targetclient.cpp
+++ b/src/target/targetclient.cpp
@@ -16,8 +16,10 @@
 static TaskResult toTaskResult(const TaskRef &task, HttpResult &&result)
 {
     if (!result.response) {
-        if (!result.sent)
-            return {.task = task, .outcome = Outcome::NotRun, .reason = std::string(reason::targetLost)};
+        if (!result.sent) {
+            const std::string_view why = result.withheld ? reason::stale : reason::targetLost;
+            return {.task = task, .outcome = Outcome::NotRun, .reason = std::string(why)};
+        }
         return {.task = task, .outcome = Outcome::Unknown, .reason = std::string(reason::targetLost)};
     }
     if (result.response->status == 200)
@@ -25,7 +27,8 @@
     return {.task = task, .outcome = Outcome::Failed, .reason = std::string(reason::targetError)};
 }
 
-void TargetClient::run(const TaskStart &start, Millis timeout, std::function<void(TaskResult)> onDone)
+void TargetClient::run(const TaskStart &start, Millis timeout, std::function<bool()> mayStillStart,
+                       std::function<void(TaskResult)> onDone)
 {
     std::string body = R"({"call":)" + json::serialize(json::string(start.call)) + R"(,"payload":)"
         + (start.payload.empty() ? "null" : start.payload) + R"(,"runMs":)" + std::to_string(start.runMs)
@@ -34,7 +37,8 @@
                     .path = "/v1/tasks",
                     .headers = {{"Content-Type", "application/json"}, {"Task-Id", start.task.text()}},
                     .body = std::move(body)},
-                   timeout, [task = start.task, onDone = std::move(onDone)](HttpResult result) {
+                   timeout, std::move(mayStillStart),
+                   [task = start.task, onDone = std::move(onDone)](HttpResult result) {
                        onDone(toTaskResult(task, std::move(result)));
                    });
 }
--- a/src/target/targetclient.h
+++ b/src/target/targetclient.h
@@ -14,9 +14,11 @@
 public:
     TargetClient(IoContext &io, const Address &address, uint32_t connections);
 
-    // The callback gets Complete or Failed if the target answered, NotRun if the request never reached it,
-    // Unknown otherwise.
-    void run(const TaskStart &start, Millis timeout, std::function<void(TaskResult)> onDone);
+    // mayStillStart is asked right before the request goes out; the process may have been paused since the
+    // decision. The callback gets Complete or Failed if the target answered, NotRun if the request never
+    // reached it, Unknown otherwise.
+    void run(const TaskStart &start, Millis timeout, std::function<bool()> mayStillStart,
+             std::function<void(TaskResult)> onDone);
     void stop(const TaskRef &task);
 
     const Address &address() const { return m_address; }
--- /dev/null
+++ b/tests/unit/agenttest.cpp
@@ -0,0 +1,301 @@
+// Tests of the agent's decisions with a controlled clock.
+#include "agent/agentcore.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace turmericwell;
+using namespace turmericwell::literals;
+
+namespace {
+
+const ProcessId entryA = {.name = "entry-a", .incarnation = 1};
+const ProcessId entryB = {.name = "entry-b", .incarnation = 1};
+
+TaskStart makeStart(uint32_t index, bool usesCredit = true)
+{
+    return {.task = {.submission = {.high = 1, .low = 2}, .index = index},
+            .service = "kiosk",
+            .budget = {10'000},
+            .usesCredit = usesCredit};
+}
+
+template <typename Action>
+std::vector<Action> actionsOf(const AgentActions &actions)
+{
+    std::vector<Action> result;
+    for (const AgentAction &action : actions) {
+        if (const auto *found = std::get_if<Action>(&action))
+            result.push_back(*found);
+    }
+    return result;
+}
+
+uint32_t creditsIn(const AgentActions &actions)
+{
+    uint32_t total = 0;
+    for (const SendCredits &grant : actionsOf<SendCredits>(actions))
+        total += grant.credits;
+    return total;
+}
+
+// An agent with two slots, fresh evidence at time 0 and one connected entry.
+struct Fixture
+{
+    Fixture()
+        : core({.freshness = 3'000_ms, .dedupWindow = 60'000_ms, .returnRamp = 1'000_ms, .maxQueued = 2})
+    {
+        core.targetAnnounced({.name = "t", .service = "kiosk", .slots = 2, .connections = 64}, false, 0_ms);
+        core.evidence(0_ms);
+        core.entryConnected(entryA, 0_ms);
+    }
+
+    AgentActions finish(uint32_t index, Millis now)
+    {
+        return core.taskEnded({.task = makeStart(index).task, .outcome = Outcome::Complete, .answer = "x"},
+                              now);
+    }
+
+    // Keeps the target's announcement alive.
+    void announce(Millis now)
+    {
+        core.targetAnnounced({.name = "t", .service = "kiosk", .slots = 2, .connections = 64}, false, now);
+    }
+
+    AgentCore core;
+};
+
+std::string refusalIn(const AgentActions &actions)
+{
+    const std::vector<SendResult> results = actionsOf<SendResult>(actions);
+    BOOST_REQUIRE_EQUAL(results.size(), 1U);
+    BOOST_TEST((results.front().result.outcome == Outcome::NotRun));
+    return results.front().result.reason;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(agent, Fixture)
+
+// Guards against a second start when an entry sends the same attempt again (G1).
+BOOST_AUTO_TEST_CASE(duplicateStartRunsOnce)
+{
+    BOOST_TEST(actionsOf<RunOnTarget>(core.start(entryA, makeStart(0), 1_ms)).size() == 1);
+    BOOST_TEST(core.start(entryA, makeStart(0), 2_ms).empty());
+    finish(0, 3_ms);
+    const AgentActions again = core.start(entryA, makeStart(0), 4_ms);
+    BOOST_TEST(actionsOf<RunOnTarget>(again).empty());
+    BOOST_TEST(actionsOf<SendResult>(again).size() == 1);
+}
+
+// Guards against an overrun of the target's slots when several entries send without credits.
+BOOST_AUTO_TEST_CASE(slotsAndQueueAreBounded)
+{
+    size_t started = 0;
+    for (uint32_t i = 0; i < 4; ++i)
+        started += actionsOf<RunOnTarget>(core.start(entryA, makeStart(i, false), 1_ms)).size();
+    BOOST_TEST(started == 2);
+    BOOST_TEST(refusalIn(core.start(entryA, makeStart(4, false), 1_ms)) == reason::busy);
+    BOOST_TEST(actionsOf<RunOnTarget>(finish(0, 2_ms)).size() == 1);
+}
+
+// Guards against starts by a process that was paused or cut off past the freshness bound (G3).
+BOOST_AUTO_TEST_CASE(staleEvidenceRefusesStartsAndQueue)
+{
+    core.start(entryA, makeStart(0), 1_ms);
+    core.start(entryA, makeStart(1), 1_ms);
+    core.start(entryA, makeStart(2, false), 1_ms);
+    announce(2'500_ms);
+    BOOST_TEST(refusalIn(core.tick(3'001_ms)) == reason::stale);
+    BOOST_TEST(refusalIn(core.start(entryA, makeStart(3), 3'002_ms)) == reason::stale);
+    // Evidence that was collected before the pause and read after it does not count as fresh.
+    core.evidence(1_ms);
+    BOOST_TEST(refusalIn(core.start(entryA, makeStart(4), 3'003_ms)) == reason::stale);
+    BOOST_TEST(!core.mayStillStart(3'003_ms));
+}
+
+// Guards against queued work that starts after its zone was withdrawn (G3).
+BOOST_AUTO_TEST_CASE(withdrawalReturnsQueuedWork)
+{
+    for (uint32_t i = 0; i < 3; ++i)
+        core.start(entryA, makeStart(i, false), 1_ms);
+    const AgentActions actions = core.applySlice({.configVersion = 2, .zoneWithdrawn = true}, 2_ms);
+    BOOST_TEST(refusalIn(actions) == reason::zoneWithdrawn);
+    BOOST_TEST(actionsOf<RunOnTarget>(finish(0, 3_ms)).empty());
+}
+
+// Guards against an older configuration that arrives late and puts a withdrawn zone back in service (G9).
+BOOST_AUTO_TEST_CASE(olderSliceIsIgnored)
+{
+    core.applySlice({.configVersion = 3, .zoneWithdrawn = true}, 1_ms);
+    core.applySlice({.configVersion = 2, .zoneWithdrawn = false}, 2_ms);
+    BOOST_TEST(refusalIn(core.start(entryA, makeStart(0), 3_ms)) == reason::zoneWithdrawn);
+}
+
+// Guards against new work on a target that leaves (G7) and against cutting its running task (G8).
+BOOST_AUTO_TEST_CASE(leavingTargetFinishesRunningWorkOnly)
+{
+    core.start(entryA, makeStart(0), 1_ms);
+    core.targetAnnounced({.name = "t", .service = "kiosk", .slots = 2}, true, 2_ms);
+    BOOST_TEST(refusalIn(core.start(entryA, makeStart(1), 3_ms)) == reason::targetLeaving);
+    BOOST_TEST(core.running() == 1);
+    BOOST_TEST(actionsOf<SendResult>(finish(0, 4_ms)).size() == 1);
+}
+
+// Guards against a start that arrives after its revocation was acknowledged (G5).
+BOOST_AUTO_TEST_CASE(revocationHoldsForLateStarts)
+{
+    const auto acks = actionsOf<SendRevokeAck>(core.revoke(entryA, makeStart(0).task, 1_ms));
+    BOOST_REQUIRE_EQUAL(acks.size(), 1U);
+    BOOST_TEST((acks.front().state == RevokeState::Revoked));
+    BOOST_TEST(refusalIn(core.start(entryA, makeStart(0), 2_ms)) == reason::revoked);
+}
+
+// Guards against "not run" for a task that is running or has finished (G5).
+BOOST_AUTO_TEST_CASE(revocationOfStartedTaskTellsItsState)
+{
+    core.start(entryA, makeStart(0), 1_ms);
+    BOOST_TEST((actionsOf<SendRevokeAck>(core.revoke(entryA, makeStart(0).task, 2_ms)).front().state
+                == RevokeState::Running));
+    finish(0, 3_ms);
+    const auto ack = actionsOf<SendRevokeAck>(core.revoke(entryA, makeStart(0).task, 4_ms)).front();
+    BOOST_TEST((ack.state == RevokeState::Finished));
+    BOOST_TEST(ack.result.answer == "x");
+}
+
+// Guards against the loss of a result whose entry was disconnected when the task ended.
+BOOST_AUTO_TEST_CASE(resultIsDeliveredAfterReconnection)
+{
+    core.start(entryA, makeStart(0), 1_ms);
+    core.entryDisconnected(entryA, 2_ms);
+    BOOST_TEST(actionsOf<SendResult>(finish(0, 3_ms)).empty());
+    BOOST_TEST(core.undelivered() == 1);
+    BOOST_TEST(actionsOf<SendResult>(core.entryConnected(entryA, 4_ms)).size() == 1);
+    BOOST_TEST(core.undelivered() == 0);
+}
+
+// Guards against starts by an entry that was declared dead but still runs, and against lost results of its
+// tasks.
+BOOST_AUTO_TEST_CASE(fencedEntryStartsNothingAndItsResultsGoToTheHeir)
+{
+    core.entryConnected(entryB, 0_ms);
+    core.start(entryA, makeStart(0), 1_ms);
+    core.fence(entryA, entryB, 2_ms);
+    const std::vector<StartedTask> started = core.startedBy(entryA, 3_ms);
+    BOOST_REQUIRE_EQUAL(started.size(), 1U);
+    BOOST_TEST(started.front().running);
+    BOOST_TEST(refusalIn(core.start(entryA, makeStart(1), 3_ms)) == reason::entryFenced);
+    core.entryDisconnected(entryA, 4_ms);
+    const auto results = actionsOf<SendResult>(finish(0, 5_ms));
+    BOOST_REQUIRE_EQUAL(results.size(), 1U);
+    BOOST_TEST((results.front().entry == entryB));
+    const ProcessId restarted = {.name = entryA.name, .incarnation = 2};
+    core.entryConnected(restarted, 6_ms);
+    BOOST_TEST(actionsOf<RunOnTarget>(core.start(restarted, makeStart(2), 7_ms)).size() == 1);
+}
+
+// Guards against credits that leak or multiply over random connections, starts, ends and losses of entries.
+BOOST_AUTO_TEST_CASE(creditsAddUpToTheSlots)
+{
+    std::mt19937 random(20261204); // fixed seed
+    AgentCore agentCore({.freshness = 3'000'000_ms, .dedupWindow = 60'000_ms, .maxQueued = 8});
+    constexpr uint32_t slots = 8;
+    agentCore.targetAnnounced({.name = "t", .service = "kiosk", .slots = slots}, false, 0_ms);
+    agentCore.evidence(0_ms);
+    std::map<ProcessId, uint32_t> idle;
+    std::vector<TaskRef> running;
+    std::map<TaskRef, ProcessId> owners;
+    uint32_t epoch = agentCore.creditEpoch();
+    uint32_t next = 0;
+    const auto take = [&](const AgentActions &actions) {
+        if (agentCore.creditEpoch() != epoch) {
+            epoch = agentCore.creditEpoch();
+            for (auto &[entry, credits] : idle)
+                credits = 0;
+        }
+        for (const SendCredits &grant : actionsOf<SendCredits>(actions))
+            idle[grant.entry] += grant.credits;
+        for (const SendResult &result : actionsOf<SendResult>(actions))
+            idle[result.entry] += result.result.returnsCredit ? 1 : 0;
+        for (const RunOnTarget &run : actionsOf<RunOnTarget>(actions))
+            running.push_back(run.start.task);
+    };
+    const std::vector<ProcessId> entries = {entryA, entryB, {.name = "entry-c", .incarnation = 1}};
+    for (int step = 0; step < 5'000; ++step) {
+        const Millis now = {step / 10};
+        const ProcessId &entry = entries[random() % entries.size()];
+        switch (random() % 6) {
+        case 0:
+            if (idle.try_emplace(entry, 0).second)
+                take(agentCore.entryConnected(entry, now));
+            break;
+        case 1:
+            if (random() % 20 == 0 && idle.erase(entry) > 0)
+                take(agentCore.entryDisconnected(entry, now));
+            break;
+        case 2:
+        case 3:
+            if (idle.contains(entry) && idle[entry] > 0) {
+                --idle[entry];
+                take(agentCore.start(entry, makeStart(next++), now));
+            }
+            break;
+        default:
+            if (!running.empty()) {
+                const size_t index = random() % running.size();
+                const TaskRef task = running[index];
+                running.erase(running.begin() + static_cast<std::ptrdiff_t>(index));
+                take(agentCore.taskEnded({.task = task, .outcome = Outcome::Complete}, now));
+            }
+        }
+        uint32_t total = agentCore.running() + agentCore.queued();
+        for (const auto &[name, credits] : idle)
+            total += credits;
+        BOOST_REQUIRE(idle.empty() || total == slots);
+        BOOST_REQUIRE(running.size() <= slots);
+    }
+}
+
+// Guards against a burst on a zone that has just returned.
+BOOST_AUTO_TEST_CASE(creditsRampUpAfterReturn)
+{
+    core.applySlice({.configVersion = 2, .zoneWithdrawn = true}, 1_ms);
+    BOOST_TEST(creditsIn(core.applySlice({.configVersion = 3}, 10_ms)) == 0);
+    announce(500_ms);
+    BOOST_TEST(creditsIn(core.tick(510_ms)) == 1);
+    BOOST_TEST(creditsIn(core.tick(1'010_ms)) == 1);
+}
+
+// Guards against unbounded memory for answers; a dropped answer is reported as unknown, not as empty.
+BOOST_AUTO_TEST_CASE(oldAnswersAreDropped)
+{
+    AgentCore small({.maxAnswerBytes = 10});
+    small.targetAnnounced({.name = "t", .service = "kiosk", .slots = 2}, false, 0_ms);
+    small.evidence(0_ms);
+    small.entryConnected(entryA, 0_ms);
+    for (uint32_t i = 0; i < 2; ++i) {
+        small.start(entryA, makeStart(i), 1_ms);
+        small.taskEnded({.task = makeStart(i).task, .outcome = Outcome::Complete, .answer = "12345678"},
+                        2_ms);
+    }
+    BOOST_TEST(small.answerBytes() <= 10);
+    for (const StartedTask &started : small.startedBy(entryA, 3_ms)) {
+        if (started.task.index == 0)
+            BOOST_TEST((started.result.outcome == Outcome::Unknown));
+    }
+}
+
+// Guards against a task that starts after its caller's deadline.
+BOOST_AUTO_TEST_CASE(expiredQueuedTaskIsRefused)
+{
+    core.start(entryA, makeStart(0), 1_ms);
+    core.start(entryA, makeStart(1), 1_ms);
+    TaskStart late = makeStart(2, false);
+    late.budget = 100_ms;
+    core.start(entryA, late, 1_ms);
+    const AgentActions actions = finish(0, 200_ms);
+    BOOST_TEST(actionsOf<RunOnTarget>(actions).empty());
+    BOOST_TEST(actionsOf<SendResult>(actions).size() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
