--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -93,7 +93,7 @@
     : m_io(io)
     , m_settings(settings)
     , m_self({.id = {.name = settings.name, .incarnation = static_cast<uint64_t>(Clock::wall().count)},
-              .address = settings.linkListen.text(),
+              .address = settings.linkAnnounced.text(),
               .zone = settings.zone})
     , m_events({.process = settings.name, .zone = settings.zone})
     , m_dispatcher({.router = {.maxQueued = settings.maxQueued, .zone = settings.zone},
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -18,6 +18,8 @@
     settings.zone = reader.requiredText("zone");
     settings.listen = readAddress(reader, "listen");
     settings.linkListen = readAddress(reader, "linkListen");
+    settings.linkAnnounced =
+        reader.has("linkAnnounced") ? readAddress(reader, "linkAnnounced") : settings.linkListen;
     settings.log = readAddress(reader, "log");
     settings.peers = readAddresses(reader, "peers");
     settings.threads =
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -17,6 +17,8 @@
     Address listen;
     // Framed connections of agents and other entries.
     Address linkListen;
+    // Address that other processes are told to dial, where it differs from linkListen (translation, proxy).
+    Address linkAnnounced;
     Address log;
     // Framed addresses of other entries, for a start without the log.
     std::vector<Address> peers;
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -12,6 +12,8 @@
         return runLogStandin(argc - 1, argv + 1);
     if (command == "target")
         return runTargetStandin(argc - 1, argv + 1);
-    std::cerr << "usage: turmericwell-standin log|target [options]\n";
+    if (command == "proxy")
+        return runProxyStandin(argc - 1, argv + 1);
+    std::cerr << "usage: turmericwell-standin log|target|proxy [options]\n";
     return 2;
 }
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -5,5 +5,6 @@
 
 int runLogStandin(int argc, char **argv);
 int runTargetStandin(int argc, char **argv);
+int runProxyStandin(int argc, char **argv);
 
 } // namespace turmericwell
--- a/src/standin/targetstandin.cpp
+++ b/src/standin/targetstandin.cpp
@@ -26,6 +26,8 @@
     std::string name;
     std::string service;
     Address listen;
+    // Address in the announcement, where a proxy stands before this target.
+    Address announced;
     Address agent;
     uint32_t slots = 8;
     uint32_t connections = 64;
@@ -89,7 +91,7 @@
                                 {"memoryGb", m_settings.memoryGb},
                                 {"accelerators", m_settings.accelerators},
                                 {"rack", m_settings.rack},
-                                {"address", m_settings.listen.text()},
+                                {"address", m_settings.announced.text()},
                                 {"state", m_leaving ? "leaving" : "up"}};
         m_agent.request({.method = "POST", .path = "/v1/announce", .body = json::serialize(body)}, {1'000},
                         [](const HttpResult &) {});
@@ -176,6 +178,9 @@
             {"timeMs", Clock::wall().count}, {"target", m_settings.name}, {"what", what}, {"task", id}};
         if (const json::value *call = request.if_contains("call"))
             line["call"] = *call;
+        const json::value *payload = request.if_contains("payload");
+        if (payload && payload->is_object() && payload->get_object().contains("echo"))
+            line["echo"] = payload->get_object().at("echo");
         m_records << json::serialize(line) << std::endl;
     }
 
@@ -196,11 +201,13 @@
     TargetSettings settings;
     options::options_description description("turmericwell-standin target");
     std::string listen;
+    std::string announced;
     std::string agent;
     description.add_options()("help", "print this help")("name", options::value(&settings.name)->required(),
                                                          "name of the target")(
         "service", options::value(&settings.service)->required(), "service that the target serves")(
         "listen", options::value(&listen)->required(), "IP address and port for tasks")(
+        "announced", options::value(&announced), "address that the announcement names, if not --listen")(
         "agent", options::value(&agent)->required(), "IP address and port of the agent beside this target")(
         "slots", options::value(&settings.slots),
         "tasks at a time")("connections", options::value(&settings.connections), "connections at a time")(
@@ -222,12 +229,14 @@
         return 2;
     }
     const std::optional<Address> listenAddress = Address::parse(listen);
+    const std::optional<Address> announcedAddress = Address::parse(announced.empty() ? listen : announced);
     const std::optional<Address> agentAddress = Address::parse(agent);
-    if (!listenAddress || !agentAddress) {
-        std::cerr << "--listen and --agent must be IP:PORT\n";
+    if (!listenAddress || !announcedAddress || !agentAddress) {
+        std::cerr << "--listen, --announced and --agent must be IP:PORT\n";
         return 2;
     }
     settings.listen = *listenAddress;
+    settings.announced = *announcedAddress;
     settings.agent = *agentAddress;
     IoContext io(1);
     TargetService service(io, std::move(settings));
--- a/tools/lab/cluster.py
+++ b/tools/lab/cluster.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -14,10 +15,19 @@
 
 
 def free_port():
-    """A TCP port that was free a moment ago; every process of a cluster gets its own."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A TCP port that was free a moment ago; every process of a cluster gets its own.
+
+    It lies below the kernel's range for outgoing connections: a port of that range can be taken while its process
+    restarts, and a dial to it can connect to itself while nobody listens.
+    """
+    while True:
+        port = random.randrange(10240, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def http_call(port, method, path, body=None, headers=None, timeout=60):
@@ -94,7 +104,7 @@
     """Processes of one deployment. Use as a context manager: leaving it ends every process."""
 
     def __init__(self, build, example="himal", entries=None, workers=None, entry_settings=None, agent_settings=None,
-                 log_arguments=()):
+                 log_arguments=(), proxied=False, seed=1):
         self.build = Path(build)
         self.example = ROOT / "examples" / example
         self.deployment = json.loads((self.example / "deployment" / "deployment.json").read_text())
@@ -104,6 +114,8 @@
         self.entry_settings = entry_settings or {}
         self.agent_settings = agent_settings or {}
         self.log_arguments = list(log_arguments)
+        self.proxied = proxied
+        self.seed = seed
         self.processes = {}
         self.ports = {}
 
@@ -139,20 +151,55 @@
         path.write_text(json.dumps(settings, indent=2))
         return path
 
+    # --- links; with `proxied` a fault-injecting proxy stands on each of them ---
+
+    def proxy_links(self):
+        """Links by name: link/ENTRY (agents and peers), caller/ENTRY, log/ENTRY, target/WORKER."""
+        links = []
+        for spec in self.entry_specs:
+            name = spec["name"]
+            links.append({"name": f"link/{name}", "to": self.address(f"{name}/link"), "framed": True})
+            links.append({"name": f"caller/{name}", "to": self.address(name)})
+            links.append({"name": f"log/{name}", "to": self.address("log")})
+        for spec in self.worker_specs:
+            links.append({"name": f"target/{spec['name']}", "to": self.address(f"target-{spec['name']}")})
+        return [{**link, "listen": self.address(f"proxy/{link['name']}")} for link in links]
+
+    def start_proxy(self, faults=()):
+        path = self.write_settings("proxy", {"seed": self.seed, "links": self.proxy_links(), "faults": list(faults)})
+        process = self.spawn("proxy", [self.binary("turmericwell-standin"), "proxy", "--control",
+                                       self.address("proxy"), "--plan", path])
+        wait_until(lambda: self.control_proxy()[0] == 200, 20, "the proxy")
+        return process
+
+    def control_proxy(self, **fields):
+        """Adds faults (add=[...]), removes them (remove=[id...]) or all (clear=True)."""
+        return http_call(self.port("proxy"), "POST", "/control", fields, timeout=10)
+
+    def through_proxy(self, link, direct):
+        return self.address(f"proxy/{link}") if self.proxied else self.address(direct)
+
     def link_address(self, entry, user):
-        """Address at which `user` reaches the framed port of an entry; a proxy may stand in between."""
+        """Address at which `user` reaches the framed port of an entry; the proxy tells users apart by their hello."""
         del user
-        return self.address(f"{entry}/link")
+        return self.through_proxy(f"link/{entry}", f"{entry}/link")
 
     def log_address(self, user):
-        del user
-        return self.address("log")
+        return self.through_proxy(f"log/{user}", "log")
+
+    def target_address(self, worker):
+        """Address at which the agent of a worker reaches its target."""
+        return self.through_proxy(f"target/{worker}", f"target-{worker}")
+
+    def caller_port(self, entry):
+        return int(self.through_proxy(f"caller/{entry}", entry).rsplit(":", 1)[1])
 
     def start_entry(self, spec):
         name = spec["name"]
         settings = {
             "name": name, "zone": spec["zone"], "listen": self.address(name),
             "linkListen": self.address(f"{name}/link"), "log": self.log_address(name),
+            "linkAnnounced": self.link_address(name, name),
             "peers": [self.link_address(other["name"], name) for other in self.entry_specs if other["name"] != name],
             **self.entry_settings,
         }
@@ -178,6 +225,7 @@
         return self.spawn(name, [
             self.binary("turmericwell-standin"), "target", "--name", spec["name"],
             "--service", self.deployment["service"], "--listen", self.address(name),
+            "--announced", self.target_address(spec["name"]),
             "--agent", self.address(f"agent-{spec['name']}"), "--slots", self.deployment["slots"],
             "--connections", self.deployment["connections"], "--cores", self.deployment["cores"],
             "--memory-gb", self.deployment["memoryGb"], "--rack", spec["rack"],
@@ -187,6 +235,8 @@
     def start(self):
         """Starts all roles, applies the example's declarations and waits until all targets can be used."""
         self.start_log()
+        if self.proxied:
+            self.start_proxy()
         for spec in self.entry_specs:
             self.start_entry(spec)
         for spec in self.worker_specs:
@@ -216,11 +266,11 @@
         return self.run("apply", directory or self.example, "--log", self.address("log"), "--author", author)
 
     def request(self, entry, key, call, payload=None, **fields):
-        return http_call(self.port(entry), "POST", f"/v1/services/{self.deployment['service']}/requests",
+        return http_call(self.caller_port(entry), "POST", f"/v1/services/{self.deployment['service']}/requests",
                          {"call": call, "payload": payload, **fields}, {"Idempotency-Key": key})
 
     def job(self, entry, key, call, tasks, **fields):
-        return http_call(self.port(entry), "POST", "/v1/jobs",
+        return http_call(self.caller_port(entry), "POST", "/v1/jobs",
                          {"key": key, "service": self.deployment["service"], "call": call, "tasks": tasks, **fields})
 
     def control_log(self, **fields):
@@ -240,7 +290,7 @@
     def stop_all(self):
         """Stops every process gracefully, targets first; returns the exit codes by name."""
         codes = {}
-        for prefix in ("target-", "agent-", "entry-", "log"):
+        for prefix in ("target-", "agent-", "entry-", "proxy", "log"):
             group = [(name, p) for name, p in self.processes.items() if name.startswith(prefix) and p.is_running()]
             for _, process in group:
                 process.begin_stop()
