Keep one connection between two entries and answer every caller by its deadline

Cause: either side could dial the other. When the lower name's connection came second, the higher side kept it while the lower side had never learned its peer's name, so that it dropped each forward; nothing reconnected, and the caller waited. Change: the lower side's connection is answered, closed and dialled back; both sides keep the same connection. Replies go out on the connection of the question. Waiters end at deadline plus 1.5 s with unknown, 504. Connections silent for twice peerTimeoutMs are closed. Conclusion: the lost forward is fixed; the hub test covers the order that lost it.

--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -6,6 +6,7 @@
 #include "entry/configkeeper.h"
 #include "entry/frontend.h"
 #include "entry/membershipkeeper.h"
+#include "entry/ownercalls.h"
 #include "entry/peerhub.h"
 #include "observe/eventlog.h"
 #include "observe/log.h"
@@ -46,11 +47,13 @@
     Frontend::Handlers frontendHandlers();
 
     void tick();
+    void connectPeers();
     void acceptLink(const FrameLinkPtr &link);
     void handleMessage(const FrameLinkPtr &link, const Message &message);
 
     void submit(const SubmissionRequest &request, AnswerDelivery deliver);
     void submitHere(const SubmissionRequest &request, AnswerDelivery deliver);
+    OwnerCalls::Handlers callHandlers();
     void lookup(const JobLookup &lookup, const AnswerDelivery &deliver);
     Answer lookupHere(const Fingerprint &key, bool cancel);
     std::string metricsText() const;
@@ -79,6 +82,8 @@
     PeerHub m_peers;
     MembershipKeeper m_membership;
     ConfigKeeper m_config;
+    OwnerCalls m_calls;
+    Millis m_peersDialledAt;
     bool m_wasCurrent = false;
 
     asio::steady_timer m_timer;
@@ -104,6 +109,7 @@
     , m_membership(io, std::make_shared<LogClient>(io, settings.log),
                    {.self = m_self, .freshness = settings.freshness, .pollWait = settings.logPollWait})
     , m_config(io, std::make_shared<LogClient>(io, settings.log), settings.logPollWait, configHandlers())
+    , m_calls(m_self.id, callHandlers())
     , m_timer(io)
 { }
 
@@ -128,14 +134,10 @@
                 },
             .onGone = [this](const std::string &peer) { m_membership.peerGone(peer); },
             .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
-            .onForward =
-                [this](const std::string &peer, uint64_t requestId, const SubmissionRequest &request) {
-                    submitHere(request, [this, peer, requestId](const Answer &answer) {
-                        m_peers.answer(peer, requestId, answer);
-                    });
-                },
-            .onLookup = [this](const std::string &peer, uint64_t requestId, const Fingerprint &key,
-                               bool cancel) { m_peers.answer(peer, requestId, lookupHere(key, cancel)); },
+            .onForward = [this](const SubmissionRequest &request,
+                                const AnswerDelivery &reply) { m_calls.submitAsOwner(request, reply); },
+            .onLookup = [this](const Fingerprint &key, bool cancel,
+                               const AnswerDelivery &reply) { reply(m_calls.lookupAsOwner(key, cancel)); },
             .onConfigPull =
                 [this](const std::string &peer, const wire::ConfigPullT &) {
                     wire::ConfigPushT push;
@@ -175,11 +177,24 @@
     m_frontend = std::make_unique<Frontend>(m_io, m_settings.listen, frontendHandlers());
     m_membership.start();
     m_config.start();
-    for (const Address &address : m_settings.peers)
-        m_peers.connectToAddress(address);
     tick();
 }
 
+void EntryServer::connectPeers()
+{
+    const Millis now = Clock::now();
+    m_peers.closeSilent(now, m_settings.peerTimeout * 2);
+    constexpr Millis dialInterval = {500};
+    if (now - m_peersDialledAt >= dialInterval) {
+        m_peersDialledAt = now;
+        for (const Address &address : m_settings.peers)
+            m_peers.connectToAddress(address);
+        for (const EntryMember &member : m_membership.members())
+            m_peers.connectTo(member);
+    }
+    m_peers.sendHeartbeats();
+}
+
 void EntryServer::tick()
 {
     const bool current = m_membership.isCurrent();
@@ -189,9 +204,9 @@
     }
     m_dispatcher.setMayStart(current);
     perform(m_dispatcher.tick(Clock::now()));
-    for (const EntryMember &member : m_membership.members())
-        m_peers.connectTo(member);
-    m_peers.sendHeartbeats();
+    connectPeers();
+    m_calls.tick(Clock::now());
+    m_waiters.expire(Clock::now());
     if (m_dispatcher.queued() > 0 && m_dispatcher.idleCredits() == 0)
         m_peers.askForCredits(m_dispatcher.queued());
     if (m_stopping)
@@ -249,43 +264,46 @@
 
 // --- submissions ---
 
-static Answer ownerUnavailable(Outcome outcome)
+OwnerCalls::Handlers EntryServer::callHandlers()
 {
-    constexpr Millis retryAfter = {1'000};
-    return {.outcome = outcome,
-            .reason = std::string(reason::ownerUnavailable),
-            .status = 503,
-            .retryAfter = retryAfter};
+    return {.place = [this](const Fingerprint &key) { return m_membership.place(key); },
+            .forward =
+                [this](const ProcessId &peer, const SubmissionRequest &request, OwnerCalls::Reply reply) {
+                    record(EventKind::SubmissionForwarded, peer.name);
+                    return m_peers.forward(peer, request, std::move(reply));
+                },
+            .lookup =
+                [this](const ProcessId &peer, const Fingerprint &key, bool cancel, OwnerCalls::Reply reply) {
+                    return m_peers.lookup(peer, key, cancel, std::move(reply));
+                },
+            .submitHere = [this](const SubmissionRequest &request,
+                                 AnswerDelivery deliver) { submitHere(request, std::move(deliver)); },
+            .lookupHere = [this](const Fingerprint &key, bool cancel) { return lookupHere(key, cancel); }};
 }
 
 void EntryServer::submit(const SubmissionRequest &request, AnswerDelivery deliver)
 {
-    const std::optional<EntryMember> owner = m_membership.ownerOf(request.key);
-    if (!owner) {
-        deliver(ownerUnavailable(Outcome::NotRun));
-        return;
-    }
-    if (owner->id == m_self.id) {
-        submitHere(request, std::move(deliver));
-        return;
-    }
-    record(EventKind::SubmissionForwarded, owner->id.name);
-    if (!m_peers.forward(owner->id.name, request, deliver))
-        deliver(ownerUnavailable(Outcome::Unknown));
+    const Millis now = Clock::now();
+    const WaiterId waiter = m_waiters.add(std::move(deliver), now + request.budget + Waiters::answerSlack);
+    m_calls.submit(
+        request, [this, waiter](const Answer &answer) { m_waiters.answer(waiter, answer); }, now);
 }
 
 void EntryServer::submitHere(const SubmissionRequest &request, AnswerDelivery deliver)
 {
-    perform(m_dispatcher.submit(request, m_waiters.add(std::move(deliver)), Clock::now()));
+    const Millis now = Clock::now();
+    // The entry that received the submission answers at the deadline; this one keeps the waiter longer.
+    const Millis deadline = now + request.budget + Waiters::answerSlack * 2;
+    perform(m_dispatcher.submit(request, m_waiters.add(std::move(deliver), deadline), now));
 }
 
 void EntryServer::lookup(const JobLookup &job, const AnswerDelivery &deliver)
 {
-    const std::optional<EntryMember> owner = m_membership.ownerOf(job.key);
-    if (!owner || owner->id == m_self.id)
-        deliver(lookupHere(job.key, job.cancel));
-    else if (!m_peers.lookup(owner->id.name, job.key, job.cancel, deliver))
-        deliver(ownerUnavailable(Outcome::Unknown));
+    constexpr Millis lookupBound = {7'000};
+    const Millis now = Clock::now();
+    const WaiterId waiter = m_waiters.add(deliver, now + lookupBound);
+    m_calls.lookup(
+        job.key, job.cancel, [this, waiter](const Answer &answer) { m_waiters.answer(waiter, answer); }, now);
 }
 
 Answer EntryServer::lookupHere(const Fingerprint &key, bool cancel)
--- a/src/entry/membershipkeeper.cpp
+++ b/src/entry/membershipkeeper.cpp
@@ -54,11 +54,11 @@
                   appendTimeout, [onDone = std::move(onDone)](const AppendResult &) { onDone(); });
 }
 
-std::optional<EntryMember> MembershipKeeper::ownerOf(const Fingerprint &key) const
+KeyPlace MembershipKeeper::place(const Fingerprint &key) const
 {
     const std::vector<EntryMember> current = members();
     const EntryMember *owner = turmericwell::ownerOf(current, key);
-    return owner ? std::optional(*owner) : std::nullopt;
+    return {.owner = owner ? std::optional(owner->id) : std::nullopt};
 }
 
 std::vector<EntryMember> MembershipKeeper::members() const
--- a/src/entry/membershipkeeper.h
+++ b/src/entry/membershipkeeper.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "entry/logfollower.h"
+#include "entry/ownercalls.h"
 #include "membership/currencyguard.h"
 #include "membership/roster.h"
 
@@ -31,7 +32,7 @@
     // Appends the planned leave; onDone runs when the append has ended, whatever its result.
     void leave(std::function<void()> onDone);
 
-    std::optional<EntryMember> ownerOf(const Fingerprint &key) const;
+    KeyPlace place(const Fingerprint &key) const;
     std::vector<EntryMember> members() const;
     uint64_t view() const;
     const EntryMember &self() const { return m_options.self; }
--- a/src/entry/peerhub.cpp
+++ b/src/entry/peerhub.cpp
@@ -32,8 +32,15 @@
 
 void PeerHub::connectToAddress(const Address &address)
 {
-    if (address.text() != m_self.address)
-        dial(address);
+    if (address.text() == m_self.address)
+        return;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto known = m_nameAt.find(address.text());
+        if (known != m_nameAt.end() && (known->second >= m_self.id.name || m_links.contains(known->second)))
+            return;
+    }
+    dial(address);
 }
 
 void PeerHub::dial(const Address &address)
@@ -44,35 +51,38 @@
             return;
     }
     constexpr Millis connectTimeout = {1'000};
-    const auto forget = [this, address] {
-        const std::lock_guard lock(m_mutex);
-        m_dialling.erase(address.text());
-    };
-    dialFrameLink(m_io, address, connectTimeout, [this, forget](const FrameLinkPtr &link) {
-        if (!link) {
-            forget();
+    dialFrameLink(m_io, address, connectTimeout, [this, address](const FrameLinkPtr &link) {
+        if (link) {
+            dialled(link, address);
             return;
         }
-        link->start({.onFrame =
-                         [this, link](std::span<const uint8_t> payload) {
-                             leaf::try_handle_all(
-                                 [&]() -> leaf::result<void> {
-                                     BOOST_LEAF_AUTO(message, decodeMessage(payload));
-                                     handle(link, *message);
-                                     return {};
-                                 },
-                                 [&](const CodecError &error) { link->close(error.detail); },
-                                 [&] { link->close("bad message"); });
-                         },
-                     .onClosed =
-                         [this, link, forget](const std::string &) {
-                             forget();
-                             closed(link);
-                         }});
-        link->send(helloFrame());
+        const std::lock_guard lock(m_mutex);
+        m_dialling.erase(address.text());
     });
 }
 
+void PeerHub::dialled(const FrameLinkPtr &link, const Address &address)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_dialled[link] = address;
+        m_heardAt[link] = Clock::now();
+    }
+    link->start({.onFrame =
+                     [this, link](std::span<const uint8_t> payload) {
+                         leaf::try_handle_all(
+                             [&]() -> leaf::result<void> {
+                                 BOOST_LEAF_AUTO(message, decodeMessage(payload));
+                                 handle(link, *message);
+                                 return {};
+                             },
+                             [&](const CodecError &error) { link->close(error.detail); },
+                             [&] { link->close("bad message"); });
+                     },
+                 .onClosed = [this, link](const std::string &) { closed(link); }});
+    link->send(helloFrame());
+}
+
 std::vector<uint8_t> PeerHub::helloFrame() const
 {
     wire::PeerHelloT hello;
@@ -85,28 +95,42 @@
 
 void PeerHub::adopt(const FrameLinkPtr &link, const wire::PeerHelloT &hello)
 {
-    bool answerHello = false;
+    HelloDecision decision = HelloDecision::Refuse;
+    FrameLinkPtr replaced;
     {
         const std::lock_guard lock(m_mutex);
-        FrameLinkPtr &known = m_links[hello.entry];
-        answerHello = known != link && hello.entry > m_self.id.name;
-        if (known && known != link) {
-            m_names.erase(known);
-            known->close("the entry has connected again");
+        const auto dialledTo = m_dialled.find(link);
+        decision = decideHello(m_self.id.name, hello.entry, dialledTo != m_dialled.end());
+        if (decision == HelloDecision::Adopt || decision == HelloDecision::AdoptAndAnswer) {
+            FrameLinkPtr &known = m_links[hello.entry];
+            if (known != link)
+                replaced = std::exchange(known, link);
+            m_names.erase(replaced);
+            m_names[link] = hello.entry;
+            m_incarnations[hello.entry] = hello.incarnation;
+            m_heardAt[link] = Clock::now();
         }
-        known = link;
-        m_names[link] = hello.entry;
+        if (dialledTo != m_dialled.end())
+            m_nameAt[dialledTo->second.text()] = hello.entry;
     }
-    // The side that was dialled answers once with its own hello.
-    if (answerHello)
+    if (replaced)
+        replaced->close("the entry has connected again");
+    if (decision == HelloDecision::AdoptAndAnswer || decision == HelloDecision::RefuseAndDial)
         link->send(helloFrame());
+    if (decision == HelloDecision::Refuse || decision == HelloDecision::RefuseAndDial) {
+        link->closeAfterWrites();
+        if (decision == HelloDecision::RefuseAndDial)
+            connectTo(
+                {.id = {.name = hello.entry, .incarnation = hello.incarnation}, .address = hello.address});
+        return;
+    }
     logger().info("entry " + hello.entry + " is connected");
 }
 
 void PeerHub::closed(const FrameLinkPtr &link)
 {
     std::string name;
-    std::vector<AnswerHandler> lost;
+    std::vector<Reply> lost;
     {
         const std::lock_guard lock(m_mutex);
         for (auto it = m_pending.begin(); it != m_pending.end();) {
@@ -122,15 +146,22 @@
             name = found->second;
             m_names.erase(found);
             m_links.erase(name);
+            m_incarnations.erase(name);
             m_balances.erase(name);
         }
+        const auto dialledTo = m_dialled.find(link);
+        if (dialledTo != m_dialled.end()) {
+            m_dialling.erase(dialledTo->second.text());
+            m_dialled.erase(dialledTo);
+        }
+        m_heardAt.erase(link);
     }
     if (!name.empty()) {
         logger().info("entry " + name + " is disconnected");
         m_handlers.onGone(name);
     }
-    for (const AnswerHandler &handler : lost)
-        handler({.outcome = Outcome::Unknown, .reason = std::string(reason::entryLost), .status = 504});
+    for (const Reply &handler : lost)
+        handler(std::nullopt);
 }
 
 FrameLinkPtr PeerHub::linkTo(const std::string &peer) const
@@ -140,6 +171,15 @@
     return found == m_links.end() ? nullptr : found->second;
 }
 
+FrameLinkPtr PeerHub::linkTo(const ProcessId &peer) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto incarnation = m_incarnations.find(peer.name);
+    const auto found = m_links.find(peer.name);
+    const bool connected = incarnation != m_incarnations.end() && incarnation->second == peer.incarnation;
+    return connected && found != m_links.end() ? found->second : nullptr;
+}
+
 std::string PeerHub::nameOf(const FrameLinkPtr &link) const
 {
     const std::lock_guard lock(m_mutex);
@@ -161,44 +201,51 @@
     return result;
 }
 
-uint64_t PeerHub::remember(const FrameLinkPtr &link, AnswerHandler onAnswer)
+// Returns zero if the connection has been closed since it was looked up: closed() would not see the handler.
+uint64_t PeerHub::remember(const FrameLinkPtr &link, Reply onAnswer)
 {
     const std::lock_guard lock(m_mutex);
+    if (!m_names.contains(link))
+        return 0;
     const uint64_t id = m_nextRequest++;
     m_pending[id] = {.link = link, .onAnswer = std::move(onAnswer)};
     return id;
 }
 
-bool PeerHub::forward(const std::string &peer, const SubmissionRequest &request, AnswerHandler onAnswer)
+bool PeerHub::forward(const ProcessId &peer, const SubmissionRequest &request, Reply onAnswer)
 {
     const FrameLinkPtr link = linkTo(peer);
     if (!link)
         return false;
     wire::ForwardT forward;
     forward.request_id = remember(link, std::move(onAnswer));
+    if (forward.request_id == 0)
+        return false;
     forward.submission = toWire(request);
-    forward.balance = balanceFor(peer);
+    forward.balance = balanceFor(peer.name);
     link->send(encodeMessage(std::move(forward)));
     return true;
 }
 
-bool PeerHub::lookup(const std::string &peer, const Fingerprint &key, bool cancel, AnswerHandler onAnswer)
+bool PeerHub::lookup(const ProcessId &peer, const Fingerprint &key, bool cancel, Reply onAnswer)
 {
     const FrameLinkPtr link = linkTo(peer);
     if (!link)
         return false;
     wire::LookupT lookup;
     lookup.request_id = remember(link, std::move(onAnswer));
+    if (lookup.request_id == 0)
+        return false;
     lookup.key = std::make_unique<wire::Key>(toWire(key));
     lookup.cancel = cancel;
     link->send(encodeMessage(std::move(lookup)));
     return true;
 }
 
-void PeerHub::answer(const std::string &peer, uint64_t requestId, const Answer &answer)
+void PeerHub::answer(const FrameLinkPtr &link, uint64_t requestId, const Answer &answer)
 {
-    const FrameLinkPtr link = linkTo(peer);
-    if (!link)
+    const std::string peer = nameOf(link);
+    if (peer.empty())
         return;
     wire::ForwardAnswerT message;
     message.request_id = requestId;
@@ -261,6 +308,20 @@
     }
 }
 
+void PeerHub::closeSilent(Millis now, Millis bound)
+{
+    std::vector<FrameLinkPtr> silent;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[link, heardAt] : m_heardAt) {
+            if (now - heardAt > bound)
+                silent.push_back(link);
+        }
+    }
+    for (const FrameLinkPtr &link : silent)
+        link->close("no message within the bound");
+}
+
 void PeerHub::askForCredits(uint32_t queued)
 {
     std::string richest;
@@ -311,6 +372,10 @@
     const std::string peer = nameOf(link);
     if (peer.empty())
         return;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_heardAt[link] = Clock::now();
+    }
     switch (message.body.type) {
     case wire::Body::PeerPing: {
         const wire::PeerPingT &ping = *message.body.AsPeerPing();
@@ -325,31 +390,22 @@
         const wire::ForwardT &forward = *message.body.AsForward();
         if (forward.balance)
             takeBalance(peer, *forward.balance);
-        if (forward.submission)
-            m_handlers.onForward(peer, forward.request_id, fromWire(*forward.submission));
-        break;
-    }
-    case wire::Body::ForwardAnswer: {
-        const wire::ForwardAnswerT &forwardAnswer = *message.body.AsForwardAnswer();
-        if (forwardAnswer.balance)
-            takeBalance(peer, *forwardAnswer.balance);
-        AnswerHandler handler;
-        {
-            const std::lock_guard lock(m_mutex);
-            const auto found = m_pending.find(forwardAnswer.request_id);
-            if (found == m_pending.end() || found->second.link != link)
-                break;
-            handler = std::move(found->second.onAnswer);
-            m_pending.erase(found);
+        if (forward.submission) {
+            m_handlers.onForward(
+                fromWire(*forward.submission),
+                [this, link, id = forward.request_id](const Answer &result) { answer(link, id, result); });
         }
-        if (forwardAnswer.answer)
-            handler(fromWire(*forwardAnswer.answer));
         break;
     }
+    case wire::Body::ForwardAnswer:
+        takeForwardAnswer(link, *message.body.AsForwardAnswer());
+        break;
     case wire::Body::Lookup: {
         const wire::LookupT &lookup = *message.body.AsLookup();
         if (lookup.key)
-            m_handlers.onLookup(peer, lookup.request_id, fromWire(*lookup.key), lookup.cancel);
+            m_handlers.onLookup(
+                fromWire(*lookup.key), lookup.cancel,
+                [this, link, id = lookup.request_id](const Answer &result) { answer(link, id, result); });
         break;
     }
     case wire::Body::CreditAsk: {
@@ -378,6 +434,22 @@
     }
 }
 
+void PeerHub::takeForwardAnswer(const FrameLinkPtr &link, const wire::ForwardAnswerT &message)
+{
+    if (message.balance)
+        takeBalance(nameOf(link), *message.balance);
+    Reply handler;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_pending.find(message.request_id);
+        if (found == m_pending.end() || found->second.link != link)
+            return;
+        handler = std::move(found->second.onAnswer);
+        m_pending.erase(found);
+    }
+    handler(message.answer ? std::optional(fromWire(*message.answer)) : std::nullopt);
+}
+
 void PeerHub::closeAll()
 {
     for (const std::string &peer : connectedPeers()) {
--- a/src/entry/peerhub.h
+++ b/src/entry/peerhub.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dispatch/dispatcher.h"
+#include "membership/peerrules.h"
 #include "membership/roster.h"
 #include "net/framelink.h"
 #include "proto/codec.h"
@@ -10,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -20,37 +22,43 @@
 class PeerHub
 {
 public:
+    using AnswerHandler = std::function<void(const Answer &answer)>;
     struct Handlers
     {
         std::function<void(const std::string &peer, const wire::PeerPingT &ping)> onHeard;
         std::function<void(const std::string &peer)> onGone;
         std::function<void(DispatchActions)> perform;
-        // A submission or lookup that a peer sent to this entry as the owner.
-        std::function<void(const std::string &peer, uint64_t requestId, SubmissionRequest request)> onForward;
-        std::function<void(const std::string &peer, uint64_t requestId, const Fingerprint &key, bool cancel)>
-            onLookup;
+        // A submission or lookup that a peer sent to this entry as the owner. The reply goes out on the
+        // connection that the question came on, because request numbers are only unique there.
+        std::function<void(SubmissionRequest request, AnswerHandler reply)> onForward;
+        std::function<void(const Fingerprint &key, bool cancel, AnswerHandler reply)> onLookup;
         std::function<void(const std::string &peer, const wire::ConfigPullT &pull)> onConfigPull;
         std::function<void(const wire::ConfigPushT &push)> onConfigPush;
         std::function<wire::PeerPingT()> status;
     };
-    using AnswerHandler = std::function<void(Answer answer)>;
 
     PeerHub(IoContext &io, EntryMember self, Dispatcher &dispatcher, Handlers handlers);
 
     // Connects to the member if this entry is the one that dials.
     void connectTo(const EntryMember &member);
+    // Connects to an entry whose name is not known yet. The connection is given up if the peer is the one
+    // that dials.
     void connectToAddress(const Address &address);
-    // Takes over a connection whose first message was a PeerHello.
+    // Takes a PeerHello: adopts or refuses the connection (see decideHello).
     void adopt(const FrameLinkPtr &link, const wire::PeerHelloT &hello);
     void handle(const FrameLinkPtr &link, const Message &message);
     void closed(const FrameLinkPtr &link);
 
-    // Sends the submission to its owner. Returns false if there is no connection; then onAnswer is not
-    // called. onAnswer gets an Unknown answer with reason entry_lost if the connection is lost first.
-    bool forward(const std::string &peer, const SubmissionRequest &request, AnswerHandler onAnswer);
-    bool lookup(const std::string &peer, const Fingerprint &key, bool cancel, AnswerHandler onAnswer);
-    void answer(const std::string &peer, uint64_t requestId, const Answer &answer);
+    // Gets nothing if the connection is lost before the answer.
+    using Reply = std::function<void(const std::optional<Answer> &answer)>;
+
+    // Sends the submission to its owner. Returns false if this incarnation is not connected; then onAnswer is
+    // not called.
+    bool forward(const ProcessId &peer, const SubmissionRequest &request, Reply onAnswer);
+    bool lookup(const ProcessId &peer, const Fingerprint &key, bool cancel, Reply onAnswer);
     void sendHeartbeats();
+    // Closes connections on which nothing was heard for this long, so that what waits on them is answered.
+    void closeSilent(Millis now, Millis bound);
     // Asks the peer with the most idle credits.
     void askForCredits(uint32_t queued);
     void pullConfig(const std::string &peer, uint64_t version, uint64_t view);
@@ -69,15 +77,19 @@
     struct Pending
     {
         FrameLinkPtr link;
-        AnswerHandler onAnswer;
+        Reply onAnswer;
     };
 
     void dial(const Address &address);
+    void dialled(const FrameLinkPtr &link, const Address &address);
+    void answer(const FrameLinkPtr &link, uint64_t requestId, const Answer &answer);
+    void takeForwardAnswer(const FrameLinkPtr &link, const wire::ForwardAnswerT &message);
     std::vector<uint8_t> helloFrame() const;
     std::unique_ptr<wire::BalanceT> balanceFor(const std::string &peer);
     void takeBalance(const std::string &peer, const wire::BalanceT &balance);
-    uint64_t remember(const FrameLinkPtr &link, AnswerHandler onAnswer);
+    uint64_t remember(const FrameLinkPtr &link, Reply onAnswer);
     FrameLinkPtr linkTo(const std::string &peer) const;
+    FrameLinkPtr linkTo(const ProcessId &peer) const;
     std::string nameOf(const FrameLinkPtr &link) const;
 
     IoContext &m_io;
@@ -86,7 +98,13 @@
     Handlers m_handlers;
     mutable std::mutex m_mutex;
     std::map<FrameLinkPtr, std::string> m_names;
+    // Address of each connection that this entry has dialled, while it is open.
+    std::map<FrameLinkPtr, Address> m_dialled;
+    std::map<FrameLinkPtr, Millis> m_heardAt;
+    // Entry that answered last at an address that this entry dialled without knowing the name.
+    std::map<std::string, std::string> m_nameAt;
     std::map<std::string, FrameLinkPtr> m_links;
+    std::map<std::string, uint64_t> m_incarnations;
     std::map<std::string, Balance> m_balances;
     // Addresses that are being dialled or to which a dialled connection is open.
     std::set<std::string> m_dialling;
--- a/src/entry/waiters.h
+++ b/src/entry/waiters.h
@@ -6,20 +6,26 @@
 #include <functional>
 #include <mutex>
 #include <unordered_map>
+#include <vector>
 
 namespace turmericwell {
 
 using AnswerDelivery = std::function<void(const Answer &)>;
 
-// Thread-safe. Each waiter gets at most one answer.
+// Thread-safe. Each waiter gets exactly one answer: the one that was found, or at its deadline Unknown with
+// reason deadline.
 class Waiters
 {
 public:
-    WaiterId add(AnswerDelivery deliver)
+    // Time that the owner gets after the caller's deadline to revoke what is in flight and to answer with
+    // proof.
+    static constexpr Millis answerSlack = {1'500};
+
+    WaiterId add(AnswerDelivery deliver, Millis deadline)
     {
         const std::lock_guard lock(m_mutex);
         const WaiterId id = m_next++;
-        m_waiters[id] = std::move(deliver);
+        m_waiters[id] = {.deliver = std::move(deliver), .deadline = deadline};
         return id;
     }
 
@@ -31,12 +37,31 @@
             const auto found = m_waiters.find(waiter);
             if (found == m_waiters.end())
                 return;
-            deliver = std::move(found->second);
+            deliver = std::move(found->second.deliver);
             m_waiters.erase(found);
         }
         deliver(answer);
     }
 
+    // Answers the waiters whose deadline has passed, whatever has become of the owner of their key.
+    void expire(Millis now)
+    {
+        std::vector<AnswerDelivery> expired;
+        {
+            const std::lock_guard lock(m_mutex);
+            for (auto it = m_waiters.begin(); it != m_waiters.end();) {
+                if (now < it->second.deadline) {
+                    ++it;
+                    continue;
+                }
+                expired.push_back(std::move(it->second.deliver));
+                it = m_waiters.erase(it);
+            }
+        }
+        for (const AnswerDelivery &deliver : expired)
+            deliver({.outcome = Outcome::Unknown, .reason = std::string(reason::deadline), .status = 504});
+    }
+
     size_t size() const
     {
         const std::lock_guard lock(m_mutex);
@@ -44,8 +69,14 @@
     }
 
 private:
+    struct Waiter
+    {
+        AnswerDelivery deliver;
+        Millis deadline;
+    };
+
     mutable std::mutex m_mutex;
-    std::unordered_map<WaiterId, AnswerDelivery> m_waiters;
+    std::unordered_map<WaiterId, Waiter> m_waiters;
     WaiterId m_next = 1;
 };
 
--- /dev/null
+++ b/tests/unit/membershippeerstest.cpp
@@ -0,0 +1,172 @@
+// Tests of the connections among entries, with two hubs on loopback.
+#include "entry/peerhub.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace turmericwell;
+
+namespace {
+
+Address freeAddress(IoContext &io)
+{
+    boost::asio::ip::tcp::acceptor probe(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return {.host = "127.0.0.1", .port = probe.local_endpoint().port()};
+}
+
+// One entry with its listener, as far as connections among entries need it.
+struct Peer
+{
+    Peer(IoContext &context, const std::string &name, const Address &listen)
+        : address(listen)
+        , dispatcher({})
+        , hub(context, {.id = {.name = name, .incarnation = 1}, .address = listen.text(), .zone = "z"},
+              dispatcher, handlers())
+        , listener(context, listen, [this](const FrameLinkPtr &link) { accept(link); })
+    { }
+
+    PeerHub::Handlers handlers()
+    {
+        return {.onHeard = [](const std::string &, const wire::PeerPingT &) {},
+                .onGone = [this](const std::string &) { ++gone; },
+                .perform = [](const DispatchActions &) {},
+                .onForward = [this](const SubmissionRequest &request,
+                                    PeerHub::AnswerHandler reply) { received(request, std::move(reply)); },
+                .onLookup = [](const Fingerprint &, bool, const PeerHub::AnswerHandler &) {},
+                .onConfigPull = [](const std::string &, const wire::ConfigPullT &) {},
+                .onConfigPush = [](const wire::ConfigPushT &) {},
+                .status = [] { return wire::PeerPingT{}; }};
+    }
+
+    void received(const SubmissionRequest &request, PeerHub::AnswerHandler reply)
+    {
+        if (holdReplies)
+            held.push_back(std::move(reply));
+        else
+            reply({.outcome = Outcome::Complete, .reason = request.keyText});
+    }
+
+    void accept(const FrameLinkPtr &link)
+    {
+        lastAccepted = link;
+        link->start({.onFrame =
+                         [this, link](std::span<const uint8_t> payload) {
+                             const auto message = decodeMessage(payload);
+                             if (message)
+                                 hub.handle(link, **message);
+                         },
+                     .onClosed = [this, link](const std::string &) { hub.closed(link); }});
+    }
+
+    Address address;
+    int gone = 0;
+    bool holdReplies = false;
+    std::vector<PeerHub::AnswerHandler> held;
+    FrameLinkPtr lastAccepted;
+    Dispatcher dispatcher;
+    PeerHub hub;
+    FrameListener listener;
+};
+
+struct TwoPeers
+{
+    // The bound only ends a hang; nothing is measured.
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        const Millis end = Clock::now() + Millis{10'000};
+        while (!condition() && Clock::now() < end)
+            io.run_for(std::chrono::milliseconds(5));
+        return condition();
+    }
+
+    bool connect()
+    {
+        high.hub.connectToAddress(low.address);
+        return runUntil([this] { return low.hub.isConnected("entry-2") && high.hub.isConnected("entry-1"); });
+    }
+
+    // Returns the answer's key text, or nothing if it did not come.
+    std::optional<std::string> ask(Peer &from, const std::string &to)
+    {
+        std::optional<std::string> result;
+        const bool sent = from.hub.forward(
+            {.name = to, .incarnation = 1}, {.keyText = "k", .tasks = {"1"}},
+            [&result](const std::optional<Answer> &answer) { result = answer ? answer->reason : "lost"; });
+        return sent && runUntil([&] { return result.has_value(); }) ? result : std::nullopt;
+    }
+
+    IoContext io;
+    Peer low{io, "entry-1", freeAddress(io)};
+    Peer high{io, "entry-2", freeAddress(io)};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(membershippeers)
+
+// Guards against two sides that keep different connections, so that each drops what the other one sends.
+BOOST_AUTO_TEST_CASE(bothSidesUseTheSameConnectionWhenBothDial)
+{
+    TwoPeers peers;
+    BOOST_REQUIRE(peers.connect());
+    peers.low.hub.connectToAddress(peers.high.address);
+    peers.runUntil([&] { return peers.high.lastAccepted != nullptr; });
+    peers.io.run_for(std::chrono::milliseconds(50));
+    BOOST_TEST((peers.ask(peers.high, "entry-1") == "k"));
+    BOOST_TEST((peers.ask(peers.low, "entry-2") == "k"));
+}
+
+// Guards against an entry that is only known from the settings of a lower one and is never connected.
+BOOST_AUTO_TEST_CASE(refusedEntryIsDialledInTheOtherDirection)
+{
+    TwoPeers peers;
+    peers.low.hub.connectToAddress(peers.high.address);
+    BOOST_REQUIRE(peers.runUntil(
+        [&] { return peers.low.hub.isConnected("entry-2") && peers.high.hub.isConnected("entry-1"); }));
+    BOOST_TEST((peers.ask(peers.high, "entry-1") == "k"));
+    BOOST_TEST((peers.ask(peers.low, "entry-2") == "k"));
+}
+
+// Guards against a forward that waits for ever when its connection ends, and against an answer that reaches
+// another request on the next connection.
+BOOST_AUTO_TEST_CASE(lostConnectionEndsTheForwardAndDropsItsAnswer)
+{
+    TwoPeers peers;
+    BOOST_REQUIRE(peers.connect());
+    peers.low.holdReplies = true;
+    int replies = 0;
+    bool lost = false;
+    BOOST_REQUIRE(peers.high.hub.forward({.name = "entry-1", .incarnation = 1}, {.keyText = "k"},
+                                         [&](const std::optional<Answer> &answer) {
+                                             ++replies;
+                                             lost = !answer;
+                                         }));
+    BOOST_REQUIRE(peers.runUntil([&] { return !peers.low.held.empty(); }));
+    peers.low.lastAccepted->close("test");
+    BOOST_TEST(peers.runUntil([&] { return lost; }));
+    BOOST_REQUIRE(peers.runUntil([&] { return !peers.high.hub.isConnected("entry-1"); }));
+    BOOST_REQUIRE(peers.connect());
+    peers.low.held.front()({.outcome = Outcome::Complete, .reason = "late"});
+    peers.low.holdReplies = false;
+    BOOST_TEST((peers.ask(peers.high, "entry-1") == "k"));
+    BOOST_TEST(replies == 1);
+}
+
+// Guards against a forward to an incarnation that is no member yet.
+BOOST_AUTO_TEST_CASE(forwardNeedsTheNamedIncarnation)
+{
+    TwoPeers peers;
+    BOOST_REQUIRE(peers.connect());
+    BOOST_TEST(!peers.high.hub.forward({.name = "entry-1", .incarnation = 2}, {},
+                                       [](const std::optional<Answer> &) {}));
+}
+
+// Guards against a frozen peer that holds its callers for as long as the connection stays open.
+BOOST_AUTO_TEST_CASE(silentConnectionIsClosed)
+{
+    TwoPeers peers;
+    BOOST_REQUIRE(peers.connect());
+    peers.high.hub.closeSilent(Clock::now() + Millis{5'000}, Millis{4'000});
+    BOOST_TEST(peers.runUntil([&] { return peers.high.gone == 1 && peers.low.gone == 1; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
