Route by indexed pools, fair team queues and a choice of policies

The router scanned all targets for each task, and one task that no target could take blocked the queue. Targets are now indexed by kind, tasks by team and demand, and the policy is a variant (credits, random, powerOfTwo). A target that only fails is ejected. Entries move credits as soon as tasks wait, and count the messages. Agents drop surplus credits of starts that cross the begin of an epoch, and grant free slots only.

--- a/src/agent/agentcore.cpp
+++ b/src/agent/agentcore.cpp
@@ -71,6 +71,8 @@
               .deadline = now + start.budget,
               .since = now};
     m_queue.push_back({.start = start, .entry = entry});
+    if (start.usesCredit)
+        ++m_active[entry];
     const std::string_view why = refusal(now);
     const uint32_t maxQueued = m_options.maxQueued != 0 ? m_options.maxQueued : m_target.slots;
     if (!why.empty())
@@ -115,7 +117,7 @@
     record.result = {.task = task,
                      .outcome = Outcome::NotRun,
                      .reason = std::string(why),
-                     .returnsCredit = record.usesCredit};
+                     .returnsCredit = endCreditUse(record)};
     actions.emplace_back(SendResult{.entry = record.entry, .result = record.result});
 }
 
@@ -135,9 +137,10 @@
     record.state = RecordState::Finished;
     record.since = now;
     record.result = result;
-    record.result.returnsCredit = record.usesCredit;
+    record.result.returnsCredit = endCreditUse(record);
     --m_running;
     actions.emplace_back(SendResult{.entry = record.entry, .result = record.result});
+    grantCredits(actions);
     startQueued(now, actions);
     return actions;
 }
@@ -194,10 +197,7 @@
 {
     AgentActions actions;
     m_entries.try_emplace(entry, 0);
-    ++m_creditEpoch;
-    for (auto &[name, held] : m_entries)
-        held = 0;
-    grantCredits(actions);
+    beginCreditEpoch(actions);
     return actions;
 }
 
@@ -206,19 +206,49 @@
     AgentActions actions;
     if (m_entries.erase(entry) == 0)
         return actions;
+    beginCreditEpoch(actions);
+    return actions;
+}
+
+// Tasks that are running or queued keep their credits over an epoch.
+void AgentCore::beginCreditEpoch(AgentActions &actions)
+{
     ++m_creditEpoch;
-    for (auto &[name, held] : m_entries)
-        held = 0;
+    for (auto &[name, held] : m_entries) {
+        const auto active = m_active.find(name);
+        held = active == m_active.end() ? 0 : active->second;
+    }
     grantCredits(actions);
-    return actions;
 }
 
-// Spreads the free slots of a new epoch evenly over the connected entries.
+// Returns true if the credit goes back to its entry.
+bool AgentCore::endCreditUse(const Record &record)
+{
+    if (!record.usesCredit)
+        return false;
+    uint32_t active = 0;
+    for (const auto &[name, count] : m_active)
+        active += count;
+    const auto used = m_active.find(record.entry);
+    assert(used != m_active.end() && used->second > 0);
+    if (--used->second == 0)
+        m_active.erase(used);
+    const auto held = m_entries.find(record.entry);
+    // A start that crossed the begin of an epoch uses a credit of the old one in addition to those granted in
+    // the new one. Such surplus shows as more tasks than slots, and ends here.
+    return held != m_entries.end() && active <= m_target.slots;
+}
+
+// Spreads the free slots that no entry holds a credit for evenly over the connected entries.
 void AgentCore::grantCredits(AgentActions &actions)
 {
     uint32_t granted = 0;
     for (const auto &[name, held] : m_entries)
         granted += held;
+    for (const auto &[name, active] : m_active) {
+        if (!m_entries.contains(name))
+            granted += active;
+    }
     if (m_entries.empty() || m_target.slots <= granted)
         return;
     uint32_t remaining = m_target.slots - granted;
--- a/src/agent/agentcore.h
+++ b/src/agent/agentcore.h
@@ -129,6 +129,8 @@
     void startQueued(Millis now, AgentActions &actions);
     void refuse(const TaskRef &task, std::string_view why, Millis now, AgentActions &actions);
     void refuseQueue(std::string_view why, Millis now, AgentActions &actions);
+    void beginCreditEpoch(AgentActions &actions);
+    bool endCreditUse(const Record &record);
     void grantCredits(AgentActions &actions);
 
     AgentOptions m_options;
@@ -143,6 +145,8 @@
     size_t m_running = 0;
     // Credits that each connected entry holds or uses in the present epoch.
     std::map<std::string, uint32_t> m_entries;
+    // Running and queued tasks that use a credit, by entry, also of entries that are not connected.
+    std::map<std::string, uint32_t> m_active;
     uint32_t m_creditEpoch = 1;
 };
 
--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -194,11 +194,13 @@
     if (!m_target || !(m_target->address() == *address))
         m_target = std::make_unique<TargetClient>(m_io, *address, info.connections);
     const bool changed = m_core.target() != info || m_core.isLeaving() != leaving;
-    perform(m_core.targetAnnounced(info, leaving, Clock::now()));
+    const AgentActions actions = m_core.targetAnnounced(info, leaving, Clock::now());
+    // Entries drop credits of a target that they do not know yet.
     if (changed) {
         for (const auto &link : m_links)
             link->send(helloFrame());
     }
+    perform(actions);
     respond({.body = "{}"});
 }
 
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -22,5 +22,6 @@
 ExitCode applyCommand(std::span<const std::string> arguments);
 ExitCode showCommand(std::span<const std::string> arguments);
 ExitCode timelineCommand(std::span<const std::string> arguments);
+ExitCode benchCommand(std::span<const std::string> arguments);
 
 } // namespace turmericwell
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -25,6 +25,7 @@
     Command{"apply", "publish a directory of declarations", turmericwell::applyCommand},
     Command{"show", "show the configuration in force and the instances", turmericwell::showCommand},
     Command{"timeline", "merge the events of all processes", turmericwell::timelineCommand},
+    Command{"bench", "drive entries with load and measure it", turmericwell::benchCommand},
 };
 
 void printUsage(std::ostream &out)
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -43,6 +43,12 @@
                                && !inForce->declarations.isZoneWithdrawn(target.zone)
                                && !inForce->declarations.isTargetWithdrawn(target));
     }
+    const ZoneDeclaration *zone = inForce->declarations.findZone(m_options.router.zone);
+    m_router.setLatencies(zone ? zone->latencyMs : std::map<std::string, double>());
+    std::map<std::string, uint32_t> weights;
+    for (const TeamDeclaration &team : inForce->declarations.teams)
+        weights[team.name] = team.weight;
+    m_router.setTeamWeights(std::move(weights));
 }
 
 void Dispatcher::emit(EventKind kind, const TaskRef &task, std::string_view agent, std::string_view why) const
@@ -138,6 +144,7 @@
         const std::lock_guard lock(m_routingMutex);
         const auto found = m_inFlight.find(task);
         if (found != m_inFlight.end()) {
+            found->second.cancelled = true;
             result.emplace_back(SendRevoke{.agent = found->second.agent, .task = task});
             return;
         }
@@ -167,6 +174,7 @@
         for (Assignment &assignment : m_router.assign()) {
             TaskStart &start = assignment.task.start;
             start.budget = assignment.task.deadline - now;
+            ++m_counters.starts;
             m_inFlight[start.task] = {.agent = assignment.agent, .usesCredit = start.usesCredit};
             batches[assignment.agent].push_back(std::move(start));
         }
@@ -233,17 +241,51 @@
     return creditsReceived({{.agent = agent, .credits = credits, .epoch = epoch}}, now);
 }
 
+// A failure counts against the target only if the target itself answered so, and not because it was told to
+// stop.
+static bool isTargetFailure(const TaskResult &result)
+{
+    return result.outcome == Outcome::Failed || result.outcome == Outcome::Unknown;
+}
+
+bool Dispatcher::takeResults(const AgentReport &report, Millis now)
+{
+    bool ejected = false;
+    bool refused = false;
+    if (report.load)
+        m_router.loadReported(report.agent, *report.load);
+    for (const TaskResult &result : report.results) {
+        const auto found = m_inFlight.find(result.task);
+        // A result that arrives twice returns its credit once.
+        if (found == m_inFlight.end())
+            continue;
+        const bool cancelled = found->second.cancelled;
+        m_inFlight.erase(found);
+        if (result.returnsCredit)
+            m_router.creditReturned(report.agent, report.creditEpoch);
+        if (result.outcome == Outcome::NotRun) {
+            refused = true;
+            ++m_counters.refusals;
+        } else if (!cancelled) {
+            ejected |= m_router.targetAnswered(report.agent, isTargetFailure(result), now);
+        }
+    }
+    // A task that was refused is queued again; without a pause it would go to the same agent at once.
+    if (refused)
+        m_router.refusedBusy(report.agent);
+    return ejected;
+}
+
 DispatchActions Dispatcher::report(const AgentReport &report, Millis now)
 {
     DispatchActions result;
+    bool ejected = false;
     {
         const std::lock_guard lock(m_routingMutex);
-        for (const TaskResult &taskResult : report.results) {
-            // A result that arrives twice returns its credit once.
-            if (m_inFlight.erase(taskResult.task) > 0 && taskResult.returnsCredit)
-                m_router.creditReturned(report.agent, report.creditEpoch);
-        }
+        ejected = takeResults(report, now);
     }
+    if (ejected)
+        emit(EventKind::TargetEjected, {}, report.agent, "");
     for (const TaskResult &taskResult : report.results) {
         const EventKind kind =
             taskResult.outcome == Outcome::NotRun ? EventKind::TaskRefused : EventKind::TaskFinished;
@@ -259,10 +301,14 @@
 {
     DispatchActions result;
     std::vector<QueuedTask> expired;
+    std::vector<std::string> restored;
     {
         const std::lock_guard lock(m_routingMutex);
         expired = m_router.removeExpired(now);
+        restored = m_router.tick(now);
     }
+    for (const std::string &agent : restored)
+        emit(EventKind::TargetRestored, {}, agent, "");
     for (const QueuedTask &task : expired) {
         apply(m_submissions.taskEnded({.task = task.start.task,
                                        .outcome = Outcome::NotRun,
@@ -271,6 +317,7 @@
               now, result);
     }
     apply(m_submissions.tick(now), now, result);
+    assign(now, result);
     return result;
 }
 
@@ -304,6 +351,24 @@
     return result;
 }
 
+void Dispatcher::loadReported(const std::string &agent, uint32_t load)
+{
+    const std::lock_guard lock(m_routingMutex);
+    m_router.loadReported(agent, load);
+}
+
+RoutingCounters Dispatcher::routingCounters() const
+{
+    const std::lock_guard lock(m_routingMutex);
+    return m_counters;
+}
+
+Dispatcher::CreditBalance Dispatcher::balance() const
+{
+    const std::lock_guard lock(m_routingMutex);
+    return {.idle = m_router.idleCredits(), .queued = m_router.queued()};
+}
+
 size_t Dispatcher::tasksInFlight() const
 {
     const std::lock_guard lock(m_routingMutex);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -50,6 +51,15 @@
     std::string agent;
     std::vector<TaskResult> results;
     uint32_t creditEpoch = 0;
+    // Running and queued tasks of the agent.
+    std::optional<uint32_t> load;
+};
+
+// Totals since the start of the process.
+struct RoutingCounters
+{
+    uint64_t starts = 0;
+    uint64_t refusals = 0;
 };
 
 // Thread-safe. Submissions are in shards under their own locks; queue, credits and tasks in flight are under
@@ -76,9 +86,17 @@
     DispatchActions agentLeaving(const std::string &agent, Millis now);
     DispatchActions creditsGranted(const std::string &agent, uint32_t credits, uint32_t epoch, Millis now);
     DispatchActions report(const AgentReport &report, Millis now);
+    // Running and queued tasks that an agent reported without results.
+    void loadReported(const std::string &agent, uint32_t load);
     DispatchActions tick(Millis now);
 
     // --- balance between entries ---
+    struct CreditBalance
+    {
+        uint32_t idle = 0;
+        uint32_t queued = 0;
+    };
+    CreditBalance balance() const;
     uint32_t idleCredits() const;
     uint32_t queued() const;
     std::vector<CreditAmount> surplusFor(uint32_t peerIdle, uint32_t peerQueued);
@@ -87,12 +105,15 @@
     size_t activeSubmissions() const { return m_submissions.active(); }
     size_t knownSubmissions() const { return m_submissions.size(); }
     size_t tasksInFlight() const;
+    RoutingCounters routingCounters() const;
 
 private:
     struct InFlight
     {
         std::string agent;
         bool usesCredit = false;
+        // The target may be told to stop the task, so that its failure says nothing about the target.
+        bool cancelled = false;
     };
 
     // Empty if the request may be submitted; else the answer that refuses it.
@@ -105,6 +126,8 @@
     void emit(EventKind kind, const TaskRef &task, std::string_view agent, std::string_view why) const;
     void emitSubmission(EventKind kind, const Fingerprint &key, std::string_view why) const;
     void refreshUsable();
+    // Credits, load and failures of a report; returns true if the target is ejected. The lock is held.
+    bool takeResults(const AgentReport &report, Millis now);
 
     DispatcherOptions m_options;
     SubmissionTable m_submissions;
@@ -118,6 +141,7 @@
     std::map<std::string, TargetInfo> m_agents;
     std::set<std::string> m_leavingAgents;
     bool m_mayStart = false;
+    RoutingCounters m_counters;
 };
 
 } // namespace turmericwell
--- a/src/entry/agenthub.cpp
+++ b/src/entry/agenthub.cpp
@@ -126,6 +126,7 @@
 void AgentHub::handlePing(const FrameLinkPtr &link, const std::string &agent, const wire::PingT &ping)
 {
     m_handlers.onHeard(agent, ping.config_version, ping.view);
+    m_dispatcher.loadReported(agent, ping.running + ping.queued);
     const EntryStatus status = m_handlers.status();
     wire::PongT pong;
     pong.sent_ms = ping.sent_ms;
@@ -157,7 +158,8 @@
 
 void AgentHub::handleResults(const std::string &agent, const wire::ResultBatchT &batch)
 {
-    AgentReport report{.agent = agent, .creditEpoch = batch.credit_epoch};
+    AgentReport report{
+        .agent = agent, .creditEpoch = batch.credit_epoch, .load = batch.running + batch.queued};
     report.results.reserve(batch.results.size());
     for (const auto &result : batch.results)
         report.results.push_back(fromWire(*result));
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -96,9 +96,12 @@
               .address = settings.linkListen.text(),
               .zone = settings.zone})
     , m_events({.process = settings.name, .zone = settings.zone})
-    , m_dispatcher({.router = {.maxQueued = settings.maxQueued, .zone = settings.zone},
-                    .submissions = {.dedupWindow = settings.dedupWindow},
-                    .onEvent = [this](Event event) { m_events.record(std::move(event)); }})
+    , m_dispatcher(
+          {.router = {.maxQueued = settings.maxQueued,
+                      .zone = settings.zone,
+                      .policy = makePolicy(settings.policy, m_self.id.incarnation).value_or(CreditsPolicy{})},
+           .submissions = {.dedupWindow = settings.dedupWindow},
+           .onEvent = [this](Event event) { m_events.record(std::move(event)); }})
     , m_agents(m_self.id, m_dispatcher, agentHandlers())
     , m_peers(io, m_self, m_dispatcher, peerHandlers())
     , m_membership(io, std::make_shared<LogClient>(io, settings.log),
@@ -192,8 +195,7 @@
     for (const EntryMember &member : m_membership.members())
         m_peers.connectTo(member);
     m_peers.sendHeartbeats();
-    if (m_dispatcher.queued() > 0 && m_dispatcher.idleCredits() == 0)
-        m_peers.askForCredits(m_dispatcher.queued());
+    m_peers.evenOut();
     if (m_stopping)
         continueStop();
     constexpr Millis interval = {100};
@@ -245,6 +247,7 @@
 {
     for (const DispatchAction &action : actions)
         std::visit([this](const auto &one) { performOne(one); }, action);
+    m_peers.evenOut();
 }
 
 // --- submissions ---
@@ -311,6 +314,15 @@
     add("tasks_in_flight", m_dispatcher.tasksInFlight());
     add("tasks_queued", m_dispatcher.queued());
     add("credits_idle", m_dispatcher.idleCredits());
+    const RoutingCounters routing = m_dispatcher.routingCounters();
+    const uint64_t asks = m_peers.creditAsks();
+    const uint64_t transfers = m_peers.creditTransfers();
+    add("task_starts_sent_total", routing.starts);
+    add("task_refusals_total", routing.refusals);
+    add("credit_asks_total", asks);
+    add("credit_transfers_total", transfers);
+    // A refused start costs the message there and the one back.
+    add("wasted_messages_total", asks + transfers + 2 * routing.refusals);
     add("agents_connected", m_agents.size());
     add("config_version", m_config.version());
     add("events_dropped_total", m_events.dropped());
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -2,6 +2,7 @@
 #include "entry/entrysettings.h"
 
 #include "net/settingsreader.h"
+#include "routing/policy.h"
 
 namespace turmericwell {
 
@@ -32,6 +33,7 @@
     settings.logRetention = reader.millis("logRetentionMs", settings.logRetention, longTime);
     settings.maxQueued = static_cast<uint32_t>(
         reader.integer("maxQueued", settings.maxQueued, {.least = 1, .most = 10'000'000}));
+    settings.policy = reader.word("policy", settings.policy, policyNames);
     settings.drain = reader.millis("drainMs", settings.drain, {.least = 0, .most = 60'000});
     settings.stopBound = reader.millis("stopMs", settings.stopBound, {.least = 0, .most = 600'000});
     if (settings.dedupWindow >= settings.logRetention)
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -29,6 +29,8 @@
     Millis dedupWindow = {600'000};
     Millis logRetention = {3'600'000};
     uint32_t maxQueued = 10'000;
+    // How targets are chosen; see policyNames.
+    std::string policy = "credits";
     Millis drain = {1'000};
     Millis stopBound = {30'000};
 };
--- a/src/entry/peerhub.cpp
+++ b/src/entry/peerhub.cpp
@@ -261,6 +261,36 @@
     }
 }
 
+void PeerHub::evenOut()
+{
+    const Dispatcher::CreditBalance own = m_dispatcher.balance();
+    if (own.queued > 0 && own.idle == 0)
+        askForCredits(own.queued);
+    else if (own.queued == 0 && own.idle > 0)
+        sendSurplus();
+}
+
+void PeerHub::sendSurplus()
+{
+    std::vector<std::string> waiting;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[peer, balance] : m_balances) {
+            if (balance.queued > balance.idle)
+                waiting.push_back(peer);
+        }
+    }
+    for (const std::string &peer : waiting) {
+        wire::CreditTransferT transfer;
+        transfer.balance = balanceFor(peer);
+        const FrameLinkPtr link = linkTo(peer);
+        if (!link || transfer.balance->transfer.empty())
+            continue;
+        ++m_creditTransfers;
+        link->send(encodeMessage(std::move(transfer)));
+    }
+}
+
 void PeerHub::askForCredits(uint32_t queued)
 {
     std::string richest;
@@ -282,6 +312,7 @@
     wire::CreditAskT ask;
     ask.queued = queued;
     ask.idle_credits = 0;
+    ++m_creditAsks;
     link->send(encodeMessage(std::move(ask)));
 }
 
@@ -360,6 +391,7 @@
         }
         wire::CreditTransferT transfer;
         transfer.balance = balanceFor(peer);
+        ++m_creditTransfers;
         link->send(encodeMessage(std::move(transfer)));
         break;
     }
--- a/src/entry/peerhub.h
+++ b/src/entry/peerhub.h
@@ -6,6 +6,7 @@
 #include "net/framelink.h"
 #include "proto/codec.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -51,8 +52,8 @@
     bool lookup(const std::string &peer, const Fingerprint &key, bool cancel, AnswerHandler onAnswer);
     void answer(const std::string &peer, uint64_t requestId, const Answer &answer);
     void sendHeartbeats();
-    // Asks the peer with the most idle credits.
-    void askForCredits(uint32_t queued);
+    // Asks for credits if tasks wait here without any, or sends idle ones to peers whose tasks wait.
+    void evenOut();
     void pullConfig(const std::string &peer, uint64_t version, uint64_t view);
     void send(const std::string &peer, std::vector<uint8_t> frame);
 
@@ -60,6 +61,10 @@
     std::vector<std::string> connectedPeers() const;
     void closeAll();
 
+    // Messages sent only to move credits.
+    uint64_t creditAsks() const { return m_creditAsks; }
+    uint64_t creditTransfers() const { return m_creditTransfers; }
+
 private:
     struct Balance
     {
@@ -72,6 +77,8 @@
         AnswerHandler onAnswer;
     };
 
+    void askForCredits(uint32_t queued);
+    void sendSurplus();
     void dial(const Address &address);
     std::vector<uint8_t> helloFrame() const;
     std::unique_ptr<wire::BalanceT> balanceFor(const std::string &peer);
@@ -92,6 +99,8 @@
     std::set<std::string> m_dialling;
     std::unordered_map<uint64_t, Pending> m_pending;
     uint64_t m_nextRequest = 1;
+    std::atomic<uint64_t> m_creditAsks = 0;
+    std::atomic<uint64_t> m_creditTransfers = 0;
 };
 
 } // namespace turmericwell
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,42 +1,100 @@
-// Routing by slot credits that the agents grant.
+// Wires the queue, the pools of targets, the policy and the ejection of failing targets.
 #include "routing/router.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace turmericwell {
 
 Router::Router(RouterOptions options)
     : m_options(std::move(options))
+    , m_ejector(m_options.ejector)
 { }
 
-void Router::agentUp(const std::string &agent, const TargetInfo &target)
+// --- targets ---
+
+RoutedTarget *Router::find(const std::string &agent)
+{
+    const auto found = m_targets.find(agent);
+    return found == m_targets.end() ? nullptr : found->second.get();
+}
+
+template <typename Change>
+void Router::change(RoutedTarget &target, Change apply)
+{
+    if (target.pool)
+        target.pool->remove(target);
+    m_idle -= target.isOpen() ? target.idle : 0;
+    apply(target);
+    m_idle += target.isOpen() ? target.idle : 0;
+    if (target.pool)
+        target.pool->add(target);
+}
+
+double Router::latencyTo(const std::string &zone) const
 {
-    m_targets[agent].info = target;
+    // A zone without a declared latency comes after all that have one.
+    constexpr double undeclaredMs = 1e6;
+    if (zone == m_options.zone)
+        return 0;
+    const auto found = m_latencyMs.find(zone);
+    return found == m_latencyMs.end() ? undeclaredMs : found->second;
+}
+
+void Router::agentUp(const std::string &agent, const TargetInfo &info)
+{
+    std::unique_ptr<RoutedTarget> &known = m_targets[agent];
+    if (!known) {
+        known = std::make_unique<RoutedTarget>();
+        known->agent = agent;
+    }
+    TargetKind kind{
+        .service = info.service,
+        .offers = {.cores = info.cores, .memoryGb = info.memoryGb, .accelerators = info.accelerators}};
+    std::unique_ptr<TargetPool> &pool = m_pools[kind];
+    if (!pool) {
+        pool = std::make_unique<TargetPool>(std::move(kind));
+        for (Demand &demand : m_demands)
+            refreshPools(demand);
+    }
+    if (known->pool)
+        known->pool->remove(*known);
+    known->pool = pool.get();
+    pool->add(*known);
+    change(*known, [&](RoutedTarget &target) {
+        target.info = info;
+        target.latencyMs = latencyTo(info.zone);
+        target.ejected = m_ejector.isEjected(agent);
+    });
 }
 
 void Router::agentDown(const std::string &agent)
 {
+    RoutedTarget *target = find(agent);
+    if (!target)
+        return;
+    change(*target, [](RoutedTarget &gone) { gone.usable = false; });
     m_targets.erase(agent);
 }
 
 void Router::setUsable(const std::string &agent, bool usable)
 {
-    const auto found = m_targets.find(agent);
-    if (found != m_targets.end())
-        found->second.usable = usable;
+    if (RoutedTarget *target = find(agent))
+        change(*target, [&](RoutedTarget &changed) { changed.usable = usable; });
 }
 
 void Router::grant(const std::string &agent, uint32_t credits, uint32_t epoch)
 {
-    const auto found = m_targets.find(agent);
-    if (found == m_targets.end() || epoch < found->second.epoch)
+    RoutedTarget *target = find(agent);
+    if (!target || epoch < target->epoch)
         return;
-    Target &target = found->second;
-    if (epoch > target.epoch) {
-        target.epoch = epoch;
-        target.idle = 0;
-    }
-    target.idle += credits;
+    change(*target, [&](RoutedTarget &changed) {
+        if (epoch > changed.epoch) {
+            changed.epoch = epoch;
+            changed.idle = 0;
+        }
+        changed.idle += credits;
+    });
 }
 
 void Router::creditReturned(const std::string &agent, uint32_t epoch)
@@ -44,16 +102,61 @@
     grant(agent, 1, epoch);
 }
 
-static bool fits(const TargetInfo &target, std::string_view service, const TaskNeeds &needs)
+void Router::loadReported(const std::string &agent, uint32_t load)
+{
+    RoutedTarget *target = find(agent);
+    if (!target)
+        return;
+    target->load = load;
+    if (target->busy)
+        change(*target, [](RoutedTarget &changed) { changed.busy = false; });
+}
+
+void Router::refusedBusy(const std::string &agent)
 {
-    return target.service == service && target.cores >= needs.cores && target.memoryGb >= needs.memoryGb
-        && target.accelerators >= needs.accelerators;
+    if (RoutedTarget *target = find(agent))
+        change(*target, [](RoutedTarget &changed) { changed.busy = true; });
 }
 
+bool Router::targetAnswered(const std::string &agent, bool failed, Millis now)
+{
+    if (!m_ejector.record(agent, failed, m_targets.size(), now))
+        return false;
+    if (RoutedTarget *target = find(agent))
+        change(*target, [](RoutedTarget &changed) { changed.ejected = true; });
+    return true;
+}
+
+std::vector<std::string> Router::tick(Millis now)
+{
+    std::vector<std::string> restored = m_ejector.restore(now);
+    for (const std::string &agent : restored) {
+        if (RoutedTarget *target = find(agent))
+            change(*target, [](RoutedTarget &changed) { changed.ejected = false; });
+    }
+    for (auto &[agent, target] : m_targets) {
+        if (target->busy)
+            change(*target, [](RoutedTarget &changed) { changed.busy = false; });
+    }
+    return restored;
+}
+
+void Router::setLatencies(std::map<std::string, double> latencyMs)
+{
+    m_latencyMs = std::move(latencyMs);
+    for (auto &[agent, target] : m_targets) {
+        const double latency = latencyTo(target->info.zone);
+        change(*target, [&](RoutedTarget &changed) { changed.latencyMs = latency; });
+    }
+}
+
+// --- tasks ---
+
 bool Router::canEverRun(std::string_view service, const TaskNeeds &needs) const
 {
-    return std::any_of(m_targets.begin(), m_targets.end(),
-                       [&](const auto &entry) { return fits(entry.second.info, service, needs); });
+    // Pools outlive their targets, so that a loss of all targets of a kind does not refuse their tasks.
+    return std::any_of(m_pools.begin(), m_pools.end(),
+                       [&](const auto &pool) { return pool.first.fits(service, needs); });
 }
 
 bool Router::hasRoomFor(size_t tasks) const
@@ -61,90 +164,87 @@
     return m_queue.size() + tasks <= m_options.maxQueued;
 }
 
-void Router::enqueue(QueuedTask task)
+void Router::refreshPools(Demand &demand) const
 {
-    m_queue.push_back(std::move(task));
+    demand.pools.clear();
+    for (const auto &[kind, pool] : m_pools) {
+        if (pool && kind.fits(demand.service, demand.needs))
+            demand.pools.push_back(pool.get());
+    }
 }
 
-std::optional<QueuedTask> Router::removeQueued(const TaskRef &task)
+DemandId Router::demandOf(const QueuedTask &task)
 {
-    const auto found = std::find_if(m_queue.begin(), m_queue.end(),
-                                    [&](const QueuedTask &queued) { return queued.start.task == task; });
-    if (found == m_queue.end())
-        return std::nullopt;
-    QueuedTask result = std::move(*found);
-    m_queue.erase(found);
-    return result;
+    const auto found = std::find_if(m_demands.begin(), m_demands.end(), [&](const Demand &demand) {
+        return demand.needs == task.needs && demand.service == task.start.service;
+    });
+    if (found != m_demands.end())
+        return static_cast<DemandId>(found - m_demands.begin());
+    m_demands.push_back({.service = task.start.service, .needs = task.needs});
+    refreshPools(m_demands.back());
+    return static_cast<DemandId>(m_demands.size() - 1);
 }
 
-std::vector<QueuedTask> Router::removeExpired(Millis now)
+void Router::enqueue(QueuedTask task)
 {
-    std::vector<QueuedTask> expired;
-    std::erase_if(m_queue, [&](QueuedTask &task) {
-        if (now < task.deadline)
-            return false;
-        expired.push_back(std::move(task));
-        return true;
-    });
-    return expired;
+    const DemandId demand = demandOf(task);
+    m_queue.push(demand, std::move(task));
 }
 
-Router::Target *Router::choose(const QueuedTask &task, std::string &name)
+bool Router::usesCredits() const
 {
-    Target *best = nullptr;
-    const auto rank = [&](const Target &target) {
-        return std::pair(target.info.zone == m_options.zone, target.idle);
-    };
-    for (auto &[agent, target] : m_targets) {
-        if (!target.usable || target.idle == 0 || !fits(target.info, task.start.service, task.needs))
-            continue;
-        if (!best || rank(target) > rank(*best)) {
-            best = &target;
-            name = agent;
-        }
-    }
-    return best;
+    return std::visit([](const auto &policy) { return policy.usesCredits; }, m_options.policy);
 }
 
 std::vector<Assignment> Router::assign()
 {
     std::vector<Assignment> result;
-    while (!m_queue.empty()) {
-        std::string agent;
-        Target *target = choose(m_queue.front(), agent);
-        if (!target)
-            break;
-        --target->idle;
-        m_queue.front().start.usesCredit = true;
-        result.push_back({.agent = std::move(agent), .task = std::move(m_queue.front())});
-        m_queue.pop_front();
+    const bool credits = usesCredits();
+    if (m_queue.size() == 0 || (credits && m_idle == 0))
+        return result;
+    const auto canStart = [&](DemandId demand) {
+        const PoolSpan pools(m_demands[demand].pools);
+        return std::visit([&](const auto &policy) { return policy.canChoose(pools); }, m_options.policy);
+    };
+    while (std::optional<TeamQueue::Next> next = m_queue.pop(canStart)) {
+        const PoolSpan pools(m_demands[next->demand].pools);
+        RoutedTarget *target =
+            std::visit([&](auto &policy) { return policy.choose(pools); }, m_options.policy);
+        assert(target);
+        ++target->load;
+        if (credits)
+            change(*target, [](RoutedTarget &changed) { --changed.idle; });
+        next->task.start.usesCredit = credits;
+        result.push_back({.agent = target->agent, .task = std::move(next->task)});
     }
     return result;
 }
 
-uint32_t Router::idleCredits() const
-{
-    uint32_t total = 0;
-    for (const auto &[agent, target] : m_targets)
-        total += target.usable ? target.idle : 0;
-    return total;
-}
+// --- balance between entries ---
 
 std::vector<CreditAmount> Router::surplusFor(uint32_t peerIdle, uint32_t peerQueued)
 {
     std::vector<CreditAmount> result;
-    const uint32_t mine = idleCredits();
-    const uint32_t wanted = peerIdle < peerQueued ? peerQueued - peerIdle : 0;
-    if (queued() > 0 || mine <= peerIdle + 1)
+    if (queued() > 0 || !usesCredits())
         return result;
-    uint32_t amount = std::max((mine - peerIdle) / 4, std::min(wanted, mine / 2));
-    for (auto &[agent, target] : m_targets) {
-        const uint32_t credits = target.usable ? std::min(target.idle, amount) : 0;
-        if (credits == 0)
-            continue;
-        target.idle -= credits;
+    // Half of the difference evens out idle credits. A peer whose tasks wait gets what it can use, but half
+    // of the idle credits stay here, or the next task here would have to ask for one.
+    const uint32_t even = m_idle > peerIdle ? (m_idle - peerIdle) / 2 : 0;
+    const uint32_t wanted = peerQueued > peerIdle ? peerQueued - peerIdle : 0;
+    uint32_t amount = std::max(even, std::min(wanted, (m_idle + 1) / 2));
+    while (amount > 0) {
+        RoutedTarget *richest = nullptr;
+        for (const auto &[kind, pool] : m_pools) {
+            RoutedTarget *candidate = pool->firstWithCredit();
+            if (candidate && (!richest || candidate->idle > richest->idle))
+                richest = candidate;
+        }
+        if (!richest)
+            break;
+        const uint32_t credits = std::min(amount, (richest->idle + 1) / 2);
         amount -= credits;
-        result.push_back({.agent = agent, .credits = credits, .epoch = target.epoch});
+        change(*richest, [&](RoutedTarget &changed) { changed.idle -= credits; });
+        result.push_back({.agent = richest->agent, .credits = credits, .epoch = richest->epoch});
     }
     return result;
 }
