--- a/src/entry/peerhub.h
+++ b/src/entry/peerhub.h
@@ -7,6 +7,7 @@
 #include "net/framelink.h"
 #include "proto/codec.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -59,8 +60,8 @@
     void sendHeartbeats();
     // Closes connections on which nothing was heard for this long, so that what waits on them is answered.
     void closeSilent(Millis now, Millis bound);
-    // Asks the peer with the most idle credits.
-    void askForCredits(uint32_t queued);
+    // Asks for credits if tasks wait here without any, or sends idle ones to peers whose tasks wait.
+    void evenOut();
     void pullConfig(const std::string &peer, uint64_t version, uint64_t view);
     void send(const std::string &peer, std::vector<uint8_t> frame);
 
@@ -68,6 +69,10 @@
     std::vector<std::string> connectedPeers() const;
     void closeAll();
 
+    // Messages sent only to move credits.
+    uint64_t creditAsks() const { return m_creditAsks; }
+    uint64_t creditTransfers() const { return m_creditTransfers; }
+
 private:
     struct Balance
     {
@@ -80,6 +85,8 @@
         Reply onAnswer;
     };
 
+    void askForCredits(uint32_t queued);
+    void sendSurplus();
     void dial(const Address &address);
     void dialled(const FrameLinkPtr &link, const Address &address);
     void answer(const FrameLinkPtr &link, uint64_t requestId, const Answer &answer);
@@ -110,6 +117,8 @@
     std::set<std::string> m_dialling;
     std::unordered_map<uint64_t, Pending> m_pending;
     uint64_t m_nextRequest = 1;
+    std::atomic<uint64_t> m_creditAsks = 0;
+    std::atomic<uint64_t> m_creditTransfers = 0;
 };
 
 } // namespace turmericwell
--- a/tests/unit/agenttest.cpp
+++ b/tests/unit/agenttest.cpp
@@ -256,6 +256,23 @@
     }
 }
 
+// Guards against surplus credits from starts that were under way when a new credit epoch began.
+BOOST_AUTO_TEST_CASE(startWithVoidCreditAddsNoCredit)
+{
+    // Both credits are idle at the entry; it sends two starts while the agent begins a new epoch and grants
+    // again.
+    core.entryConnected(entryB, 1_ms);
+    core.start(entryA, makeStart(0), 2_ms);
+    core.start(entryA, makeStart(1), 2_ms);
+    core.start(entryB, makeStart(2), 2_ms);
+    uint32_t returned = 0;
+    for (uint32_t i = 0; i < 3; ++i) {
+        for (const SendResult &result : actionsOf<SendResult>(finish(i, 3_ms)))
+            returned += result.result.returnsCredit ? 1 : 0;
+    }
+    BOOST_TEST(returned == 2);
+}
+
 // Guards against a burst on a zone that has just returned.
 BOOST_AUTO_TEST_CASE(creditsRampUpAfterReturn)
 {
