--- a/src/cli/configcommands.cpp
+++ b/src/cli/configcommands.cpp
@@ -46,7 +46,7 @@
         if (!result || result->status == ReadStatus::Failed)
             return false;
         if (result->status == ReadStatus::Expired) {
-            state.startReadingAt(result->oldest);
+            state.expiredBefore(result->oldest);
             next = result->oldest;
             continue;
         }
--- a/src/config/configstate.cpp
+++ b/src/config/configstate.cpp
@@ -3,20 +3,31 @@
 
 #include "turmericwell/fingerprint.h"
 
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
 namespace turmericwell {
 
 namespace json = boost::json;
 
+// A change is looked up by its id for as long as its record can be read; at 15,000 changes a day and an hour
+// of retention these are about 625.
+static constexpr size_t maxHistory = 4'096;
+
 ConfigState::ConfigState()
     : m_current(std::make_shared<Config>())
+    , m_replayed(m_current)
 { }
 
-void ConfigState::startReadingAt(uint64_t firstOffset)
+void ConfigState::expiredBefore(uint64_t oldestOffset)
 {
-    m_firstOffset = firstOffset;
-    m_nextOffset = std::max(m_nextOffset, firstOffset);
-    if (firstOffset > 0 && m_current->version == 0)
-        m_hasBase = false;
+    if (oldestOffset <= m_nextOffset)
+        return;
+    m_replayed = nullptr;
+    m_waiting.clear();
+    m_firstOffset = oldestOffset;
+    m_nextOffset = oldestOffset;
 }
 
 static std::string textAt(const json::object &object, std::string_view key)
@@ -45,11 +56,24 @@
     config->declarations = declarationsFromJson(*declarations, problems);
     config->changeId = textAt(record, idKey);
     config->author = textAt(record, "author");
-    return problems.empty() && !config->changeId.empty() ? config : nullptr;
+    return problems.empty() ? config : nullptr;
+}
+
+// Reads the state that a snapshot or a peer supplies.
+static std::shared_ptr<Config> readVersionedConfig(const json::object &record)
+{
+    const std::optional<uint64_t> version = countAt(record, "version");
+    std::shared_ptr<Config> config = readConfig(record, "changeId");
+    if (!config || !version || (*version > 0 && config->changeId.empty()))
+        return nullptr;
+    config->version = *version;
+    return config;
 }
 
 RecordEffect ConfigState::apply(uint64_t offset, std::string_view recordText)
 {
+    if (offset < m_nextOffset)
+        return RecordEffect::Ignored;
     m_nextOffset = offset + 1;
     boost::system::error_code error;
     const json::value value = json::parse(recordText, error);
@@ -58,65 +82,110 @@
     const json::object &record = value.get_object();
     const std::string type = textAt(record, "type");
     if (type == "change")
-        return applyChange(record);
+        return applyChange(offset, record);
     if (type == "snapshot")
         return applySnapshot(offset, record);
     return RecordEffect::Invalid;
 }
 
-RecordEffect ConfigState::applyChange(const json::object &record)
+RecordEffect ConfigState::applyChange(uint64_t offset, const json::object &record)
 {
-    if (!m_hasBase)
-        return RecordEffect::Ignored;
-    if (textAt(record, "id") == m_current->changeId)
-        return RecordEffect::Repeated;
     const std::optional<uint64_t> base = countAt(record, "base");
     const std::shared_ptr<Config> config = readConfig(record, "id");
-    if (!config || !base)
+    if (!config || !base || config->changeId.empty())
         return RecordEffect::Invalid;
-    if (*base != m_current->version)
-        return RecordEffect::Conflict;
     config->version = *base + 1;
-    m_current = config;
+    const Change change{.offset = offset, .base = *base, .config = config};
+    if (m_replayed)
+        return replay(change);
+    m_waiting.push_back(change);
+    return RecordEffect::Ignored;
+}
+
+// The decision uses the base only. Ids only tell a repeat from a conflict afterwards: a reader that started
+// later does not know all of them, and must decide the same.
+RecordEffect ConfigState::replay(const Change &change)
+{
+    if (change.base != m_replayed->version)
+        return acceptedVersion(change.config->changeId) ? RecordEffect::Repeated : RecordEffect::Conflict;
+    m_replayed = change.config;
+    remember(*m_replayed);
+    putInForce(m_replayed);
     return RecordEffect::Accepted;
 }
 
 RecordEffect ConfigState::applySnapshot(uint64_t offset, const json::object &record)
 {
-    if (m_hasBase)
-        return RecordEffect::Ignored;
-    const std::optional<uint64_t> version = countAt(record, "version");
     const std::optional<uint64_t> upTo = countAt(record, "upTo");
-    const std::shared_ptr<Config> config = readConfig(record, "changeId");
-    if (!config || !version || !upTo || *upTo > offset)
+    const std::shared_ptr<Config> config = readVersionedConfig(record);
+    if (!config || !upTo || *upTo > offset)
         return RecordEffect::Invalid;
-    // A change between upTo and the snapshot may have expired, so the snapshot may be older than the state in
-    // force.
-    if (*upTo < m_firstOffset)
+    // A change between upTo and the first offset may have been accepted and have expired.
+    if (m_replayed || *upTo < m_firstOffset)
         return RecordEffect::Ignored;
-    config->version = *version;
-    m_current = config;
-    m_hasBase = true;
-    return RecordEffect::Accepted;
+    const uint64_t before = version();
+    continueFrom(config, *upTo);
+    return version() > before ? RecordEffect::Accepted : RecordEffect::Ignored;
+}
+
+void ConfigState::continueFrom(const ConfigPtr &config, uint64_t upTo)
+{
+    m_replayed = config;
+    remember(*config);
+    putInForce(config);
+    const std::vector<Change> waiting = std::exchange(m_waiting, {});
+    for (const Change &change : waiting) {
+        if (change.offset >= upTo)
+            replay(change);
+    }
+}
+
+void ConfigState::putInForce(const ConfigPtr &config)
+{
+    if (config->version > m_current->version)
+        m_current = config;
+}
+
+void ConfigState::remember(const Config &config)
+{
+    if (config.version == 0 || (!m_history.empty() && m_history.back().version >= config.version))
+        return;
+    m_history.push_back({.version = config.version, .id = config.changeId, .author = config.author});
+    if (m_history.size() > maxHistory)
+        m_history.pop_front();
+}
+
+std::optional<uint64_t> ConfigState::acceptedVersion(std::string_view id) const
+{
+    const auto found = std::find_if(m_history.begin(), m_history.end(),
+                                    [&](const AcceptedChange &change) { return change.id == id; });
+    return found == m_history.end() ? std::nullopt : std::optional(found->version);
+}
+
+static json::object stateObject(const Config &config)
+{
+    return {{"version", config.version},
+            {"changeId", config.changeId},
+            {"author", config.author},
+            {"declarations", toJson(config.declarations)}};
 }
 
 std::string ConfigState::stateText() const
 {
-    return json::serialize(json::object{{"version", m_current->version},
-                                        {"changeId", m_current->changeId},
-                                        {"author", m_current->author},
-                                        {"nextOffset", m_nextOffset},
-                                        {"declarations", toJson(m_current->declarations)}});
+    json::object state = stateObject(*m_current);
+    // A peer may continue from this state only if it is the one that the log gives at this offset.
+    if (m_replayed && m_replayed->version == m_current->version)
+        state["nextOffset"] = m_nextOffset;
+    return json::serialize(state);
 }
 
 std::string ConfigState::snapshotRecord() const
 {
-    return json::serialize(json::object{{"type", "snapshot"},
-                                        {"version", m_current->version},
-                                        {"changeId", m_current->changeId},
-                                        {"author", m_current->author},
-                                        {"upTo", m_nextOffset},
-                                        {"declarations", toJson(m_current->declarations)}});
+    assert(m_replayed);
+    json::object record = stateObject(*m_replayed);
+    record["type"] = "snapshot";
+    record["upTo"] = m_nextOffset;
+    return json::serialize(record);
 }
 
 bool ConfigState::adopt(std::string_view stateText)
@@ -126,16 +195,18 @@
     if (error || !value.is_object())
         return false;
     const json::object &state = value.get_object();
-    const std::optional<uint64_t> version = countAt(state, "version");
-    const std::optional<uint64_t> nextOffset = countAt(state, "nextOffset");
-    const std::shared_ptr<Config> config = readConfig(state, "changeId");
-    if (!config || !version || !nextOffset || *version <= m_current->version)
+    const std::shared_ptr<Config> config = readVersionedConfig(state);
+    if (!config)
         return false;
-    config->version = *version;
-    m_current = config;
-    m_hasBase = true;
-    m_nextOffset = std::max(m_nextOffset, *nextOffset);
-    return true;
+    const uint64_t before = version();
+    const std::optional<uint64_t> nextOffset = countAt(state, "nextOffset");
+    const bool isAhead = nextOffset && *nextOffset > m_nextOffset;
+    if (isAhead || (nextOffset && !m_replayed && *nextOffset >= m_firstOffset)) {
+        m_nextOffset = std::max(m_nextOffset, *nextOffset);
+        continueFrom(config, *nextOffset);
+    }
+    putInForce(config);
+    return version() > before;
 }
 
 ChangeRecord makeChangeRecord(uint64_t base, std::string_view author, const Declarations &declarations)
--- a/src/config/declarations.cpp
+++ b/src/config/declarations.cpp
@@ -1,6 +1,8 @@
 // Lookups, parsing and the canonical JSON form of declarations.
 #include "config/declarations.h"
 
+#include "config/declarationchecks.h"
+
 #include <algorithm>
 #include <array>
 
@@ -175,12 +177,8 @@
 template <typename Item, typename Read>
 static void readItems(JsonReader &file, std::string_view key, std::vector<Item> &items, Read read)
 {
-    for (JsonReader &reader : file.objects(key)) {
-        Item item = read(reader);
-        if (findByName(items, item.name))
-            reader.problem("name", "\"" + item.name + "\" is declared twice");
-        items.push_back(std::move(item));
-    }
+    for (JsonReader &reader : file.objects(key))
+        items.push_back(read(reader));
 }
 
 static void readFile(JsonReader &reader, Declarations &result)
@@ -195,15 +193,17 @@
 
 Declarations parseDeclarations(std::span<const DeclarationFile> files, Problems &problems)
 {
-    Declarations result;
+    std::vector<ParsedFile> parsed;
     for (const DeclarationFile &file : files) {
+        const size_t before = problems.size();
         const json::value value = parseJsonText(file.name, file.text, problems);
-        if (value.is_null())
+        if (problems.size() > before)
             continue;
         JsonReader reader(file.name, "", value, problems);
-        readFile(reader, result);
+        parsed.push_back({.name = file.name, .declarations = {}});
+        readFile(reader, parsed.back().declarations);
     }
-    return result;
+    return mergeDeclarations(parsed, problems);
 }
 
 Declarations declarationsFromJson(const json::value &value, Problems &problems)
--- a/src/config/jsonreader.cpp
+++ b/src/config/jsonreader.cpp
@@ -182,13 +182,27 @@
     return result;
 }
 
+// Names the known key that an unknown one may stand for, such as deadlineMs for deadlineSeconds.
+static std::string unitHint(const std::set<std::string, std::less<>> &known, std::string_view key)
+{
+    for (const std::string_view unit : {"Ms", "Gb"}) {
+        for (const std::string &candidate : known) {
+            const std::string_view stem =
+                std::string_view(candidate).substr(0, candidate.size() - unit.size());
+            if (candidate.ends_with(unit) && candidate.size() > unit.size() && key.starts_with(stem))
+                return "; did you mean " + candidate + "?";
+        }
+    }
+    return "";
+}
+
 void JsonReader::finish()
 {
     if (!m_object)
         return;
     for (const auto &[key, value] : *m_object) {
         if (!m_read.contains(std::string_view(key)))
-            problem(key, "is not a known key");
+            problem(key, "is not a known key" + unitHint(m_read, key));
     }
 }
 
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -63,6 +63,7 @@
     void performOne(const SendStop &action) { m_agents.send(action); }
     void performOne(const AnswerWaiter &action) { m_waiters.answer(action.waiter, action.answer); }
 
+    bool isLowestMember() const;
     void configChanged(const ConfigPtr &config);
     EntryStatus status() const;
     wire::PeerPingT peerStatus() const;
@@ -103,7 +104,8 @@
     , m_peers(io, m_self, m_dispatcher, peerHandlers())
     , m_membership(io, std::make_shared<LogClient>(io, settings.log),
                    {.self = m_self, .freshness = settings.freshness, .pollWait = settings.logPollWait})
-    , m_config(io, std::make_shared<LogClient>(io, settings.log), settings.logPollWait, configHandlers())
+    , m_config(io, std::make_shared<LogClient>(io, settings.log),
+               {.pollWait = settings.logPollWait, .retention = settings.logRetention}, configHandlers())
     , m_timer(io)
 { }
 
@@ -152,7 +154,15 @@
     return {.onChanged = [this](const ConfigPtr &config) { configChanged(config); },
             .onRefused = [this](const std::string &why) { record(EventKind::ConfigRefused, why); },
             .onLogRead = [this](Millis sentAt) { m_membership.logRead(sentAt); },
-            .onLogFailed = [this] { m_membership.logFailed(); }};
+            .onLogFailed = [this] { m_membership.logFailed(); },
+            .isSnapshotWriter = [this] { return isLowestMember(); }};
+}
+
+// Members are ordered by name.
+bool EntryServer::isLowestMember() const
+{
+    const std::vector<EntryMember> members = m_membership.members();
+    return !members.empty() && members.front().id == m_self.id;
 }
 
 Frontend::Handlers EntryServer::frontendHandlers()
