--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -2,10 +2,12 @@
 // small.
 #include "agentd/agentserver.h"
 
+#include "agentd/agentmetrics.h"
 #include "agentd/entrylink.h"
 #include "net/http.h"
 #include "observe/eventlog.h"
 #include "observe/log.h"
+#include "observe/timeline.h"
 #include "target/targetclient.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -54,6 +56,8 @@
     void performOne(const SendRevokeAck &action);
     void performOne(const SendCredits &action);
     void flushResults();
+    void shipEvents();
+    std::string metricsText();
     EntryLink *linkTo(const std::string &entry);
     void record(EventKind kind, const TaskRef &task, std::string_view why);
     void finishStop();
@@ -63,6 +67,9 @@
     const uint64_t m_incarnation = static_cast<uint64_t>(Clock::wall().count);
     AgentCore m_core;
     EventLog m_events;
+    Metrics m_metrics = Metrics(agentMetrics);
+    // Last event that was handed to an entry for the events stream.
+    uint64_t m_shippedUpTo = 0;
     std::unique_ptr<TargetClient> m_target;
     std::vector<std::shared_ptr<EntryLink>> m_links;
     // Results that go out with the next flush, by entry.
@@ -96,6 +103,7 @@
     perform(m_core.tick(Clock::now()));
     for (const auto &link : m_links)
         link->send(pingFrame());
+    shipEvents();
     m_timer.expires_after(std::chrono::milliseconds(m_settings.pingInterval.count));
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (!error)
@@ -135,6 +143,7 @@
     wire::PingT ping;
     ping.sent_ms = Clock::now().count;
     ping.config_version = m_newestVersion;
+    ping.slice_version = m_core.slice().configVersion;
     ping.view = m_newestView;
     ping.running = m_core.running();
     ping.queued = m_core.queued();
@@ -149,9 +158,7 @@
     } else if (request.path == "/healthz") {
         respond({.status = m_stopping ? 503 : 200, .body = R"({"status":"ok"})"});
     } else if (request.path == "/metrics") {
-        respond({.body = "turmericwell_running " + std::to_string(m_core.running()) + "\nturmericwell_queued "
-                     + std::to_string(m_core.queued()) + "\n",
-                 .contentType = "text/plain; version=0.0.4"});
+        respond({.body = metricsText(), .contentType = "text/plain; version=0.0.4"});
     } else if (request.path == "/v1/events") {
         std::string body;
         for (const Event &event : m_events.since(0, SIZE_MAX))
@@ -288,6 +295,9 @@
 
 void AgentServer::record(EventKind kind, const TaskRef &task, std::string_view why)
 {
+    m_metrics.count("events_total", toString(kind));
+    if (kind == EventKind::TaskRefused)
+        m_metrics.count("refusals_total", why);
     m_events.record({.kind = kind,
                      .job = task.submission.hex(),
                      .task = task.text(),
@@ -311,6 +321,7 @@
     constexpr Millis longestRun = {3'600'000};
     m_target->run(action.start, longestRun, [this](const TaskResult &result) {
         record(EventKind::TaskFinished, result.task, toString(result.outcome));
+        m_metrics.observe("task_run_ms", static_cast<double>(result.ran.count));
         perform(m_core.taskEnded(result, Clock::now()));
     });
 }
@@ -364,6 +375,35 @@
     m_results.clear();
 }
 
+// Hands new events to one entry. What is lost with the connection can still be read from this process.
+void AgentServer::shipEvents()
+{
+    // 200 events of about 250 bytes each second; idle agents send nothing.
+    constexpr size_t maxEvents = 200;
+    const auto found = std::find_if(m_links.begin(), m_links.end(), [](const auto &link) {
+        return link->isConnected() && !link->entry().empty();
+    });
+    const std::vector<Event> events = m_events.since(m_shippedUpTo, SIZE_MAX);
+    if (found == m_links.end() || events.empty())
+        return;
+    wire::EventBatchT batch;
+    batch.process = m_settings.name;
+    for (const Event &event : selectForShipping(events, maxEvents))
+        batch.events.push_back(toJsonText(event));
+    m_shippedUpTo = events.back().sequence;
+    (*found)->send(encodeMessage(std::move(batch)));
+}
+
+std::string AgentServer::metricsText()
+{
+    m_metrics.set("tasks_running", m_core.running());
+    m_metrics.set("tasks_queued", m_core.queued());
+    m_metrics.set("config_version", static_cast<double>(m_core.slice().configVersion));
+    m_metrics.set("current", m_core.isFresh(Clock::now()) ? 1 : 0);
+    m_metrics.set("events_dropped_total", static_cast<double>(m_events.dropped()));
+    return m_metrics.text();
+}
+
 void AgentServer::beginStop()
 {
     if (m_stopping)
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -13,7 +13,8 @@
 namespace fs = std::filesystem;
 
 CommandLine parseCommandLine(std::span<const std::string> arguments, std::string_view name,
-                             options::options_description description, const char *positional)
+                             options::options_description description, const char *positional,
+                             std::string_view notes)
 {
     CommandLine result;
     description.add_options()("help", "print this help")("version", "print the version");
@@ -30,7 +31,7 @@
         if (result.values.contains("help")) {
             std::cout << "usage: turmericwell " << name << " [options]"
                       << (*positional != '\0' ? " " + std::string(positional) : "") << "\n\n"
-                      << description;
+                      << description << (notes.empty() ? "" : "\n") << notes;
             result.exit = ExitCode::Done;
             return result;
         }
@@ -47,6 +48,11 @@
     return result;
 }
 
+bool isFormat(std::string_view text)
+{
+    return text == "text" || text == "json";
+}
+
 std::optional<std::string> readFile(const std::string &path)
 {
     const std::ifstream file(path);
--- a/src/cli/options.h
+++ b/src/cli/options.h
@@ -19,10 +19,11 @@
 };
 
 // Adds --help and --version. `positional` names the option that takes the arguments without a dash, or is
-// empty.
+// empty. The help ends with `notes`.
 CommandLine parseCommandLine(std::span<const std::string> arguments, std::string_view name,
                              boost::program_options::options_description description,
-                             const char *positional = "");
+                             const char *positional = "", std::string_view notes = "");
+bool isFormat(std::string_view text);
 
 // Reads a whole file; empty if it cannot be read.
 std::optional<std::string> readFile(const std::string &path);
@@ -31,4 +32,12 @@
 std::vector<DeclarationFile> readDeclarationFiles(const std::string &directory, Problems &problems);
 void printProblems(const Problems &problems);
 
+struct LoadedDeclarations
+{
+    Declarations declarations;
+    // Set if the declarations are not valid; all problems were printed.
+    std::optional<ExitCode> exit;
+};
+LoadedDeclarations loadDeclarations(const std::string &directory, std::string_view format);
+
 } // namespace turmericwell
--- a/src/entry/agenthub.cpp
+++ b/src/entry/agenthub.cpp
@@ -118,6 +118,9 @@
     case wire::Body::Drain:
         m_handlers.perform(m_dispatcher.agentLeaving(agent, Clock::now()));
         break;
+    case wire::Body::EventBatch:
+        m_handlers.onEvents(message.body.AsEventBatch()->events);
+        break;
     default:
         logger().warning("agent " + agent + " sent a message that entries do not take");
     }
@@ -125,6 +128,17 @@
 
 void AgentHub::handlePing(const FrameLinkPtr &link, const std::string &agent, const wire::PingT &ping)
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_agents.find(link);
+        if (found != m_agents.end()) {
+            AgentState &state = found->second.state;
+            state.configVersion = ping.slice_version;
+            state.running = ping.running;
+            state.queued = ping.queued;
+            state.leaving = ping.leaving;
+        }
+    }
     m_handlers.onHeard(agent, ping.config_version, ping.view);
     const EntryStatus status = m_handlers.status();
     wire::PongT pong;
@@ -218,6 +232,20 @@
     return m_agents.size();
 }
 
+std::vector<AgentState> AgentHub::states() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<AgentState> result;
+    for (const auto &[link, agent] : m_agents) {
+        AgentState state = agent.state;
+        state.name = agent.id.name;
+        state.target = agent.target.name;
+        state.zone = agent.target.zone;
+        result.push_back(std::move(state));
+    }
+    return result;
+}
+
 void AgentHub::closeAll()
 {
     std::vector<FrameLinkPtr> links;
--- a/src/entry/agenthub.h
+++ b/src/entry/agenthub.h
@@ -25,6 +25,20 @@
     std::vector<EntryMember> members;
 };
 
+// What an agent reported last about itself.
+struct AgentState
+{
+    std::string name;
+    std::string target;
+    std::string zone;
+    // Version of the configuration that is in force at the agent.
+    uint64_t configVersion = 0;
+    uint32_t running = 0;
+    uint32_t queued = 0;
+    // The target is leaving or is not announced.
+    bool leaving = false;
+};
+
 // Thread-safe.
 class AgentHub
 {
@@ -35,6 +49,8 @@
         std::function<void(const std::string &agent, uint64_t configVersion, uint64_t view)> onHeard;
         std::function<void(const std::string &agent)> onGone;
         std::function<void(DispatchActions)> perform;
+        // Events of an agent, in their JSON form, for the events stream.
+        std::function<void(std::vector<std::string> events)> onEvents;
     };
 
     AgentHub(ProcessId entry, Dispatcher &dispatcher, Handlers handlers);
@@ -49,6 +65,7 @@
     void send(const SendStop &action);
 
     size_t size() const;
+    std::vector<AgentState> states() const;
     void closeAll();
 
 private:
@@ -56,6 +73,7 @@
     {
         ProcessId id;
         TargetInfo target;
+        AgentState state;
     };
 
     FrameLinkPtr linkTo(const std::string &agent) const;
--- /dev/null
+++ b/src/entry/entrymetrics.h
@@ -0,0 +1,37 @@
+// Metrics of an entry; docs/operators.md lists them.
+#pragma once
+
+#include "observe/metrics.h"
+
+#include <array>
+
+namespace turmericwell {
+
+inline constexpr std::array entryMetrics = {
+    MetricDescription{"events_total", MetricKind::Counter, "Events of the timeline by kind.", "kind"},
+    MetricDescription{"refusals_total", MetricKind::Counter,
+                      "Refused submissions and refused task starts by reason.", "reason"},
+    MetricDescription{"answers_total", MetricKind::Counter, "Answers to submissions by outcome.", "outcome"},
+    MetricDescription{"submission_ms", MetricKind::Summary,
+                      "Time from a submission's arrival at its owner to its answer, in ms."},
+    MetricDescription{"submissions_active", MetricKind::Gauge, "Submissions that are not answered yet."},
+    MetricDescription{"submissions_known", MetricKind::Gauge, "Submissions with a record at this entry."},
+    MetricDescription{"tasks_in_flight", MetricKind::Gauge, "Tasks sent to agents and not ended."},
+    MetricDescription{"tasks_queued", MetricKind::Gauge, "Tasks that wait for a free slot."},
+    MetricDescription{"credits_idle", MetricKind::Gauge, "Slot credits that this entry could use at once."},
+    MetricDescription{"agents_connected", MetricKind::Gauge, "Agents with a connection to this entry."},
+    MetricDescription{"config_version", MetricKind::Gauge, "Version of the configuration in force."},
+    MetricDescription{"config_position_known", MetricKind::Gauge,
+                      "1 if no configuration record expired before this entry read it, else 0."},
+    MetricDescription{"config_snapshots_total", MetricKind::Counter,
+                      "Configuration snapshots that this entry appended."},
+    MetricDescription{"roster_view", MetricKind::Gauge, "View number of the entry roster."},
+    MetricDescription{"current", MetricKind::Gauge, "1 if this entry may start tasks, else 0."},
+    MetricDescription{"log_readable", MetricKind::Gauge, "1 if the log's tail can be read, else 0."},
+    MetricDescription{"events_dropped_total", MetricKind::Counter,
+                      "Events that were dropped from the full buffer of this process."},
+    MetricDescription{"events_not_shipped_total", MetricKind::Counter,
+                      "Events that were left out of the events stream because there were too many."},
+};
+
+} // namespace turmericwell
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -4,9 +4,12 @@
 #include "dispatch/dispatcher.h"
 #include "entry/agenthub.h"
 #include "entry/configkeeper.h"
+#include "entry/entrymetrics.h"
+#include "entry/eventshipper.h"
 #include "entry/frontend.h"
 #include "entry/membershipkeeper.h"
 #include "entry/peerhub.h"
+#include "entry/statusreport.h"
 #include "observe/eventlog.h"
 #include "observe/log.h"
 
@@ -65,8 +68,10 @@
 
     bool isLowestMember() const;
     void configChanged(const ConfigPtr &config);
+    void recordZoneChanges(const Config &config);
     EntryStatus status() const;
     wire::PeerPingT peerStatus() const;
+    void record(Event event);
     void record(EventKind kind, std::string_view why, uint64_t version = 0);
     void continueStop();
 
@@ -74,6 +79,8 @@
     const EntrySettings m_settings;
     const EntryMember m_self;
     EventLog m_events;
+    mutable Metrics m_metrics = Metrics(entryMetrics);
+    EventShipper m_shipper;
     Waiters m_waiters;
     Dispatcher m_dispatcher;
     AgentHub m_agents;
@@ -81,6 +88,8 @@
     MembershipKeeper m_membership;
     ConfigKeeper m_config;
     bool m_wasCurrent = false;
+    mutable std::mutex m_peerVersionsMutex;
+    std::map<std::string, uint64_t> m_peerVersions;
 
     asio::steady_timer m_timer;
     std::unique_ptr<FrameListener> m_linkListener;
@@ -97,9 +106,10 @@
               .address = settings.linkListen.text(),
               .zone = settings.zone})
     , m_events({.process = settings.name, .zone = settings.zone})
+    , m_shipper(settings.name, m_events, std::make_shared<LogClient>(io, settings.log))
     , m_dispatcher({.router = {.maxQueued = settings.maxQueued, .zone = settings.zone},
                     .submissions = {.dedupWindow = settings.dedupWindow},
-                    .onEvent = [this](Event event) { m_events.record(std::move(event)); }})
+                    .onEvent = [this](Event event) { record(std::move(event)); }})
     , m_agents(m_self.id, m_dispatcher, agentHandlers())
     , m_peers(io, m_self, m_dispatcher, peerHandlers())
     , m_membership(io, std::make_shared<LogClient>(io, settings.log),
@@ -117,13 +127,18 @@
                     m_membership.agentHeard(agent, {.config = configVersion, .view = view});
                 },
             .onGone = [](const std::string &) {},
-            .perform = [this](DispatchActions actions) { perform(std::move(actions)); }};
+            .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
+            .onEvents = [this](std::vector<std::string> events) { m_shipper.take(std::move(events)); }};
 }
 
 PeerHub::Handlers EntryServer::peerHandlers()
 {
     return {.onHeard =
                 [this](const std::string &peer, const wire::PeerPingT &ping) {
+                    {
+                        const std::lock_guard lock(m_peerVersionsMutex);
+                        m_peerVersions[peer] = ping.config_version;
+                    }
                     m_membership.peerHeard(peer, {.config = ping.config_version, .view = ping.view});
                     if (ping.config_version > m_config.version())
                         m_peers.pullConfig(peer, ping.config_version, ping.view);
@@ -202,6 +217,7 @@
     for (const EntryMember &member : m_membership.members())
         m_peers.connectTo(member);
     m_peers.sendHeartbeats();
+    m_shipper.tick(Clock::now());
     if (m_dispatcher.queued() > 0 && m_dispatcher.idleCredits() == 0)
         m_peers.askForCredits(m_dispatcher.queued());
     if (m_stopping)
@@ -279,14 +295,20 @@
         submitHere(request, std::move(deliver));
         return;
     }
-    record(EventKind::SubmissionForwarded, owner->id.name);
+    record({.kind = EventKind::SubmissionForwarded, .job = request.key.hex(), .reason = owner->id.name});
     if (!m_peers.forward(owner->id.name, request, deliver))
         deliver(ownerUnavailable(Outcome::Unknown));
 }
 
 void EntryServer::submitHere(const SubmissionRequest &request, AnswerDelivery deliver)
 {
-    perform(m_dispatcher.submit(request, m_waiters.add(std::move(deliver)), Clock::now()));
+    const Millis now = Clock::now();
+    AnswerDelivery measured = [this, now, deliver = std::move(deliver)](const Answer &answer) {
+        m_metrics.observe("submission_ms", static_cast<double>((Clock::now() - now).count));
+        m_metrics.count("answers_total", toString(answer.outcome));
+        deliver(answer);
+    };
+    perform(m_dispatcher.submit(request, m_waiters.add(std::move(measured)), now));
 }
 
 void EntryServer::lookup(const JobLookup &job, const AnswerDelivery &deliver)
@@ -312,38 +334,39 @@
 
 std::string EntryServer::metricsText() const
 {
-    std::string text;
-    const auto add = [&](std::string_view name, uint64_t value) {
-        text += "turmericwell_" + std::string(name) + " " + std::to_string(value) + "\n";
+    const auto set = [&](std::string_view name, uint64_t value) {
+        m_metrics.set(name, static_cast<double>(value));
     };
-    add("submissions_active", m_dispatcher.activeSubmissions());
-    add("submissions_known", m_dispatcher.knownSubmissions());
-    add("tasks_in_flight", m_dispatcher.tasksInFlight());
-    add("tasks_queued", m_dispatcher.queued());
-    add("credits_idle", m_dispatcher.idleCredits());
-    add("agents_connected", m_agents.size());
-    add("config_version", m_config.version());
-    add("events_dropped_total", m_events.dropped());
-    return text;
+    set("submissions_active", m_dispatcher.activeSubmissions());
+    set("submissions_known", m_dispatcher.knownSubmissions());
+    set("tasks_in_flight", m_dispatcher.tasksInFlight());
+    set("tasks_queued", m_dispatcher.queued());
+    set("credits_idle", m_dispatcher.idleCredits());
+    set("agents_connected", m_agents.size());
+    set("config_version", m_config.version());
+    set("config_position_known", m_config.isPositionKnown() ? 1 : 0);
+    set("config_snapshots_total", m_config.snapshotsAppended());
+    set("roster_view", m_membership.view());
+    set("current", m_membership.isCurrent() ? 1 : 0);
+    set("log_readable", m_membership.isLogReadable() ? 1 : 0);
+    set("events_dropped_total", m_events.dropped());
+    set("events_not_shipped_total", m_shipper.skipped());
+    return m_metrics.text();
 }
 
 std::string EntryServer::showText() const
 {
-    json::array members;
-    for (const EntryMember &member : m_membership.members())
-        members.push_back(
-            json::object{{"entry", member.id.name}, {"address", member.address}, {"zone", member.zone}});
-    const ConfigPtr config = m_config.current();
-    return json::serialize(json::object{{"entry", m_self.id.name},
-                                        {"version", config->version},
-                                        {"changeId", config->changeId},
-                                        {"author", config->author},
-                                        {"view", m_membership.view()},
-                                        {"current", m_membership.isCurrent()},
-                                        {"logReadable", m_membership.isLogReadable()},
-                                        {"agents", m_agents.size()},
-                                        {"entries", std::move(members)},
-                                        {"declarations", toJson(config->declarations)}});
+    StatusReport report{.self = m_self,
+                        .config = m_config.current(),
+                        .view = m_membership.view(),
+                        .current = m_membership.isCurrent(),
+                        .logReadable = m_membership.isLogReadable(),
+                        .positionKnown = m_config.isPositionKnown(),
+                        .members = m_membership.members(),
+                        .agents = m_agents.states()};
+    const std::lock_guard lock(m_peerVersionsMutex);
+    report.peerVersions = m_peerVersions;
+    return toJsonText(report);
 }
 
 std::string EntryServer::eventsText() const
@@ -354,9 +377,21 @@
     return text;
 }
 
+void EntryServer::recordZoneChanges(const Config &config)
+{
+    const ConfigPtr before = m_dispatcher.config();
+    for (const ZoneDeclaration &zone : config.declarations.zones) {
+        const bool isWithdrawn = zone.state == ServingState::Withdrawn;
+        if (isWithdrawn != before->declarations.isZoneWithdrawn(zone.name))
+            record(isWithdrawn ? EventKind::ZoneWithdrawn : EventKind::ZoneReturned, zone.name,
+                   config.version);
+    }
+}
+
 void EntryServer::configChanged(const ConfigPtr &config)
 {
     record(EventKind::ConfigAccepted, config->author, config->version);
+    recordZoneChanges(*config);
     logger().info("configuration version " + std::to_string(config->version) + " is in force");
     m_dispatcher.setConfig(config);
     m_membership.setConfigVersion(config->version);
@@ -383,9 +418,17 @@
     return ping;
 }
 
+void EntryServer::record(Event event)
+{
+    m_metrics.count("events_total", toString(event.kind));
+    if (event.kind == EventKind::TaskRefused || event.kind == EventKind::SubmissionRefused)
+        m_metrics.count("refusals_total", event.reason);
+    m_events.record(std::move(event));
+}
+
 void EntryServer::record(EventKind kind, std::string_view why, uint64_t version)
 {
-    m_events.record({.kind = kind, .configVersion = version, .reason = std::string(why)});
+    record({.kind = kind, .configVersion = version, .reason = std::string(why)});
 }
 
 // --- stop ---
--- /dev/null
+++ b/src/observe/timeline.cpp
@@ -0,0 +1,333 @@
+// Order and causes of the events of many processes.
+#include "observe/timeline.h"
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <set>
+#include <tuple>
+
+namespace turmericwell {
+
+namespace {
+
+using Index = size_t;
+constexpr Index none = SIZE_MAX;
+
+// The time tells incarnations of a process apart, whose sequences both begin at 1.
+auto identityOf(const Event &event)
+{
+    return std::tie(event.process, event.sequence, event.time.count, event.kind);
+}
+
+void removeDuplicates(std::vector<Event> &events)
+{
+    std::sort(events.begin(), events.end(), [](const Event &a, const Event &b) {
+        return std::tie(a.process, a.time.count, a.sequence, a.kind)
+            < std::tie(b.process, b.time.count, b.sequence, b.kind);
+    });
+    // An incarnation may have started before the clock was set back, so equal events need not be neighbours
+    // by sequence, but they are by time.
+    events.erase(std::unique(events.begin(), events.end(),
+                             [](const Event &a, const Event &b) { return identityOf(a) == identityOf(b); }),
+                 events.end());
+}
+
+// Splits the events of each process into incarnations, each in the order of its sequence. A new incarnation
+// begins with a ProcessStarted event.
+std::vector<std::vector<Index>> processOrders(const std::vector<Event> &events)
+{
+    std::vector<std::vector<Index>> orders;
+    for (Index i = 0; i < events.size(); ++i) {
+        const bool isNewProcess = i == 0 || events[i].process != events[i - 1].process;
+        if (isNewProcess || events[i].kind == EventKind::ProcessStarted)
+            orders.emplace_back();
+        orders.back().push_back(i);
+    }
+    for (std::vector<Index> &order : orders)
+        std::stable_sort(order.begin(), order.end(),
+                         [&](Index a, Index b) { return events[a].sequence < events[b].sequence; });
+    return orders;
+}
+
+// Finds the event that led to each event. Events of the same task between the same entry and agent are
+// matched in the order in which the two processes recorded them.
+class CauseFinder
+{
+public:
+    CauseFinder(const std::vector<Event> &events, const std::vector<std::vector<Index>> &orders)
+        : m_events(events)
+        , m_causes(events.size(), none)
+    {
+        for (Index i = 0; i < events.size(); ++i)
+            m_bySequence[{events[i].process, events[i].sequence}] = i;
+        for (const std::vector<Index> &order : orders) {
+            for (const Index i : order)
+                collect(i);
+        }
+    }
+
+    std::vector<Index> causes()
+    {
+        for (Index i = 0; i < m_events.size(); ++i)
+            takeRecordedCause(i);
+        for (const auto &[exchange, sent] : m_sent)
+            match(sent, m_begun[exchange]);
+        for (const auto &[exchange, ended] : m_ended)
+            match(ended, m_reported[exchange]);
+        matchSubmissions();
+        matchConfigs();
+        return m_causes;
+    }
+
+private:
+    // Task and agent.
+    using Exchange = std::pair<std::string, std::string>;
+    using Indexes = std::vector<Index>;
+
+    void collect(Index i)
+    {
+        const Event &event = m_events[i];
+        // An entry names the agent as the target; an agent names its own target.
+        const bool isEntry = m_entries.contains(event.process) || event.kind == EventKind::TaskSent;
+        switch (event.kind) {
+        case EventKind::TaskSent:
+            m_entries.insert(event.process);
+            m_sent[{event.task, event.target}].push_back(i);
+            break;
+        case EventKind::TaskStarted:
+            m_begun[{event.task, event.process}].push_back(i);
+            break;
+        case EventKind::TaskFinished:
+        case EventKind::TaskRefused:
+            if (isEntry) {
+                m_reported[{event.task, event.target}].push_back(i);
+            } else {
+                if (event.kind == EventKind::TaskRefused)
+                    m_begun[{event.task, event.process}].push_back(i);
+                m_ended[{event.task, event.process}].push_back(i);
+            }
+            break;
+        case EventKind::SubmissionForwarded:
+            m_forwarded[event.job].push_back(i);
+            break;
+        case EventKind::SubmissionAccepted:
+        case EventKind::SubmissionAttached:
+        case EventKind::SubmissionRefused:
+            m_taken[event.job].push_back(i);
+            break;
+        case EventKind::ConfigAccepted:
+            m_configs[event.configVersion].push_back(i);
+            break;
+        default:
+            break;
+        }
+    }
+
+    void setCause(Index effect, Index cause)
+    {
+        if (m_causes[effect] == none && m_events[effect].process != m_events[cause].process)
+            m_causes[effect] = cause;
+    }
+
+    void takeRecordedCause(Index i)
+    {
+        const auto found = m_bySequence.find({m_events[i].causeProcess, m_events[i].causeSequence});
+        if (found != m_bySequence.end() && found->second != i)
+            m_causes[i] = found->second;
+    }
+
+    void match(const Indexes &causes, const Indexes &effects)
+    {
+        for (size_t i = 0; i < causes.size() && i < effects.size(); ++i)
+            setCause(effects[i], causes[i]);
+    }
+
+    void matchSubmissions()
+    {
+        for (const auto &[job, forwarded] : m_forwarded) {
+            // The owner is named in the reason of the forward.
+            std::map<std::string, Indexes> byOwner;
+            for (const Index i : m_taken[job])
+                byOwner[m_events[i].process].push_back(i);
+            std::map<std::string, Indexes> forwards;
+            for (const Index i : forwarded)
+                forwards[m_events[i].reason].push_back(i);
+            for (const auto &[owner, indexes] : forwards)
+                match(indexes, byOwner[owner]);
+        }
+    }
+
+    // Agents learn a version from an entry. Which one is not recorded; the first entry is always before them.
+    void matchConfigs()
+    {
+        for (const auto &[version, indexes] : m_configs) {
+            Index first = none;
+            for (const Index i : indexes) {
+                const bool isEntry = !m_events[i].reason.empty();
+                if (isEntry && (first == none || m_events[i].time < m_events[first].time))
+                    first = i;
+            }
+            for (const Index i : indexes) {
+                if (first != none && m_events[i].reason.empty())
+                    setCause(i, first);
+            }
+        }
+    }
+
+    const std::vector<Event> &m_events;
+    std::vector<Index> m_causes;
+    std::map<std::pair<std::string, uint64_t>, Index> m_bySequence;
+    std::set<std::string> m_entries;
+    std::map<Exchange, Indexes> m_sent;
+    std::map<Exchange, Indexes> m_begun;
+    std::map<Exchange, Indexes> m_ended;
+    std::map<Exchange, Indexes> m_reported;
+    std::map<std::string, Indexes> m_forwarded;
+    std::map<std::string, Indexes> m_taken;
+    std::map<uint64_t, Indexes> m_configs;
+};
+
+// Topological order; of the events that may come next, the earliest one does. The time of an event counts as
+// at least that of all events before it, so that a clock that is behind does not move a whole process up.
+std::vector<Index> orderByCause(const std::vector<Event> &events,
+                                const std::vector<std::vector<Index>> &orders,
+                                const std::vector<Index> &causes)
+{
+    std::vector<std::vector<Index>> followers(events.size());
+    std::vector<size_t> waitsFor(events.size(), 0);
+    const auto follow = [&](Index first, Index second) {
+        followers[first].push_back(second);
+        ++waitsFor[second];
+    };
+    for (const std::vector<Index> &order : orders) {
+        for (size_t i = 1; i < order.size(); ++i)
+            follow(order[i - 1], order[i]);
+    }
+    std::vector<int64_t> times;
+    for (Index i = 0; i < events.size(); ++i) {
+        times.push_back(events[i].time.count);
+        if (causes[i] != none)
+            follow(causes[i], i);
+    }
+    using Next = std::pair<int64_t, Index>;
+    std::priority_queue<Next, std::vector<Next>, std::greater<>> ready;
+    for (Index i = 0; i < events.size(); ++i) {
+        if (waitsFor[i] == 0)
+            ready.emplace(times[i], i);
+    }
+    std::vector<Index> result;
+    while (!ready.empty()) {
+        const Index i = ready.top().second;
+        ready.pop();
+        result.push_back(i);
+        for (const Index next : followers[i]) {
+            times[next] = std::max(times[next], times[i]);
+            if (--waitsFor[next] == 0)
+                ready.emplace(times[next], next);
+        }
+    }
+    // Contradicting causes leave a cycle; its events come last.
+    std::vector<bool> placed(events.size(), false);
+    for (const Index i : result)
+        placed[i] = true;
+    for (Index i = 0; i < events.size(); ++i) {
+        if (!placed[i])
+            result.push_back(i);
+    }
+    return result;
+}
+
+bool isNormalPath(EventKind kind)
+{
+    switch (kind) {
+    case EventKind::SubmissionAccepted:
+    case EventKind::SubmissionForwarded:
+    case EventKind::SubmissionAnswered:
+    case EventKind::TaskQueued:
+    case EventKind::TaskSent:
+    case EventKind::TaskStarted:
+    case EventKind::TaskFinished:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+std::vector<Event> filterTimeline(std::span<const Event> events, const TimelineFilter &filter)
+{
+    // Zone of each process, and target of each agent.
+    std::map<std::string, std::string> zones;
+    std::map<std::string, std::string> targets;
+    for (const Event &event : events) {
+        zones[event.process] = event.zone;
+        if (event.kind == EventKind::TaskStarted)
+            targets[event.process] = event.target;
+    }
+    const auto at = [](const std::map<std::string, std::string> &map, const std::string &key) {
+        const auto found = map.find(key);
+        return found == map.end() ? std::string() : found->second;
+    };
+    const auto isInZone = [&](const Event &event) {
+        const bool isZoneEvent =
+            event.kind == EventKind::ZoneWithdrawn || event.kind == EventKind::ZoneReturned;
+        return filter.zone.empty() || event.zone == filter.zone || at(zones, event.target) == filter.zone
+            || (isZoneEvent && event.reason == filter.zone);
+    };
+    const auto isOfTarget = [&](const Event &event) {
+        const std::string &wanted = filter.target;
+        return wanted.empty() || event.target == wanted || event.process == wanted
+            || at(targets, event.target) == wanted || at(targets, event.process) == wanted;
+    };
+    // A task without an attempt stands for all its attempts.
+    const auto isOfTask = [&](const Event &event) {
+        return filter.task.empty() || event.task == filter.task || event.task.starts_with(filter.task + ".");
+    };
+    std::vector<Event> result;
+    for (const Event &event : events) {
+        if ((filter.job.empty() || filter.job == event.job) && isOfTask(event) && isInZone(event)
+            && isOfTarget(event))
+            result.push_back(event);
+    }
+    return result;
+}
+
+std::vector<Event> mergeTimeline(std::vector<Event> events)
+{
+    removeDuplicates(events);
+    const std::vector<std::vector<Index>> orders = processOrders(events);
+    const std::vector<Index> causes = CauseFinder(events, orders).causes();
+    std::vector<Event> result;
+    result.reserve(events.size());
+    for (const Index i : orderByCause(events, orders, causes)) {
+        result.push_back(events[i]);
+        if (causes[i] != none) {
+            result.back().causeProcess = events[causes[i]].process;
+            result.back().causeSequence = events[causes[i]].sequence;
+        }
+    }
+    return result;
+}
+
+std::vector<Event> selectForShipping(std::span<const Event> events, size_t most)
+{
+    if (events.size() <= most)
+        return {events.begin(), events.end()};
+    const auto decisions = static_cast<size_t>(std::count_if(
+        events.begin(), events.end(), [](const Event &event) { return !isNormalPath(event.kind); }));
+    size_t decisionsLeft = std::min(decisions, most);
+    size_t normalLeft = most - decisionsLeft;
+    std::vector<Event> result;
+    for (const Event &event : events) {
+        size_t &left = isNormalPath(event.kind) ? normalLeft : decisionsLeft;
+        if (left == 0)
+            continue;
+        --left;
+        result.push_back(event);
+    }
+    return result;
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/tests/unit/observetimelinetest.cpp
@@ -0,0 +1,154 @@
+// Tests of the order, the causes and the sentences of the timeline.
+#include "observe/timeline.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace turmericwell;
+
+namespace {
+
+// A task that an agent refuses and another one runs. The clock of the agents is 5 s behind.
+std::vector<Event> refusedAndRun()
+{
+    const auto entry = [](EventKind kind, int64_t time, uint64_t sequence, std::string task,
+                          std::string target, std::string why) {
+        return Event{.kind = kind,
+                     .time = {time},
+                     .process = "entry-1",
+                     .zone = "patan",
+                     .sequence = sequence,
+                     .job = "j",
+                     .task = std::move(task),
+                     .target = std::move(target),
+                     .configVersion = 2,
+                     .reason = std::move(why)};
+    };
+    const auto agent = [](std::string name, EventKind kind, int64_t time, uint64_t sequence,
+                          std::string why) {
+        return Event{.kind = kind,
+                     .time = {time},
+                     .process = std::move(name),
+                     .zone = "thamel",
+                     .sequence = sequence,
+                     .job = "j",
+                     .task = "j-0",
+                     .target = "kiosk-1",
+                     .configVersion = 2,
+                     .reason = std::move(why)};
+    };
+    return {entry(EventKind::SubmissionAccepted, 10'000, 1, "", "", ""),
+            entry(EventKind::TaskSent, 10'004, 2, "j-0", "agent-a", ""),
+            entry(EventKind::TaskRefused, 10'006, 3, "j-0", "agent-a", "zone_withdrawn"),
+            entry(EventKind::TaskSent, 10'007, 4, "j-0", "agent-b", ""),
+            entry(EventKind::TaskFinished, 10'060, 5, "j-0", "agent-b", "complete"),
+            entry(EventKind::SubmissionAnswered, 10'061, 6, "", "", "complete"),
+            agent("agent-a", EventKind::TaskRefused, 5'005, 7, "zone_withdrawn"),
+            agent("agent-b", EventKind::TaskStarted, 5'008, 8, ""),
+            agent("agent-b", EventKind::TaskFinished, 5'058, 9, "complete")};
+}
+
+std::vector<std::string> order(const std::vector<Event> &events)
+{
+    std::vector<std::string> result;
+    for (const Event &event : events)
+        result.push_back(event.process + "#" + std::to_string(event.sequence));
+    return result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(observeTimeline)
+
+// Guards against a start that is shown before the message that led to it because a clock is behind.
+BOOST_AUTO_TEST_CASE(causesOrderEventsOfDisagreeingClocks)
+{
+    const std::vector<std::string> expected = {"entry-1#1", "entry-1#2", "agent-a#7",
+                                               "entry-1#3", "entry-1#4", "agent-b#8",
+                                               "agent-b#9", "entry-1#5", "entry-1#6"};
+    const std::vector<Event> merged = mergeTimeline(refusedAndRun());
+    BOOST_TEST(order(merged) == expected, boost::test_tools::per_element());
+    BOOST_TEST(merged[2].causeProcess == "entry-1");
+    BOOST_TEST(merged[2].causeSequence == 2U);
+    BOOST_TEST(merged[5].causeSequence == 4U);
+    BOOST_TEST(merged[7].causeProcess == "agent-b");
+}
+
+// Guards against double events when a process and the log both supply them, or a record was appended twice,
+// and against events of a restarted process that are taken for duplicates.
+BOOST_AUTO_TEST_CASE(duplicatesAreRemovedAndRestartsAreKept)
+{
+    std::vector<Event> events = refusedAndRun();
+    const std::vector<Event> again = events;
+    events.insert(events.end(), again.begin(), again.end());
+    BOOST_TEST(mergeTimeline(events).size() == again.size());
+    const std::vector<Event> restarts = {
+        {.kind = EventKind::ProcessStarted, .time = {1}, .process = "p", .sequence = 1},
+        {.kind = EventKind::AgentLost, .time = {2}, .process = "p", .sequence = 2},
+        {.kind = EventKind::ProcessStarted, .time = {3}, .process = "p", .sequence = 1},
+        {.kind = EventKind::AgentLost, .time = {4}, .process = "p", .sequence = 2}};
+    const std::vector<Event> merged = mergeTimeline(restarts);
+    BOOST_TEST(merged.size() == 4U);
+    BOOST_TEST(merged[3].time.count == 4);
+}
+
+// Guards against contradicting causes that drop events or never end.
+BOOST_AUTO_TEST_CASE(cyclicCausesKeepAllEvents)
+{
+    const std::vector<Event> merged = mergeTimeline(
+        {{.time = {1}, .process = "a", .sequence = 1, .causeProcess = "b", .causeSequence = 1},
+         {.time = {2}, .process = "b", .sequence = 1, .causeProcess = "a", .causeSequence = 1}});
+    BOOST_TEST(merged.size() == 2U);
+}
+
+// Guards against lines that do not tell an operator why a task was refused, and where and how long it ran.
+BOOST_AUTO_TEST_CASE(linesTellReasonsAndTimes)
+{
+    const std::vector<Event> merged = mergeTimeline(refusedAndRun());
+    const std::vector<std::string> lines = timelineText(merged);
+    BOOST_TEST(
+        lines[2]
+        == "1970-01-01T00:00:05.005Z agent-a (thamel): task j-0 was refused by kiosk-1: zone_withdrawn "
+           "(operators have withdrawn the availability zone); it did not run there [config 2] "
+           "[after entry-1#2]");
+    BOOST_TEST(
+        lines[4]
+        == "1970-01-01T00:00:10.007Z entry-1 (patan): task j-0 was sent to agent-b, accepted before 7 ms "
+           "[config 2]");
+    BOOST_TEST(
+        lines[6]
+        == "1970-01-01T00:00:05.058Z agent-b (thamel): task j-0 ended on kiosk-1: complete, ran for 50 ms "
+           "[config 2]");
+}
+
+// Guards against a filter that hides the entry's side of what happened at a target or in a zone.
+BOOST_AUTO_TEST_CASE(filtersSelectBothSides)
+{
+    const std::vector<Event> merged = mergeTimeline(refusedAndRun());
+    BOOST_TEST(filterTimeline(merged, {.job = "other"}).empty());
+    BOOST_TEST(filterTimeline(merged, {.task = "j-0"}).size() == 7U);
+    BOOST_TEST(filterTimeline(merged, {.zone = "thamel"}).size() == 7U);
+    BOOST_TEST(filterTimeline(merged, {.target = "agent-b"}).size() == 4U);
+    BOOST_TEST(filterTimeline(merged, {.target = "kiosk-1"}).size() >= 5U);
+}
+
+// Guards against a refusal that is missing from the log because of many successful tasks.
+BOOST_AUTO_TEST_CASE(decisionsAreShippedFirst)
+{
+    const std::vector<Event> events = refusedAndRun();
+    const std::vector<Event> shipped = selectForShipping(events, 3);
+    BOOST_TEST(shipped.size() == 3U);
+    BOOST_TEST(std::count_if(shipped.begin(), shipped.end(),
+                             [](const Event &event) { return event.kind == EventKind::TaskRefused; })
+               == 2);
+}
+
+// Guards against a reason without a meaning in docs/operators.md or in a timeline line.
+BOOST_AUTO_TEST_CASE(reasonsAreExplained)
+{
+    BOOST_TEST(!explainReason("zone_withdrawn").empty());
+    BOOST_TEST(!explainReason("duplicate_start").empty());
+    BOOST_TEST(explainReason("complete").empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
