--- a/src/entry/agenthub.cpp
+++ b/src/entry/agenthub.cpp
@@ -119,6 +119,9 @@
     case wire::Body::Drain:
         m_handlers.perform(m_dispatcher.agentLeaving(agent, Clock::now()));
         break;
+    case wire::Body::EventBatch:
+        m_handlers.onEvents(message.body.AsEventBatch()->events);
+        break;
     default:
         logger().warning("agent " + agent + " sent a message that entries do not take");
     }
@@ -126,6 +129,17 @@
 
 void AgentHub::handlePing(const FrameLinkPtr &link, const std::string &agent, const wire::PingT &ping)
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_agents.find(link);
+        if (found != m_agents.end()) {
+            AgentState &state = found->second.state;
+            state.configVersion = ping.slice_version;
+            state.running = ping.running;
+            state.queued = ping.queued;
+            state.leaving = ping.leaving;
+        }
+    }
     m_handlers.onHeard(agent, ping.config_version, ping.view);
     takeLeaving(link, ping.leaving);
     m_dispatcher.loadReported(agent, ping.running + ping.queued);
@@ -238,6 +252,20 @@
     return m_agents.size();
 }
 
+std::vector<AgentState> AgentHub::states() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<AgentState> result;
+    for (const auto &[link, agent] : m_agents) {
+        AgentState state = agent.state;
+        state.name = agent.id.name;
+        state.target = agent.target.name;
+        state.zone = agent.target.zone;
+        result.push_back(std::move(state));
+    }
+    return result;
+}
+
 void AgentHub::closeAll()
 {
     std::vector<FrameLinkPtr> links;
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -4,10 +4,13 @@
 #include "dispatch/dispatcher.h"
 #include "entry/agenthub.h"
 #include "entry/configkeeper.h"
+#include "entry/entrymetrics.h"
+#include "entry/eventshipper.h"
 #include "entry/frontend.h"
 #include "entry/membershipkeeper.h"
 #include "entry/ownercalls.h"
 #include "entry/peerhub.h"
+#include "entry/statusreport.h"
 #include "observe/eventlog.h"
 #include "observe/log.h"
 
@@ -66,9 +69,12 @@
     void performOne(const SendStop &action) { m_agents.send(action); }
     void performOne(const AnswerWaiter &action) { m_waiters.answer(action.waiter, action.answer); }
 
+    bool isLowestMember() const;
     void configChanged(const ConfigPtr &config);
+    void recordZoneChanges(const Config &config);
     EntryStatus status() const;
     wire::PeerPingT peerStatus() const;
+    void record(Event event);
     void record(EventKind kind, std::string_view why, uint64_t version = 0);
     void continueStop();
 
@@ -76,6 +82,8 @@
     const EntrySettings m_settings;
     const EntryMember m_self;
     EventLog m_events;
+    mutable Metrics m_metrics = Metrics(entryMetrics);
+    EventShipper m_shipper;
     Waiters m_waiters;
     Dispatcher m_dispatcher;
     AgentHub m_agents;
@@ -85,6 +93,8 @@
     OwnerCalls m_calls;
     Millis m_peersDialledAt;
     bool m_wasCurrent = false;
+    mutable std::mutex m_peerVersionsMutex;
+    std::map<std::string, uint64_t> m_peerVersions;
 
     asio::steady_timer m_timer;
     std::unique_ptr<FrameListener> m_linkListener;
@@ -101,17 +111,19 @@
               .address = settings.linkAnnounced.text(),
               .zone = settings.zone})
     , m_events({.process = settings.name, .zone = settings.zone})
+    , m_shipper(settings.name, m_events, std::make_shared<LogClient>(io, settings.log))
     , m_dispatcher(
           {.router = {.maxQueued = settings.maxQueued,
                       .zone = settings.zone,
                       .policy = makePolicy(settings.policy, m_self.id.incarnation).value_or(CreditsPolicy{})},
            .submissions = {.dedupWindow = settings.dedupWindow},
-           .onEvent = [this](Event event) { m_events.record(std::move(event)); }})
+           .onEvent = [this](Event event) { record(std::move(event)); }})
     , m_agents(m_self.id, m_dispatcher, agentHandlers())
     , m_peers(io, m_self, m_dispatcher, peerHandlers())
     , m_membership(io, std::make_shared<LogClient>(io, settings.log),
                    {.self = m_self, .freshness = settings.freshness, .pollWait = settings.logPollWait})
-    , m_config(io, std::make_shared<LogClient>(io, settings.log), settings.logPollWait, configHandlers())
+    , m_config(io, std::make_shared<LogClient>(io, settings.log),
+               {.pollWait = settings.logPollWait, .retention = settings.logRetention}, configHandlers())
     , m_calls(m_self.id, callHandlers())
     , m_timer(io)
 { }
@@ -124,13 +136,18 @@
                     m_membership.agentHeard(agent, {.config = configVersion, .view = view});
                 },
             .onGone = [](const std::string &) {},
-            .perform = [this](DispatchActions actions) { perform(std::move(actions)); }};
+            .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
+            .onEvents = [this](std::vector<std::string> events) { m_shipper.take(std::move(events)); }};
 }
 
 PeerHub::Handlers EntryServer::peerHandlers()
 {
     return {.onHeard =
                 [this](const std::string &peer, const wire::PeerPingT &ping) {
+                    {
+                        const std::lock_guard lock(m_peerVersionsMutex);
+                        m_peerVersions[peer] = ping.config_version;
+                    }
                     m_membership.peerHeard(peer, {.config = ping.config_version, .view = ping.view});
                     if (ping.config_version > m_config.version())
                         m_peers.pullConfig(peer, ping.config_version, ping.view);
@@ -157,7 +174,15 @@
     return {.onChanged = [this](const ConfigPtr &config) { configChanged(config); },
             .onRefused = [this](const std::string &why) { record(EventKind::ConfigRefused, why); },
             .onLogRead = [this](Millis sentAt) { m_membership.logRead(sentAt); },
-            .onLogFailed = [this] { m_membership.logFailed(); }};
+            .onLogFailed = [this] { m_membership.logFailed(); },
+            .isSnapshotWriter = [this] { return isLowestMember(); }};
+}
+
+// Members are ordered by name.
+bool EntryServer::isLowestMember() const
+{
+    const std::vector<EntryMember> members = m_membership.members();
+    return !members.empty() && members.front().id == m_self.id;
 }
 
 Frontend::Handlers EntryServer::frontendHandlers()
@@ -211,6 +236,7 @@
     m_calls.tick(Clock::now());
     m_waiters.expire(Clock::now());
     m_peers.evenOut();
+    m_shipper.tick(Clock::now());
     if (m_stopping)
         continueStop();
     constexpr Millis interval = {100};
@@ -297,7 +323,12 @@
     const Millis now = Clock::now();
     // The entry that received the submission answers at the deadline; this one keeps the waiter longer.
     const Millis deadline = now + request.budget + Waiters::answerSlack * 2;
-    perform(m_dispatcher.submit(request, m_waiters.add(std::move(deliver), deadline), now));
+    AnswerDelivery measured = [this, now, deliver = std::move(deliver)](const Answer &answer) {
+        m_metrics.observe("submission_ms", static_cast<double>((Clock::now() - now).count));
+        m_metrics.count("answers_total", toString(answer.outcome));
+        deliver(answer);
+    };
+    perform(m_dispatcher.submit(request, m_waiters.add(std::move(measured), deadline), now));
 }
 
 void EntryServer::lookup(const JobLookup &job, const AnswerDelivery &deliver)
@@ -323,47 +354,48 @@
 
 std::string EntryServer::metricsText() const
 {
-    std::string text;
-    const auto add = [&](std::string_view name, uint64_t value) {
-        text += "turmericwell_" + std::string(name) + " " + std::to_string(value) + "\n";
+    const auto set = [&](std::string_view name, uint64_t value) {
+        m_metrics.set(name, static_cast<double>(value));
     };
-    add("submissions_active", m_dispatcher.activeSubmissions());
-    add("submissions_known", m_dispatcher.knownSubmissions());
-    add("tasks_in_flight", m_dispatcher.tasksInFlight());
-    add("tasks_queued", m_dispatcher.queued());
-    add("credits_idle", m_dispatcher.idleCredits());
+    set("submissions_active", m_dispatcher.activeSubmissions());
+    set("submissions_known", m_dispatcher.knownSubmissions());
+    set("tasks_in_flight", m_dispatcher.tasksInFlight());
+    set("tasks_queued", m_dispatcher.queued());
+    set("credits_idle", m_dispatcher.idleCredits());
+    set("agents_connected", m_agents.size());
+    set("config_version", m_config.version());
+    set("config_position_known", m_config.isPositionKnown() ? 1 : 0);
+    set("config_snapshots_total", m_config.snapshotsAppended());
+    set("roster_view", m_membership.view());
+    set("current", m_membership.isCurrent() ? 1 : 0);
+    set("log_readable", m_membership.isLogReadable() ? 1 : 0);
+    set("events_dropped_total", m_events.dropped());
+    set("events_not_shipped_total", m_shipper.skipped());
     const RoutingCounters routing = m_dispatcher.routingCounters();
     const uint64_t asks = m_peers.creditAsks();
     const uint64_t transfers = m_peers.creditTransfers();
-    add("task_starts_sent_total", routing.starts);
-    add("task_refusals_total", routing.refusals);
-    add("credit_asks_total", asks);
-    add("credit_transfers_total", transfers);
+    set("task_starts_sent_total", routing.starts);
+    set("task_refusals_total", routing.refusals);
+    set("credit_asks_total", asks);
+    set("credit_transfers_total", transfers);
     // A refused start costs the message there and the one back.
-    add("wasted_messages_total", asks + transfers + 2 * routing.refusals);
-    add("agents_connected", m_agents.size());
-    add("config_version", m_config.version());
-    add("events_dropped_total", m_events.dropped());
-    return text;
+    set("wasted_messages_total", asks + transfers + 2 * routing.refusals);
+    return m_metrics.text();
 }
 
 std::string EntryServer::showText() const
 {
-    json::array members;
-    for (const EntryMember &member : m_membership.members())
-        members.push_back(
-            json::object{{"entry", member.id.name}, {"address", member.address}, {"zone", member.zone}});
-    const ConfigPtr config = m_config.current();
-    return json::serialize(json::object{{"entry", m_self.id.name},
-                                        {"version", config->version},
-                                        {"changeId", config->changeId},
-                                        {"author", config->author},
-                                        {"view", m_membership.view()},
-                                        {"current", m_membership.isCurrent()},
-                                        {"logReadable", m_membership.isLogReadable()},
-                                        {"agents", m_agents.size()},
-                                        {"entries", std::move(members)},
-                                        {"declarations", toJson(config->declarations)}});
+    StatusReport report{.self = m_self,
+                        .config = m_config.current(),
+                        .view = m_membership.view(),
+                        .current = m_membership.isCurrent(),
+                        .logReadable = m_membership.isLogReadable(),
+                        .positionKnown = m_config.isPositionKnown(),
+                        .members = m_membership.members(),
+                        .agents = m_agents.states()};
+    const std::lock_guard lock(m_peerVersionsMutex);
+    report.peerVersions = m_peerVersions;
+    return toJsonText(report);
 }
 
 std::string EntryServer::eventsText() const
@@ -374,9 +406,21 @@
     return text;
 }
 
+void EntryServer::recordZoneChanges(const Config &config)
+{
+    const ConfigPtr before = m_dispatcher.config();
+    for (const ZoneDeclaration &zone : config.declarations.zones) {
+        const bool isWithdrawn = zone.state == ServingState::Withdrawn;
+        if (isWithdrawn != before->declarations.isZoneWithdrawn(zone.name))
+            record(isWithdrawn ? EventKind::ZoneWithdrawn : EventKind::ZoneReturned, zone.name,
+                   config.version);
+    }
+}
+
 void EntryServer::configChanged(const ConfigPtr &config)
 {
     record(EventKind::ConfigAccepted, config->author, config->version);
+    recordZoneChanges(*config);
     logger().info("configuration version " + std::to_string(config->version) + " is in force");
     m_dispatcher.setConfig(config);
     m_membership.setConfigVersion(config->version);
@@ -403,9 +447,17 @@
     return ping;
 }
 
+void EntryServer::record(Event event)
+{
+    m_metrics.count("events_total", toString(event.kind));
+    if (event.kind == EventKind::TaskRefused || event.kind == EventKind::SubmissionRefused)
+        m_metrics.count("refusals_total", event.reason);
+    m_events.record(std::move(event));
+}
+
 void EntryServer::record(EventKind kind, std::string_view why, uint64_t version)
 {
-    m_events.record({.kind = kind, .configVersion = version, .reason = std::string(why)});
+    record({.kind = kind, .configVersion = version, .reason = std::string(why)});
 }
 
 // --- stop ---
