--- a/src/standin/faultset.cpp
+++ b/src/standin/faultset.cpp
@@ -79,9 +79,8 @@
 
 bool FaultSet::take(FaultKind kind, const FaultSubject &subject, Millis now)
 {
-    const auto found = std::find_if(m_faults.begin(), m_faults.end(), [&](const Fault &fault) {
-        return matches(fault, kind, subject, now);
-    });
+    const auto found = std::find_if(m_faults.begin(), m_faults.end(),
+                                    [&](const Fault &fault) { return matches(fault, kind, subject, now); });
     if (found == m_faults.end())
         return false;
     if (found->remaining > 0 && --found->remaining == 0)
@@ -97,7 +96,8 @@
             continue;
         total = total + fault.delay;
         if (fault.jitter.count > 0)
-            total = total + Millis{static_cast<int64_t>(m_random() % static_cast<uint64_t>(fault.jitter.count))};
+            total =
+                total + Millis{static_cast<int64_t>(m_random() % static_cast<uint64_t>(fault.jitter.count))};
     }
     return total;
 }
--- a/src/standin/frametracker.h
+++ b/src/standin/frametracker.h
@@ -14,8 +14,8 @@
 public:
     void consume(std::span<const uint8_t> bytes);
     bool atBoundary() const { return m_headerFill == 0 && m_payloadLeft == 0; }
-    // Name in the Hello or PeerHello that opened the stream. Empty until the first frame is complete; an empty
-    // string if that frame names nobody.
+    // Name in the Hello or PeerHello that opened the stream. Empty until the first frame is complete; an
+    // empty string if that frame names nobody.
     const std::optional<std::string> &sender() const { return m_sender; }
 
 private:
--- a/src/standin/proxylink.cpp
+++ b/src/standin/proxylink.cpp
@@ -3,8 +3,8 @@
 
 #include "standin/frametracker.h"
 
-#include <boost/asio/write.hpp>
 #include <array>
+#include <boost/asio/write.hpp>
 #include <deque>
 #include <iostream>
 
@@ -74,10 +74,7 @@
     }
 
     // Closes both sides with a reset, so that neither regards the stream as complete.
-    void abort()
-    {
-        close(true);
-    }
+    void abort() { close(true); }
 
 private:
     struct Pipe
@@ -116,17 +113,20 @@
         if (m_closed || pipe.ended || pipe.reading || pipe.heldBytes > maxHeldBytes)
             return;
         pipe.reading = true;
-        pipe.from.async_read_some(asio::buffer(pipe.buffer),
-                                  [self = shared_from_this(), &pipe](const boost::system::error_code &error,
-                                                                     size_t count) {
-                                      pipe.reading = false;
-                                      if (!self->m_closed)
-                                          self->onRead(pipe, error, count);
-                                  });
+        pipe.from.async_read_some(
+            asio::buffer(pipe.buffer),
+            [self = shared_from_this(), &pipe](const boost::system::error_code &error, size_t count) {
+                pipe.reading = false;
+                if (!self->m_closed)
+                    self->onRead(pipe, error, count);
+            });
     }
 
     void onRead(Pipe &pipe, const boost::system::error_code &error, size_t count)
     {
+        // The closed side of a half-open connection must not end the open one.
+        if (m_halfOpen && &pipe == &m_down)
+            return;
         if (error) {
             pipe.ended = true;
             if (error != asio::error::eof)
@@ -158,8 +158,7 @@
 
     void forward(Pipe &pipe)
     {
-        if (m_closed || m_halfOpen || pipe.writing || !isNamed()
-            || isActive(FaultKind::Drop, pipe.direction))
+        if (m_closed || m_halfOpen || pipe.writing || !isNamed() || isActive(FaultKind::Drop, pipe.direction))
             return;
         if (pipe.held.empty()) {
             if (pipe.ended)
@@ -169,10 +168,11 @@
         const Millis now = Clock::now();
         if (pipe.held.front().due > now) {
             timer(pipe).expires_after(std::chrono::milliseconds((pipe.held.front().due - now).count));
-            timer(pipe).async_wait([self = shared_from_this(), &pipe](const boost::system::error_code &error) {
-                if (!error)
-                    self->forward(pipe);
-            });
+            timer(pipe).async_wait(
+                [self = shared_from_this(), &pipe](const boost::system::error_code &error) {
+                    if (!error)
+                        self->forward(pipe);
+                });
             return;
         }
         if (pipe.direction == Direction::Down && take(FaultKind::LoseAnswer, Direction::Down)) {
@@ -194,8 +194,8 @@
         pipe.writing = true;
         const auto data = std::make_shared<std::vector<uint8_t>>(std::move(bytes));
         asio::async_write(sink(pipe), asio::buffer(*data),
-                          [self = shared_from_this(), &pipe, data, closeAfter](
-                              const boost::system::error_code &error, size_t) {
+                          [self = shared_from_this(), &pipe, data,
+                           closeAfter](const boost::system::error_code &error, size_t) {
                               pipe.writing = false;
                               if (self->m_closed)
                                   return;
--- a/src/standin/proxystandin.cpp
+++ b/src/standin/proxystandin.cpp
@@ -1,6 +1,7 @@
 // Proxy that stands on the links of a cluster and injects faults.
 //
-// The plan file holds {"seed":N,"links":[{"name","listen","to","framed"}],"faults":[...]}. POST /control takes
+// The plan file holds {"seed":N,"links":[{"name","listen","to","framed"}],"faults":[...]}. POST /control
+// takes
 // {"add":[fault...],"remove":[id...],"clear":true} and answers with the state of each link.
 #include "net/http.h"
 #include "standin/proxylink.h"
@@ -163,8 +164,8 @@
 int runProxyStandin(int argc, char **argv)
 {
     options::options_description description("turmericwell-standin proxy");
-    description.add_options()("help", "print this help")(
-        "control", options::value<std::string>()->required(), "IP address and port for POST /control")(
+    description.add_options()("help", "print this help")("control", options::value<std::string>()->required(),
+                                                         "IP address and port for POST /control")(
         "plan", options::value<std::string>()->required(), "JSON file with seed, links and faults");
     options::variables_map values;
     try {
--- a/tools/lab/cluster.py
+++ b/tools/lab/cluster.py
@@ -73,6 +73,7 @@
     def kill(self):
         self.signal(signal.SIGKILL)
         self.popen.wait()
+        self._log.close()
 
     def pause(self):
         self.signal(signal.SIGSTOP)
