--- a/src/standin/proxylink.cpp
+++ b/src/standin/proxylink.cpp
@@ -124,6 +124,9 @@
 
     void onRead(Pipe &pipe, const boost::system::error_code &error, size_t count)
     {
+        // The closed side of a half-open connection must not end the open one.
+        if (m_halfOpen && &pipe == &m_down)
+            return;
         if (error) {
             pipe.ended = true;
             if (error != asio::error::eof)
