--- a/include/turmericwell/outcome.h
+++ b/include/turmericwell/outcome.h
@@ -40,6 +40,7 @@
 inline constexpr std::string_view impossible = "impossible";
 inline constexpr std::string_view conflict = "key_conflict";
 inline constexpr std::string_view windowPassed = "window_passed";
+inline constexpr std::string_view answerDropped = "answer_dropped";
 inline constexpr std::string_view incompleteTakeover = "incomplete_takeover";
 inline constexpr std::string_view ownerUnavailable = "owner_unavailable";
 inline constexpr std::string_view unknownService = "unknown_service";
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,13 +1,20 @@
-// Flow of a submission through admission, queue, agents and answer.
+// Flow of a submission through admission and queue to the agents.
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <deque>
 
 namespace turmericwell {
 
 Dispatcher::Dispatcher(DispatcherOptions options)
     : m_options(std::move(options))
-    , m_submissions(m_options.submissions)
+    , m_retries(m_options.retries)
+    , m_submissions([this] {
+        SubmissionTableOptions submissions = m_options.submissions;
+        if (!submissions.mayRetry)
+            submissions.mayRetry = [this] { return m_retries.tryRetry(); };
+        return submissions;
+    }())
     , m_config(std::make_shared<Config>())
     , m_router(m_options.router)
 { }
@@ -16,9 +23,10 @@
 {
     {
         const std::lock_guard lock(m_configMutex);
-        m_config = std::move(config);
+        m_config = config;
     }
     const std::lock_guard lock(m_routingMutex);
+    m_admission.setConfig(std::move(config));
     refreshUsable();
 }
 
@@ -34,10 +42,17 @@
     m_mayStart = mayStart;
 }
 
+void Dispatcher::setEntryCount(uint32_t entries)
+{
+    const std::lock_guard lock(m_routingMutex);
+    m_admission.setEntryCount(entries);
+}
+
 void Dispatcher::refreshUsable()
 {
     const ConfigPtr inForce = config();
-    for (const auto &[agent, target] : m_agents) {
+    for (const auto &[agent, state] : m_agents) {
+        const TargetInfo &target = state.target;
         m_router.setUsable(agent,
                            !m_leavingAgents.contains(agent)
                                && !inForce->declarations.isZoneWithdrawn(target.zone)
@@ -69,76 +84,154 @@
             {.kind = kind, .job = key.hex(), .configVersion = config()->version, .reason = std::string(why)});
 }
 
+// --- submit ---
+
 static Answer refusal(std::string_view why, int status, Millis retryAfter = {})
 {
     return {
         .outcome = Outcome::NotRun, .reason = std::string(why), .status = status, .retryAfter = retryAfter};
 }
 
-std::optional<Answer> Dispatcher::validate(const SubmissionRequest &request, const Config &config,
-                                           const CallDeclaration *&call) const
+std::optional<Answer> Dispatcher::refuse(const SubmissionRequest &request, const ServiceDeclaration *service,
+                                         const CallDeclaration *call, Millis now)
 {
-    constexpr Millis queueRetryAfter = {1'000};
-    const ServiceDeclaration *service = config.declarations.findService(request.service);
     if (!service)
         return refusal(reason::unknownService, 404);
-    call = service->findCall(request.call);
     if (!call)
         return refusal(reason::unknownCall, 404);
-    if (!request.team.empty() && !config.declarations.findTeam(request.team))
+    if (!request.team.empty() && !config()->declarations.findTeam(request.team))
         return refusal(reason::unknownTeam, 403);
+    return refuseForLoad(request, now);
+}
+
+std::optional<Answer> Dispatcher::refuseForLoad(const SubmissionRequest &request, Millis now)
+{
+    constexpr Millis queueRetryAfter = {1'000};
     const std::lock_guard lock(m_routingMutex);
-    if (!m_agents.empty() && !m_router.canEverRun(request.service, request.needs))
+    // An agent that is away may have the only target that can run the task.
+    if (!m_agents.empty() && !isAnyAgentLost() && !m_router.canEverRun(request.service, request.needs))
         return refusal(reason::impossible, 422);
-    if (!m_router.hasRoomFor(request.tasks.size()))
+    if (!m_router.hasRoomFor(request.tasks.size() + m_parked.size()))
         return refusal(reason::queueFull, 429, queueRetryAfter);
+    const std::optional<AdmissionRefusal> refused =
+        m_admission.admit({.service = request.service,
+                           .team = request.team,
+                           .tasks = static_cast<uint32_t>(request.tasks.size()),
+                           .budget = request.budget},
+                          now);
+    if (refused)
+        return refusal(refused->reason, 429, refused->retryAfter);
     return std::nullopt;
 }
 
 DispatchActions Dispatcher::submit(const SubmissionRequest &request, WaiterId waiter, Millis now)
 {
     DispatchActions result;
-    const bool known = m_submissions.lookup(request.key).has_value();
     const ConfigPtr inForce = config();
-    const CallDeclaration *call = nullptr;
-    // A known key gets its own answer, whatever the limits say now.
-    const std::optional<Answer> refused = validate(request, *inForce, call);
-    if (refused && !known) {
-        emitSubmission(EventKind::SubmissionRefused, request.key, refused->reason);
-        return {AnswerWaiter{.waiter = waiter, .key = request.key, .answer = *refused}};
-    }
-    emitSubmission(known ? EventKind::SubmissionAttached : EventKind::SubmissionAccepted, request.key, "");
+    const ServiceDeclaration *service = inForce->declarations.findService(request.service);
+    const CallDeclaration *call = service ? service->findCall(request.call) : nullptr;
     SubmissionRequest complete = request;
     if (call && complete.needs == TaskNeeds{})
         complete.needs = call->needs;
-    apply(m_submissions.submit(complete, call ? *call : CallDeclaration{}, waiter, now), now, result);
+    // A known key gets its own answer, whatever the limits say now.
+    bool isNew = false;
+    SubmissionActions actions =
+        m_submissions.submit(complete, call ? *call : CallDeclaration{}, waiter, now, [&] {
+            isNew = true;
+            return refuse(complete, service, call, now);
+        });
+    emitSubmitted(actions, request.key, isNew);
+    apply(std::move(actions), now, result);
+    assign(now, result);
     return result;
 }
 
+void Dispatcher::emitSubmitted(const SubmissionActions &actions, const Fingerprint &key, bool isNew) const
+{
+    const auto *answer = actions.empty() ? nullptr : std::get_if<AnswerWaiter>(&actions.front());
+    const bool refusedKnown = answer
+        && (answer->answer.reason == reason::conflict || answer->answer.reason == reason::windowPassed
+            || answer->answer.reason == reason::incompleteTakeover);
+    if (answer && (isNew || refusedKnown))
+        emitSubmission(EventKind::SubmissionRefused, key, answer->answer.reason);
+    else
+        emitSubmission(isNew ? EventKind::SubmissionAccepted : EventKind::SubmissionAttached, key, "");
+}
+
 DispatchActions Dispatcher::cancel(const Fingerprint &key, Millis now)
 {
     DispatchActions result;
     apply(m_submissions.cancel(key, now), now, result);
+    assign(now, result);
+    return result;
+}
+
+// --- change of ownership ---
+
+DispatchActions Dispatcher::importRecords(std::span<const KeyRecord> records, Millis now)
+{
+    DispatchActions result;
+    apply(m_submissions.importRecords(records, now), now, result);
+    return result;
+}
+
+DispatchActions Dispatcher::holderAnswered(const Fingerprint &key, const Answer &answer, Millis now)
+{
+    DispatchActions result;
+    apply(m_submissions.holderAnswered(key, answer, now), now, result);
+    return result;
+}
+
+DispatchActions Dispatcher::importAgentRecords(std::span<const AgentRecord> records, Millis now)
+{
+    DispatchActions result;
+    apply(m_submissions.importAgentRecords(records, now), now, result);
     return result;
 }
 
+DispatchActions Dispatcher::finishTakeover(bool complete, Millis now)
+{
+    DispatchActions result;
+    apply(m_submissions.finishTakeover(complete, now), now, result);
+    return result;
+}
+
+// --- queue ---
+
 void Dispatcher::apply(SubmissionActions actions, Millis now, DispatchActions &result)
 {
-    for (SubmissionAction &action : actions) {
+    std::deque<SubmissionAction> pending(std::make_move_iterator(actions.begin()),
+                                         std::make_move_iterator(actions.end()));
+    for (; !pending.empty(); pending.pop_front()) {
+        SubmissionAction &action = pending.front();
         if (auto *enqueueAction = std::get_if<EnqueueTasks>(&action)) {
-            enqueue(std::move(*enqueueAction));
+            SubmissionActions more = enqueue(std::move(*enqueueAction), now);
+            std::move(more.begin(), more.end(), std::back_inserter(pending));
         } else if (auto *cancelAction = std::get_if<CancelTask>(&action)) {
-            cancelTask(cancelAction->task, now, result);
+            SubmissionActions more = cancelTask(cancelAction->task, now, result);
+            std::move(more.begin(), more.end(), std::back_inserter(pending));
+        } else if (auto *ask = std::get_if<AskHolder>(&action)) {
+            result.emplace_back(std::move(*ask));
         } else {
             auto &answer = std::get<AnswerWaiter>(action);
             emitSubmission(EventKind::SubmissionAnswered, answer.key, toString(answer.answer.outcome));
             result.emplace_back(std::move(answer));
         }
     }
-    assign(now, result);
 }
 
-void Dispatcher::cancelTask(const TaskRef &task, Millis now, DispatchActions &result)
+std::optional<QueuedTask> Dispatcher::removeWaiting(const TaskRef &task)
+{
+    std::optional<QueuedTask> removed = m_parked.remove(task);
+    const TaskStage stage = removed ? TaskStage::Waiting : TaskStage::Released;
+    if (!removed)
+        removed = m_router.removeQueued(task);
+    if (removed)
+        m_admission.moved(removed->start.service, removed->start.team, stage, TaskStage::None);
+    return removed;
+}
+
+SubmissionActions Dispatcher::cancelTask(const TaskRef &task, Millis now, DispatchActions &result)
 {
     {
         const std::lock_guard lock(m_routingMutex);
@@ -146,39 +239,98 @@
         if (found != m_inFlight.end()) {
             found->second.cancelled = true;
             result.emplace_back(SendRevoke{.agent = found->second.agent, .task = task});
-            return;
+            return {};
+        }
+        if (!removeWaiting(task)) {
+            m_cancelledEarly[task] = now;
+            return {};
         }
-        if (!m_router.removeQueued(task))
-            return;
     }
     emit(EventKind::TaskRevoked, task, "", reason::cancelled);
-    apply(m_submissions.taskEnded(
-              {.task = task, .outcome = Outcome::NotRun, .reason = std::string(reason::cancelled)}, now),
-          now, result);
+    return m_submissions.taskEnded(
+        {.task = task, .outcome = Outcome::NotRun, .reason = std::string(reason::cancelled)}, now);
 }
 
-void Dispatcher::enqueue(EnqueueTasks tasks)
+void Dispatcher::release(QueuedTask task)
 {
-    const std::lock_guard lock(m_routingMutex);
-    for (TaskStart &start : tasks.tasks)
-        m_router.enqueue({.start = std::move(start), .needs = tasks.needs, .deadline = tasks.deadline});
+    const std::string &service = task.start.service;
+    const std::string &team = task.start.team;
+    if (m_parked.isHeld(service, team) || !m_admission.mayRelease(service, team)) {
+        m_parked.hold(std::move(task));
+        return;
+    }
+    m_admission.moved(service, team, TaskStage::Waiting, TaskStage::Released);
+    m_router.enqueue(std::move(task));
+}
+
+SubmissionActions Dispatcher::enqueue(EnqueueTasks tasks, Millis now)
+{
+    std::vector<TaskRef> cancelled;
+    for (const TaskStart &start : tasks.tasks) {
+        if (start.task.attempt > 0)
+            emit(EventKind::TaskRetried, start.task, "", "");
+    }
+    {
+        const std::lock_guard lock(m_routingMutex);
+        for (TaskStart &start : tasks.tasks) {
+            if (m_cancelledEarly.erase(start.task) > 0) {
+                cancelled.push_back(start.task);
+                continue;
+            }
+            m_admission.moved(start.service, start.team, TaskStage::None, TaskStage::Waiting);
+            QueuedTask task{.start = std::move(start), .needs = tasks.needs, .deadline = tasks.deadline};
+            if (tasks.notBefore > now)
+                m_parked.park(std::move(task), tasks.notBefore);
+            else
+                release(std::move(task));
+        }
+    }
+    SubmissionActions more;
+    for (const TaskRef &task : cancelled) {
+        SubmissionActions ended = m_submissions.taskEnded(
+            {.task = task, .outcome = Outcome::NotRun, .reason = std::string(reason::cancelled)}, now);
+        std::move(ended.begin(), ended.end(), std::back_inserter(more));
+    }
+    return more;
+}
+
+void Dispatcher::releaseParked(Millis now)
+{
+    for (QueuedTask &task : m_parked.takeDue(now))
+        release(std::move(task));
+    const auto mayRelease = [this](std::string_view service, std::string_view team) {
+        return m_admission.mayRelease(service, team);
+    };
+    while (std::optional<QueuedTask> task = m_parked.takeHeld(mayRelease)) {
+        m_admission.moved(task->start.service, task->start.team, TaskStage::Waiting, TaskStage::Released);
+        m_router.enqueue(std::move(*task));
+    }
 }
 
 void Dispatcher::assign(Millis now, DispatchActions &result)
 {
     std::map<std::string, std::vector<TaskStart>> batches;
+    size_t sent = 0;
     {
         const std::lock_guard lock(m_routingMutex);
         if (!m_mayStart)
             return;
+        releaseParked(now);
         for (Assignment &assignment : m_router.assign()) {
             TaskStart &start = assignment.task.start;
             start.budget = assignment.task.deadline - now;
             ++m_counters.starts;
-            m_inFlight[start.task] = {.agent = assignment.agent, .usesCredit = start.usesCredit};
+            ++sent;
+            m_admission.moved(start.service, start.team, TaskStage::Released, TaskStage::Running);
+            m_inFlight[start.task] = {.agent = assignment.agent,
+                                      .service = start.service,
+                                      .team = start.team,
+                                      .deadline = assignment.task.deadline};
             batches[assignment.agent].push_back(std::move(start));
         }
     }
+    if (sent > 0)
+        m_retries.started(sent);
     for (auto &[agent, tasks] : batches) {
         for (const TaskStart &start : tasks)
             emit(EventKind::TaskSent, start.task, agent, "");
@@ -186,141 +338,60 @@
     }
 }
 
-DispatchActions Dispatcher::agentUp(const ProcessId &agent, const TargetInfo &target, bool leaving,
-                                    Millis now)
-{
-    DispatchActions result;
-    {
-        const std::lock_guard lock(m_routingMutex);
-        m_agents[agent.name] = target;
-        m_router.agentUp(agent.name, target);
-        if (leaving)
-            m_leavingAgents.insert(agent.name);
-        else
-            m_leavingAgents.erase(agent.name);
-        refreshUsable();
-    }
-    assign(now, result);
-    return result;
-}
+// --- time ---
 
-DispatchActions Dispatcher::agentLost(const std::string &agent, Millis now)
+void Dispatcher::endTasks(const std::vector<TaskRef> &tasks, Outcome outcome, std::string_view why,
+                          Millis now, DispatchActions &result)
 {
-    DispatchActions result;
-    std::vector<TaskRef> lost;
-    {
-        const std::lock_guard lock(m_routingMutex);
-        m_router.agentDown(agent);
-        m_agents.erase(agent);
-        for (const auto &[task, inFlight] : m_inFlight) {
-            if (inFlight.agent == agent)
-                lost.push_back(task);
-        }
-        for (const TaskRef &task : lost)
-            m_inFlight.erase(task);
-    }
-    for (const TaskRef &task : lost) {
-        apply(m_submissions.taskEnded(
-                  {.task = task, .outcome = Outcome::Unknown, .reason = std::string(reason::agentLost)}, now),
+    for (const TaskRef &task : tasks) {
+        apply(m_submissions.taskEnded({.task = task, .outcome = outcome, .reason = std::string(why)}, now),
               now, result);
     }
-    return result;
-}
-
-DispatchActions Dispatcher::agentLeaving(const std::string &agent, Millis)
-{
-    const std::lock_guard lock(m_routingMutex);
-    m_leavingAgents.insert(agent);
-    refreshUsable();
-    return {};
-}
-
-DispatchActions Dispatcher::creditsGranted(const std::string &agent, uint32_t credits, uint32_t epoch,
-                                           Millis now)
-{
-    return creditsReceived({{.agent = agent, .credits = credits, .epoch = epoch}}, now);
-}
-
-// A failure counts against the target only if the target itself answered so, and not because it was told to
-// stop.
-static bool isTargetFailure(const TaskResult &result)
-{
-    return result.outcome == Outcome::Failed || result.outcome == Outcome::Unknown;
-}
-
-bool Dispatcher::takeResults(const AgentReport &report, Millis now)
-{
-    bool ejected = false;
-    bool refused = false;
-    if (report.load)
-        m_router.loadReported(report.agent, *report.load);
-    for (const TaskResult &result : report.results) {
-        const auto found = m_inFlight.find(result.task);
-        // A result that arrives twice returns its credit once.
-        if (found == m_inFlight.end())
-            continue;
-        const bool cancelled = found->second.cancelled;
-        m_inFlight.erase(found);
-        if (result.returnsCredit)
-            m_router.creditReturned(report.agent, report.creditEpoch);
-        if (result.outcome == Outcome::NotRun) {
-            refused = true;
-            ++m_counters.refusals;
-        } else if (!cancelled) {
-            ejected |= m_router.targetAnswered(report.agent, isTargetFailure(result), now);
-        }
-    }
-    // A task that was refused is queued again; without a pause it would go to the same agent at once.
-    if (refused)
-        m_router.refusedBusy(report.agent);
-    return ejected;
 }
 
-DispatchActions Dispatcher::report(const AgentReport &report, Millis now)
+std::vector<TaskRef> Dispatcher::removeExpired(Millis now)
 {
-    DispatchActions result;
-    bool ejected = false;
-    {
-        const std::lock_guard lock(m_routingMutex);
-        ejected = takeResults(report, now);
+    std::vector<TaskRef> expired;
+    for (const QueuedTask &task : m_router.removeExpired(now)) {
+        m_admission.moved(task.start.service, task.start.team, TaskStage::Released, TaskStage::None);
+        expired.push_back(task.start.task);
     }
-    if (ejected)
-        emit(EventKind::TargetEjected, {}, report.agent, "");
-    for (const TaskResult &taskResult : report.results) {
-        const EventKind kind =
-            taskResult.outcome == Outcome::NotRun ? EventKind::TaskRefused : EventKind::TaskFinished;
-        emit(kind, taskResult.task, report.agent,
-             taskResult.reason.empty() ? toString(taskResult.outcome) : std::string_view(taskResult.reason));
-        apply(m_submissions.taskEnded(taskResult, now), now, result);
+    for (const QueuedTask &task : m_parked.removeExpired(now)) {
+        m_admission.moved(task.start.service, task.start.team, TaskStage::Waiting, TaskStage::None);
+        expired.push_back(task.start.task);
     }
-    assign(now, result);
-    return result;
+    return expired;
 }
 
 DispatchActions Dispatcher::tick(Millis now)
 {
+    constexpr Millis earlyCancelKept = {1'000};
     DispatchActions result;
-    std::vector<QueuedTask> expired;
     std::vector<std::string> restored;
+    std::vector<TaskRef> expired;
+    std::vector<TaskRef> overdue;
+    std::vector<TaskRef> lost;
     {
         const std::lock_guard lock(m_routingMutex);
-        expired = m_router.removeExpired(now);
+        expired = removeExpired(now);
+        overdue = settleOverdue(now);
+        lost = settleLostAgents(now);
         restored = m_router.tick(now);
+        std::erase_if(m_cancelledEarly,
+                      [&](const auto &item) { return now - item.second > earlyCancelKept; });
     }
     for (const std::string &agent : restored)
         emit(EventKind::TargetRestored, {}, agent, "");
-    for (const QueuedTask &task : expired) {
-        apply(m_submissions.taskEnded({.task = task.start.task,
-                                       .outcome = Outcome::NotRun,
-                                       .reason = std::string(reason::deadline)},
-                                      now),
-              now, result);
-    }
+    endTasks(expired, Outcome::NotRun, reason::deadline, now, result);
+    endTasks(overdue, Outcome::Unknown, reason::deadline, now, result);
+    endTasks(lost, Outcome::Unknown, reason::agentLost, now, result);
     apply(m_submissions.tick(now), now, result);
     assign(now, result);
     return result;
 }
 
+// --- balance and counters ---
+
 uint32_t Dispatcher::idleCredits() const
 {
     const std::lock_guard lock(m_routingMutex);
@@ -369,6 +440,14 @@
     return {.idle = m_router.idleCredits(), .queued = m_router.queued()};
 }
 
+LimitCounters Dispatcher::limitCounters() const
+{
+    const std::lock_guard lock(m_routingMutex);
+    return {.submissionsRefused = m_admission.refusals(),
+            .retriesDenied = m_retries.denied(),
+            .tasksParked = m_parked.size()};
+}
+
 size_t Dispatcher::tasksInFlight() const
 {
     const std::lock_guard lock(m_routingMutex);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -2,6 +2,9 @@
 #pragma once
 
 #include "config/configstate.h"
+#include "dispatch/parkedtasks.h"
+#include "limits/admission.h"
+#include "limits/retrybudget.h"
 #include "routing/router.h"
 #include "submission/submissiontable.h"
 #include "turmericwell/event.h"
@@ -11,6 +14,7 @@
 #include <mutex>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -34,13 +38,18 @@
     std::string agent;
     TaskRef task;
 };
-using DispatchAction = std::variant<SendTasks, SendRevoke, SendStop, AnswerWaiter>;
+using DispatchAction = std::variant<SendTasks, SendRevoke, SendStop, AnswerWaiter, AskHolder>;
 using DispatchActions = std::vector<DispatchAction>;
 
 struct DispatcherOptions
 {
     RouterOptions router;
     SubmissionTableOptions submissions;
+    RetryBudgetOptions retries;
+    // Time in which an agent whose connection was lost may come back before its tasks count as lost.
+    Millis reconnect = {3'000};
+    // Time after its deadline in which a task may still be answered by its agent.
+    Millis answerGrace = {2'000};
     // Receives an event for each decision; may be called from any thread.
     std::function<void(Event)> onEvent;
 };
@@ -62,8 +71,27 @@
     uint64_t refusals = 0;
 };
 
+// Totals since the start of the process, and what waits now.
+struct LimitCounters
+{
+    uint64_t submissionsRefused = 0;
+    uint64_t retriesDenied = 0;
+    uint64_t tasksParked = 0;
+};
+
+// Answer of an agent to a revocation.
+struct RevokeAnswer
+{
+    std::string agent;
+    TaskRef task;
+    // The task runs: it can be stopped but no longer be revoked.
+    bool running = false;
+    // Set if the task is not running.
+    TaskResult result;
+};
+
 // Thread-safe. Submissions are in shards under their own locks; queue, credits and tasks in flight are under
-// one lock that is never held together with a shard's.
+// the routing lock. Admission takes the routing lock while it holds a shard's; never the other way round.
 class Dispatcher
 {
 public:
@@ -74,6 +102,11 @@
     // While false, nothing is sent to agents.
     void setMayStart(bool mayStart);
 
+    // Number of entries in the roster, which share the limits.
+    void setEntryCount(uint32_t entries);
+    // Wall-clock time for keys that carry their time.
+    void setWallClock(Millis wall, Millis now) { m_submissions.setWallClock(wall, now); }
+
     // --- callers and peers ---
     DispatchActions submit(const SubmissionRequest &request, WaiterId waiter, Millis now);
     DispatchActions cancel(const Fingerprint &key, Millis now);
@@ -82,14 +115,38 @@
 
     // --- agents ---
     DispatchActions agentUp(const ProcessId &agent, const TargetInfo &target, bool leaving, Millis now);
+    // The connection is lost. Tasks in flight stay so until the agent is back or the reconnect time has
+    // passed.
     DispatchActions agentLost(const std::string &agent, Millis now);
     DispatchActions agentLeaving(const std::string &agent, Millis now);
     DispatchActions creditsGranted(const std::string &agent, uint32_t credits, uint32_t epoch, Millis now);
     DispatchActions report(const AgentReport &report, Millis now);
+    DispatchActions revokeAnswered(const RevokeAnswer &answer, Millis now);
     // Running and queued tasks that an agent reported without results.
     void loadReported(const std::string &agent, uint32_t load);
     DispatchActions tick(Millis now);
 
+    // --- change of ownership; see SubmissionTable ---
+    void setIncompleteTakeover(const IncompleteTakeover &takeover)
+    {
+        m_submissions.setIncompleteTakeover(takeover);
+    }
+    std::vector<KeyRecord> exportRecords(const SubmissionTable::KeyFilter &selects, const std::string &self,
+                                         Millis now) const
+    {
+        return m_submissions.exportRecords(selects, self, now);
+    }
+    std::vector<Fingerprint> exportTombstones(const SubmissionTable::KeyFilter &selects) const
+    {
+        return m_submissions.exportTombstones(selects);
+    }
+    void importTombstones(std::span<const Fingerprint> keys) { m_submissions.importTombstones(keys); }
+    void holderLost(const std::string &holder, Millis now) { m_submissions.holderLost(holder, now); }
+    DispatchActions importRecords(std::span<const KeyRecord> records, Millis now);
+    DispatchActions holderAnswered(const Fingerprint &key, const Answer &answer, Millis now);
+    DispatchActions importAgentRecords(std::span<const AgentRecord> records, Millis now);
+    DispatchActions finishTakeover(bool complete, Millis now);
+
     // --- balance between entries ---
     struct CreditBalance
     {
@@ -106,23 +163,57 @@
     size_t knownSubmissions() const { return m_submissions.size(); }
     size_t tasksInFlight() const;
     RoutingCounters routingCounters() const;
+    LimitCounters limitCounters() const;
+    SubmissionCounters submissionCounters() const { return m_submissions.counters(); }
 
 private:
     struct InFlight
     {
         std::string agent;
-        bool usesCredit = false;
+        std::string service;
+        std::string team;
+        Millis deadline;
         // The target may be told to stop the task, so that its failure says nothing about the target.
         bool cancelled = false;
+        // The submission knows the outcome or counts the task as lost. The element stays until the agent's
+        // result brings the credit back or the agent cannot report any more.
+        bool settled = false;
     };
+    using InFlightTasks = std::unordered_map<TaskRef, InFlight>;
 
-    // Empty if the request may be submitted; else the answer that refuses it.
-    std::optional<Answer> validate(const SubmissionRequest &request, const Config &config,
-                                   const CallDeclaration *&call) const;
+    struct Agent
+    {
+        TargetInfo target;
+        uint64_t incarnation = 0;
+        // Empty while the agent is connected.
+        std::optional<Millis> lostSince;
+    };
+
+    // Empty if a new submission is admitted; else the answer that refuses it.
+    std::optional<Answer> refuse(const SubmissionRequest &request, const ServiceDeclaration *service,
+                                 const CallDeclaration *call, Millis now);
+    std::optional<Answer> refuseForLoad(const SubmissionRequest &request, Millis now);
+    void emitSubmitted(const SubmissionActions &actions, const Fingerprint &key, bool isNew) const;
+    // Performs the actions and those that follow from them, except for sending queued tasks.
     void apply(SubmissionActions actions, Millis now, DispatchActions &result);
-    void cancelTask(const TaskRef &task, Millis now, DispatchActions &result);
-    void enqueue(EnqueueTasks tasks);
+    SubmissionActions cancelTask(const TaskRef &task, Millis now, DispatchActions &result);
+    // Returns what follows for tasks that were cancelled on their way.
+    SubmissionActions enqueue(EnqueueTasks tasks, Millis now);
     void assign(Millis now, DispatchActions &result);
+    void endTasks(const std::vector<TaskRef> &tasks, Outcome outcome, std::string_view why, Millis now,
+                  DispatchActions &result);
+
+    // The routing lock is held for these.
+    void release(QueuedTask task);
+    void releaseParked(Millis now);
+    std::optional<QueuedTask> removeWaiting(const TaskRef &task);
+    std::vector<TaskRef> removeExpired(Millis now);
+    void settle(InFlight &task);
+    std::vector<TaskRef> tasksLostWith(const std::string &agent);
+    std::vector<TaskRef> settleOverdue(Millis now);
+    std::vector<TaskRef> settleLostAgents(Millis now);
+    bool isAnyAgentLost() const;
+
     void emit(EventKind kind, const TaskRef &task, std::string_view agent, std::string_view why) const;
     void emitSubmission(EventKind kind, const Fingerprint &key, std::string_view why) const;
     void refreshUsable();
@@ -130,6 +221,7 @@
     bool takeResults(const AgentReport &report, Millis now);
 
     DispatcherOptions m_options;
+    RetryBudget m_retries;
     SubmissionTable m_submissions;
     mutable std::mutex m_configMutex;
     ConfigPtr m_config;
@@ -137,8 +229,12 @@
     // Guards the members below.
     mutable std::mutex m_routingMutex;
     Router m_router;
-    std::unordered_map<TaskRef, InFlight> m_inFlight;
-    std::map<std::string, TargetInfo> m_agents;
+    Admission m_admission;
+    ParkedTasks m_parked;
+    InFlightTasks m_inFlight;
+    std::map<std::string, Agent> m_agents;
+    // Tasks that were cancelled while they were on their way into the queue, and when.
+    std::unordered_map<TaskRef, Millis> m_cancelledEarly;
     std::set<std::string> m_leavingAgents;
     bool m_mayStart = false;
     RoutingCounters m_counters;
--- a/src/entry/agenthub.cpp
+++ b/src/entry/agenthub.cpp
@@ -46,8 +46,10 @@
         known = link;
         m_agents[link] = agent;
     }
-    if (replaced)
+    if (replaced) {
         replaced->close("the agent has connected again");
+        m_handlers.perform(m_dispatcher.agentLost(hello.agent, Clock::now()));
+    }
     wire::WelcomeT welcome;
     welcome.entry = m_entry.name;
     welcome.incarnation = m_entry.incarnation;
@@ -170,17 +172,15 @@
 {
     if (!ack.task)
         return;
-    const TaskRef task = fromWire(*ack.task);
-    if (ack.state == wire::RevokeState::Running) {
-        send(SendStop{.agent = agent, .task = task});
-        return;
-    }
-    // The agent sends the result itself for a task it has refused or finished; this covers a lost result.
-    if (ack.result) {
-        AgentReport report{.agent = agent};
-        report.results.push_back(fromWire(*ack.result));
-        m_handlers.perform(m_dispatcher.report(report, Clock::now()));
+    RevokeAnswer answer{
+        .agent = agent, .task = fromWire(*ack.task), .running = ack.state == wire::RevokeState::Running};
+    if (!answer.running) {
+        // Without a result the answer proves nothing.
+        if (!ack.result)
+            return;
+        answer.result = fromWire(*ack.result);
     }
+    m_handlers.perform(m_dispatcher.revokeAnswered(answer, Clock::now()));
 }
 
 void AgentHub::send(const SendTasks &action)
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -57,11 +57,12 @@
     std::string showText() const;
     std::string eventsText() const;
 
-    void perform(DispatchActions actions);
+    void perform(const DispatchActions &actions);
     void performOne(const SendTasks &action) { m_agents.send(action); }
     void performOne(const SendRevoke &action) { m_agents.send(action); }
     void performOne(const SendStop &action) { m_agents.send(action); }
     void performOne(const AnswerWaiter &action) { m_waiters.answer(action.waiter, action.answer); }
+    void performOne(const AskHolder &action);
 
     void configChanged(const ConfigPtr &config);
     EntryStatus status() const;
@@ -100,7 +101,11 @@
           {.router = {.maxQueued = settings.maxQueued,
                       .zone = settings.zone,
                       .policy = makePolicy(settings.policy, m_self.id.incarnation).value_or(CreditsPolicy{})},
-           .submissions = {.dedupWindow = settings.dedupWindow},
+           .submissions = {.dedupWindow = settings.dedupWindow,
+                           .tombstoneCapacity = settings.tombstoneCapacity,
+                           .answerBytes = settings.answerBytes},
+           .reconnect = settings.reconnect,
+           .answerGrace = settings.answerGrace,
            .onEvent = [this](Event event) { m_events.record(std::move(event)); }})
     , m_agents(m_self.id, m_dispatcher, agentHandlers())
     , m_peers(io, m_self, m_dispatcher, peerHandlers())
@@ -118,7 +123,7 @@
                     m_membership.agentHeard(agent, {.config = configVersion, .view = view});
                 },
             .onGone = [](const std::string &) {},
-            .perform = [this](DispatchActions actions) { perform(std::move(actions)); }};
+            .perform = [this](const DispatchActions &actions) { perform(actions); }};
 }
 
 PeerHub::Handlers EntryServer::peerHandlers()
@@ -130,7 +135,7 @@
                         m_peers.pullConfig(peer, ping.config_version, ping.view);
                 },
             .onGone = [this](const std::string &peer) { m_membership.peerGone(peer); },
-            .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
+            .perform = [this](const DispatchActions &actions) { perform(actions); },
             .onForward =
                 [this](const std::string &peer, uint64_t requestId, const SubmissionRequest &request) {
                     submitHere(request, [this, peer, requestId](const Answer &answer) {
@@ -173,6 +178,7 @@
 void EntryServer::start()
 {
     record(EventKind::ProcessStarted, "");
+    m_dispatcher.setWallClock(Clock::wall(), Clock::now());
     m_linkListener = std::make_unique<FrameListener>(m_io, m_settings.linkListen,
                                                      [this](const FrameLinkPtr &link) { acceptLink(link); });
     m_frontend = std::make_unique<Frontend>(m_io, m_settings.listen, frontendHandlers());
@@ -191,6 +197,8 @@
         m_wasCurrent = current;
     }
     m_dispatcher.setMayStart(current);
+    m_dispatcher.setWallClock(Clock::wall(), Clock::now());
+    m_dispatcher.setEntryCount(static_cast<uint32_t>(m_membership.members().size()));
     perform(m_dispatcher.tick(Clock::now()));
     for (const EntryMember &member : m_membership.members())
         m_peers.connectTo(member);
@@ -243,13 +251,21 @@
     }
 }
 
-void EntryServer::perform(DispatchActions actions)
+void EntryServer::perform(const DispatchActions &actions)
 {
     for (const DispatchAction &action : actions)
         std::visit([this](const auto &one) { performOne(one); }, action);
     m_peers.evenOut();
 }
 
+void EntryServer::performOne(const AskHolder &action)
+{
+    // The table asks again later if the holder cannot be reached now.
+    m_peers.lookup(action.holder, action.key, false, [this, key = action.key](const Answer &answer) {
+        perform(m_dispatcher.holderAnswered(key, answer, Clock::now()));
+    });
+}
+
 // --- submissions ---
 
 static Answer ownerUnavailable(Outcome outcome)
@@ -323,6 +339,15 @@
     add("credit_transfers_total", transfers);
     // A refused start costs the message there and the one back.
     add("wasted_messages_total", asks + transfers + 2 * routing.refusals);
+    const LimitCounters limits = m_dispatcher.limitCounters();
+    add("tasks_parked", limits.tasksParked);
+    add("submissions_refused_total", limits.submissionsRefused);
+    add("retries_denied_total", limits.retriesDenied);
+    const SubmissionCounters records = m_dispatcher.submissionCounters();
+    add("tombstones", records.tombstones);
+    add("tombstones_dropped_total", records.tombstonesDropped);
+    add("answer_bytes", records.answerBytes);
+    add("answers_dropped_total", records.answersDropped);
     add("agents_connected", m_agents.size());
     add("config_version", m_config.version());
     add("events_dropped_total", m_events.dropped());
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -27,6 +27,11 @@
     Millis reconnect = {3'000};
     Millis takeover = {5'000};
     Millis dedupWindow = {600'000};
+    uint32_t tombstoneCapacity = 1'000'000;
+    // Bytes of answers kept for resubmissions.
+    uint64_t answerBytes = 256ULL << 20;
+    // Time after its deadline in which a sent task may still be answered.
+    Millis answerGrace = {2'000};
     Millis logRetention = {3'600'000};
     uint32_t maxQueued = 10'000;
     // How targets are chosen; see policyNames.
--- a/src/submission/submissiontable.cpp
+++ b/src/submission/submissiontable.cpp
@@ -1,29 +1,29 @@
 // Life of a submission from its first arrival to the end of its deduplication window.
 #include "submission/submissiontable.h"
 
+#include "submission/keytime.h"
+
 #include <algorithm>
 #include <cassert>
 
 namespace turmericwell {
 
 SubmissionTable::SubmissionTable(SubmissionTableOptions options)
-    : m_options(options)
-{ }
-
-SubmissionTable::Shard &SubmissionTable::shardOf(const Fingerprint &key)
+    : m_options(std::move(options))
 {
-    return m_shards[key.high % m_shards.size()];
+    for (Shard &shard : m_shards)
+        shard.tombstones = Tombstones(m_options.tombstoneCapacity / m_shards.size() + 1);
 }
 
-const SubmissionTable::Shard &SubmissionTable::shardOf(const Fingerprint &key) const
+static Answer refusal(Outcome outcome, std::string_view why, int status, Millis retryAfter = {})
 {
-    return m_shards[key.high % m_shards.size()];
+    return {.outcome = outcome, .reason = std::string(why), .status = status, .retryAfter = retryAfter};
 }
 
-static TaskStart makeStart(const Fingerprint &key, const SubmissionRequest &request,
-                           const CallDeclaration &call, uint32_t index, uint32_t attempt)
+static TaskStart makeStart(const Fingerprint &key, const Submission &submission, uint32_t index)
 {
-    return {.task = {.submission = key, .index = index, .attempt = attempt},
+    const SubmissionRequest &request = submission.request;
+    return {.task = {.submission = key, .index = index, .attempt = submission.tasks[index].attempt},
             .taskCount = static_cast<uint32_t>(request.tasks.size()),
             .bodyHash = request.bodyHash,
             .service = request.service,
@@ -31,230 +31,354 @@
             .team = request.team,
             .payload = request.tasks[index],
             .budget = {},
-            .runMs = request.runMs != 0 ? request.runMs : call.runMs,
-            .repeatable = call.repeatable};
+            .runMs = request.runMs != 0 ? request.runMs : submission.call.runMs,
+            .repeatable = submission.call.repeatable};
 }
 
-EnqueueTasks SubmissionTable::startTasks(const Fingerprint &key, Submission &submission)
+// --- submit ---
+
+void SubmissionTable::setIncompleteTakeover(const IncompleteTakeover &takeover)
 {
-    EnqueueTasks result{.needs = submission.request.needs, .deadline = submission.deadline};
-    result.tasks.reserve(submission.states.size());
-    for (uint32_t i = 0; i < submission.states.size(); ++i)
-        result.tasks.push_back(makeStart(key, submission.request, submission.call, i, 0));
-    return result;
+    const std::lock_guard lock(m_takeoverMutex);
+    m_takeovers.push_back(takeover);
 }
 
-SubmissionActions SubmissionTable::submit(const SubmissionRequest &request, const CallDeclaration &call,
+bool SubmissionTable::isAfterIncompleteTakeover(const Fingerprint &key, std::optional<Millis> keyTime,
+                                                Millis now) const
+{
+    const std::lock_guard lock(m_takeoverMutex);
+    return std::any_of(m_takeovers.begin(), m_takeovers.end(), [&](const IncompleteTakeover &takeover) {
+        // A caller's clock may run ahead: a key counts as created after the takeover only beyond the skew.
+        const bool isCreatedLater = keyTime && *keyTime > takeover.at + m_options.keyClockSkew;
+        return now < takeover.until && !isCreatedLater && (!takeover.affects || takeover.affects(key));
+    });
+}
+
+std::optional<Answer> SubmissionTable::refuseNewKey(const Shard &shard, const SubmissionRequest &request,
+                                                    const CallDeclaration &call,
+                                                    std::optional<Millis> keyTime, Millis now) const
+{
+    constexpr Millis fullRetryAfter = {10'000};
+    const Millis wall = now + Millis{m_wallOffset};
+    if ((keyTime && wall - *keyTime > m_options.dedupWindow) || shard.tombstones.contains(request.key))
+        return refusal(Outcome::Unknown, reason::windowPassed, 410);
+    if (!call.repeatable && isAfterIncompleteTakeover(request.key, keyTime, now))
+        return refusal(Outcome::Unknown, reason::incompleteTakeover, 503);
+    if (shard.submissions.size() >= m_options.maxRecords / m_shards.size() + 1)
+        return refusal(Outcome::NotRun, reason::queueFull, 429, fullRetryAfter);
+    return std::nullopt;
+}
+
+SubmissionActions SubmissionTable::attach(const SubmissionRequest &request, Submission &submission,
                                           WaiterId waiter, Millis now)
 {
+    if (submission.bodyHash != request.bodyHash)
+        return {AnswerWaiter{
+            .waiter = waiter, .key = request.key, .answer = refusal(Outcome::NotRun, reason::conflict, 409)}};
+    if (submission.phase == SubmissionPhase::Answered)
+        return {AnswerWaiter{.waiter = waiter, .key = request.key, .answer = submission.answer}};
+    submission.waiters.push_back(waiter);
+    if (submission.phase != SubmissionPhase::Held)
+        return {};
+    submission.deadline = std::max(submission.deadline, now + request.budget);
+    return {AskHolder{.holder = submission.holder, .key = request.key}};
+}
+
+SubmissionActions SubmissionTable::submit(const SubmissionRequest &request, const CallDeclaration &call,
+                                          WaiterId waiter, Millis now, const Admit &admit)
+{
+    std::optional<Millis> keyTime = creationTimeOfKey(request.keyText);
+    // A time in the future cannot be a creation time: such a key gets no credit for it.
+    if (keyTime && *keyTime > now + Millis{m_wallOffset} + m_options.keyClockSkew)
+        keyTime.reset();
     Shard &shard = shardOf(request.key);
     const std::lock_guard lock(shard.mutex);
-    const auto [found, isNew] = shard.submissions.try_emplace(request.key);
-    Submission &submission = found->second;
-    if (!isNew) {
-        if (submission.bodyHash != request.bodyHash) {
-            return {AnswerWaiter{.waiter = waiter,
-                                 .key = request.key,
-                                 .answer = {.outcome = Outcome::NotRun,
-                                            .reason = std::string(reason::conflict),
-                                            .status = 409}}};
-        }
-        if (submission.answered)
-            return {AnswerWaiter{.waiter = waiter, .key = request.key, .answer = submission.answer}};
-        submission.waiters.push_back(waiter);
-        return {};
-    }
-    submission.kind = request.kind;
-    submission.bodyHash = request.bodyHash;
-    submission.call = call;
-    submission.states.assign(request.tasks.size(), TaskState::Pending);
-    submission.attempts.assign(request.tasks.size(), 0);
-    submission.starts.assign(request.tasks.size(), 0);
-    submission.answers.resize(request.tasks.size());
-    submission.request = request;
-    submission.waiters.push_back(waiter);
-    submission.deadline = now + request.budget;
-    submission.firstSeen = now;
+    dropIfPassed(shard, request.key, now);
+    const auto known = shard.submissions.find(request.key);
+    if (known != shard.submissions.end())
+        return attach(request, known->second, waiter, now);
+    std::optional<Answer> refused = refuseNewKey(shard, request, call, keyTime, now);
+    if (!refused && admit)
+        refused = admit();
+    if (refused)
+        return {AnswerWaiter{.waiter = waiter, .key = request.key, .answer = *refused}};
+    Submission &submission = shard.submissions[request.key];
+    submission = {.kind = request.kind,
+                  .bodyHash = request.bodyHash,
+                  .firstSeen = now,
+                  .timedKey = keyTime.has_value(),
+                  .tasks = std::vector<TaskProgress>(request.tasks.size()),
+                  .request = request,
+                  .call = call,
+                  .deadline = now + request.budget,
+                  .waiters = {waiter}};
     ++shard.active;
-    return {startTasks(request.key, submission)};
+    shard.wakeups.push({.at = submission.deadline, .key = request.key});
+    EnqueueTasks start{.needs = request.needs, .deadline = submission.deadline};
+    start.tasks.reserve(request.tasks.size());
+    for (uint32_t i = 0; i < request.tasks.size(); ++i)
+        start.tasks.push_back(makeStart(request.key, submission, i));
+    return {std::move(start)};
 }
 
+// --- results ---
+
 bool SubmissionTable::retry(const TaskResult &result, Submission &submission, Millis now,
-                            SubmissionActions &actions)
+                            SubmissionActions &actions) const
 {
-    const uint32_t index = result.task.index;
-    if (result.outcome != Outcome::NotRun)
-        ++submission.starts[index];
-    const bool mayStartAgain = result.outcome == Outcome::NotRun
-        ? result.reason != reason::deadline && result.reason != reason::cancelled
-        : submission.call.repeatable && submission.starts[index] < submission.call.maxStarts;
-    if (!mayStartAgain || submission.closing || now >= submission.deadline)
+    if (submission.phase != SubmissionPhase::Active || submission.closing || now >= submission.deadline)
         return false;
-    ++submission.attempts[index];
+    TaskProgress &task = submission.tasks[result.task.index];
     EnqueueTasks again{.needs = submission.request.needs, .deadline = submission.deadline};
-    again.tasks.push_back(makeStart(result.task.submission, submission.request, submission.call, index,
-                                    submission.attempts[index]));
+    if (result.outcome == Outcome::NotRun) {
+        if (result.reason == reason::deadline || result.reason == reason::cancelled)
+            return false;
+        ++task.refusals;
+        again.notBefore = now + refusalBackoff(task.refusals);
+    } else {
+        if (!submission.call.repeatable || task.starts >= submission.call.maxStarts
+            || (m_options.mayRetry && !m_options.mayRetry()))
+            return false;
+    }
+    ++task.attempt;
+    again.tasks.push_back(makeStart(result.task.submission, submission, result.task.index));
     actions.emplace_back(std::move(again));
     return true;
 }
 
-static bool isWorse(Outcome candidate, Outcome current)
+// A refusal does not undo an earlier start: then the outcome of that start stands.
+void SubmissionTable::endTask(const TaskResult &result, TaskProgress &task)
 {
-    // An unknown task makes the whole submission unknown; a failed one outweighs one that did not run.
-    const auto rank = [](Outcome outcome) {
-        switch (outcome) {
-        case Outcome::Complete:
-            return 0;
-        case Outcome::NotRun:
-            return 1;
-        case Outcome::Failed:
-            return 2;
-        case Outcome::Unknown:
-            break;
-        }
-        return 3;
-    };
-    return rank(candidate) > rank(current);
+    if (result.outcome == Outcome::NotRun && task.starts > 0)
+        return;
+    task.outcome = result.outcome;
+    task.reason = result.reason;
+    task.answer = result.answer;
 }
 
 SubmissionActions SubmissionTable::taskEnded(const TaskResult &result, Millis now)
 {
     SubmissionActions actions;
-    Shard &shard = shardOf(result.task.submission);
+    const Fingerprint &key = result.task.submission;
+    Shard &shard = shardOf(key);
     const std::lock_guard lock(shard.mutex);
-    const auto found = shard.submissions.find(result.task.submission);
-    if (found == shard.submissions.end())
+    const auto found = shard.submissions.find(key);
+    if (found == shard.submissions.end() || result.task.index >= found->second.tasks.size())
         return actions;
     Submission &submission = found->second;
-    const uint32_t index = result.task.index;
+    TaskProgress &task = submission.tasks[result.task.index];
     // Late, duplicated and crossed results do not match the attempt that is awaited.
-    if (submission.answered || index >= submission.states.size()
-        || submission.states[index] == TaskState::Ended || submission.attempts[index] != result.task.attempt)
+    if (task.attempt != result.task.attempt)
         return actions;
+    if (submission.phase == SubmissionPhase::Answered)
+        return lateResult(shard, result, submission);
+    if (task.ended)
+        return actions;
+    if (result.outcome != Outcome::NotRun)
+        ++task.starts;
+    endTask(result, task);
     if (result.outcome != Outcome::Complete && retry(result, submission, now, actions))
         return actions;
-    submission.states[index] = TaskState::Ended;
+    task.ended = true;
     ++submission.ended;
-    submission.answers[index] = result.answer;
-    if (result.outcome != Outcome::NotRun)
-        ++submission.ran;
-    if (isWorse(result.outcome, submission.worst)) {
-        submission.worst = result.outcome;
-        submission.reason = result.reason;
-    }
-    if (submission.worst != Outcome::Complete)
-        closeRemaining(result.task.submission, submission, actions);
-    if (submission.ended == submission.states.size())
-        finish(shard, result.task.submission, submission, actions);
+    if (submission.phase == SubmissionPhase::Active && task.outcome != Outcome::Complete)
+        close(key, submission, "", actions);
+    if (submission.ended == submission.tasks.size())
+        finish(shard, key, submission, makeAnswer(submission), actions);
     return actions;
 }
 
+// A result that arrives after the answer `unknown` decides later resubmissions.
+SubmissionActions SubmissionTable::lateResult(Shard &shard, const TaskResult &result, Submission &submission)
+{
+    TaskProgress &task = submission.tasks[result.task.index];
+    if (submission.answer.outcome != Outcome::Unknown || result.outcome == Outcome::Unknown)
+        return {};
+    // The attempt was counted as started when its outcome was unknown; a refusal of it is proof otherwise.
+    if (result.outcome == Outcome::NotRun && task.starts > 0)
+        --task.starts;
+    endTask(result, task);
+    SubmissionActions none;
+    finish(shard, result.task.submission, submission, makeAnswer(submission), none);
+    return none;
+}
+
 // Once one task cannot complete, the answer cannot be complete: the rest need not run.
-void SubmissionTable::closeRemaining(const Fingerprint &key, Submission &submission,
-                                     SubmissionActions &actions)
+void SubmissionTable::close(const Fingerprint &key, Submission &submission, std::string_view why,
+                            SubmissionActions &actions)
 {
     if (submission.closing)
         return;
     submission.closing = true;
-    for (uint32_t i = 0; i < submission.states.size(); ++i) {
-        if (submission.states[i] == TaskState::Pending)
+    submission.closeReason = why;
+    for (uint32_t i = 0; i < submission.tasks.size(); ++i) {
+        const TaskProgress &task = submission.tasks[i];
+        if (!task.ended)
             actions.emplace_back(
-                CancelTask{.task = {.submission = key, .index = i, .attempt = submission.attempts[i]}});
+                CancelTask{.task = {.submission = key, .index = i, .attempt = task.attempt}});
     }
 }
 
-static int statusOf(Outcome outcome, std::string_view why)
+void SubmissionTable::finish(Shard &shard, const Fingerprint &key, Submission &submission,
+                             const Answer &answer, SubmissionActions &actions)
 {
-    if (outcome == Outcome::Complete)
-        return 200;
-    if (outcome == Outcome::Failed)
-        return 502;
-    if (outcome == Outcome::Unknown || why == reason::deadline)
-        return 504;
-    return 503;
+    assert(answer.outcome != Outcome::Complete || answer.answers.size() == answer.tasks);
+    if (submission.phase == SubmissionPhase::Active)
+        --shard.active;
+    submission.phase = SubmissionPhase::Answered;
+    submission.answer = answer;
+    submission.request = {};
+    submission.holder.clear();
+    if (answer.outcome != Outcome::Unknown)
+        std::vector<TaskProgress>().swap(submission.tasks);
+    for (const WaiterId waiter : submission.waiters)
+        actions.emplace_back(AnswerWaiter{.waiter = waiter, .key = key, .answer = answer});
+    std::vector<WaiterId>().swap(submission.waiters);
+    keepAnswer(shard, key, answer);
 }
 
-void SubmissionTable::finish(Shard &shard, const Fingerprint &key, Submission &submission,
-                             SubmissionActions &actions)
+// --- memory ---
+
+static uint64_t bytesOf(const Answer &answer)
 {
-    assert(!submission.answered);
-    const auto tasks = static_cast<uint32_t>(submission.states.size());
-    Outcome outcome = submission.worst;
-    // A job of which some tasks ran was run; it may not be reported as not run.
-    if (outcome == Outcome::NotRun && submission.ran > 0)
-        outcome = Outcome::Failed;
-    submission.answered = true;
-    submission.answer = {.outcome = outcome,
-                         .reason = submission.reason,
-                         .status = statusOf(outcome, submission.reason),
-                         .tasks = tasks,
-                         .finished = submission.ran};
-    if (outcome == Outcome::Complete)
-        submission.answer.answers = std::move(submission.answers);
-    submission.answers.clear();
-    submission.request.tasks.clear();
-    for (const WaiterId waiter : submission.waiters)
-        actions.emplace_back(AnswerWaiter{.waiter = waiter, .key = key, .answer = submission.answer});
-    submission.waiters.clear();
-    --shard.active;
+    uint64_t total = answer.answers.size() * sizeof(std::string);
+    for (const std::string &text : answer.answers)
+        total += text.size();
+    return total;
 }
 
+void SubmissionTable::keepAnswer(Shard &shard, const Fingerprint &key, const Answer &answer)
+{
+    const uint64_t bytes = bytesOf(answer);
+    if (bytes == 0)
+        return;
+    shard.answerBytes += bytes;
+    shard.answerOrder.push_back(key);
+    while (shard.answerBytes > m_options.answerBytes / m_shards.size() && shard.answerOrder.size() > 1) {
+        const auto oldest = shard.submissions.find(shard.answerOrder.front());
+        shard.answerOrder.pop_front();
+        if (oldest == shard.submissions.end() || oldest->second.answer.answers.empty())
+            continue;
+        shard.answerBytes -= bytesOf(oldest->second.answer);
+        ++shard.answersDropped;
+        // It completed, but the whole answer can no longer be given, and it must not run again.
+        oldest->second.answer = refusal(Outcome::Unknown, reason::answerDropped, 410);
+    }
+}
+
+bool SubmissionTable::dropIfPassed(Shard &shard, const Fingerprint &key, Millis now)
+{
+    const auto found = shard.submissions.find(key);
+    if (found == shard.submissions.end())
+        return true;
+    const Submission &submission = found->second;
+    if (submission.phase != SubmissionPhase::Answered || now - submission.firstSeen <= retention())
+        return false;
+    shard.answerBytes -= bytesOf(submission.answer);
+    if (!submission.timedKey)
+        shard.tombstones.add(key);
+    shard.submissions.erase(found);
+    while (!shard.answerOrder.empty() && !shard.submissions.contains(shard.answerOrder.front()))
+        shard.answerOrder.pop_front();
+    return true;
+}
+
+// --- cancellation and time ---
+
 SubmissionActions SubmissionTable::cancel(const Fingerprint &key, Millis)
 {
     SubmissionActions actions;
     Shard &shard = shardOf(key);
     const std::lock_guard lock(shard.mutex);
     const auto found = shard.submissions.find(key);
-    if (found == shard.submissions.end() || found->second.answered)
-        return actions;
-    Submission &submission = found->second;
-    if (submission.worst == Outcome::Complete) {
-        submission.worst = Outcome::NotRun;
-        submission.reason = reason::cancelled;
-    }
-    closeRemaining(key, submission, actions);
+    if (found != shard.submissions.end() && found->second.phase == SubmissionPhase::Active)
+        close(key, found->second, reason::cancelled, actions);
     return actions;
 }
 
+void SubmissionTable::wake(Shard &shard, const Fingerprint &key, Submission &submission, Millis now,
+                           SubmissionActions &actions)
+{
+    constexpr Millis recheck = {1'000};
+    constexpr Millis holderPoll = {500};
+    Millis next = now + recheck;
+    switch (submission.phase) {
+    case SubmissionPhase::Active:
+        if (now >= submission.deadline)
+            close(key, submission, reason::deadline, actions);
+        break;
+    case SubmissionPhase::Held:
+        if (!submission.holder.empty())
+            actions.emplace_back(AskHolder{.holder = submission.holder, .key = key});
+        if (now >= submission.deadline) {
+            for (const WaiterId waiter : submission.waiters)
+                actions.emplace_back(
+                    AnswerWaiter{.waiter = waiter,
+                                 .key = key,
+                                 .answer = refusal(Outcome::Unknown, reason::ownerUnavailable, 504)});
+            submission.waiters.clear();
+        }
+        next = now + (submission.waiters.empty() ? recheck : holderPoll);
+        break;
+    case SubmissionPhase::Imported:
+        // The agent that ran it no longer reports: nothing can prove how it ended.
+        if (now >= submission.deadline)
+            settle(shard, key, submission, false, actions);
+        break;
+    case SubmissionPhase::Answered:
+        next = submission.firstSeen + retention() + Millis{1};
+        break;
+    }
+    shard.wakeups.push({.at = next, .key = key});
+}
+
 SubmissionActions SubmissionTable::tick(Millis now)
 {
+    {
+        const std::lock_guard lock(m_takeoverMutex);
+        std::erase_if(m_takeovers, [&](const IncompleteTakeover &takeover) { return now >= takeover.until; });
+    }
     SubmissionActions actions;
     for (Shard &shard : m_shards) {
         const std::lock_guard lock(shard.mutex);
-        for (auto it = shard.submissions.begin(); it != shard.submissions.end();) {
-            Submission &submission = it->second;
-            if (!submission.answered && !submission.closing && now >= submission.deadline) {
-                if (submission.worst == Outcome::Complete) {
-                    submission.worst = Outcome::NotRun;
-                    submission.reason = reason::deadline;
-                }
-                closeRemaining(it->first, submission, actions);
-            }
-            if (submission.answered && now - submission.firstSeen > m_options.dedupWindow)
-                it = shard.submissions.erase(it);
-            else
-                ++it;
+        while (!shard.wakeups.empty() && shard.wakeups.top().at <= now) {
+            const Fingerprint key = shard.wakeups.top().key;
+            shard.wakeups.pop();
+            if (!dropIfPassed(shard, key, now))
+                wake(shard, key, shard.submissions.at(key), now, actions);
         }
     }
     return actions;
 }
 
+// --- queries ---
+
 std::optional<Answer> SubmissionTable::lookup(const Fingerprint &key) const
 {
     const Shard &shard = shardOf(key);
     const std::lock_guard lock(shard.mutex);
     const auto found = shard.submissions.find(key);
-    if (found == shard.submissions.end())
+    if (found == shard.submissions.end()) {
+        if (shard.tombstones.contains(key))
+            return refusal(Outcome::Unknown, reason::windowPassed, 410);
         return std::nullopt;
+    }
     const Submission &submission = found->second;
-    if (submission.answered)
+    if (submission.phase == SubmissionPhase::Answered)
         return submission.answer;
     return Answer{.status = 202,
-                  .tasks = static_cast<uint32_t>(submission.states.size()),
+                  .tasks = static_cast<uint32_t>(submission.tasks.size()),
                   .finished = submission.ended,
                   .running = true};
 }
 
+bool SubmissionTable::contains(const Fingerprint &key) const
+{
+    const Shard &shard = shardOf(key);
+    const std::lock_guard lock(shard.mutex);
+    return shard.submissions.contains(key);
+}
+
 void SubmissionTable::dropWaiter(const Fingerprint &key, WaiterId waiter)
 {
     Shard &shard = shardOf(key);
@@ -284,4 +408,17 @@
     return total;
 }
 
+SubmissionCounters SubmissionTable::counters() const
+{
+    SubmissionCounters total;
+    for (const Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        total.tombstones += shard.tombstones.size();
+        total.tombstonesDropped += shard.tombstones.dropped();
+        total.answersDropped += shard.answersDropped;
+        total.answerBytes += shard.answerBytes;
+    }
+    return total;
+}
+
 } // namespace turmericwell
--- a/src/submission/submissiontable.h
+++ b/src/submission/submissiontable.h
@@ -2,13 +2,20 @@
 #pragma once
 
 #include "config/declarations.h"
+#include "submission/submission.h"
+#include "submission/tombstones.h"
 #include "turmericwell/outcome.h"
 #include "turmericwell/task.h"
 
 #include <array>
+#include <atomic>
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <mutex>
 #include <optional>
+#include <queue>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -16,16 +23,14 @@
 
 namespace turmericwell {
 
-// Names who waits for an answer: a caller connection or a forward from another entry. Chosen by the process
-// shell.
-using WaiterId = uint64_t;
-
 // Actions that the table asks for. The caller performs them after the call, without any lock.
 struct EnqueueTasks
 {
     std::vector<TaskStart> tasks;
     TaskNeeds needs;
     Millis deadline;
+    // Not queued before this time; set for a task that was refused.
+    Millis notBefore;
 };
 struct AnswerWaiter
 {
@@ -38,13 +43,76 @@
 {
     TaskRef task;
 };
-using SubmissionAction = std::variant<EnqueueTasks, AnswerWaiter, CancelTask>;
+// Ask the holder for the state of the key, without starting anything, and pass the reply to holderAnswered.
+struct AskHolder
+{
+    std::string holder;
+    Fingerprint key;
+};
+using SubmissionAction = std::variant<EnqueueTasks, AnswerWaiter, CancelTask, AskHolder>;
 using SubmissionActions = std::vector<SubmissionAction>;
 
+// A record of a key that moves to another owner.
+struct KeyRecord
+{
+    Fingerprint key;
+    SubmissionKind kind = SubmissionKind::Request;
+    uint64_t bodyHash = 0;
+    // Time since the first arrival of the key.
+    Millis age;
+    bool answered = false;
+    // Set if answered.
+    Answer answer;
+    // Entry that runs the submission; set if not answered.
+    std::string holder;
+};
+
+// What an agent knows of one attempt that a dead entry sent.
+struct AgentRecord
+{
+    TaskRef task;
+    uint32_t taskCount = 1;
+    uint64_t bodyHash = 0;
+    bool running = false;
+    // Set if not running.
+    TaskResult result;
+    // Time since the start.
+    Millis age;
+};
+
+// Rule for keys whose former owner died while not all of its records could be found.
+struct IncompleteTakeover
+{
+    // Wall-clock time of the takeover.
+    Millis at;
+    // End of the rule, on the clock of the `now` arguments: one window after the takeover.
+    Millis until;
+    // Keys that the dead entry owned; all keys if empty.
+    std::function<bool(const Fingerprint &)> affects;
+};
+
 struct SubmissionTableOptions
 {
     // Time for which answers are kept.
     Millis dedupWindow = {600'000};
+    uint32_t tombstoneCapacity = 1'000'000;
+    // Bytes of answers kept for resubmissions. Beyond it the oldest answers are dropped, not their records.
+    uint64_t answerBytes = 256ULL << 20;
+    // Records within the window; new submissions beyond it are refused, since dropping a record would allow a
+    // second run.
+    uint32_t maxRecords = 2'000'000;
+    // Difference between the clocks of callers and entries that a key's time is trusted within.
+    Millis keyClockSkew = {5'000};
+    // Whether a task that has started may be started again now (the retry budget). Always if empty.
+    std::function<bool()> mayRetry;
+};
+
+struct SubmissionCounters
+{
+    uint64_t tombstones = 0;
+    uint64_t tombstonesDropped = 0;
+    uint64_t answersDropped = 0;
+    uint64_t answerBytes = 0;
 };
 
 // Invariants: a key has at most one submission; each attempt of a task is enqueued at most once; a submission
@@ -52,70 +120,109 @@
 class SubmissionTable
 {
 public:
+    // Decides about a submission whose key is new: empty to accept, else the answer that refuses it. Called
+    // under the shard's lock, so that a refusal never races an acceptance of the same key.
+    using Admit = std::function<std::optional<Answer>()>;
+
     explicit SubmissionTable(SubmissionTableOptions options);
 
+    // Wall-clock time for keys that carry their time; `now` is the clock of the other calls.
+    void setWallClock(Millis wall, Millis now) { m_wallOffset = (wall - now).count; }
+    void setIncompleteTakeover(const IncompleteTakeover &takeover);
+
+    // --- callers ---
     SubmissionActions submit(const SubmissionRequest &request, const CallDeclaration &call, WaiterId waiter,
-                             Millis now);
+                             Millis now, const Admit &admit = {});
     SubmissionActions taskEnded(const TaskResult &result, Millis now);
     SubmissionActions cancel(const Fingerprint &key, Millis now);
     // Enforces deadlines and drops submissions whose window has passed.
     SubmissionActions tick(Millis now);
     // State for a lookup by key; empty if the key is not known.
     std::optional<Answer> lookup(const Fingerprint &key) const;
+    bool contains(const Fingerprint &key) const;
     // Forgets a waiter whose connection has closed.
     void dropWaiter(const Fingerprint &key, WaiterId waiter);
 
+    // --- change of ownership ---
+    using KeyFilter = std::function<bool(const Fingerprint &)>;
+    // Records of the selected keys: answered ones with the answer, running ones with `self` as the holder.
+    std::vector<KeyRecord> exportRecords(const KeyFilter &selects, const std::string &self, Millis now) const;
+    std::vector<Fingerprint> exportTombstones(const KeyFilter &selects) const;
+    // Takes records of keys that this entry owns now. A record of this entry's own wins over an imported one.
+    SubmissionActions importRecords(std::span<const KeyRecord> records, Millis now);
+    void importTombstones(std::span<const Fingerprint> keys);
+    // Reply to AskHolder. An answer with status 404 means that the holder does not know the key.
+    SubmissionActions holderAnswered(const Fingerprint &key, const Answer &answer, Millis now);
+    // The holder died: its submissions are answered from the records of agents, as in finishTakeover.
+    void holderLost(const std::string &holder, Millis now);
+
+    // Takes what an agent knows of tasks that a dead entry started. Nothing imported is ever started again.
+    SubmissionActions importAgentRecords(std::span<const AgentRecord> records, Millis now);
+    // All records that can be had are imported: settles each imported submission. Call it again after records
+    // that came late. complete: all agents that were known before the leave have answered.
+    SubmissionActions finishTakeover(bool complete, Millis now);
+
     size_t size() const;
-    // Submissions without an answer.
+    // Submissions that run at this entry and have no answer yet.
     size_t active() const;
+    SubmissionCounters counters() const;
 
 private:
-    enum class TaskState : uint8_t { Pending, Ended };
-
-    struct Submission
+    struct Wakeup
     {
-        SubmissionKind kind = SubmissionKind::Request;
-        uint64_t bodyHash = 0;
-        CallDeclaration call;
-        std::vector<TaskState> states;
-        std::vector<std::string> answers;
-        // Number of the awaited attempt of each task; grows with each enqueue, so a late result never
-        // matches.
-        std::vector<uint32_t> attempts;
-        // Attempts of each task that ended otherwise than NotRun.
-        std::vector<uint32_t> starts;
-        SubmissionRequest request;
-        std::vector<WaiterId> waiters;
-        Millis deadline;
-        Millis firstSeen;
-        uint32_t ended = 0;
-        // Worst outcome so far and its reason; Complete while no task has ended otherwise.
-        Outcome worst = Outcome::Complete;
-        std::string reason;
-        // Tasks that have ended otherwise than NotRun.
-        uint32_t ran = 0;
-        bool closing = false;
-        bool answered = false;
-        Answer answer;
+        Millis at;
+        Fingerprint key;
+
+        bool operator>(const Wakeup &other) const { return at > other.at; }
     };
 
     struct Shard
     {
         mutable std::mutex mutex;
         std::unordered_map<Fingerprint, Submission> submissions;
+        // Invariant: one element for each submission.
+        std::priority_queue<Wakeup, std::vector<Wakeup>, std::greater<>> wakeups;
+        Tombstones tombstones{0};
+        // Keys with answer bytes, oldest first; may name submissions that are gone.
+        std::deque<Fingerprint> answerOrder;
+        uint64_t answerBytes = 0;
+        uint64_t answersDropped = 0;
         size_t active = 0;
     };
 
-    Shard &shardOf(const Fingerprint &key);
-    const Shard &shardOf(const Fingerprint &key) const;
-    static EnqueueTasks startTasks(const Fingerprint &key, Submission &submission);
-    static void closeRemaining(const Fingerprint &key, Submission &submission, SubmissionActions &actions);
-    static void finish(Shard &shard, const Fingerprint &key, Submission &submission,
-                       SubmissionActions &actions);
-    static bool retry(const TaskResult &result, Submission &submission, Millis now,
+    Shard &shardOf(const Fingerprint &key) { return m_shards[key.high % m_shards.size()]; }
+    const Shard &shardOf(const Fingerprint &key) const { return m_shards[key.high % m_shards.size()]; }
+    // Time after which a record is dropped; longer than the window, so that a timed key is refused by its age
+    // before its record goes.
+    Millis retention() const { return m_options.dedupWindow + m_options.keyClockSkew * 2; }
+
+    std::optional<Answer> refuseNewKey(const Shard &shard, const SubmissionRequest &request,
+                                       const CallDeclaration &call, std::optional<Millis> keyTime,
+                                       Millis now) const;
+    bool isAfterIncompleteTakeover(const Fingerprint &key, std::optional<Millis> keyTime, Millis now) const;
+    static SubmissionActions attach(const SubmissionRequest &request, Submission &submission, WaiterId waiter,
+                                    Millis now);
+    bool retry(const TaskResult &result, Submission &submission, Millis now,
+               SubmissionActions &actions) const;
+    static void endTask(const TaskResult &result, TaskProgress &task);
+    static void close(const Fingerprint &key, Submission &submission, std::string_view why,
                       SubmissionActions &actions);
+    void finish(Shard &shard, const Fingerprint &key, Submission &submission, const Answer &answer,
+                SubmissionActions &actions);
+    void keepAnswer(Shard &shard, const Fingerprint &key, const Answer &answer);
+    SubmissionActions lateResult(Shard &shard, const TaskResult &result, Submission &submission);
+    void wake(Shard &shard, const Fingerprint &key, Submission &submission, Millis now,
+              SubmissionActions &actions);
+    bool dropIfPassed(Shard &shard, const Fingerprint &key, Millis now);
+    SubmissionActions importOne(const KeyRecord &record, Millis now);
+    void importOne(const AgentRecord &record, Millis now, SubmissionActions &actions);
+    void settle(Shard &shard, const Fingerprint &key, Submission &submission, bool complete,
+                SubmissionActions &actions);
 
     SubmissionTableOptions m_options;
+    std::atomic<int64_t> m_wallOffset = 0;
+    mutable std::mutex m_takeoverMutex;
+    std::vector<IncompleteTakeover> m_takeovers;
     std::array<Shard, 16> m_shards;
 };
 
--- /dev/null
+++ b/src/submission/submissiontransfer.cpp
@@ -0,0 +1,234 @@
+// Records of keys that move between entries, and records of agents after the death of an entry.
+#include "submission/submissiontable.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+// An imported submission that is not settled by then is answered without further proof.
+static constexpr Millis longestTakeover = {60'000};
+
+// --- planned change of ownership ---
+
+std::vector<KeyRecord> SubmissionTable::exportRecords(const KeyFilter &selects, const std::string &self,
+                                                      Millis now) const
+{
+    std::vector<KeyRecord> records;
+    for (const Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto &[key, submission] : shard.submissions) {
+            if (!selects(key))
+                continue;
+            const bool answered = submission.phase == SubmissionPhase::Answered;
+            const bool isHeld = submission.phase == SubmissionPhase::Held;
+            records.push_back({.key = key,
+                               .kind = submission.kind,
+                               .bodyHash = submission.bodyHash,
+                               .age = now - submission.firstSeen,
+                               .answered = answered,
+                               .answer = answered ? submission.answer : Answer{},
+                               .holder = answered ? std::string() : (isHeld ? submission.holder : self)});
+        }
+    }
+    return records;
+}
+
+std::vector<Fingerprint> SubmissionTable::exportTombstones(const KeyFilter &selects) const
+{
+    std::vector<Fingerprint> result;
+    for (const Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        std::copy_if(shard.tombstones.keys().begin(), shard.tombstones.keys().end(),
+                     std::back_inserter(result), selects);
+    }
+    return result;
+}
+
+SubmissionActions SubmissionTable::importRecords(std::span<const KeyRecord> records, Millis now)
+{
+    SubmissionActions actions;
+    for (const KeyRecord &record : records) {
+        SubmissionActions more = importOne(record, now);
+        std::move(more.begin(), more.end(), std::back_inserter(actions));
+    }
+    return actions;
+}
+
+SubmissionActions SubmissionTable::importOne(const KeyRecord &record, Millis now)
+{
+    SubmissionActions actions;
+    Shard &shard = shardOf(record.key);
+    const std::lock_guard lock(shard.mutex);
+    const auto [found, isNew] = shard.submissions.try_emplace(record.key);
+    Submission &submission = found->second;
+    if (isNew) {
+        submission = {.phase = SubmissionPhase::Held,
+                      .kind = record.kind,
+                      .bodyHash = record.bodyHash,
+                      .firstSeen = now - record.age,
+                      .deadline = now,
+                      .holder = record.holder};
+        shard.wakeups.push({.at = now, .key = record.key});
+    }
+    if (submission.phase == SubmissionPhase::Held) {
+        if (record.answered)
+            finish(shard, record.key, submission, record.answer, actions);
+        else
+            submission.holder = record.holder;
+    } else if (submission.phase == SubmissionPhase::Answered && record.answered
+               && submission.answer.outcome == Outcome::Unknown) {
+        finish(shard, record.key, submission, record.answer, actions);
+    }
+    return actions;
+}
+
+void SubmissionTable::importTombstones(std::span<const Fingerprint> keys)
+{
+    for (const Fingerprint &key : keys) {
+        Shard &shard = shardOf(key);
+        const std::lock_guard lock(shard.mutex);
+        shard.tombstones.add(key);
+    }
+}
+
+SubmissionActions SubmissionTable::holderAnswered(const Fingerprint &key, const Answer &answer, Millis)
+{
+    SubmissionActions actions;
+    Shard &shard = shardOf(key);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.submissions.find(key);
+    if (answer.running || found == shard.submissions.end() || found->second.phase != SubmissionPhase::Held)
+        return actions;
+    constexpr int unknownKey = 404;
+    // A holder that was restarted has lost its record: the submission may have run.
+    const Answer lost{.outcome = Outcome::Unknown, .reason = std::string(reason::entryLost), .status = 504};
+    const bool isFinal = answer.status != unknownKey && answer.reason != reason::ownerUnavailable
+        && answer.reason != reason::entryLost;
+    if (answer.status == unknownKey)
+        finish(shard, key, found->second, lost, actions);
+    else if (isFinal)
+        finish(shard, key, found->second, answer, actions);
+    return actions;
+}
+
+void SubmissionTable::holderLost(const std::string &holder, Millis now)
+{
+    for (Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (auto &[key, submission] : shard.submissions) {
+            if (submission.phase != SubmissionPhase::Held || submission.holder != holder)
+                continue;
+            submission.phase = SubmissionPhase::Imported;
+            submission.holder.clear();
+            submission.deadline = now + longestTakeover;
+        }
+    }
+}
+
+// --- takeover of a dead entry ---
+
+SubmissionActions SubmissionTable::importAgentRecords(std::span<const AgentRecord> records, Millis now)
+{
+    SubmissionActions actions;
+    for (const AgentRecord &record : records)
+        importOne(record, now, actions);
+    return actions;
+}
+
+void SubmissionTable::importOne(const AgentRecord &record, Millis now, SubmissionActions &actions)
+{
+    // A record from the wire decides the size of the table below.
+    constexpr uint32_t maxTasks = 1U << 20;
+    const Fingerprint &key = record.task.submission;
+    Shard &shard = shardOf(key);
+    const std::lock_guard lock(shard.mutex);
+    if (record.taskCount > maxTasks || record.task.index >= record.taskCount)
+        return;
+    const auto [found, isNew] = shard.submissions.try_emplace(key);
+    Submission &submission = found->second;
+    if (isNew) {
+        submission = {.phase = SubmissionPhase::Imported,
+                      .kind = record.taskCount > 1 ? SubmissionKind::Job : SubmissionKind::Request,
+                      .bodyHash = record.bodyHash,
+                      .firstSeen = now - record.age};
+        shard.wakeups.push({.at = now + longestTakeover, .key = key});
+    }
+    if (submission.phase == SubmissionPhase::Answered && submission.answer.outcome == Outcome::Unknown
+        && submission.tasks.size() <= 1 && record.taskCount == 1 && !record.running
+        && record.result.outcome != Outcome::Unknown && record.result.outcome != Outcome::NotRun) {
+        // An agent that answered late knows the result of a request that was answered `unknown`.
+        submission.tasks = {TaskProgress{.ended = true, .attempt = record.task.attempt}};
+        endTask(record.result, submission.tasks.front());
+        finish(shard, key, submission, makeAnswer(submission), actions);
+        return;
+    }
+    if (submission.phase != SubmissionPhase::Imported)
+        return;
+    submission.deadline = std::max(submission.deadline, now + longestTakeover);
+    if (submission.tasks.empty()) {
+        // The highest number means that no attempt is known yet.
+        submission.tasks.assign(record.taskCount, TaskProgress{.attempt = UINT32_MAX});
+    }
+    if (record.task.index >= submission.tasks.size())
+        return;
+    TaskProgress &task = submission.tasks[record.task.index];
+    const bool isFirst = task.attempt == UINT32_MAX;
+    const bool wasStarted = record.running || record.result.outcome != Outcome::NotRun;
+    const bool isNewer = isFirst || record.task.attempt > task.attempt;
+    // A complete attempt decides; else a started one outweighs refusals, and a newer one an older one.
+    if (task.ended && task.outcome == Outcome::Complete)
+        return;
+    const bool isDecisive = !record.running && record.result.outcome == Outcome::Complete;
+    const bool knownStart = !isFirst && (!task.ended || task.outcome != Outcome::NotRun);
+    if (!isFirst && !isDecisive && (wasStarted == knownStart ? !isNewer : knownStart))
+        return;
+    if (task.ended)
+        --submission.ended;
+    task = {.ended = !record.running, .attempt = record.task.attempt};
+    if (!record.running) {
+        ++submission.ended;
+        endTask(record.result, task);
+    }
+}
+
+SubmissionActions SubmissionTable::finishTakeover(bool complete, Millis)
+{
+    SubmissionActions actions;
+    for (Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (auto &[key, submission] : shard.submissions) {
+            if (submission.phase != SubmissionPhase::Imported)
+                continue;
+            const bool isKnown = !submission.tasks.empty()
+                && std::none_of(submission.tasks.begin(), submission.tasks.end(),
+                                [](const TaskProgress &task) { return task.attempt == UINT32_MAX; });
+            // Running tasks of which all are known are waited for.
+            if (!isKnown || submission.ended == submission.tasks.size())
+                settle(shard, key, submission, complete, actions);
+        }
+    }
+    return actions;
+}
+
+void SubmissionTable::settle(Shard &shard, const Fingerprint &key, Submission &submission, bool complete,
+                             SubmissionActions &actions)
+{
+    const bool isWhole = !submission.tasks.empty() && submission.ended == submission.tasks.size();
+    Answer answer = isWhole ? makeAnswer(submission) : Answer{.outcome = Outcome::Unknown};
+    answer.tasks = static_cast<uint32_t>(submission.tasks.size());
+    const bool isJob = submission.kind == SubmissionKind::Job;
+    if (answer.outcome != Outcome::Complete) {
+        // With records missing, a refusal that is known does not prove that no other attempt has started.
+        const bool isRefused = isWhole && complete && answer.outcome == Outcome::NotRun;
+        if (isJob)
+            answer.outcome = Outcome::Failed;
+        else if (!isRefused && answer.outcome != Outcome::Failed)
+            answer.outcome = Outcome::Unknown;
+        if (isJob || answer.outcome != Outcome::Failed)
+            answer.reason = reason::entryLost;
+        answer.status = answer.outcome == Outcome::Failed ? 502 : 504;
+    }
+    finish(shard, key, submission, answer, actions);
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/tests/unit/limitstest.cpp
@@ -0,0 +1,137 @@
+// Tests of quotas, the retry budget and the queue estimate.
+#include "limits/admission.h"
+#include "limits/retrybudget.h"
+#include "turmericwell/outcome.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace turmericwell;
+using namespace turmericwell::literals;
+
+namespace {
+
+ConfigPtr makeConfig(ServiceDeclaration service, TeamDeclaration team)
+{
+    Config config;
+    config.declarations.services.push_back(std::move(service));
+    config.declarations.teams.push_back(std::move(team));
+    return std::make_shared<Config>(std::move(config));
+}
+
+AdmissionRequest ofTeam(uint32_t tasks, Millis budget = {10'000})
+{
+    return {.service = "s", .team = "t", .tasks = tasks, .budget = budget};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(limits)
+
+// Guards against a job above the burst that could never be admitted, and against a rate above the quota.
+BOOST_AUTO_TEST_CASE(aBucketAdmitsLargeJobsAtItsAverageRate)
+{
+    TokenBucket bucket(100, 100);
+    uint32_t taken = 0;
+    for (Millis now = {0}; now < 60'000_ms; now += 10_ms) {
+        if (bucket.isReady(now)) {
+            bucket.take(420);
+            taken += 420;
+        }
+    }
+    BOOST_TEST(taken >= 5'900U);
+    BOOST_TEST(taken <= 6'600U);
+    const Millis wait = bucket.timeUntilReady(60'000_ms);
+    BOOST_TEST(!bucket.isReady(60'000_ms + wait - 1_ms));
+    BOOST_TEST(bucket.isReady(60'000_ms + wait));
+}
+
+// Guards against entries that each allow the whole quota, and against a refill by each configuration change.
+BOOST_AUTO_TEST_CASE(teamQuotasAreSharedAndSurviveChanges)
+{
+    Admission admission;
+    const ConfigPtr config = makeConfig({.name = "s"}, {.name = "t", .startsPerSecond = 40});
+    admission.setEntryCount(4);
+    admission.setConfig(config);
+    BOOST_TEST(!admission.admit(ofTeam(10), 0_ms).has_value());
+    admission.setConfig(config);
+    const std::optional<AdmissionRefusal> refused = admission.admit(ofTeam(1), 0_ms);
+    BOOST_REQUIRE(refused.has_value());
+    BOOST_TEST(refused->reason == reason::quota);
+    BOOST_TEST(refused->retryAfter.count > 0);
+    BOOST_TEST(!admission.admit(ofTeam(1), refused->retryAfter).has_value());
+}
+
+// Guards against more running tasks than a team or service may have.
+BOOST_AUTO_TEST_CASE(runningLimitsHoldTasksBack)
+{
+    Admission admission;
+    admission.setConfig(makeConfig({.name = "s", .maxRunning = 3}, {.name = "t", .maxRunning = 2}));
+    const auto release = [&](const std::string &team) {
+        admission.moved("s", team, TaskStage::None, TaskStage::Waiting);
+        if (!admission.mayRelease("s", team))
+            return false;
+        admission.moved("s", team, TaskStage::Waiting, TaskStage::Released);
+        return true;
+    };
+    BOOST_TEST(release("t"));
+    BOOST_TEST(release("t"));
+    BOOST_TEST(!release("t"));
+    BOOST_TEST(release(""));
+    BOOST_TEST(!release(""));
+    admission.moved("s", "t", TaskStage::Released, TaskStage::Running);
+    admission.moved("s", "t", TaskStage::Running, TaskStage::None);
+    BOOST_TEST(admission.mayRelease("s", "t"));
+}
+
+// Guards against a queue that accepts what it cannot start in time.
+BOOST_AUTO_TEST_CASE(aDeadlineThatTheQueueCannotMeetIsRefused)
+{
+    Admission admission;
+    admission.setConfig(makeConfig({.name = "s"}, {.name = "t"}));
+    for (int i = 0; i < 10; ++i) {
+        admission.moved("s", "t", TaskStage::None, TaskStage::Waiting);
+        admission.moved("s", "t", TaskStage::Waiting, TaskStage::Released);
+        admission.moved("s", "t", TaskStage::Released, TaskStage::Running);
+    }
+    for (int i = 0; i < 99; ++i)
+        admission.moved("s", "t", TaskStage::None, TaskStage::Waiting);
+    BOOST_TEST(!admission.admit(ofTeam(1, 1_ms), 0_ms).has_value());
+    admission.ran("s", 100_ms);
+    BOOST_TEST(admission.estimatedWait("s", 1).count == 1'000);
+    BOOST_TEST(!admission.admit(ofTeam(1, 1'000_ms), 0_ms).has_value());
+    const std::optional<AdmissionRefusal> refused = admission.admit(ofTeam(1, 999_ms), 0_ms);
+    BOOST_REQUIRE(refused.has_value());
+    BOOST_TEST(refused->reason == reason::deadline);
+    BOOST_TEST(refused->retryAfter.count > 0);
+}
+
+BOOST_AUTO_TEST_CASE(aFullServiceQueueIsRefused)
+{
+    Admission admission;
+    admission.setConfig(makeConfig({.name = "s", .maxQueued = 10}, {.name = "t"}));
+    admission.setEntryCount(2);
+    BOOST_TEST(!admission.admit(ofTeam(5), 0_ms).has_value());
+    admission.moved("s", "t", TaskStage::None, TaskStage::Waiting);
+    const std::optional<AdmissionRefusal> refused = admission.admit(ofTeam(5), 0_ms);
+    BOOST_REQUIRE(refused.has_value());
+    BOOST_TEST(refused->reason == reason::queueFull);
+}
+
+// Guards against retries that multiply an overload.
+BOOST_AUTO_TEST_CASE(retriesAreATenthOfStarts)
+{
+    RetryBudget budget({.initial = 0});
+    BOOST_TEST(!budget.tryRetry());
+    uint32_t retries = 0;
+    for (int i = 0; i < 1'000; ++i) {
+        budget.started(1);
+        retries += budget.tryRetry() ? 1 : 0;
+    }
+    BOOST_TEST(retries == 100U);
+    budget.started(1'000'000);
+    for (retries = 0; budget.tryRetry();)
+        ++retries;
+    BOOST_TEST(retries == 1'000U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
