--- /dev/null
+++ b/tests/process/test_agent.py
@@ -0,0 +1,120 @@
+"""Real agents and targets: withdrawn zones, leaving targets, paused agents and planned stops."""
+
+import sys
+import threading
+import time
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "tools"))
+
+from lab.cluster import Cluster, http_call, wait_until  # noqa: E402
+from lab.operators import Operators  # noqa: E402
+
+BUILD = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
+# A start is late if it comes this long after the withdrawal was accepted: the freshness bound and a second for the
+# spread of the configuration (docs/design.md, section 3.4).
+START_BOUND_MS = 4_000
+
+
+class NoRecorder:
+    def write(self, *_, **__):
+        pass
+
+
+class Background:
+    """Runs one call in a thread and keeps its result."""
+
+    def __init__(self, call):
+        self.result = None
+        self._thread = threading.Thread(target=self._run, args=(call,), daemon=True)
+        self._thread.start()
+
+    def _run(self, call):
+        self.result = call()
+
+    def wait(self, timeout=60):
+        self._thread.join(timeout)
+        return self.result
+
+
+def starts(cluster, target):
+    return [r for r in cluster.target_records() if r["what"] == "start" and r["target"] == target]
+
+
+class AgentTest(unittest.TestCase):
+    def cluster(self):
+        cluster = Cluster(BUILD, entries=2, workers=4)
+        self.addCleanup(cluster.kill_all)
+        cluster.start()
+        return cluster
+
+    def job(self, cluster, key, tasks, run_ms, call="confirm_return"):
+        payloads = [{"runMs": run_ms, "echo": i} for i in range(tasks)]
+        return Background(lambda: cluster.job("entry-1", key, call, payloads, deadlineMs=60_000))
+
+    def assert_whole(self, answer, tasks):
+        status, body = answer
+        self.assertEqual((status, body["outcome"]), (200, "complete"), body)
+        self.assertEqual([item["echo"] for item in body["answers"]], list(range(tasks)))
+
+    def assert_started_once(self, cluster, tasks):
+        ids = [r["task"].split(".")[0] for r in cluster.target_records() if r["what"] == "start"]
+        self.assertEqual(len(ids), len(set(ids)))
+        self.assertEqual(len(ids), tasks)
+
+    def test_withdrawn_zone_starts_nothing(self):
+        """Guards against queued work that starts in a withdrawn zone, and against work lost on the way (G3)."""
+        cluster = self.cluster()
+        job = self.job(cluster, "withdraw", 300, 200)
+        wait_until(lambda: len(starts(cluster, "patan-1")) > 4, 20, "work in the zone")
+        Operators(cluster, NoRecorder()).set_zone("patan", "withdrawn")
+        accepted = time.time() * 1000
+        self.assert_whole(job.wait(), 300)
+        late = [r for r in starts(cluster, "patan-1") if r["timeMs"] > accepted + START_BOUND_MS]
+        self.assertEqual(late, [])
+        self.assert_started_once(cluster, 300)
+
+    def test_paused_agent_starts_nothing_on_old_evidence(self):
+        """Guards against an agent that is resumed after its zone was withdrawn and starts buffered work (G3)."""
+        cluster = self.cluster()
+        job = self.job(cluster, "paused", 60, 100, call="check_deposit")
+        wait_until(lambda: starts(cluster, "patan-1"), 20, "work in the zone")
+        agent = cluster.processes["agent-patan-1"]
+        agent.pause()
+        Operators(cluster, NoRecorder()).set_zone("patan", "withdrawn")
+        accepted = time.time() * 1000
+        time.sleep(START_BOUND_MS / 1000 + 0.5)
+        agent.resume()
+        wait_until(lambda: http_call(cluster.port("agent-patan-1"), "GET", "/healthz")[0] == 200, 20, "the agent")
+        status, body = job.wait()
+        self.assertIn(body["outcome"], ("complete", "failed", "unknown"), (status, body))
+        time.sleep(1)
+        late = [r for r in starts(cluster, "patan-1") if r["timeMs"] > accepted + START_BOUND_MS]
+        self.assertEqual(late, [])
+
+    def test_leaving_target_is_not_cut(self):
+        """Guards against new work on a leaving target (G7) and against cutting its running tasks (G8)."""
+        cluster = self.cluster()
+        job = self.job(cluster, "leaving", 200, 300)
+        wait_until(lambda: len(starts(cluster, "thamel-1")) >= 8, 20, "work on the target")
+        left_at = time.time() * 1000
+        self.assertEqual(cluster.processes["target-thamel-1"].stop(), 0)
+        self.assert_whole(job.wait(), 200)
+        late = [r for r in starts(cluster, "thamel-1") if r["timeMs"] > left_at + START_BOUND_MS]
+        self.assertEqual(late, [])
+        self.assert_started_once(cluster, 200)
+
+    def test_agent_stop_is_graceful(self):
+        """Guards against answers that are lost when an agent is stopped under load (G8)."""
+        cluster = self.cluster()
+        job = self.job(cluster, "agent-stop", 200, 300)
+        wait_until(lambda: len(starts(cluster, "thamel-2")) >= 8, 20, "work on the target")
+        self.assertEqual(cluster.processes["agent-thamel-2"].stop(), 0)
+        self.assert_whole(job.wait(), 200)
+        self.assert_started_once(cluster, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
