--- a/src/submission/submissiontransfer.cpp
+++ b/src/submission/submissiontransfer.cpp
@@ -10,7 +10,7 @@
 
 // --- planned change of ownership ---
 
-std::vector<KeyRecord> SubmissionTable::exportRecords(const KeyFilter &selects, const std::string &self,
+std::vector<KeyRecord> SubmissionTable::exportRecords(const KeyFilter &selects, const ProcessId &self,
                                                       Millis now) const
 {
     std::vector<KeyRecord> records;
@@ -27,7 +27,7 @@
                                .age = now - submission.firstSeen,
                                .answered = answered,
                                .answer = answered ? submission.answer : Answer{},
-                               .holder = answered ? std::string() : (isHeld ? submission.holder : self)});
+                               .holder = answered ? ProcessId{} : (isHeld ? submission.holder : self)});
         }
     }
     return records;
@@ -100,18 +100,15 @@
     if (answer.running || found == shard.submissions.end() || found->second.phase != SubmissionPhase::Held)
         return actions;
     constexpr int unknownKey = 404;
-    // A holder that was restarted has lost its record: the submission may have run.
+    constexpr int notOwner = 421;
+    // The holder has no record of it any more: the submission may have run.
     const Answer lost{.outcome = Outcome::Unknown, .reason = std::string(reason::entryLost), .status = 504};
-    const bool isFinal = answer.status != unknownKey && answer.reason != reason::ownerUnavailable
-        && answer.reason != reason::entryLost;
-    if (answer.status == unknownKey)
-        finish(shard, key, found->second, lost, actions);
-    else if (isFinal)
-        finish(shard, key, found->second, answer, actions);
+    const bool isUnknownThere = answer.status == unknownKey || answer.status == notOwner;
+    finish(shard, key, found->second, isUnknownThere ? lost : answer, actions);
     return actions;
 }
 
-void SubmissionTable::holderLost(const std::string &holder, Millis now)
+void SubmissionTable::holderLost(const ProcessId &holder, Millis now)
 {
     for (Shard &shard : m_shards) {
         const std::lock_guard lock(shard.mutex);
@@ -119,7 +116,7 @@
             if (submission.phase != SubmissionPhase::Held || submission.holder != holder)
                 continue;
             submission.phase = SubmissionPhase::Imported;
-            submission.holder.clear();
+            submission.holder = {};
             submission.deadline = now + longestTakeover;
         }
     }
--- a/tests/unit/submissiontest.cpp
+++ b/tests/unit/submissiontest.cpp
@@ -388,12 +388,12 @@
     const auto all = [](const Fingerprint &) { return true; };
 
     Fixture to;
-    to.table.importRecords(from.table.exportRecords(all, "e1", 2_ms), 2_ms);
+    to.table.importRecords(from.table.exportRecords(all, {.name = "e1", .incarnation = 3}, 2_ms), 2_ms);
     BOOST_TEST(answerIn(to.submit(done, 3_ms)).answers.at(0) == "a0");
     const SubmissionActions held = to.submit(running, 3_ms);
     BOOST_TEST(countOf<EnqueueTasks>(held) == 0U);
     BOOST_REQUIRE(countOf<AskHolder>(held) == 1U);
-    BOOST_TEST(std::get<AskHolder>(held.front()).holder == "e1");
+    BOOST_TEST(std::get<AskHolder>(held.front()).holder.name == "e1");
     BOOST_TEST(answerIn(to.submit(request("running", 1, 9), 3_ms)).status == 409);
     BOOST_TEST(to.table.holderAnswered(running.key, *from.table.lookup(running.key), 4_ms).empty());
     BOOST_TEST(countOf<AskHolder>(to.table.tick(2'000_ms)) == 1U);
@@ -408,7 +408,9 @@
 {
     Fixture f;
     const SubmissionRequest what = request("k");
-    f.table.importRecords(std::vector<KeyRecord>{{.key = what.key, .bodyHash = 7, .holder = "e1"}}, 0_ms);
+    f.table.importRecords(
+        std::vector<KeyRecord>{{.key = what.key, .bodyHash = 7, .holder = {.name = "e1", .incarnation = 3}}},
+        0_ms);
     f.submit(what);
     const Answer answer = answerIn(f.table.holderAnswered(what.key, {.status = 404}, 1_ms));
     BOOST_TEST((answer.outcome == Outcome::Unknown));
