--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -373,6 +373,8 @@
 
 void AgentServer::performOne(const SendRevokeAck &action)
 {
+    // The result of a revoked task brings its credit back, which the answer does not: it must go first.
+    flushResults();
     EntryLink *link = linkTo(action.entry);
     if (!link)
         return;
--- a/src/dispatch/dispatcheragents.cpp
+++ b/src/dispatch/dispatcheragents.cpp
@@ -202,10 +202,9 @@
                 return result;
             }
             settle(found->second);
-            // A task that was revoked from the agent's queue is reported once more, with its credit. The
-            // result of one that had finished was sent before, or its credit ended with the connection.
-            if (answer.result.outcome != Outcome::NotRun || !answer.result.returnsCredit)
-                m_inFlight.erase(found);
+            // The answer brings no credit: the agent has reported the task before, with the credit, or the
+            // connection was lost in between and credits were granted anew.
+            m_inFlight.erase(found);
         }
     }
     if (answer.running)
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -301,14 +301,8 @@
 
 void EntryServer::performOne(const AskHolder &action)
 {
-    const std::vector<EntryMember> members = m_membership.members();
-    const auto holder = std::find_if(members.begin(), members.end(), [&](const EntryMember &member) {
-        return member.id.name == action.holder;
-    });
     // The table asks again later if the holder cannot be reached now.
-    if (holder == members.end())
-        return;
-    m_peers.lookup(holder->id, action.key, false,
+    m_peers.lookup(action.holder, action.key, false,
                    [this, key = action.key](const std::optional<Answer> &answer) {
                        if (answer)
                            perform(m_dispatcher.holderAnswered(key, *answer, Clock::now()));
--- a/src/submission/submission.h
+++ b/src/submission/submission.h
@@ -63,7 +63,7 @@
     std::string closeReason;
     std::vector<WaiterId> waiters;
     // Set while Held.
-    std::string holder;
+    ProcessId holder;
     // Set while Answered.
     Answer answer;
 };
--- a/src/submission/submissiontable.cpp
+++ b/src/submission/submissiontable.cpp
@@ -228,7 +228,7 @@
     submission.phase = SubmissionPhase::Answered;
     submission.answer = answer;
     submission.request = {};
-    submission.holder.clear();
+    submission.holder = {};
     if (answer.outcome != Outcome::Unknown)
         std::vector<TaskProgress>().swap(submission.tasks);
     for (const WaiterId waiter : submission.waiters)
@@ -308,7 +308,7 @@
             close(key, submission, reason::deadline, actions);
         break;
     case SubmissionPhase::Held:
-        if (!submission.holder.empty())
+        if (!submission.holder.name.empty())
             actions.emplace_back(AskHolder{.holder = submission.holder, .key = key});
         if (now >= submission.deadline) {
             for (const WaiterId waiter : submission.waiters)
