--- a/src/entry/agenthub.h
+++ b/src/entry/agenthub.h
@@ -73,8 +73,8 @@
     {
         ProcessId id;
         TargetInfo target;
-        AgentState state;
         bool leaving = false;
+        AgentState state;
     };
 
     FrameLinkPtr linkTo(const std::string &agent) const;
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -112,9 +112,12 @@
               .zone = settings.zone})
     , m_events({.process = settings.name, .zone = settings.zone})
     , m_shipper(settings.name, m_events, std::make_shared<LogClient>(io, settings.log))
-    , m_dispatcher({.router = {.maxQueued = settings.maxQueued, .zone = settings.zone},
-                    .submissions = {.dedupWindow = settings.dedupWindow},
-                    .onEvent = [this](Event event) { record(std::move(event)); }})
+    , m_dispatcher(
+          {.router = {.maxQueued = settings.maxQueued,
+                      .zone = settings.zone,
+                      .policy = makePolicy(settings.policy, m_self.id.incarnation).value_or(CreditsPolicy{})},
+           .submissions = {.dedupWindow = settings.dedupWindow},
+           .onEvent = [this](Event event) { record(std::move(event)); }})
     , m_agents(m_self.id, m_dispatcher, agentHandlers())
     , m_peers(io, m_self, m_dispatcher, peerHandlers())
     , m_membership(io, std::make_shared<LogClient>(io, settings.log),
@@ -230,11 +233,10 @@
     m_dispatcher.setMayStart(current);
     perform(m_dispatcher.tick(Clock::now()));
     connectPeers();
-    m_shipper.tick(Clock::now());
     m_calls.tick(Clock::now());
     m_waiters.expire(Clock::now());
-    if (m_dispatcher.queued() > 0 && m_dispatcher.idleCredits() == 0)
-        m_peers.askForCredits(m_dispatcher.queued());
+    m_peers.evenOut();
+    m_shipper.tick(Clock::now());
     if (m_stopping)
         continueStop();
     constexpr Millis interval = {100};
@@ -286,6 +288,7 @@
 {
     for (const DispatchAction &action : actions)
         std::visit([this](const auto &one) { performOne(one); }, action);
+    m_peers.evenOut();
 }
 
 // --- submissions ---
@@ -295,9 +298,7 @@
     return {.place = [this](const Fingerprint &key) { return m_membership.place(key); },
             .forward =
                 [this](const ProcessId &peer, const SubmissionRequest &request, OwnerCalls::Reply reply) {
-                    record({.kind = EventKind::SubmissionForwarded,
-                            .job = request.key.hex(),
-                            .reason = peer.name});
+                    record(EventKind::SubmissionForwarded, peer.name);
                     return m_peers.forward(peer, request, std::move(reply));
                 },
             .lookup =
@@ -320,13 +321,13 @@
 void EntryServer::submitHere(const SubmissionRequest &request, AnswerDelivery deliver)
 {
     const Millis now = Clock::now();
+    // The entry that received the submission answers at the deadline; this one keeps the waiter longer.
+    const Millis deadline = now + request.budget + Waiters::answerSlack * 2;
     AnswerDelivery measured = [this, now, deliver = std::move(deliver)](const Answer &answer) {
         m_metrics.observe("submission_ms", static_cast<double>((Clock::now() - now).count));
         m_metrics.count("answers_total", toString(answer.outcome));
         deliver(answer);
     };
-    // The entry that received the submission answers at the deadline; this one keeps the waiter longer.
-    const Millis deadline = now + request.budget + Waiters::answerSlack * 2;
     perform(m_dispatcher.submit(request, m_waiters.add(std::move(measured), deadline), now));
 }
 
@@ -370,6 +371,15 @@
     set("log_readable", m_membership.isLogReadable() ? 1 : 0);
     set("events_dropped_total", m_events.dropped());
     set("events_not_shipped_total", m_shipper.skipped());
+    const RoutingCounters routing = m_dispatcher.routingCounters();
+    const uint64_t asks = m_peers.creditAsks();
+    const uint64_t transfers = m_peers.creditTransfers();
+    set("task_starts_sent_total", routing.starts);
+    set("task_refusals_total", routing.refusals);
+    set("credit_asks_total", asks);
+    set("credit_transfers_total", transfers);
+    // A refused start costs the message there and the one back.
+    set("wasted_messages_total", asks + transfers + 2 * routing.refusals);
     return m_metrics.text();
 }
 
