--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -63,11 +63,12 @@
     std::string showText() const;
     std::string eventsText() const;
 
-    void perform(DispatchActions actions);
+    void perform(const DispatchActions &actions);
     void performOne(const SendTasks &action) { m_agents.send(action); }
     void performOne(const SendRevoke &action) { m_agents.send(action); }
     void performOne(const SendStop &action) { m_agents.send(action); }
     void performOne(const AnswerWaiter &action) { m_waiters.answer(action.waiter, action.answer); }
+    void performOne(const AskHolder &action);
 
     bool isLowestMember() const;
     void configChanged(const ConfigPtr &config);
@@ -116,7 +117,11 @@
           {.router = {.maxQueued = settings.maxQueued,
                       .zone = settings.zone,
                       .policy = makePolicy(settings.policy, m_self.id.incarnation).value_or(CreditsPolicy{})},
-           .submissions = {.dedupWindow = settings.dedupWindow},
+           .submissions = {.dedupWindow = settings.dedupWindow,
+                           .tombstoneCapacity = settings.tombstoneCapacity,
+                           .answerBytes = settings.answerBytes},
+           .reconnect = settings.reconnect,
+           .answerGrace = settings.answerGrace,
            .onEvent = [this](Event event) { record(std::move(event)); }})
     , m_agents(m_self.id, m_dispatcher, agentHandlers())
     , m_peers(io, m_self, m_dispatcher, peerHandlers())
@@ -136,7 +141,7 @@
                     m_membership.agentHeard(agent, {.config = configVersion, .view = view});
                 },
             .onGone = [](const std::string &) {},
-            .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
+            .perform = [this](const DispatchActions &actions) { perform(actions); },
             .onEvents = [this](std::vector<std::string> events) { m_shipper.take(std::move(events)); }};
 }
 
@@ -153,7 +158,7 @@
                         m_peers.pullConfig(peer, ping.config_version, ping.view);
                 },
             .onGone = [this](const std::string &peer) { m_membership.peerGone(peer); },
-            .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
+            .perform = [this](const DispatchActions &actions) { perform(actions); },
             .onForward = [this](const SubmissionRequest &request,
                                 const AnswerDelivery &reply) { m_calls.submitAsOwner(request, reply); },
             .onLookup = [this](const Fingerprint &key, bool cancel,
@@ -200,6 +205,7 @@
 void EntryServer::start()
 {
     record(EventKind::ProcessStarted, "");
+    m_dispatcher.setWallClock(Clock::wall(), Clock::now());
     m_linkListener = std::make_unique<FrameListener>(m_io, m_settings.linkListen,
                                                      [this](const FrameLinkPtr &link) { acceptLink(link); });
     m_frontend = std::make_unique<Frontend>(m_io, m_settings.listen, frontendHandlers());
@@ -231,6 +237,8 @@
         m_wasCurrent = current;
     }
     m_dispatcher.setMayStart(current);
+    m_dispatcher.setWallClock(Clock::wall(), Clock::now());
+    m_dispatcher.setEntryCount(static_cast<uint32_t>(m_membership.members().size()));
     perform(m_dispatcher.tick(Clock::now()));
     connectPeers();
     m_calls.tick(Clock::now());
@@ -284,13 +292,29 @@
     }
 }
 
-void EntryServer::perform(DispatchActions actions)
+void EntryServer::perform(const DispatchActions &actions)
 {
     for (const DispatchAction &action : actions)
         std::visit([this](const auto &one) { performOne(one); }, action);
     m_peers.evenOut();
 }
 
+void EntryServer::performOne(const AskHolder &action)
+{
+    const std::vector<EntryMember> members = m_membership.members();
+    const auto holder = std::find_if(members.begin(), members.end(), [&](const EntryMember &member) {
+        return member.id.name == action.holder;
+    });
+    // The table asks again later if the holder cannot be reached now.
+    if (holder == members.end())
+        return;
+    m_peers.lookup(holder->id, action.key, false,
+                   [this, key = action.key](const std::optional<Answer> &answer) {
+                       if (answer)
+                           perform(m_dispatcher.holderAnswered(key, *answer, Clock::now()));
+                   });
+}
+
 // --- submissions ---
 
 OwnerCalls::Handlers EntryServer::callHandlers()
@@ -380,6 +404,15 @@
     set("credit_transfers_total", transfers);
     // A refused start costs the message there and the one back.
     set("wasted_messages_total", asks + transfers + 2 * routing.refusals);
+    const LimitCounters limits = m_dispatcher.limitCounters();
+    set("tasks_parked", limits.tasksParked);
+    set("submissions_refused_total", limits.submissionsRefused);
+    set("retries_denied_total", limits.retriesDenied);
+    const SubmissionCounters records = m_dispatcher.submissionCounters();
+    set("tombstones", records.tombstones);
+    set("tombstones_dropped_total", records.tombstonesDropped);
+    set("answer_bytes", records.answerBytes);
+    set("answers_dropped_total", records.answersDropped);
     return m_metrics.text();
 }
 
