--- a/tools/lab/bench_throughput.py
+++ b/tools/lab/bench_throughput.py
@@ -4,9 +4,10 @@
 import json
 import sys
 from pathlib import Path
+from statistics import median
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from lab.benchlib import BenchCluster, median  # noqa: E402
+from lab.benchlib import BenchCluster  # noqa: E402
 
 
 def parse():
--- a/tools/lab/benchlib.py
+++ b/tools/lab/benchlib.py
@@ -5,6 +5,7 @@
 import os
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
@@ -23,6 +24,11 @@
             arguments += ["--log-level", "warning"]
         return super().spawn(name, arguments)
 
+    def wait_ready(self):
+        super().wait_ready()
+        # Agents refuse starts until a ping, sent each second, has told them that an entry is current.
+        time.sleep(2)
+
     def slots(self):
         return len(self.worker_specs) * self.deployment["slots"]
 
@@ -59,8 +65,3 @@
         if done.returncode != 0:
             raise RuntimeError(f"turmericwell bench failed: {done.stderr}")
         return json.loads(done.stdout.strip().split("\n")[-1])
-
-
-def median(values):
-    ordered = sorted(values)
-    return ordered[len(ordered) // 2]
