Send the results of an agent once per I/O turn

Results that end in one turn of the agent now leave in one message; the batch keeps the credit epoch in which its tasks ended.

--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -363,7 +363,14 @@
 {
     if (action.result.outcome == Outcome::NotRun)
         record(EventKind::TaskRefused, action.result.task, action.result.reason);
-    m_results[action.entry].results.push_back(toWire(action.result));
+    const uint32_t epoch = m_core.creditEpoch();
+    const auto waiting = m_results.find(action.entry);
+    // Credits that return in a batch belong to the epoch in which their tasks ended.
+    if (waiting != m_results.end() && waiting->second.credit_epoch != epoch)
+        flushResults();
+    wire::ResultBatchT &batch = m_results[action.entry];
+    batch.credit_epoch = epoch;
+    batch.results.push_back(toWire(action.result));
 }
 
 void AgentServer::performOne(const SendRevokeAck &action)
@@ -398,7 +405,6 @@
             continue;
         batch.running = m_core.running();
         batch.queued = m_core.queued();
-        batch.credit_epoch = m_core.creditEpoch();
         link->send(encodeMessage(std::move(batch)));
     }
     m_results.clear();
