--- a/src/agent/agentcore.cpp
+++ b/src/agent/agentcore.cpp
@@ -83,6 +83,7 @@
               .usesCredit = start.usesCredit,
               .deadline = now + start.budget,
               .since = now};
+    takeCredit(record);
     m_queue.push_back({.start = start, .entry = entry});
     const std::string_view why = isFenced(entry) ? reason::entryFenced : refusal(now);
     const uint32_t maxQueued = m_options.maxQueued != 0 ? m_options.maxQueued : m_target.slots;
@@ -141,11 +142,14 @@
     record.result = std::move(result);
     record.result.returnsCredit = false;
     if (record.usesCredit) {
+        --m_creditsInUse;
         // The credit goes back with the result, unless its entry is gone or the target has fewer slots now.
-        if (isConnected(record.entry) && m_freeCredits >= 0)
+        if (isConnected(record.entry) && m_freeCredits >= 0) {
             record.result.returnsCredit = true;
-        else
+            ++m_creditsHeld;
+        } else {
             ++m_freeCredits;
+        }
     }
     if (!record.result.answer.empty()) {
         m_answers.push_back(task);
@@ -364,19 +368,26 @@
 
 // --- credits ---
 
+// A start that crossed the begin of an epoch uses a credit that is void. No start uses more credits than the
+// entries hold in this epoch, so the total stays at the slots.
+void AgentCore::takeCredit(Record &record)
+{
+    record.usesCredit = record.usesCredit && m_creditsHeld > 0;
+    if (!record.usesCredit)
+        return;
+    --m_creditsHeld;
+    ++m_creditsInUse;
+}
+
 // Voids all credits at the entries, so that credits lost with an entry or on a broken connection come back.
 void AgentCore::startCreditEpoch(AgentActions &actions)
 {
     ++m_creditEpoch;
     for (auto &[entry, held] : m_entries)
         held = 0;
+    m_creditsHeld = 0;
     // A task in flight keeps its credit until its result returns it.
-    int64_t inUse = 0;
-    for (const auto &[task, record] : m_records) {
-        const bool pending = record.state == RecordState::Running || record.state == RecordState::Queued;
-        inUse += pending && record.usesCredit ? 1 : 0;
-    }
-    m_freeCredits = static_cast<int64_t>(m_target.slots) - inUse;
+    m_freeCredits = static_cast<int64_t>(m_target.slots) - m_creditsInUse;
     grantFree(actions);
 }
 
@@ -396,6 +407,7 @@
         ++poorest->second;
         ++grants[poorest->first];
         --m_freeCredits;
+        ++m_creditsHeld;
     }
     for (const auto &[entry, credits] : grants)
         actions.emplace_back(SendCredits{.entry = entry, .credits = credits});
--- a/src/agent/agentcore.h
+++ b/src/agent/agentcore.h
@@ -169,6 +169,7 @@
              AgentActions &actions);
     void report(const TaskRef &task, Record &record, AgentActions &actions);
     void trimAnswers();
+    void takeCredit(Record &record);
     void startCreditEpoch(AgentActions &actions);
     void grantFree(AgentActions &actions);
     void rampCredits(Millis now, AgentActions &actions);
@@ -191,6 +192,9 @@
     // Connected entries and the credits granted to each in the present epoch, for an even spread.
     std::map<ProcessId, uint32_t> m_entries;
     uint32_t m_creditEpoch = 1;
+    // Credits that the entries hold, and credits of queued and running tasks.
+    int64_t m_creditsHeld = 0;
+    int64_t m_creditsInUse = 0;
     // Credits that no entry holds. Negative after the target has lost slots: then results return no credit.
     int64_t m_freeCredits = 0;
     // Credits held back by the ramp after a return, and its start.
--- a/src/entry/peerhub.cpp
+++ b/src/entry/peerhub.cpp
@@ -308,6 +308,20 @@
     }
 }
 
+void PeerHub::closeSilent(Millis now, Millis bound)
+{
+    std::vector<FrameLinkPtr> silent;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[link, heardAt] : m_heardAt) {
+            if (now - heardAt > bound)
+                silent.push_back(link);
+        }
+    }
+    for (const FrameLinkPtr &link : silent)
+        link->close("no message within the bound");
+}
+
 void PeerHub::evenOut()
 {
     const Dispatcher::CreditBalance own = m_dispatcher.balance();
@@ -338,20 +352,6 @@
     }
 }
 
-void PeerHub::closeSilent(Millis now, Millis bound)
-{
-    std::vector<FrameLinkPtr> silent;
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const auto &[link, heardAt] : m_heardAt) {
-            if (now - heardAt > bound)
-                silent.push_back(link);
-        }
-    }
-    for (const FrameLinkPtr &link : silent)
-        link->close("no message within the bound");
-}
-
 void PeerHub::askForCredits(uint32_t queued)
 {
     std::string richest;
--- a/src/entry/peerhub.h
+++ b/src/entry/peerhub.h
@@ -58,10 +58,10 @@
     bool forward(const ProcessId &peer, const SubmissionRequest &request, Reply onAnswer);
     bool lookup(const ProcessId &peer, const Fingerprint &key, bool cancel, Reply onAnswer);
     void sendHeartbeats();
-    // Asks for credits if tasks wait here without any, or sends idle ones to peers whose tasks wait.
-    void evenOut();
     // Closes connections on which nothing was heard for this long, so that what waits on them is answered.
     void closeSilent(Millis now, Millis bound);
+    // Asks for credits if tasks wait here without any, or sends idle ones to peers whose tasks wait.
+    void evenOut();
     void pullConfig(const std::string &peer, uint64_t version, uint64_t view);
     void send(const std::string &peer, std::vector<uint8_t> frame);
 
