--- a/tools/lab/cluster.py
+++ b/tools/lab/cluster.py
@@ -14,20 +14,52 @@
 ROOT = Path(__file__).resolve().parents[2]
 
 
-def free_port():
-    """A TCP port that was free a moment ago; every process of a cluster gets its own.
+class PortBlocks:
+    """TCP ports for the processes of one cluster.
 
-    It lies below the kernel's range for outgoing connections: a port of that range can be taken while its process
+    They come in blocks whose first port stays bound, so that clusters that run at the same time take different blocks.
+    All lie below the kernel's range for outgoing connections: a port of that range can be taken while its process
     restarts, and a dial to it can connect to itself while nobody listens.
     """
-    while True:
-        port = random.randrange(10240, 32000)
-        with socket.socket() as probe:
+
+    FIRST, LAST, SIZE = 10_240, 32_000, 128
+
+    def __init__(self):
+        self._reserved = []
+        self._free = []
+
+    def _reserve(self):
+        blocks = list(range(self.FIRST, self.LAST, self.SIZE))
+        random.shuffle(blocks)
+        for block in blocks:
+            holder = socket.socket()
             try:
-                probe.bind(("127.0.0.1", port))
-                return port
+                holder.bind(("127.0.0.1", block))
             except OSError:
+                holder.close()
                 continue
+            self._reserved.append(holder)
+            self._free = list(range(block + 1, block + self.SIZE))
+            return
+        raise RuntimeError("no free block of ports")
+
+    def next(self):
+        while True:
+            if not self._free:
+                self._reserve()
+            port = self._free.pop(0)
+            with socket.socket() as probe:
+                try:
+                    probe.bind(("127.0.0.1", port))
+                    return port
+                except OSError:
+                    continue
+
+    def release(self):
+        for holder in self._reserved:
+            holder.close()
+        self._reserved = []
+        self._free = []
 
 
 def http_call(port, method, path, body=None, headers=None, timeout=60):
@@ -119,6 +151,7 @@
         self.seed = seed
         self.processes = {}
         self.ports = {}
+        self._blocks = PortBlocks()
 
     def __enter__(self):
         return self
@@ -131,7 +164,7 @@
 
     def port(self, name):
         if name not in self.ports:
-            self.ports[name] = free_port()
+            self.ports[name] = self._blocks.next()
         return self.ports[name]
 
     def address(self, name):
@@ -302,3 +335,4 @@
     def kill_all(self):
         for process in self.processes.values():
             process.kill()
+        self._blocks.release()
