--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -36,7 +36,7 @@
         reader.integer("tombstoneCapacity", settings.tombstoneCapacity, {.least = 16, .most = 100'000'000}));
     constexpr int64_t megabyte = 1 << 20;
     settings.answerBytes =
-        static_cast<uint64_t>(reader.integer("answerMemoryMb", 256, {.least = 1, .most = 65'536}) * megabyte);
+        static_cast<uint64_t>(reader.integer("answerMemoryMb", 32, {.least = 1, .most = 65'536}) * megabyte);
     settings.answerGrace = reader.millis("answerGraceMs", settings.answerGrace, shortTime);
     settings.logRetention = reader.millis("logRetentionMs", settings.logRetention, longTime);
     settings.maxQueued = static_cast<uint32_t>(
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -31,7 +31,7 @@
     Millis dedupWindow = {600'000};
     uint32_t tombstoneCapacity = 1'000'000;
     // Bytes of answers kept for resubmissions.
-    uint64_t answerBytes = 256ULL << 20;
+    uint64_t answerBytes = 32ULL << 20;
     // Time after its deadline in which a sent task may still be answered.
     Millis answerGrace = {2'000};
     Millis logRetention = {3'600'000};
--- a/src/submission/submissiontable.h
+++ b/src/submission/submissiontable.h
@@ -97,7 +97,7 @@
     Millis dedupWindow = {600'000};
     uint32_t tombstoneCapacity = 1'000'000;
     // Bytes of answers kept for resubmissions. Beyond it the oldest answers are dropped, not their records.
-    uint64_t answerBytes = 256ULL << 20;
+    uint64_t answerBytes = 32ULL << 20;
     // Records within the window; new submissions beyond it are refused, since dropping a record would allow a
     // second run.
     uint32_t maxRecords = 2'000'000;
--- a/tools/lab/operators.py
+++ b/tools/lab/operators.py
@@ -9,7 +9,7 @@
 
 from lab.recorder import now_ms
 
-ACCEPTED = re.compile(r"version (\d+)")
+ACCEPTED = re.compile(r"version (\d+) is in force$", re.MULTILINE)
 CONFLICT = 4
 
 
