Count samples of unknown metrics instead of ending the process

Such samples are now dropped and counted in metrics_unknown_total, which the process test requires to be 0.

--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -8,7 +8,6 @@
 #include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
-#include <cassert>
 #include <charconv>
 #include <map>
 #include <mutex>
@@ -121,50 +120,63 @@
     // The set of metrics never changes, so it is read without a lock.
     std::map<std::string, Metric, std::less<>> metrics;
 
-    Metric &find(std::string_view name)
+    void add(const MetricDescription &description)
+    {
+        Metric &metric = metrics[std::string(description.name)];
+        metric.description = description;
+        // A metric without a label is shown from the start, so that a missing one stands for a fault.
+        if (description.label.empty() && description.kind != MetricKind::Summary)
+            metric.values[""] = 0;
+    }
+
+    // Runs the change under the lock of the metric.
+    template <typename Change>
+    void change(std::string_view name, Change change)
     {
         const auto found = metrics.find(name);
-        assert(found != metrics.end());
-        return found->second;
+        if (found == metrics.end()) {
+            Metric &unknown = metrics.find(unknownName)->second;
+            const std::lock_guard lock(unknown.mutex);
+            ++unknown.values.begin()->second;
+            return;
+        }
+        const std::lock_guard lock(found->second.mutex);
+        change(found->second);
     }
+
+    static constexpr std::string_view unknownName = "metrics_unknown_total";
 };
 
 Metrics::Metrics(std::span<const MetricDescription> descriptions)
     : m_state(std::make_unique<State>())
 {
-    for (const MetricDescription &description : descriptions) {
-        Metric &metric = m_state->metrics[std::string(description.name)];
-        metric.description = description;
-        // A metric without a label is shown from the start, so that a missing sample stands for a fault.
-        if (description.label.empty() && description.kind != MetricKind::Summary)
-            metric.values[""] = 0;
-    }
+    m_state->add({.name = State::unknownName,
+                  .kind = MetricKind::Counter,
+                  .help = "Samples that were dropped because their metric has no description."});
+    for (const MetricDescription &description : descriptions)
+        m_state->add(description);
 }
 
 Metrics::~Metrics() = default;
 
 void Metrics::count(std::string_view name, std::string_view labelValue, uint64_t amount)
 {
-    Metric &metric = m_state->find(name);
-    const std::lock_guard lock(metric.mutex);
-    auto found = metric.values.find(labelValue);
-    if (found == metric.values.end())
-        found = metric.values.emplace(labelValue, 0).first;
-    found->second += static_cast<double>(amount);
+    m_state->change(name, [&](Metric &metric) {
+        auto found = metric.values.find(labelValue);
+        if (found == metric.values.end())
+            found = metric.values.emplace(labelValue, 0).first;
+        found->second += static_cast<double>(amount);
+    });
 }
 
 void Metrics::set(std::string_view name, double value)
 {
-    Metric &metric = m_state->find(name);
-    const std::lock_guard lock(metric.mutex);
-    metric.values[""] = value;
+    m_state->change(name, [value](Metric &metric) { metric.values[""] = value; });
 }
 
 void Metrics::observe(std::string_view name, double value)
 {
-    Metric &metric = m_state->find(name);
-    const std::lock_guard lock(metric.mutex);
-    metric.summary.add(value);
+    m_state->change(name, [value](Metric &metric) { metric.summary.add(value); });
 }
 
 std::string Metrics::text() const
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -21,7 +21,8 @@
     std::string_view label;
 };
 
-// Thread-safe; each metric has its own lock. Only described names may be used.
+// Thread-safe; each metric has its own lock. A sample of a name without a description is dropped and counted
+// in metrics_unknown_total, so that a missing description does not stop the process.
 class Metrics
 {
 public:
--- a/src/observe/timelinetext.cpp
+++ b/src/observe/timelinetext.cpp
@@ -39,6 +39,7 @@
     Explanation{reason::impossible, "no target can ever meet the declared needs"},
     Explanation{reason::conflict, "the key was used before with a different body"},
     Explanation{reason::windowPassed, "the key is older than the deduplication window"},
+    Explanation{reason::answerDropped, "the answer was dropped to bound memory"},
     Explanation{reason::incompleteTakeover, "records of a lost entry are incomplete, the task may have run"},
     Explanation{reason::ownerUnavailable, "the entry that owns the key was not reachable"},
     Explanation{reason::unknownService, "the service is not declared"},
--- a/tests/process/test_config.py
+++ b/tests/process/test_config.py
@@ -195,6 +195,7 @@
             for name in ("entry-1", names[-1]):
                 metrics = self.raw(cluster.port(name), "/metrics")
                 self.assertIn("# TYPE turmericwell_events_total counter", metrics)
+                self.assertIn("\nturmericwell_metrics_unknown_total 0\n", metrics)
                 self.assertIn("# TYPE turmericwell_config_version gauge\nturmericwell_config_version 1\n", metrics)
 
     @staticmethod
--- a/tests/unit/observemetricstest.cpp
+++ b/tests/unit/observemetricstest.cpp
@@ -34,18 +34,32 @@
     metrics.count("refusals_total", "stale");
     metrics.count("refusals_total", "stale", 2);
     metrics.count("refusals_total", "a\"b\n");
-    BOOST_TEST(metrics.text()
-               == "# HELP turmericwell_busy Busy slots.\n"
-                  "# TYPE turmericwell_busy gauge\n"
-                  "turmericwell_busy 3\n"
-                  "# HELP turmericwell_refusals_total Refusals by reason.\n"
-                  "# TYPE turmericwell_refusals_total counter\n"
-                  "turmericwell_refusals_total{reason=\"a\\\"b\\n\"} 1\n"
-                  "turmericwell_refusals_total{reason=\"stale\"} 3\n"
-                  "# HELP turmericwell_run_ms Run time in ms.\n"
-                  "# TYPE turmericwell_run_ms summary\n"
-                  "turmericwell_run_ms_sum 0\n"
-                  "turmericwell_run_ms_count 0\n");
+    BOOST_TEST(
+        metrics.text()
+        == "# HELP turmericwell_busy Busy slots.\n"
+           "# TYPE turmericwell_busy gauge\n"
+           "turmericwell_busy 3\n"
+           "# HELP turmericwell_metrics_unknown_total Samples that were dropped because their metric has no "
+           "description.\n"
+           "# TYPE turmericwell_metrics_unknown_total counter\n"
+           "turmericwell_metrics_unknown_total 0\n"
+           "# HELP turmericwell_refusals_total Refusals by reason.\n"
+           "# TYPE turmericwell_refusals_total counter\n"
+           "turmericwell_refusals_total{reason=\"a\\\"b\\n\"} 1\n"
+           "turmericwell_refusals_total{reason=\"stale\"} 3\n"
+           "# HELP turmericwell_run_ms Run time in ms.\n"
+           "# TYPE turmericwell_run_ms summary\n"
+           "turmericwell_run_ms_sum 0\n"
+           "turmericwell_run_ms_count 0\n");
+}
+
+// Guards against a process that ends because a metric has no description.
+BOOST_AUTO_TEST_CASE(unknownNamesAreCounted)
+{
+    Metrics metrics(described);
+    metrics.set("other", 1);
+    metrics.observe("other", 1);
+    BOOST_TEST(valueOf(metrics.text(), "turmericwell_metrics_unknown_total") == 2.0);
 }
 
 // Guards against quantiles that are wrong for few samples, where p-square has no estimate yet, or for many.
