Dial an entry again that answers no pings

Change: an agent closes a connection after 3 pings without any frame from the entry. The lab reads the new output of apply, and racing operators change different things.

--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -104,7 +104,7 @@
 {
     perform(m_core.tick(Clock::now()));
     for (const auto &link : m_links)
-        link->send(pingFrame());
+        link->ping(pingFrame());
     shipEvents();
     m_timer.expires_after(std::chrono::milliseconds(m_settings.pingInterval.count));
     m_timer.async_wait([this](const boost::system::error_code &error) {
--- a/src/agentd/entrylink.cpp
+++ b/src/agentd/entrylink.cpp
@@ -43,6 +43,20 @@
         m_link->send(std::move(frame));
 }
 
+void EntryLink::ping(std::vector<uint8_t> frame)
+{
+    // Pings are counted, not time: a process that was paused has answers to read before it judges.
+    constexpr uint32_t maxUnanswered = 3;
+    if (!m_link)
+        return;
+    if (m_unanswered >= maxUnanswered) {
+        m_link->close("the entry does not answer");
+        return;
+    }
+    ++m_unanswered;
+    m_link->send(std::move(frame));
+}
+
 void EntryLink::dial()
 {
     if (m_stopped)
@@ -71,6 +85,7 @@
 void EntryLink::connected(FrameLinkPtr link)
 {
     m_link = std::move(link);
+    m_unanswered = 0;
     m_link->start({.onFrame = [self = shared_from_this()](
                                   std::span<const uint8_t> payload) { self->received(payload); },
                    .onClosed = [self = shared_from_this()](const std::string &why) { self->lost(why); }});
@@ -79,6 +94,7 @@
 
 void EntryLink::received(std::span<const uint8_t> payload)
 {
+    m_unanswered = 0;
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(message, decodeMessage(payload));
--- a/src/agentd/entrylink.h
+++ b/src/agentd/entrylink.h
@@ -28,6 +28,9 @@
     void start();
     // Sends if connected, otherwise drops the frame.
     void send(std::vector<uint8_t> frame);
+    // Like send, for a frame that the entry answers at once. Closes a connection whose entry answers nothing:
+    // one that is open on this side only would otherwise never be dialled again.
+    void ping(std::vector<uint8_t> frame);
     void stop();
 
     const Address &address() const { return m_address; }
@@ -50,6 +53,8 @@
     FrameLinkPtr m_link;
     ProcessId m_entry;
     bool m_stopped = false;
+    // Pings since the last frame from the entry.
+    uint32_t m_unanswered = 0;
 };
 
 } // namespace turmericwell
--- a/tests/process/test_faults.py
+++ b/tests/process/test_faults.py
@@ -12,7 +12,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "tools"))
 BUILD = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
-from lab.cluster import Cluster, http_call  # noqa: E402
+from lab.cluster import Cluster, http_call, wait_until  # noqa: E402
 
 
 class EchoServer:
@@ -179,6 +179,17 @@
         self.assertEqual((status, answer["outcome"]), (504, "unknown"))
         self.assertEqual(self.starts(cluster, "k"), 1)
 
+    # Guards against an agent that keeps a connection which its entry has lost, and so stays unused.
+    def test_half_open_connection_is_dialled_again(self):
+        cluster = self.start()
+
+        def agents():
+            return http_call(cluster.port("entry-1"), "GET", "/v1/show")[1]["agents"]
+        cluster.control_proxy(add=[{"id": "f", "kind": "half_open", "link": "link/entry-1", "peer": "agent-*"}])
+        wait_until(lambda: agents() == 0, 20, "the entry to lose its agents")
+        cluster.control_proxy(clear=True)
+        wait_until(lambda: agents() == 2, 30, "the agents to dial again")
+
     # Guards against a change that is reported as failed although the log took it (G9).
     def test_lost_append_answer_is_resolved(self):
         cluster = self.start()
--- a/tools/lab/operators.py
+++ b/tools/lab/operators.py
@@ -9,8 +9,8 @@
 
 from lab.recorder import now_ms
 
-ACCEPTED = re.compile(r"version (\d+)")
-CONFLICT = 4
+ACCEPTED = re.compile(r"^(?:the change was accepted as )?version (\d+)(?: is in force|;)", re.MULTILINE)
+UNCHANGED = re.compile(r"^version (\d+) already has these declarations", re.MULTILINE)
 
 
 class Operators:
@@ -23,7 +23,7 @@
         self.weight = 1
         self._lock = threading.Lock()
 
-    def declarations(self, name):
+    def declarations(self, name, weight):
         """Directory with the example's declarations and the present state of the zones and teams."""
         directory = self.cluster.directory / "declarations" / name
         shutil.rmtree(directory, ignore_errors=True)
@@ -34,21 +34,24 @@
                 zone["state"] = "withdrawn"
         (directory / "zones.json").write_text(json.dumps(zones))
         teams = json.loads((directory / "teams.json").read_text())
-        teams["teams"][0]["weight"] = self.weight
+        teams["teams"][0]["weight"] = weight
         (directory / "teams.json").write_text(json.dumps(teams))
         return directory
 
-    def apply(self, author):
-        """Applies once; returns the accepted version or None, and records it."""
-        result = self.cluster.apply(self.declarations(author), author)
+    def apply(self, author, weight=None):
+        """Applies once; returns the version that holds the declarations or None, and records what was accepted."""
+        result = self.cluster.apply(self.declarations(author, weight or self.weight), author)
         found = ACCEPTED.search(result.stdout)
-        if result.returncode != 0 or not found:
-            self.recorder.write("refused", author=author, atMs=now_ms(), exitCode=result.returncode,
-                                error=result.stderr.strip())
-            return None
-        version = int(found.group(1))
-        self.recorder.write("accepted", version=version, author=author, atMs=now_ms())
-        return version
+        if result.returncode == 0 and found:
+            self.recorder.write("accepted", version=int(found.group(1)), author=author, atMs=now_ms())
+            return int(found.group(1))
+        # An earlier attempt, whose outcome was not known, may have been accepted.
+        unchanged = UNCHANGED.search(result.stdout)
+        if result.returncode == 0 and unchanged:
+            return int(unchanged.group(1))
+        self.recorder.write("refused", author=author, atMs=now_ms(), exitCode=result.returncode,
+                            error=result.stderr.strip())
+        return None
 
     def set_zone(self, zone, state, tries=20):
         """Repeats the change until it is accepted."""
@@ -66,7 +69,8 @@
         """Two operators change a weight at the same time. Returns how many changes were accepted."""
         with self._lock:
             def change(number):
-                return self.apply(f"operator-{number}")
-            self.weight += 1
+                return self.apply(f"operator-{number}", self.weight + number)
             with ThreadPoolExecutor(2) as pool:
-                return sum(version is not None for version in pool.map(change, (1, 2)))
+                accepted = [version for version in pool.map(change, (1, 2)) if version is not None]
+            self.weight += 3
+            return len(accepted)
