Move ownership of keys by handover and takeover, and detect dead entries

Cause: keys of a dead or new entry were served at once, without the records of the earlier owner; nobody appended a leave; the roster could not be read once its first records had expired; evidence for currency ignored the roster stream, and a dead agent counted for ever in the majority. FailureDetector reports silent members, staggered by name.

A stop hands over twice: at its start, so that others serve new submissions, and when nothing runs. An entry that reads its own leave answers its callers unknown and starts again with no state. Conclusion: RecordQuery waits for its agent side; until then keys of a dead entry stay pending and are answered unknown at their deadline.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -84,6 +84,7 @@
     std::vector<CreditAmount> surplusFor(uint32_t peerIdle, uint32_t peerQueued);
     DispatchActions creditsReceived(const std::vector<CreditAmount> &credits, Millis now);
 
+    std::vector<SubmissionRecord> records() const { return m_submissions.records(); }
     size_t activeSubmissions() const { return m_submissions.active(); }
     size_t knownSubmissions() const { return m_submissions.size(); }
     size_t tasksInFlight() const;
--- a/src/entry/agenthub.cpp
+++ b/src/entry/agenthub.cpp
@@ -118,6 +118,13 @@
     case wire::Body::Drain:
         m_handlers.perform(m_dispatcher.agentLeaving(agent, Clock::now()));
         break;
+    case wire::Body::RecordReply: {
+        // The connection names the agent; the field in the message is not trusted.
+        wire::RecordReplyT reply = *message.body.AsRecordReply();
+        reply.agent = agent;
+        m_handlers.onRecords(reply);
+        break;
+    }
     default:
         logger().warning("agent " + agent + " sent a message that entries do not take");
     }
@@ -212,6 +219,12 @@
     link->send(encodeMessage(std::move(stop)));
 }
 
+void AgentHub::send(const std::string &agent, std::vector<uint8_t> frame)
+{
+    if (const FrameLinkPtr link = linkTo(agent))
+        link->send(std::move(frame));
+}
+
 size_t AgentHub::size() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/entry/agenthub.h
+++ b/src/entry/agenthub.h
@@ -35,6 +35,8 @@
         std::function<void(const std::string &agent, uint64_t configVersion, uint64_t view)> onHeard;
         std::function<void(const std::string &agent)> onGone;
         std::function<void(DispatchActions)> perform;
+        // Answer to a record query.
+        std::function<void(const wire::RecordReplyT &reply)> onRecords;
     };
 
     AgentHub(ProcessId entry, Dispatcher &dispatcher, Handlers handlers);
@@ -48,6 +50,8 @@
     void send(const SendRevoke &action);
     void send(const SendStop &action);
 
+    void send(const std::string &agent, std::vector<uint8_t> frame);
+
     size_t size() const;
     void closeAll();
 
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -3,25 +3,26 @@
 
 #include "dispatch/dispatcher.h"
 #include "entry/agenthub.h"
+#include "entry/claimslog.h"
 #include "entry/configkeeper.h"
+#include "entry/entryreports.h"
 #include "entry/frontend.h"
 #include "entry/membershipkeeper.h"
 #include "entry/ownercalls.h"
 #include "entry/peerhub.h"
+#include "entry/statemover.h"
 #include "observe/eventlog.h"
 #include "observe/log.h"
 
 #include <atomic>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <thread>
 
 namespace turmericwell {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 namespace leaf = boost::leaf;
 
 namespace {
@@ -39,12 +40,18 @@
 
     void start();
     void beginStop();
+    // The entry was reported as dead and has given up its state: it is to start again with none.
+    bool mustStartAgain() const { return m_removed; }
+    int exitCode() const { return m_exitCode; }
 
 private:
     AgentHub::Handlers agentHandlers();
     PeerHub::Handlers peerHandlers();
     ConfigKeeper::Handlers configHandlers();
     Frontend::Handlers frontendHandlers();
+    MembershipKeeper::Options membershipOptions() const;
+    MembershipKeeper::Handlers membershipHandlers();
+    StateMover::Handlers stateHandlers();
 
     void tick();
     void connectPeers();
@@ -58,7 +65,6 @@
     Answer lookupHere(const Fingerprint &key, bool cancel);
     std::string metricsText() const;
     std::string showText() const;
-    std::string eventsText() const;
 
     void perform(DispatchActions actions);
     void performOne(const SendTasks &action) { m_agents.send(action); }
@@ -70,7 +76,10 @@
     EntryStatus status() const;
     wire::PeerPingT peerStatus() const;
     void record(EventKind kind, std::string_view why, uint64_t version = 0);
+    void pullFromPeer(const std::string &peer, const wire::PeerPingT &ping);
+    void giveUp();
     void continueStop();
+    void finishStop();
 
     IoContext &m_io;
     const EntrySettings m_settings;
@@ -80,6 +89,8 @@
     Dispatcher m_dispatcher;
     AgentHub m_agents;
     PeerHub m_peers;
+    ClaimsLog m_claims;
+    StateMover m_state;
     MembershipKeeper m_membership;
     ConfigKeeper m_config;
     OwnerCalls m_calls;
@@ -91,7 +102,11 @@
     std::unique_ptr<Frontend> m_frontend;
     std::atomic<bool> m_stopping = false;
     Millis m_stopBegan;
-    bool m_leaving = false;
+    enum class StopPhase : uint8_t { Draining, Finishing, HandingOver, Leaving };
+    StopPhase m_stopPhase = StopPhase::Draining;
+    std::atomic<bool> m_removed = false;
+    std::atomic<int64_t> m_pulledAt = 0;
+    int m_exitCode = 0;
 };
 
 EntryServer::EntryServer(IoContext &io, const EntrySettings &settings)
@@ -106,8 +121,13 @@
                     .onEvent = [this](Event event) { m_events.record(std::move(event)); }})
     , m_agents(m_self.id, m_dispatcher, agentHandlers())
     , m_peers(io, m_self, m_dispatcher, peerHandlers())
-    , m_membership(io, std::make_shared<LogClient>(io, settings.log),
-                   {.self = m_self, .freshness = settings.freshness, .pollWait = settings.logPollWait})
+    , m_claims(std::make_shared<LogClient>(io, settings.log), m_self.id)
+    , m_state({.self = m_self.id,
+               .takeover = {.freshness = settings.freshness, .takeover = settings.takeover},
+               .dedupWindow = settings.dedupWindow},
+              stateHandlers())
+    , m_membership(io, std::make_shared<LogClient>(io, settings.log), membershipOptions(),
+                   membershipHandlers())
     , m_config(io, std::make_shared<LogClient>(io, settings.log), settings.logPollWait, configHandlers())
     , m_calls(m_self.id, callHandlers())
     , m_timer(io)
@@ -121,7 +141,44 @@
                     m_membership.agentHeard(agent, {.config = configVersion, .view = view});
                 },
             .onGone = [](const std::string &) {},
-            .perform = [this](DispatchActions actions) { perform(std::move(actions)); }};
+            .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
+            .onRecords = [this](const wire::RecordReplyT &reply) { m_state.handleRecords(reply); }};
+}
+
+MembershipKeeper::Options EntryServer::membershipOptions() const
+{
+    return {.self = m_self,
+            .freshness = m_settings.freshness,
+            .pollWait = m_settings.logPollWait,
+            .peerTimeout = m_settings.peerTimeout,
+            .logRetention = m_settings.logRetention};
+}
+
+MembershipKeeper::Handlers EntryServer::membershipHandlers()
+{
+    return {.onViewChanged =
+                [this](uint64_t view, const std::vector<EntryMember> &before,
+                       const std::vector<EntryMember> &after) {
+                    m_state.viewChanged(view, before, after);
+                    record(after.size() < before.size() ? EventKind::EntryLeft : EventKind::EntryJoined,
+                           "view " + std::to_string(view));
+                },
+            .onRemoved = [this] { giveUp(); }};
+}
+
+StateMover::Handlers EntryServer::stateHandlers()
+{
+    return {.sendToPeer = [this](const ProcessId &peer,
+                                 std::vector<uint8_t> frame) { return m_peers.send(peer, std::move(frame)); },
+            .sendToAgent = [this](const std::string &agent,
+                                  std::vector<uint8_t> frame) { m_agents.send(agent, std::move(frame)); },
+            .knownAgents = [this] { return m_membership.knownAgents(); },
+            .ownRecords = [this] { return m_dispatcher.records(); },
+            .readClaims =
+                [this](std::function<void(const std::optional<std::vector<ClaimBatch>> &)> onDone) {
+                    m_claims.readAll(Clock::wall() - m_settings.dedupWindow, std::move(onDone));
+                },
+            .onEvent = [this](EventKind kind, const std::string &entry) { record(kind, entry); }};
 }
 
 PeerHub::Handlers EntryServer::peerHandlers()
@@ -129,13 +186,12 @@
     return {.onHeard =
                 [this](const std::string &peer, const wire::PeerPingT &ping) {
                     m_membership.peerHeard(peer, {.config = ping.config_version, .view = ping.view});
-                    if (ping.config_version > m_config.version())
-                        m_peers.pullConfig(peer, ping.config_version, ping.view);
+                    pullFromPeer(peer, ping);
                 },
             .onGone = [this](const std::string &peer) { m_membership.peerGone(peer); },
             .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
             .onForward = [this](const SubmissionRequest &request,
-                                const AnswerDelivery &reply) { m_calls.submitAsOwner(request, reply); },
+                                const AnswerDelivery &reply) { m_calls.submitAsOwner(request, reply, Clock::now()); },
             .onLookup = [this](const Fingerprint &key, bool cancel,
                                const AnswerDelivery &reply) { reply(m_calls.lookupAsOwner(key, cancel)); },
             .onConfigPull =
@@ -143,9 +199,16 @@
                     wire::ConfigPushT push;
                     push.config_version = m_config.version();
                     push.state = m_config.stateText();
+                    push.roster = m_membership.rosterText();
                     m_peers.send(peer, encodeMessage(std::move(push)));
                 },
-            .onConfigPush = [this](const wire::ConfigPushT &push) { m_config.adopt(push.state); },
+            .onConfigPush =
+                [this](const wire::ConfigPushT &push) {
+                    m_config.adopt(push.state);
+                    m_membership.adopt(push.roster);
+                },
+            .onHandover = [this](const ProcessId &peer,
+                                 const wire::HandoverT &handover) { m_state.handleHandover(peer, handover); },
             .status = [this] { return peerStatus(); }};
 }
 
@@ -153,8 +216,8 @@
 {
     return {.onChanged = [this](const ConfigPtr &config) { configChanged(config); },
             .onRefused = [this](const std::string &why) { record(EventKind::ConfigRefused, why); },
-            .onLogRead = [this](Millis sentAt) { m_membership.logRead(sentAt); },
-            .onLogFailed = [this] { m_membership.logFailed(); }};
+            .onLogRead = [this](Millis sentAt) { m_membership.configRead(sentAt); },
+            .onLogFailed = [this] { m_membership.configReadFailed(); }};
 }
 
 Frontend::Handlers EntryServer::frontendHandlers()
@@ -166,7 +229,7 @@
             .isStopping = [this] { return m_stopping.load(); },
             .metricsText = [this] { return metricsText(); },
             .showText = [this] { return showText(); },
-            .eventsText = [this] { return eventsText(); }};
+            .eventsText = [this] { return eventLines(m_events); }};
 }
 
 void EntryServer::start()
@@ -197,16 +260,20 @@
 
 void EntryServer::tick()
 {
+    const Millis now = Clock::now();
+    m_membership.tick(now);
     const bool current = m_membership.isCurrent();
     if (current != m_wasCurrent) {
         record(current ? EventKind::BecameCurrent : EventKind::BecameStale, "");
         m_wasCurrent = current;
     }
     m_dispatcher.setMayStart(current);
-    perform(m_dispatcher.tick(Clock::now()));
+    perform(m_dispatcher.tick(now));
     connectPeers();
-    m_calls.tick(Clock::now());
-    m_waiters.expire(Clock::now());
+    m_state.tick(now);
+    m_claims.tick(now);
+    m_calls.tick(now);
+    m_waiters.expire(now);
     if (m_dispatcher.queued() > 0 && m_dispatcher.idleCredits() == 0)
         m_peers.askForCredits(m_dispatcher.queued());
     if (m_stopping)
@@ -266,7 +333,7 @@
 
 OwnerCalls::Handlers EntryServer::callHandlers()
 {
-    return {.place = [this](const Fingerprint &key) { return m_membership.place(key); },
+    return {.place = [this](const Fingerprint &key) { return m_state.place(key, Clock::now()); },
             .forward =
                 [this](const ProcessId &peer, const SubmissionRequest &request, OwnerCalls::Reply reply) {
                     record(EventKind::SubmissionForwarded, peer.name);
@@ -292,6 +359,22 @@
 void EntryServer::submitHere(const SubmissionRequest &request, AnswerDelivery deliver)
 {
     const Millis now = Clock::now();
+    if (!m_dispatcher.lookup(request.key)) {
+        if (const std::optional<Answer> known = m_state.answerFor(request.key, request.bodyHash)) {
+            deliver(*known);
+            return;
+        }
+        const ConfigPtr config = m_dispatcher.config();
+        const ServiceDeclaration *service = config->declarations.findService(request.service);
+        const CallDeclaration *call = service ? service->findCall(request.call) : nullptr;
+        if (m_state.isIncomplete(request.key, now) && call && !call->repeatable) {
+            deliver({.outcome = Outcome::Unknown,
+                     .reason = std::string(reason::incompleteTakeover),
+                     .status = 503});
+            return;
+        }
+        m_claims.add(request.key);
+    }
     // The entry that received the submission answers at the deadline; this one keeps the waiter longer.
     const Millis deadline = now + request.budget + Waiters::answerSlack * 2;
     perform(m_dispatcher.submit(request, m_waiters.add(std::move(deliver), deadline), now));
@@ -310,7 +393,9 @@
 {
     if (cancel)
         perform(m_dispatcher.cancel(key, Clock::now()));
-    const std::optional<Answer> answer = m_dispatcher.lookup(key);
+    std::optional<Answer> answer = m_dispatcher.lookup(key);
+    if (!answer)
+        answer = m_state.answerFor(key, 0);
     return answer
         ? *answer
         : Answer{.outcome = Outcome::Unknown, .reason = std::string(reason::unknownJob), .status = 404};
@@ -320,46 +405,28 @@
 
 std::string EntryServer::metricsText() const
 {
-    std::string text;
-    const auto add = [&](std::string_view name, uint64_t value) {
-        text += "turmericwell_" + std::string(name) + " " + std::to_string(value) + "\n";
-    };
-    add("submissions_active", m_dispatcher.activeSubmissions());
-    add("submissions_known", m_dispatcher.knownSubmissions());
-    add("tasks_in_flight", m_dispatcher.tasksInFlight());
-    add("tasks_queued", m_dispatcher.queued());
-    add("credits_idle", m_dispatcher.idleCredits());
-    add("agents_connected", m_agents.size());
-    add("config_version", m_config.version());
-    add("events_dropped_total", m_events.dropped());
-    return text;
+    return metricLines({{"submissions_active", m_dispatcher.activeSubmissions()},
+                        {"submissions_known", m_dispatcher.knownSubmissions()},
+                        {"submissions_waiting_for_owner", m_calls.waiting()},
+                        {"tasks_in_flight", m_dispatcher.tasksInFlight()},
+                        {"tasks_queued", m_dispatcher.queued()},
+                        {"credits_idle", m_dispatcher.idleCredits()},
+                        {"agents_connected", m_agents.size()},
+                        {"takeovers_pending", m_state.pendingTakeovers()},
+                        {"claims_dropped_total", m_claims.dropped()},
+                        {"config_version", m_config.version()},
+                        {"events_dropped_total", m_events.dropped()}});
 }
 
 std::string EntryServer::showText() const
 {
-    json::array members;
-    for (const EntryMember &member : m_membership.members())
-        members.push_back(
-            json::object{{"entry", member.id.name}, {"address", member.address}, {"zone", member.zone}});
-    const ConfigPtr config = m_config.current();
-    return json::serialize(json::object{{"entry", m_self.id.name},
-                                        {"version", config->version},
-                                        {"changeId", config->changeId},
-                                        {"author", config->author},
-                                        {"view", m_membership.view()},
-                                        {"current", m_membership.isCurrent()},
-                                        {"logReadable", m_membership.isLogReadable()},
-                                        {"agents", m_agents.size()},
-                                        {"entries", std::move(members)},
-                                        {"declarations", toJson(config->declarations)}});
-}
-
-std::string EntryServer::eventsText() const
-{
-    std::string text;
-    for (const Event &event : m_events.since(0, SIZE_MAX))
-        text += toJsonText(event) + "\n";
-    return text;
+    return toJsonText({.entry = m_self.id,
+                       .config = m_config.current(),
+                       .view = m_membership.view(),
+                       .members = m_membership.members(),
+                       .current = m_membership.isCurrent(),
+                       .logReadable = m_membership.isLogReadable(),
+                       .agents = m_agents.size()});
 }
 
 void EntryServer::configChanged(const ConfigPtr &config)
@@ -407,40 +474,106 @@
     logger().info("stopping after the submissions in flight");
 }
 
+// The first handover lets the others serve new submissions while this entry finishes what runs; the second
+// one brings the answers.
 void EntryServer::continueStop()
 {
     const Millis waited = Clock::now() - m_stopBegan;
-    if (waited < m_settings.drain || m_leaving)
-        return;
-    m_frontend->stopAccepting();
-    const bool idle = m_dispatcher.activeSubmissions() == 0 && m_frontend->openRequests() == 0;
-    if (!idle && waited < m_settings.stopBound)
+    const bool overdue = waited >= m_settings.stopBound;
+    const size_t active = m_dispatcher.activeSubmissions();
+    if (m_stopPhase == StopPhase::Draining && (waited >= m_settings.drain || overdue)) {
+        m_frontend->stopAccepting();
+        m_state.beginFinalHandover();
+        m_stopPhase = StopPhase::Finishing;
+    }
+    if (m_stopPhase == StopPhase::Finishing) {
+        const bool idle = active == 0 && m_waiters.size() == 0 && m_frontend->openRequests() == 0;
+        if ((!idle || !m_state.isFinalHandoverDone()) && !overdue)
+            return;
+        if (!idle) {
+            logger().error("stopMs has passed: " + std::to_string(active) + " submissions are left behind");
+            m_exitCode = 1;
+        }
+        m_state.beginFinalHandover();
+        m_stopPhase = StopPhase::HandingOver;
+    }
+    if (m_stopPhase != StopPhase::HandingOver || (!m_state.isFinalHandoverDone() && !overdue))
         return;
-    m_leaving = true;
-    m_membership.leave([this] {
-        m_agents.closeAll();
-        m_peers.closeAll();
-        m_io.stop();
+    if (!m_state.isFinalHandoverDone()) {
+        logger().error("stopMs has passed: not every entry has confirmed the handover");
+        m_exitCode = 1;
+    }
+    m_stopPhase = StopPhase::Leaving;
+    m_membership.leave([this](bool appended) {
+        if (!appended)
+            logger().warning("the leave is not in the log; the other entries know of it from the handover");
+        finishStop();
     });
 }
 
+void EntryServer::finishStop()
+{
+    m_agents.closeAll();
+    m_peers.closeAll();
+    // Lets the closing frames and the last answers leave.
+    constexpr auto grace = std::chrono::milliseconds(100);
+    auto timer = std::make_shared<asio::steady_timer>(m_io, grace);
+    timer->async_wait([this, timer](const boost::system::error_code &) { m_io.stop(); });
+}
+
+// Its keys belong to others now, which have fenced it at the agents. What runs here may still finish at its
+// target, so the outcome is unknown.
+void EntryServer::giveUp()
+{
+    if (m_removed.exchange(true) || m_stopping)
+        return;
+    logger().error("this entry was reported as dead: giving up its state and joining again");
+    m_dispatcher.setMayStart(false);
+    m_waiters.answerAll(
+        {.outcome = Outcome::Unknown, .reason = std::string(reason::entryLost), .status = 504});
+    finishStop();
+}
+
+void EntryServer::pullFromPeer(const std::string &peer, const wire::PeerPingT &ping)
+{
+    const bool behind = ping.config_version > m_config.version() || ping.view > m_membership.view()
+        || !m_membership.hasRoster();
+    constexpr int64_t interval = 300;
+    const int64_t now = Clock::now().count;
+    if (!behind || now - m_pulledAt < interval)
+        return;
+    m_pulledAt = now;
+    m_peers.pullConfig(peer, m_config.version(), m_membership.view());
+}
+
 } // namespace
 
-int runEntry(const EntrySettings &settings)
+static std::optional<int> runOnce(const EntrySettings &settings)
 {
     IoContext io(static_cast<int>(settings.threads));
     EntryServer server(io, settings);
     server.start();
     asio::signal_set signals(io, SIGINT, SIGTERM);
-    signals.async_wait([&server](const boost::system::error_code &, int) { server.beginStop(); });
+    signals.async_wait([&server](const boost::system::error_code &error, int) {
+        if (!error)
+            server.beginStop();
+    });
     logger().info(settings.name + " listens on " + settings.listen.text());
     std::vector<std::jthread> threads;
     for (uint32_t i = 1; i < settings.threads; ++i)
         threads.emplace_back([&io] { io.run(); });
     io.run();
     threads.clear();
+    return server.mustStartAgain() ? std::nullopt : std::optional(server.exitCode());
+}
+
+int runEntry(const EntrySettings &settings)
+{
+    std::optional<int> exitCode;
+    while (!exitCode)
+        exitCode = runOnce(settings);
     logger().info(settings.name + " has stopped");
-    return 0;
+    return *exitCode;
 }
 
 } // namespace turmericwell
--- a/src/entry/ownercalls.cpp
+++ b/src/entry/ownercalls.cpp
@@ -48,9 +48,12 @@
              .deadline = now + lookupBudget});
 }
 
-void OwnerCalls::submitAsOwner(const SubmissionRequest &request, const AnswerDelivery &deliver)
+void OwnerCalls::submitAsOwner(const SubmissionRequest &request, const AnswerDelivery &deliver, Millis now)
 {
-    if (m_handlers.place(request.key).owner == m_self)
+    const KeyPlace place = m_handlers.place(request.key);
+    if (place.asksHolder)
+        submit(request, deliver, now);
+    else if (place.owner == m_self)
         m_handlers.submitHere(request, deliver);
     else
         deliver(notOwner());
@@ -58,18 +61,22 @@
 
 Answer OwnerCalls::lookupAsOwner(const Fingerprint &key, bool cancel)
 {
-    return m_handlers.place(key).owner == m_self ? m_handlers.lookupHere(key, cancel) : notOwner();
+    // An earlier owner still answers for what it runs.
+    Answer answer = m_handlers.lookupHere(key, cancel);
+    return answer.status == 404 && m_handlers.place(key).owner != m_self ? notOwner() : answer;
 }
 
 void OwnerCalls::advance(Call call)
 {
-    const std::optional<ProcessId> owner = m_handlers.place(call.request.key).owner;
-    if (!owner)
+    const KeyPlace place = m_handlers.place(call.request.key);
+    if (!place.owner)
         park(std::move(call));
-    else if (*owner == m_self)
+    else if (*place.owner == m_self)
         advanceHere(std::move(call));
+    else if (place.asksHolder && !call.isLookup && place.bodyHash != call.request.bodyHash)
+        call.deliver({.outcome = Outcome::NotRun, .reason = std::string(reason::conflict), .status = 409});
     else
-        advanceAt(*owner, std::move(call));
+        advanceAt(place, std::move(call));
 }
 
 void OwnerCalls::advanceHere(Call call)
@@ -85,9 +92,10 @@
         call.deliver(!call.isLookup && answer.status == 404 ? entryLost() : answer);
 }
 
-void OwnerCalls::advanceAt(const ProcessId &owner, Call call)
+void OwnerCalls::advanceAt(const KeyPlace &place, Call call)
 {
-    const bool asksOnly = call.isLookup || (call.sentTo && *call.sentTo != owner);
+    const ProcessId &owner = *place.owner;
+    const bool asksOnly = call.isLookup || place.asksHolder || (call.sentTo && *call.sentTo != owner);
     // The call lives on in the reply; it is only taken back if the peer is not connected.
     const auto shared = std::make_shared<Call>(std::move(call));
     const Reply reply = [this, shared, owner, asksOnly](const std::optional<Answer> &answer) {
--- a/src/entry/ownercalls.h
+++ b/src/entry/ownercalls.h
@@ -15,6 +15,11 @@
 struct KeyPlace
 {
     std::optional<ProcessId> owner;
+    // The owner in the view is this entry, but the named one still runs the submission and is only asked for
+    // it.
+    bool asksHolder = false;
+    // Hash of the body that the holder runs.
+    uint64_t bodyHash = 0;
 };
 
 // Answer of an entry that does not serve the key in its own view. Nothing was done with the submission.
@@ -42,8 +47,8 @@
 
     void submit(SubmissionRequest request, AnswerDelivery deliver, Millis now);
     void lookup(const Fingerprint &key, bool cancel, AnswerDelivery deliver, Millis now);
-    // A submission that a peer sent to this entry as the owner; it is not passed on.
-    void submitAsOwner(const SubmissionRequest &request, const AnswerDelivery &deliver);
+    // A submission that a peer sent to this entry as the owner; it is not passed on to another owner.
+    void submitAsOwner(const SubmissionRequest &request, const AnswerDelivery &deliver, Millis now);
     Answer lookupAsOwner(const Fingerprint &key, bool cancel);
     // Tries again what waits, and answers what has reached its deadline.
     void tick(Millis now);
@@ -64,7 +69,7 @@
 
     void advance(Call call);
     void advanceHere(Call call);
-    void advanceAt(const ProcessId &owner, Call call);
+    void advanceAt(const KeyPlace &place, Call call);
     void replied(Call call, const ProcessId &owner, bool wasLookup, const std::optional<Answer> &answer);
     void park(Call call);
 
--- a/src/entry/peerhub.cpp
+++ b/src/entry/peerhub.cpp
@@ -363,6 +363,21 @@
         link->send(std::move(frame));
 }
 
+bool PeerHub::send(const ProcessId &peer, std::vector<uint8_t> frame)
+{
+    const FrameLinkPtr link = linkTo(peer);
+    if (link)
+        link->send(std::move(frame));
+    return link != nullptr;
+}
+
+ProcessId PeerHub::idOf(const std::string &name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_incarnations.find(name);
+    return {.name = name, .incarnation = found == m_incarnations.end() ? 0 : found->second};
+}
+
 void PeerHub::handle(const FrameLinkPtr &link, const Message &message)
 {
     if (message.body.type == wire::Body::PeerHello) {
@@ -423,6 +438,9 @@
         if (message.body.AsCreditTransfer()->balance)
             takeBalance(peer, *message.body.AsCreditTransfer()->balance);
         break;
+    case wire::Body::Handover:
+        m_handlers.onHandover(idOf(peer), *message.body.AsHandover());
+        break;
     case wire::Body::ConfigPull:
         m_handlers.onConfigPull(peer, *message.body.AsConfigPull());
         break;
--- a/src/entry/peerhub.h
+++ b/src/entry/peerhub.h
@@ -34,6 +34,7 @@
         std::function<void(const Fingerprint &key, bool cancel, AnswerHandler reply)> onLookup;
         std::function<void(const std::string &peer, const wire::ConfigPullT &pull)> onConfigPull;
         std::function<void(const wire::ConfigPushT &push)> onConfigPush;
+        std::function<void(const ProcessId &peer, const wire::HandoverT &handover)> onHandover;
         std::function<wire::PeerPingT()> status;
     };
 
@@ -63,6 +64,8 @@
     void askForCredits(uint32_t queued);
     void pullConfig(const std::string &peer, uint64_t version, uint64_t view);
     void send(const std::string &peer, std::vector<uint8_t> frame);
+    // Returns false if this incarnation is not connected.
+    bool send(const ProcessId &peer, std::vector<uint8_t> frame);
 
     bool isConnected(const std::string &peer) const;
     std::vector<std::string> connectedPeers() const;
@@ -91,6 +94,7 @@
     FrameLinkPtr linkTo(const std::string &peer) const;
     FrameLinkPtr linkTo(const ProcessId &peer) const;
     std::string nameOf(const FrameLinkPtr &link) const;
+    ProcessId idOf(const std::string &name) const;
 
     IoContext &m_io;
     const EntryMember m_self;
--- a/src/entry/waiters.h
+++ b/src/entry/waiters.h
@@ -43,6 +43,18 @@
         deliver(answer);
     }
 
+    // Used when this process gives up all its submissions.
+    void answerAll(const Answer &answer)
+    {
+        std::unordered_map<WaiterId, Waiter> all;
+        {
+            const std::lock_guard lock(m_mutex);
+            all.swap(m_waiters);
+        }
+        for (const auto &[id, waiter] : all)
+            waiter.deliver(answer);
+    }
+
     // Answers the waiters whose deadline has passed, whatever has become of the owner of their key.
     void expire(Millis now)
     {
--- a/src/membership/currencyguard.cpp
+++ b/src/membership/currencyguard.cpp
@@ -10,20 +10,41 @@
     : m_options(options)
 { }
 
-void CurrencyGuard::logRead(Millis sentAt)
+void CurrencyGuard::notePause(Millis now)
 {
-    m_logReadAt = std::max(m_logReadAt, sentAt);
-    m_logReadable = true;
+    if (m_seenAt.count > 0 && now - m_seenAt > m_options.pause)
+        m_resumedAt = now;
+    m_seenAt = std::max(m_seenAt, now);
 }
 
-void CurrencyGuard::logFailed(Millis)
+void CurrencyGuard::tick(Millis now)
 {
-    m_logReadable = false;
+    notePause(now);
+    if (!isLogReadable() || mayBeBuffered(now))
+        return;
+    std::erase_if(m_agents, [&](const auto &item) { return now - item.second.at > m_options.forgetAgent; });
+}
+
+void CurrencyGuard::logRead(GuardedStream stream, Millis sentAt)
+{
+    Stream &read = m_streams[static_cast<size_t>(stream)];
+    read.readAt = std::max(read.readAt, sentAt);
+    read.readable = true;
+}
+
+void CurrencyGuard::logFailed(GuardedStream stream)
+{
+    m_streams[static_cast<size_t>(stream)].readable = false;
 }
 
 void CurrencyGuard::agentHeard(const std::string &agent, const KnownVersions &versions, Millis now)
 {
-    m_agents[agent] = {.versions = versions, .at = now};
+    notePause(now);
+    // What was buffered during a pause still tells of newer versions, but is no fresh evidence.
+    Heard &heard = m_agents[agent];
+    heard.versions = versions;
+    if (!mayBeBuffered(now))
+        heard.at = now;
 }
 
 void CurrencyGuard::agentRemoved(const std::string &agent)
@@ -33,7 +54,11 @@
 
 void CurrencyGuard::peerHeard(const std::string &peer, const KnownVersions &versions, Millis now)
 {
-    m_peers[peer] = {.versions = versions, .at = now};
+    notePause(now);
+    Heard &heard = m_peers[peer];
+    heard.versions = versions;
+    if (!mayBeBuffered(now))
+        heard.at = now;
 }
 
 void CurrencyGuard::peerRemoved(const std::string &peer)
@@ -53,7 +78,7 @@
         || std::any_of(m_peers.begin(), m_peers.end(), newer);
 }
 
-Millis CurrencyGuard::majorityTime() const
+Millis CurrencyGuard::heardTime(Millis now) const
 {
     // With no agent there is nothing to start and nobody to ask.
     if (m_agents.empty())
@@ -62,17 +87,30 @@
     for (const auto &[name, heard] : m_agents)
         times.push_back(heard.at);
     std::sort(times.begin(), times.end(), std::greater<>());
-    return times[times.size() / 2];
+    Millis result = times[times.size() / 2];
+    for (const auto &[name, heard] : m_peers) {
+        if (now - heard.at <= m_options.peerTimeout)
+            result = std::min(result, heard.at);
+    }
+    return result;
 }
 
 Millis CurrencyGuard::evidenceAge(Millis now) const
 {
-    Millis evidence = m_logReadAt;
-    if (!m_logReadable && !isBehind())
-        evidence = std::max(evidence, majorityTime());
+    Millis evidence = std::min(m_streams[0].readAt, m_streams[1].readAt);
+    if (!isLogReadable() && !isBehind())
+        evidence = std::max(evidence, heardTime(now));
     return now - evidence;
 }
 
+std::vector<std::string> CurrencyGuard::knownAgents() const
+{
+    std::vector<std::string> result;
+    for (const auto &[name, heard] : m_agents)
+        result.push_back(name);
+    return result;
+}
+
 bool CurrencyGuard::isCurrent(Millis now) const
 {
     return evidenceAge(now) <= m_options.freshness;
--- a/src/membership/peerrules.cpp
+++ b/src/membership/peerrules.cpp
@@ -1,6 +1,8 @@
 // Of two entries, the one with the higher name dials.
 #include "membership/peerrules.h"
 
+#include <algorithm>
+
 namespace turmericwell {
 
 HelloDecision decideHello(std::string_view self, std::string_view peer, bool dialledBySelf)
@@ -12,4 +14,49 @@
     return peer > self ? HelloDecision::AdoptAndAnswer : HelloDecision::RefuseAndDial;
 }
 
+FailureDetector::FailureDetector(std::string self, FailureOptions options)
+    : m_self(std::move(self))
+    , m_options(options)
+{ }
+
+void FailureDetector::heard(const std::string &peer, Millis now)
+{
+    const auto found = m_peers.find(peer);
+    if (found != m_peers.end())
+        found->second.heardAt = std::max(found->second.heardAt, now);
+}
+
+std::vector<ProcessId> FailureDetector::tick(const std::vector<EntryMember> &members, Millis now)
+{
+    // After a pause the silence was this process's own; every peer gets its whole time again.
+    const bool wasPaused = now - m_tickedAt > m_options.pause;
+    m_tickedAt = now;
+    std::map<std::string, Peer> peers;
+    std::vector<ProcessId> dead;
+    int64_t position = 0;
+    int64_t ownPosition = -1;
+    for (const EntryMember &member : members) {
+        if (member.id.name == m_self)
+            ownPosition = position;
+        ++position;
+    }
+    for (const EntryMember &member : members) {
+        if (member.id.name == m_self)
+            continue;
+        const auto known = m_peers.find(member.id.name);
+        Peer peer = {.incarnation = member.id.incarnation, .heardAt = now};
+        if (!wasPaused && known != m_peers.end() && known->second.incarnation == member.id.incarnation)
+            peer = known->second;
+        const Millis bound = m_options.peerTimeout + m_options.reportStep * ownPosition;
+        // An entry that is no member itself does not report others.
+        if (ownPosition >= 0 && now - peer.heardAt > bound && now - peer.reportedAt > m_options.repeat) {
+            peer.reportedAt = now;
+            dead.push_back(member.id);
+        }
+        peers[member.id.name] = peer;
+    }
+    m_peers = std::move(peers);
+    return dead;
+}
+
 } // namespace turmericwell
--- /dev/null
+++ b/src/membership/recordstore.cpp
@@ -0,0 +1,105 @@
+// Merges what agents report into one answer for each submission.
+#include "membership/recordstore.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+RecordStore::RecordStore(Millis window)
+    : m_window(window)
+{ }
+
+static Answer entryLost(Outcome outcome)
+{
+    return {.outcome = outcome,
+            .reason = std::string(reason::entryLost),
+            .status = outcome == Outcome::Failed ? 502 : 504};
+}
+
+void RecordStore::add(const SubmissionRecord &record)
+{
+    Item &item = m_records[record.key];
+    // An answer is never replaced by a record that has none.
+    if (!item.record.answered || record.answered)
+        item.record = record;
+}
+
+void RecordStore::addClaim(const Fingerprint &key, Millis now)
+{
+    const auto [found, isNew] = m_records.try_emplace(key);
+    if (isNew)
+        found->second.record = {
+            .key = key, .answered = true, .answer = entryLost(Outcome::Unknown), .firstSeen = now};
+}
+
+void RecordStore::addStarted(const StartedTask &task, Millis now)
+{
+    const auto [found, isNew] = m_records.try_emplace(task.task.submission);
+    Item &item = found->second;
+    if (isNew || item.record.bodyHash == 0) {
+        item.record.key = task.task.submission;
+        item.record.bodyHash = task.bodyHash;
+        if (isNew)
+            item.record.firstSeen = now;
+    }
+    const bool hadAnswer = item.record.answered && item.record.answer.reason != reason::entryLost;
+    if (hadAnswer && item.tasks.empty())
+        return;
+    item.taskCount = std::max(item.taskCount, task.taskCount);
+    const auto [known, isNewTask] = item.tasks.try_emplace(task.task.index, task);
+    // The result of the latest attempt counts, and a result counts more than a running task.
+    if (!isNewTask && task.task.attempt >= known->second.task.attempt
+        && (known->second.running || task.task.attempt > known->second.task.attempt || !task.running))
+        known->second = task;
+    decide(item);
+}
+
+bool RecordStore::isRunning(const Item &item)
+{
+    return std::any_of(item.tasks.begin(), item.tasks.end(),
+                       [](const auto &one) { return one.second.running; });
+}
+
+void RecordStore::decide(Item &item)
+{
+    item.record.holder.clear();
+    item.record.answered = !isRunning(item);
+    if (!item.record.answered)
+        return;
+    const bool allComplete = item.tasks.size() == item.taskCount
+        && std::all_of(item.tasks.begin(), item.tasks.end(),
+                       [](const auto &one) { return one.second.result.outcome == Outcome::Complete; });
+    Answer answer;
+    if (allComplete) {
+        answer = {.outcome = Outcome::Complete, .status = 200};
+        for (const auto &[index, task] : item.tasks)
+            answer.answers.push_back(task.result.answer);
+    } else if (item.taskCount == 1) {
+        const TaskResult &result = item.tasks.begin()->second.result;
+        // The dead entry may have sent another attempt elsewhere, so "not run" of one is no proof.
+        const bool failed = result.outcome == Outcome::Failed;
+        answer = entryLost(failed ? Outcome::Failed : Outcome::Unknown);
+        if (failed)
+            answer.reason = result.reason;
+    } else {
+        answer = entryLost(Outcome::Failed);
+    }
+    answer.tasks = item.taskCount;
+    answer.finished = static_cast<uint32_t>(item.tasks.size());
+    item.record.answer = std::move(answer);
+}
+
+std::optional<StoredRecord> RecordStore::find(const Fingerprint &key) const
+{
+    const auto found = m_records.find(key);
+    if (found == m_records.end())
+        return std::nullopt;
+    return StoredRecord{.record = found->second.record, .awaitsAgent = isRunning(found->second)};
+}
+
+void RecordStore::dropOlderThanWindow(Millis now)
+{
+    std::erase_if(m_records, [&](const auto &item) { return now - item.second.record.firstSeen > m_window; });
+}
+
+} // namespace turmericwell
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -1,7 +1,9 @@
 // Roster records and rendezvous hashing.
 #include "membership/roster.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
+#include <optional>
 
 namespace turmericwell {
 
@@ -28,32 +30,78 @@
     return value && value->is_string() ? std::string(std::string_view(value->get_string())) : std::string();
 }
 
-bool Roster::apply(uint64_t offset, std::string_view recordText)
+static std::optional<uint64_t> countAt(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    boost::system::error_code error;
+    if (!value || !value->is_number())
+        return std::nullopt;
+    const auto count = value->to_number<uint64_t>(error);
+    return error ? std::nullopt : std::optional<uint64_t>(count);
+}
+
+static std::optional<json::object> parseObject(std::string_view text)
 {
-    m_nextOffset = offset + 1;
     boost::system::error_code error;
-    const json::value value = json::parse(recordText, error);
+    json::value value = json::parse(text, error);
     if (error || !value.is_object())
-        return false;
-    const json::object &record = value.get_object();
-    const std::string type = textAt(record, "type");
+        return std::nullopt;
+    return std::move(value.get_object());
+}
+
+static std::optional<EntryMember> readMember(const json::object &record)
+{
     const std::string name = textAt(record, "entry");
-    const json::value *incarnationValue = record.if_contains("incarnation");
-    if (name.empty() || !incarnationValue || !incarnationValue->is_number())
+    const std::optional<uint64_t> incarnation = countAt(record, "incarnation");
+    if (name.empty() || !incarnation)
+        return std::nullopt;
+    return EntryMember{.id = {.name = name, .incarnation = *incarnation},
+                       .address = textAt(record, "address"),
+                       .zone = textAt(record, "zone")};
+}
+
+void Roster::startReadingAt(uint64_t firstOffset)
+{
+    // Records between the last one applied and this offset are lost to this reader.
+    if (firstOffset > m_nextOffset)
+        m_hasBase = false;
+    m_firstOffset = firstOffset;
+    m_nextOffset = std::max(m_nextOffset, firstOffset);
+    m_unapplied.clear();
+}
+
+bool Roster::apply(uint64_t offset, std::string_view recordText)
+{
+    // A state that was adopted from a peer may include records that the log brings again.
+    if (offset < m_nextOffset)
         return false;
-    const auto incarnation = incarnationValue->to_number<uint64_t>(error);
-    if (error)
+    m_nextOffset = offset + 1;
+    const std::optional<json::object> record = parseObject(recordText);
+    if (!record)
+        return false;
+    if (textAt(*record, "type") == "snapshot")
+        return applySnapshot(offset, recordText);
+    if (m_hasBase)
+        return applyChange(recordText);
+    m_unapplied.emplace(offset, recordText);
+    return false;
+}
+
+bool Roster::applyChange(std::string_view recordText)
+{
+    const std::optional<json::object> record = parseObject(recordText);
+    const std::optional<EntryMember> named = record ? readMember(*record) : std::nullopt;
+    if (!named)
         return false;
-    const auto member = m_members.find(name);
+    const std::string type = textAt(*record, "type");
+    const auto member = m_members.find(named->id.name);
     if (type == "join") {
-        uint64_t &newest = m_newestIncarnation[name];
-        if (incarnation <= newest)
+        uint64_t &newest = m_newestIncarnation[named->id.name];
+        if (named->id.incarnation <= newest)
             return false;
-        newest = incarnation;
-        m_members[name] = {.id = {.name = name, .incarnation = incarnation},
-                           .address = textAt(record, "address"),
-                           .zone = textAt(record, "zone")};
-    } else if (type == "leave" && member != m_members.end() && member->second.id.incarnation == incarnation) {
+        newest = named->id.incarnation;
+        m_members[named->id.name] = *named;
+    } else if (type == "leave" && member != m_members.end() && member->second.id == named->id) {
         m_members.erase(member);
     } else {
         return false;
@@ -62,6 +110,66 @@
     return true;
 }
 
+bool Roster::applySnapshot(uint64_t offset, std::string_view recordText)
+{
+    if (m_hasBase)
+        return false;
+    const std::optional<json::object> record = parseObject(recordText);
+    const std::optional<uint64_t> upTo = countAt(*record, "upTo");
+    const std::optional<uint64_t> view = countAt(*record, "view");
+    // A change between upTo and the first readable record may have expired.
+    if (!upTo || !view || *upTo > offset || *upTo < m_firstOffset || *view < m_view)
+        return false;
+    if (!takeState(recordText))
+        return false;
+    for (const auto &[position, change] : m_unapplied) {
+        if (position >= *upTo)
+            applyChange(change);
+    }
+    m_unapplied.clear();
+    return true;
+}
+
+bool Roster::adopt(std::string_view stateText)
+{
+    const std::optional<json::object> state = parseObject(stateText);
+    const std::optional<uint64_t> nextOffset = state ? countAt(*state, "upTo") : std::nullopt;
+    const std::optional<uint64_t> view = state ? countAt(*state, "view") : std::nullopt;
+    if (!nextOffset || !view || *view < m_view || *nextOffset < m_nextOffset
+        || (m_hasBase && *view == m_view))
+        return false;
+    if (!takeState(stateText))
+        return false;
+    m_nextOffset = *nextOffset;
+    m_unapplied.clear();
+    return true;
+}
+
+// Replaces members and view by those of the text, if it is well formed.
+bool Roster::takeState(std::string_view text)
+{
+    const std::optional<json::object> state = parseObject(text);
+    const std::optional<uint64_t> view = state ? countAt(*state, "view") : std::nullopt;
+    const json::value *list = state ? state->if_contains("members") : nullptr;
+    const json::value *newest = state ? state->if_contains("newest") : nullptr;
+    if (!view || !list || !list->is_array() || !newest || !newest->is_object())
+        return false;
+    std::map<std::string, EntryMember, std::less<>> members;
+    for (const json::value &item : list->get_array()) {
+        const std::optional<EntryMember> member =
+            item.is_object() ? readMember(item.get_object()) : std::nullopt;
+        if (!member)
+            return false;
+        members[member->id.name] = *member;
+    }
+    m_members = std::move(members);
+    for (const auto &[name, value] : newest->get_object())
+        m_newestIncarnation[std::string(name)] = countAt(newest->get_object(), name).value_or(0);
+    m_view = *view;
+    m_hasBase = true;
+    return true;
+}
+
 std::vector<EntryMember> Roster::members() const
 {
     std::vector<EntryMember> result;
@@ -76,6 +184,40 @@
     return found == m_members.end() ? nullptr : &found->second;
 }
 
+static std::string stateRecord(uint64_t view, uint64_t upTo, const std::vector<EntryMember> &members,
+                               const std::map<std::string, uint64_t, std::less<>> &newestIncarnations)
+{
+    json::array list;
+    for (const EntryMember &member : members)
+        list.push_back(json::object{{"entry", member.id.name},
+                                    {"incarnation", member.id.incarnation},
+                                    {"address", member.address},
+                                    {"zone", member.zone}});
+    json::object newest;
+    for (const auto &[name, incarnation] : newestIncarnations)
+        newest[name] = incarnation;
+    return json::serialize(json::object{{"type", "snapshot"},
+                                        {"view", view},
+                                        {"upTo", upTo},
+                                        {"members", std::move(list)},
+                                        {"newest", std::move(newest)}});
+}
+
+std::string Roster::stateText() const
+{
+    return m_hasBase ? stateRecord(m_view, m_nextOffset, members(), m_newestIncarnation) : std::string();
+}
+
+std::string Roster::snapshotRecord() const
+{
+    return stateText();
+}
+
+std::string Roster::firstSnapshotRecord() const
+{
+    return stateRecord(m_nextOffset, m_nextOffset, {}, m_newestIncarnation);
+}
+
 std::string Roster::joinRecord(const EntryMember &member)
 {
     return json::serialize(json::object{{"type", "join"},
--- a/src/submission/submissiontable.cpp
+++ b/src/submission/submissiontable.cpp
@@ -264,6 +264,23 @@
         std::erase(found->second.waiters, waiter);
 }
 
+std::vector<SubmissionRecord> SubmissionTable::records() const
+{
+    std::vector<SubmissionRecord> result;
+    for (const Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto &[key, submission] : shard.submissions) {
+            result.push_back({.key = key,
+                              .bodyHash = submission.bodyHash,
+                              .kind = submission.kind,
+                              .answered = submission.answered,
+                              .answer = submission.answer,
+                              .firstSeen = submission.firstSeen});
+        }
+    }
+    return result;
+}
+
 size_t SubmissionTable::size() const
 {
     size_t total = 0;
--- a/src/submission/submissiontable.h
+++ b/src/submission/submissiontable.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/declarations.h"
+#include "membership/recordstore.h"
 #include "turmericwell/outcome.h"
 #include "turmericwell/task.h"
 
@@ -65,6 +66,9 @@
     // Forgets a waiter whose connection has closed.
     void dropWaiter(const Fingerprint &key, WaiterId waiter);
 
+    // All submissions, for other entries that become owners of their keys.
+    std::vector<SubmissionRecord> records() const;
+
     size_t size() const;
     // Submissions without an answer.
     size_t active() const;
--- a/tests/unit/membershippeerstest.cpp
+++ b/tests/unit/membershippeerstest.cpp
@@ -34,6 +34,7 @@
                 .onLookup = [](const Fingerprint &, bool, const PeerHub::AnswerHandler &) {},
                 .onConfigPull = [](const std::string &, const wire::ConfigPullT &) {},
                 .onConfigPush = [](const wire::ConfigPushT &) {},
+                .onHandover = [](const ProcessId &, const wire::HandoverT &) {},
                 .status = [] { return wire::PeerPingT{}; }};
     }
 
