--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -113,12 +113,15 @@
     : m_io(io)
     , m_settings(settings)
     , m_self({.id = {.name = settings.name, .incarnation = static_cast<uint64_t>(Clock::wall().count)},
-              .address = settings.linkListen.text(),
+              .address = settings.linkAnnounced.text(),
               .zone = settings.zone})
     , m_events({.process = settings.name, .zone = settings.zone})
-    , m_dispatcher({.router = {.maxQueued = settings.maxQueued, .zone = settings.zone},
-                    .submissions = {.dedupWindow = settings.dedupWindow},
-                    .onEvent = [this](Event event) { m_events.record(std::move(event)); }})
+    , m_dispatcher(
+          {.router = {.maxQueued = settings.maxQueued,
+                      .zone = settings.zone,
+                      .policy = makePolicy(settings.policy, m_self.id.incarnation).value_or(CreditsPolicy{})},
+           .submissions = {.dedupWindow = settings.dedupWindow},
+           .onEvent = [this](Event event) { m_events.record(std::move(event)); }})
     , m_agents(m_self.id, m_dispatcher, agentHandlers())
     , m_peers(io, m_self, m_dispatcher, peerHandlers())
     , m_claims(std::make_shared<LogClient>(io, settings.log), m_self.id)
@@ -190,8 +193,10 @@
                 },
             .onGone = [this](const std::string &peer) { m_membership.peerGone(peer); },
             .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
-            .onForward = [this](const SubmissionRequest &request,
-                                const AnswerDelivery &reply) { m_calls.submitAsOwner(request, reply, Clock::now()); },
+            .onForward =
+                [this](const SubmissionRequest &request, const AnswerDelivery &reply) {
+                    m_calls.submitAsOwner(request, reply, Clock::now());
+                },
             .onLookup = [this](const Fingerprint &key, bool cancel,
                                const AnswerDelivery &reply) { reply(m_calls.lookupAsOwner(key, cancel)); },
             .onConfigPull =
@@ -274,8 +279,7 @@
     m_claims.tick(now);
     m_calls.tick(now);
     m_waiters.expire(now);
-    if (m_dispatcher.queued() > 0 && m_dispatcher.idleCredits() == 0)
-        m_peers.askForCredits(m_dispatcher.queued());
+    m_peers.evenOut();
     if (m_stopping)
         continueStop();
     constexpr Millis interval = {100};
@@ -327,6 +331,7 @@
 {
     for (const DispatchAction &action : actions)
         std::visit([this](const auto &one) { performOne(one); }, action);
+    m_peers.evenOut();
 }
 
 // --- submissions ---
@@ -405,12 +410,22 @@
 
 std::string EntryServer::metricsText() const
 {
+    const RoutingCounters routing = m_dispatcher.routingCounters();
+    const uint64_t asks = m_peers.creditAsks();
+    const uint64_t transfers = m_peers.creditTransfers();
+    // A refused start costs the message there and the one back.
+    const uint64_t wasted = asks + transfers + 2 * routing.refusals;
     return metricLines({{"submissions_active", m_dispatcher.activeSubmissions()},
                         {"submissions_known", m_dispatcher.knownSubmissions()},
                         {"submissions_waiting_for_owner", m_calls.waiting()},
                         {"tasks_in_flight", m_dispatcher.tasksInFlight()},
                         {"tasks_queued", m_dispatcher.queued()},
                         {"credits_idle", m_dispatcher.idleCredits()},
+                        {"task_starts_sent_total", routing.starts},
+                        {"task_refusals_total", routing.refusals},
+                        {"credit_asks_total", asks},
+                        {"credit_transfers_total", transfers},
+                        {"wasted_messages_total", wasted},
                         {"agents_connected", m_agents.size()},
                         {"takeovers_pending", m_state.pendingTakeovers()},
                         {"claims_dropped_total", m_claims.dropped()},
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -17,6 +17,8 @@
     Address listen;
     // Framed connections of agents and other entries.
     Address linkListen;
+    // Address that other processes are told to dial, where it differs from linkListen (translation, proxy).
+    Address linkAnnounced;
     Address log;
     // Framed addresses of other entries, for a start without the log.
     std::vector<Address> peers;
@@ -29,6 +31,8 @@
     Millis dedupWindow = {600'000};
     Millis logRetention = {3'600'000};
     uint32_t maxQueued = 10'000;
+    // How targets are chosen; see policyNames.
+    std::string policy = "credits";
     Millis drain = {1'000};
     Millis stopBound = {30'000};
 };
--- a/src/entry/statemover.cpp
+++ b/src/entry/statemover.cpp
@@ -109,12 +109,12 @@
     }
 }
 
-static StartedTask fromWire(const wire::StartedRecordT &record)
+static RecoveredTask fromWire(const wire::StartedRecordT &record)
 {
-    StartedTask task{.task = record.task ? turmericwell::fromWire(*record.task) : TaskRef{},
-                     .taskCount = record.task_count,
-                     .bodyHash = record.body_hash,
-                     .running = record.running};
+    RecoveredTask task{.task = record.task ? turmericwell::fromWire(*record.task) : TaskRef{},
+                       .taskCount = record.task_count,
+                       .bodyHash = record.body_hash,
+                       .running = record.running};
     if (record.result)
         task.result = turmericwell::fromWire(*record.result);
     return task;
--- a/src/membership/recordstore.cpp
+++ b/src/membership/recordstore.cpp
@@ -32,7 +32,7 @@
             .key = key, .answered = true, .answer = entryLost(Outcome::Unknown), .firstSeen = now};
 }
 
-void RecordStore::addStarted(const StartedTask &task, Millis now)
+void RecordStore::addStarted(const RecoveredTask &task, Millis now)
 {
     const auto [found, isNew] = m_records.try_emplace(task.task.submission);
     Item &item = found->second;
--- a/src/membership/recordstore.h
+++ b/src/membership/recordstore.h
@@ -28,7 +28,7 @@
 };
 
 // What an agent tells about a task that a dead entry started.
-struct StartedTask
+struct RecoveredTask
 {
     TaskRef task;
     uint32_t taskCount = 1;
@@ -53,7 +53,7 @@
     void add(const SubmissionRecord &record);
     // A key that a lost entry accepted. Without any other record its outcome stays unknown.
     void addClaim(const Fingerprint &key, Millis now);
-    void addStarted(const StartedTask &task, Millis now);
+    void addStarted(const RecoveredTask &task, Millis now);
     std::optional<StoredRecord> find(const Fingerprint &key) const;
     void dropOlderThanWindow(Millis now);
     size_t size() const { return m_records.size(); }
@@ -70,7 +70,7 @@
     {
         SubmissionRecord record;
         uint32_t taskCount = 0;
-        std::map<uint32_t, StartedTask> tasks;
+        std::map<uint32_t, RecoveredTask> tasks;
     };
 
     static bool isRunning(const Item &item);
--- a/tests/unit/membershipownershiptest.cpp
+++ b/tests/unit/membershipownershiptest.cpp
@@ -150,7 +150,7 @@
     BOOST_TEST(takeover.toAsk(2'000_ms).empty());
 }
 
-static StartedTask startedTask(uint32_t index, uint32_t count, bool running, Outcome outcome)
+static RecoveredTask startedTask(uint32_t index, uint32_t count, bool running, Outcome outcome)
 {
     const TaskRef task = {.submission = {.high = 1, .low = 2}, .index = index};
     return {.task = task,
