Show the incarnation of an entry

Cause: the merged status report left out the incarnation that test_membership reads. Change: the field is back. Conclusion: test_membership passes.

--- a/src/entry/statusreport.cpp
+++ b/src/entry/statusreport.cpp
@@ -39,6 +39,7 @@
 std::string toJsonText(const StatusReport &report)
 {
     return json::serialize(json::object{{"entry", report.self.id.name},
+                                        {"incarnation", report.self.id.incarnation},
                                         {"zone", report.self.zone},
                                         {"version", report.config->version},
                                         {"changeId", report.config->changeId},
