Take claimed keys over and settle one takeover at a time

Cause: a takeover that ends would have settled imported submissions of another one whose records are still coming; a key that is known from its claim only had no record. Change: finishTakeover takes a filter of keys; importClaims adds keys without a body hash; a record that comes late reopens an answer lost with its entry.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -182,17 +182,11 @@
     return result;
 }
 
-DispatchActions Dispatcher::importAgentRecords(std::span<const AgentRecord> records, Millis now)
+DispatchActions Dispatcher::finishTakeover(bool complete, const SubmissionTable::KeyFilter &selects,
+                                           Millis now)
 {
     DispatchActions result;
-    apply(m_submissions.importAgentRecords(records, now), now, result);
-    return result;
-}
-
-DispatchActions Dispatcher::finishTakeover(bool complete, Millis now)
-{
-    DispatchActions result;
-    apply(m_submissions.finishTakeover(complete, now), now, result);
+    apply(m_submissions.finishTakeover(complete, selects), now, result);
     return result;
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -142,10 +142,17 @@
     }
     void importTombstones(std::span<const Fingerprint> keys) { m_submissions.importTombstones(keys); }
     void holderLost(const ProcessId &holder, Millis now) { m_submissions.holderLost(holder, now); }
+    void importClaims(std::span<const Fingerprint> keys, Millis now)
+    {
+        m_submissions.importClaims(keys, now);
+    }
     DispatchActions importRecords(std::span<const KeyRecord> records, Millis now);
     DispatchActions holderAnswered(const Fingerprint &key, const Answer &answer, Millis now);
-    DispatchActions importAgentRecords(std::span<const AgentRecord> records, Millis now);
-    DispatchActions finishTakeover(bool complete, Millis now);
+    void importAgentRecords(std::span<const AgentRecord> records, Millis now)
+    {
+        m_submissions.importAgentRecords(records, now);
+    }
+    DispatchActions finishTakeover(bool complete, const SubmissionTable::KeyFilter &selects, Millis now);
 
     // --- balance between entries ---
     struct CreditBalance
--- a/src/submission/submission.h
+++ b/src/submission/submission.h
@@ -45,6 +45,7 @@
 {
     SubmissionPhase phase = SubmissionPhase::Active;
     SubmissionKind kind = SubmissionKind::Request;
+    // Zero if not known, as for a key of which only the claim was found.
     uint64_t bodyHash = 0;
     Millis firstSeen;
     // The key carries a credible creation time, so it needs no tombstone.
--- a/src/submission/submissiontable.cpp
+++ b/src/submission/submissiontable.cpp
@@ -72,7 +72,7 @@
 SubmissionActions SubmissionTable::attach(const SubmissionRequest &request, Submission &submission,
                                           WaiterId waiter, Millis now)
 {
-    if (submission.bodyHash != request.bodyHash)
+    if (submission.bodyHash != 0 && submission.bodyHash != request.bodyHash)
         return {AnswerWaiter{
             .waiter = waiter, .key = request.key, .answer = refusal(Outcome::NotRun, reason::conflict, 409)}};
     if (submission.phase == SubmissionPhase::Answered)
--- a/src/submission/submissiontable.h
+++ b/src/submission/submissiontable.h
@@ -157,10 +157,13 @@
     void holderLost(const ProcessId &holder, Millis now);
 
     // Takes what an agent knows of tasks that a dead entry started. Nothing imported is ever started again.
-    SubmissionActions importAgentRecords(std::span<const AgentRecord> records, Millis now);
-    // All records that can be had are imported: settles each imported submission. Call it again after records
-    // that came late. complete: all agents that were known before the leave have answered.
-    SubmissionActions finishTakeover(bool complete, Millis now);
+    void importAgentRecords(std::span<const AgentRecord> records, Millis now);
+    // Keys that a dead entry accepted. Without any other record their outcome stays unknown.
+    void importClaims(std::span<const Fingerprint> keys, Millis now);
+    // All records that can be had of one takeover are imported: settles each imported submission among the
+    // selected keys, all if selects is empty. Call it again after records that came late. complete: all
+    // agents that were known before the leave have answered.
+    SubmissionActions finishTakeover(bool complete, const KeyFilter &selects);
 
     size_t size() const;
     // Submissions that run at this entry and have no answer yet.
@@ -215,7 +218,7 @@
               SubmissionActions &actions);
     bool dropIfPassed(Shard &shard, const Fingerprint &key, Millis now);
     SubmissionActions importOne(const KeyRecord &record, Millis now);
-    void importOne(const AgentRecord &record, Millis now, SubmissionActions &actions);
+    void importOne(const AgentRecord &record, Millis now);
     void settle(Shard &shard, const Fingerprint &key, Submission &submission, bool complete,
                 SubmissionActions &actions);
 
--- a/src/submission/submissiontransfer.cpp
+++ b/src/submission/submissiontransfer.cpp
@@ -124,15 +124,13 @@
 
 // --- takeover of a dead entry ---
 
-SubmissionActions SubmissionTable::importAgentRecords(std::span<const AgentRecord> records, Millis now)
+void SubmissionTable::importAgentRecords(std::span<const AgentRecord> records, Millis now)
 {
-    SubmissionActions actions;
     for (const AgentRecord &record : records)
-        importOne(record, now, actions);
-    return actions;
+        importOne(record, now);
 }
 
-void SubmissionTable::importOne(const AgentRecord &record, Millis now, SubmissionActions &actions)
+void SubmissionTable::importOne(const AgentRecord &record, Millis now)
 {
     // A record from the wire decides the size of the table below.
     constexpr uint32_t maxTasks = 1U << 20;
@@ -150,19 +148,18 @@
                       .firstSeen = now - record.age};
         shard.wakeups.push({.at = now + longestTakeover, .key = key});
     }
+    // An agent that answers late may know the outcome that was lost; finishTakeover settles it again.
     if (submission.phase == SubmissionPhase::Answered && submission.answer.outcome == Outcome::Unknown
-        && submission.tasks.size() <= 1 && record.taskCount == 1 && !record.running
-        && record.result.outcome != Outcome::Unknown && record.result.outcome != Outcome::NotRun) {
-        // An agent that answered late knows the result of a request that was answered `unknown`.
-        submission.tasks = {TaskProgress{.ended = true, .attempt = record.task.attempt}};
-        endTask(record.result, submission.tasks.front());
-        finish(shard, key, submission, makeAnswer(submission), actions);
-        return;
-    }
+        && submission.answer.reason == reason::entryLost)
+        submission.phase = SubmissionPhase::Imported;
     if (submission.phase != SubmissionPhase::Imported)
         return;
     submission.deadline = std::max(submission.deadline, now + longestTakeover);
     if (submission.tasks.empty()) {
+        if (submission.bodyHash == 0)
+            submission.bodyHash = record.bodyHash;
+        if (record.taskCount > 1)
+            submission.kind = SubmissionKind::Job;
         // The highest number means that no attempt is known yet.
         submission.tasks.assign(record.taskCount, TaskProgress{.attempt = UINT32_MAX});
     }
@@ -188,13 +185,27 @@
     }
 }
 
-SubmissionActions SubmissionTable::finishTakeover(bool complete, Millis)
+void SubmissionTable::importClaims(std::span<const Fingerprint> keys, Millis now)
+{
+    for (const Fingerprint &key : keys) {
+        Shard &shard = shardOf(key);
+        const std::lock_guard lock(shard.mutex);
+        const auto [found, isNew] = shard.submissions.try_emplace(key);
+        if (!isNew)
+            continue;
+        found->second = {
+            .phase = SubmissionPhase::Imported, .firstSeen = now, .deadline = now + longestTakeover};
+        shard.wakeups.push({.at = found->second.deadline, .key = key});
+    }
+}
+
+SubmissionActions SubmissionTable::finishTakeover(bool complete, const KeyFilter &selects)
 {
     SubmissionActions actions;
     for (Shard &shard : m_shards) {
         const std::lock_guard lock(shard.mutex);
         for (auto &[key, submission] : shard.submissions) {
-            if (submission.phase != SubmissionPhase::Imported)
+            if (submission.phase != SubmissionPhase::Imported || (selects && !selects(key)))
                 continue;
             const bool isKnown = !submission.tasks.empty()
                 && std::none_of(submission.tasks.begin(), submission.tasks.end(),
--- a/tests/unit/submissiontest.cpp
+++ b/tests/unit/submissiontest.cpp
@@ -449,7 +449,9 @@
                                                         agentRecord(partial, Outcome::Complete, 0)},
                                0_ms);
     BOOST_TEST(f.submit(done).empty());
-    f.table.finishTakeover(true, 1_ms);
+    // The takeover of another entry settles nothing here.
+    BOOST_TEST(f.table.finishTakeover(true, [](const Fingerprint &) { return false; }).empty());
+    f.table.finishTakeover(true, {});
     BOOST_TEST((answerIn(f.submit(done, 2_ms)).outcome == Outcome::Complete));
     BOOST_TEST(answerIn(f.submit(whole, 2_ms)).answers.size() == 2U);
     const Answer lost = answerIn(f.submit(partial, 2_ms));
@@ -464,13 +466,31 @@
     Fixture f;
     const SubmissionRequest what = request("k");
     f.table.importAgentRecords(std::vector<AgentRecord>{agentRecord(what, Outcome::NotRun)}, 0_ms);
-    f.table.finishTakeover(false, 1_ms);
+    f.table.finishTakeover(false, {});
     BOOST_TEST((answerIn(f.submit(what, 2_ms)).outcome == Outcome::Unknown));
     // An agent that answers late knows better.
     f.table.importAgentRecords(std::vector<AgentRecord>{agentRecord(what, Outcome::Complete, 0, 1)}, 3_ms);
+    f.table.finishTakeover(false, {});
     BOOST_TEST((answerIn(f.submit(what, 4_ms)).outcome == Outcome::Complete));
 }
 
+// Guards against a second run of a submission of which only the claim in the log is left.
+BOOST_AUTO_TEST_CASE(aClaimedKeyIsUnknownUntilAnAgentKnowsMore)
+{
+    Fixture f;
+    const SubmissionRequest what = request("k");
+    const SubmissionRequest job = request("job", 2);
+    f.table.importClaims(std::vector<Fingerprint>{what.key, job.key}, 0_ms);
+    f.table.finishTakeover(false, {});
+    BOOST_TEST((answerIn(f.submit(what, 2_ms)).outcome == Outcome::Unknown));
+    f.table.importAgentRecords(std::vector<AgentRecord>{agentRecord(job, Outcome::Complete, 0),
+                                                        agentRecord(job, Outcome::Complete, 1)},
+                               3_ms);
+    f.table.finishTakeover(false, {});
+    BOOST_TEST((answerIn(f.submit(job, 4_ms)).outcome == Outcome::Complete));
+    BOOST_TEST(answerIn(f.submit(request("job", 2, 9), 4_ms)).status == 409);
+}
+
 // Guards against an answer before a task that still runs has ended.
 BOOST_AUTO_TEST_CASE(aRunningImportedTaskIsWaitedFor)
 {
@@ -479,7 +499,7 @@
     AgentRecord running = agentRecord(what, Outcome::Unknown);
     running.running = true;
     f.table.importAgentRecords(std::vector<AgentRecord>{running}, 0_ms);
-    f.table.finishTakeover(true, 1_ms);
+    f.table.finishTakeover(true, {});
     BOOST_TEST(f.submit(what, 2_ms).empty());
     BOOST_TEST(
         (answerIn(f.table.taskEnded(resultOf(what, Outcome::Complete), 3_ms)).outcome == Outcome::Complete));
