--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -10,6 +10,7 @@
 #include "observe/timeline.h"
 #include "target/targetclient.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
@@ -75,6 +76,7 @@
     std::vector<std::shared_ptr<EntryLink>> m_links;
     // Results that go out with the next flush, by entry.
     std::map<ProcessId, wire::ResultBatchT> m_results;
+    bool m_flushPosted = false;
     uint64_t m_newestVersion = 0;
     uint64_t m_newestView = 0;
     asio::steady_timer m_timer;
@@ -342,7 +344,11 @@
 {
     for (const AgentAction &action : actions)
         std::visit([this](const auto &one) { performOne(one); }, action);
-    flushResults();
+    // Results of all handlers that are ready now leave in one message.
+    if (!m_results.empty() && !m_flushPosted) {
+        m_flushPosted = true;
+        asio::post(m_io, [this] { flushResults(); });
+    }
     if (m_stopping)
         finishStop();
 }
@@ -368,11 +374,20 @@
 {
     if (action.result.outcome == Outcome::NotRun)
         record(EventKind::TaskRefused, action.result.task, action.result.reason);
-    m_results[action.entry].results.push_back(toWire(action.result));
+    const uint32_t epoch = m_core.creditEpoch();
+    const auto waiting = m_results.find(action.entry);
+    // Credits that return in a batch belong to the epoch in which their tasks ended.
+    if (waiting != m_results.end() && waiting->second.credit_epoch != epoch)
+        flushResults();
+    wire::ResultBatchT &batch = m_results[action.entry];
+    batch.credit_epoch = epoch;
+    batch.results.push_back(toWire(action.result));
 }
 
 void AgentServer::performOne(const SendRevokeAck &action)
 {
+    // The result of a revoked task brings its credit back, which the answer does not: it must go first.
+    flushResults();
     EntryLink *link = linkTo(action.entry);
     if (!link)
         return;
@@ -396,13 +411,13 @@
 
 void AgentServer::flushResults()
 {
+    m_flushPosted = false;
     for (auto &[entry, batch] : m_results) {
         EntryLink *link = linkTo(entry);
         if (!link)
             continue;
         batch.running = m_core.running();
         batch.queued = m_core.queued();
-        batch.credit_epoch = m_core.creditEpoch();
         link->send(encodeMessage(std::move(batch)));
     }
     m_results.clear();
@@ -460,6 +475,7 @@
         return;
     m_stopped = true;
     m_timer.cancel();
+    flushResults();
     for (const auto &link : m_links)
         link->stop();
     auto grace = std::make_shared<asio::steady_timer>(m_io, std::chrono::milliseconds(100));
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -131,7 +131,7 @@
     {
         m_submissions.setIncompleteTakeover(takeover);
     }
-    std::vector<KeyRecord> exportRecords(const SubmissionTable::KeyFilter &selects, const std::string &self,
+    std::vector<KeyRecord> exportRecords(const SubmissionTable::KeyFilter &selects, const ProcessId &self,
                                          Millis now) const
     {
         return m_submissions.exportRecords(selects, self, now);
@@ -141,7 +141,7 @@
         return m_submissions.exportTombstones(selects);
     }
     void importTombstones(std::span<const Fingerprint> keys) { m_submissions.importTombstones(keys); }
-    void holderLost(const std::string &holder, Millis now) { m_submissions.holderLost(holder, now); }
+    void holderLost(const ProcessId &holder, Millis now) { m_submissions.holderLost(holder, now); }
     DispatchActions importRecords(std::span<const KeyRecord> records, Millis now);
     DispatchActions holderAnswered(const Fingerprint &key, const Answer &answer, Millis now);
     DispatchActions importAgentRecords(std::span<const AgentRecord> records, Millis now);
--- a/src/observe/timelinetext.cpp
+++ b/src/observe/timelinetext.cpp
@@ -39,7 +39,7 @@
     Explanation{reason::impossible, "no target can ever meet the declared needs"},
     Explanation{reason::conflict, "the key was used before with a different body"},
     Explanation{reason::windowPassed, "the key is older than the deduplication window"},
-    Explanation{reason::answerDropped, "the answer was dropped to bound memory"},
+    Explanation{reason::answerDropped, "the answer was dropped to bound the memory of answers"},
     Explanation{reason::incompleteTakeover, "records of a lost entry are incomplete, the task may have run"},
     Explanation{reason::ownerUnavailable, "the entry that owns the key was not reachable"},
     Explanation{reason::unknownService, "the service is not declared"},
@@ -88,7 +88,7 @@
         const auto found = times.find(key);
         if (found == times.end())
             return "";
-        return ", " + std::string(words) + " " + std::to_string((now - found->second).count) + " ms";
+        return ", " + std::to_string((now - found->second).count) + " ms after " + std::string(words);
     }
 
     static std::string because(const std::string &why)
@@ -131,15 +131,15 @@
         case EventKind::TaskSent: {
             m_sent[key] = event.time;
             return task + " was sent to " + event.target + because(event.reason)
-                + since(m_accepted, {event.process, event.job}, event.time, "accepted before");
+                + since(m_accepted, {event.process, event.job}, event.time, "its submission was accepted");
         }
         case EventKind::TaskStarted:
             m_started[key] = event.time;
             return task + " was started on target " + event.target + because(event.reason);
         case EventKind::TaskFinished:
             return task + " ended" + (event.target.empty() ? "" : " on " + event.target)
-                + because(event.reason) + since(m_started, key, event.time, "ran for")
-                + since(m_sent, key, event.time, "sent before");
+                + because(event.reason) + since(m_started, key, event.time, "its start")
+                + since(m_sent, key, event.time, "it was sent");
         case EventKind::TaskRefused:
             return task + " was refused" + (event.target.empty() ? "" : " by " + event.target)
                 + because(event.reason) + "; it did not run there";
@@ -166,7 +166,7 @@
             return job + " was forwarded to its owner " + event.reason;
         default:
             return job + " was answered" + because(event.reason)
-                + since(m_accepted, key, event.time, "accepted before");
+                + since(m_accepted, key, event.time, "it was accepted");
         }
     }
 
--- a/src/submission/submissiontable.h
+++ b/src/submission/submissiontable.h
@@ -46,7 +46,7 @@
 // Ask the holder for the state of the key, without starting anything, and pass the reply to holderAnswered.
 struct AskHolder
 {
-    std::string holder;
+    ProcessId holder;
     Fingerprint key;
 };
 using SubmissionAction = std::variant<EnqueueTasks, AnswerWaiter, CancelTask, AskHolder>;
@@ -64,7 +64,7 @@
     // Set if answered.
     Answer answer;
     // Entry that runs the submission; set if not answered.
-    std::string holder;
+    ProcessId holder;
 };
 
 // What an agent knows of one attempt that a dead entry sent.
@@ -146,15 +146,15 @@
     // --- change of ownership ---
     using KeyFilter = std::function<bool(const Fingerprint &)>;
     // Records of the selected keys: answered ones with the answer, running ones with `self` as the holder.
-    std::vector<KeyRecord> exportRecords(const KeyFilter &selects, const std::string &self, Millis now) const;
+    std::vector<KeyRecord> exportRecords(const KeyFilter &selects, const ProcessId &self, Millis now) const;
     std::vector<Fingerprint> exportTombstones(const KeyFilter &selects) const;
     // Takes records of keys that this entry owns now. A record of this entry's own wins over an imported one.
     SubmissionActions importRecords(std::span<const KeyRecord> records, Millis now);
     void importTombstones(std::span<const Fingerprint> keys);
-    // Reply to AskHolder. An answer with status 404 means that the holder does not know the key.
+    // Reply to AskHolder. Status 404 or 421 means that the holder does not know the key.
     SubmissionActions holderAnswered(const Fingerprint &key, const Answer &answer, Millis now);
     // The holder died: its submissions are answered from the records of agents, as in finishTakeover.
-    void holderLost(const std::string &holder, Millis now);
+    void holderLost(const ProcessId &holder, Millis now);
 
     // Takes what an agent knows of tasks that a dead entry started. Nothing imported is ever started again.
     SubmissionActions importAgentRecords(std::span<const AgentRecord> records, Millis now);
