Ship the last events of a process that stops gracefully

Events of the last second, the stop itself among them, were in no record of the events stream. An entry now appends them before its leave record, an agent hands them to an entry with its last results. The process test reads both from the log.

--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -476,6 +476,7 @@
     m_stopped = true;
     m_timer.cancel();
     flushResults();
+    shipEvents();
     for (const auto &link : m_links)
         link->stop();
     auto grace = std::make_shared<asio::steady_timer>(m_io, std::chrono::milliseconds(100));
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -508,10 +508,12 @@
     if (!idle && waited < m_settings.stopBound)
         return;
     m_leaving = true;
-    m_membership.leave([this] {
-        m_agents.closeAll();
-        m_peers.closeAll();
-        m_io.stop();
+    m_shipper.flush([this] {
+        m_membership.leave([this] {
+            m_agents.closeAll();
+            m_peers.closeAll();
+            m_io.stop();
+        });
     });
 }
 
--- a/src/entry/eventshipper.cpp
+++ b/src/entry/eventshipper.cpp
@@ -51,6 +51,23 @@
                   [this](const AppendResult &result) { finished(result); });
 }
 
+void EventShipper::flush(std::function<void()> onDone)
+{
+    // The end of the process does not wait long for a log that is down.
+    constexpr Millis appendTimeout = {1'000};
+    std::string record;
+    {
+        const std::lock_guard lock(m_mutex);
+        record = nextRecord();
+    }
+    if (record.empty()) {
+        onDone();
+        return;
+    }
+    m_log->append(stream::events, std::move(record), appendTimeout,
+                  [onDone = std::move(onDone)](const AppendResult &) { onDone(); });
+}
+
 std::string EventShipper::nextRecord()
 {
     const std::vector<Event> own = m_own.since(m_shippedUpTo, SIZE_MAX);
--- a/src/entry/eventshipper.h
+++ b/src/entry/eventshipper.h
@@ -4,6 +4,7 @@
 #include "observe/eventlog.h"
 #include "platform/logclient.h"
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -22,6 +23,9 @@
     void take(std::vector<std::string> events);
     // Appends a record if one is due. Call often.
     void tick(Millis now);
+    // Appends what is left before the process ends; onDone runs when the append has ended, whatever its
+    // result.
+    void flush(std::function<void()> onDone);
     // Events that were left out because there were too many.
     uint64_t skipped() const;
 
--- a/tests/process/test_config.py
+++ b/tests/process/test_config.py
@@ -198,6 +198,18 @@
                 self.assertIn("\nturmericwell_metrics_unknown_total 0\n", metrics)
                 self.assertIn("# TYPE turmericwell_config_version gauge\nturmericwell_config_version 1\n", metrics)
 
+            # The last events of a process that stops gracefully are in the log, too.
+            stopped = [names[-1], "entry-2"]
+            for name in stopped:
+                self.assertEqual(cluster.processes[name].stop(), 0)
+
+            def stops():
+                result = cluster.run("timeline", "--log", cluster.address("log"), "--format", "json")
+                events = [json.loads(line) for line in result.stdout.splitlines()]
+                return {item["process"] for item in events if item["kind"] == "process_stopping"}
+
+            wait_until(lambda: stops() == set(stopped), 20, "the last events of the stopped processes")
+
     @staticmethod
     def raw(port, path):
         import http.client
