--- a/src/config/declarationchecks.cpp
+++ b/src/config/declarationchecks.cpp
@@ -42,8 +42,8 @@
     for (size_t i = 0; i < items.size(); ++i) {
         const std::string path = elementPath(list, i);
         checkName(file, path + ".name", items[i].name, problems);
-        const auto [place, isNew] =
-            places.emplace(std::string(list) + "/" + items[i].name, file + ": " + path);
+        const auto [place, isNew] = places.emplace(std::string(list).append("/").append(items[i].name),
+                                                   std::string(file).append(": ").append(path));
         if (!isNew && !items[i].name.empty())
             problems.push_back(
                 {.file = file,
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -618,10 +618,12 @@
         m_exitCode = 1;
     }
     m_stopPhase = StopPhase::Leaving;
-    m_membership.leave([this](bool appended) {
-        if (!appended)
-            logger().warning("the leave is not in the log; the other entries know of it from the handover");
-        finishStop();
+    m_shipper.flush([this] {
+        m_membership.leave([this](bool appended) {
+            if (!appended)
+                logger().warning("the leave is not in the log; the other entries know of it from the handover");
+            finishStop();
+        });
     });
 }
 
