--- a/tools/lab/checker.py
+++ b/tools/lab/checker.py
@@ -23,6 +23,8 @@
 FRESHNESS_MS = 3_000
 MARGIN_MS = 1_000
 SPREAD_MS = 7_000
+# An entry that stops takes new connections for this long (drainMs), so that the load balancer can hear of it first.
+DRAIN_MS = 1_000
 LOSSES = ("agent_lost", "target_lost", "entry_lost", "owner_unavailable")
 
 
@@ -196,7 +198,8 @@
             for call in self.calls:
                 if call["doneMs"] < stop["atMs"] or call["sentMs"] > stop["exitedMs"]:
                     continue
-                cut = call["entry"] == stop["process"] and call["connected"] and not call["whole"]
+                in_time = call["sentMs"] < stop["atMs"] + DRAIN_MS
+                cut = call["entry"] == stop["process"] and in_time and not call["whole"]
                 if cut or call.get("reason") in LOSSES:
                     self.report("G8", f"stop of {stop['process']}: {describe(call)} was cut ({call.get('reason')})")
 
