--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -3,6 +3,7 @@
 
 #include "dispatch/dispatcher.h"
 #include "entry/agenthub.h"
+#include "entry/claimslog.h"
 #include "entry/configkeeper.h"
 #include "entry/entrymetrics.h"
 #include "entry/eventshipper.h"
@@ -10,6 +11,7 @@
 #include "entry/membershipkeeper.h"
 #include "entry/ownercalls.h"
 #include "entry/peerhub.h"
+#include "entry/statemover.h"
 #include "entry/statusreport.h"
 #include "observe/eventlog.h"
 #include "observe/log.h"
@@ -17,14 +19,12 @@
 #include <atomic>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <thread>
 
 namespace turmericwell {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 namespace leaf = boost::leaf;
 
 namespace {
@@ -42,12 +42,18 @@
 
     void start();
     void beginStop();
+    // The entry was reported as dead and has given up its state: it is to start again with none.
+    bool mustStartAgain() const { return m_removed; }
+    int exitCode() const { return m_exitCode; }
 
 private:
     AgentHub::Handlers agentHandlers();
     PeerHub::Handlers peerHandlers();
     ConfigKeeper::Handlers configHandlers();
     Frontend::Handlers frontendHandlers();
+    MembershipKeeper::Options membershipOptions() const;
+    MembershipKeeper::Handlers membershipHandlers();
+    StateMover::Handlers stateHandlers();
 
     void tick();
     void connectPeers();
@@ -77,7 +83,10 @@
     wire::PeerPingT peerStatus() const;
     void record(Event event);
     void record(EventKind kind, std::string_view why, uint64_t version = 0);
+    void pullFromPeer(const std::string &peer, const wire::PeerPingT &ping);
+    void giveUp();
     void continueStop();
+    void finishStop();
 
     IoContext &m_io;
     const EntrySettings m_settings;
@@ -89,6 +98,8 @@
     Dispatcher m_dispatcher;
     AgentHub m_agents;
     PeerHub m_peers;
+    ClaimsLog m_claims;
+    StateMover m_state;
     MembershipKeeper m_membership;
     ConfigKeeper m_config;
     OwnerCalls m_calls;
@@ -102,7 +113,11 @@
     std::unique_ptr<Frontend> m_frontend;
     std::atomic<bool> m_stopping = false;
     Millis m_stopBegan;
-    bool m_leaving = false;
+    enum class StopPhase : uint8_t { Draining, Finishing, HandingOver, Leaving };
+    StopPhase m_stopPhase = StopPhase::Draining;
+    std::atomic<bool> m_removed = false;
+    std::atomic<int64_t> m_pulledAt = 0;
+    int m_exitCode = 0;
 };
 
 EntryServer::EntryServer(IoContext &io, const EntrySettings &settings)
@@ -125,8 +140,13 @@
            .onEvent = [this](Event event) { record(std::move(event)); }})
     , m_agents(m_self.id, m_dispatcher, agentHandlers())
     , m_peers(io, m_self, m_dispatcher, peerHandlers())
-    , m_membership(io, std::make_shared<LogClient>(io, settings.log),
-                   {.self = m_self, .freshness = settings.freshness, .pollWait = settings.logPollWait})
+    , m_claims(std::make_shared<LogClient>(io, settings.log), m_self.id)
+    , m_state({.self = m_self.id,
+               .takeover = {.freshness = settings.freshness, .takeover = settings.takeover},
+               .dedupWindow = settings.dedupWindow},
+              stateHandlers())
+    , m_membership(io, std::make_shared<LogClient>(io, settings.log), membershipOptions(),
+                   membershipHandlers())
     , m_config(io, std::make_shared<LogClient>(io, settings.log),
                {.pollWait = settings.logPollWait, .retention = settings.logRetention}, configHandlers())
     , m_calls(m_self.id, callHandlers())
@@ -142,7 +162,44 @@
                 },
             .onGone = [](const std::string &) {},
             .perform = [this](const DispatchActions &actions) { perform(actions); },
-            .onEvents = [this](std::vector<std::string> events) { m_shipper.take(std::move(events)); }};
+            .onEvents = [this](std::vector<std::string> events) { m_shipper.take(std::move(events)); },
+            .onRecords = [this](const wire::RecordReplyT &reply) { m_state.handleRecords(reply); }};
+}
+
+MembershipKeeper::Options EntryServer::membershipOptions() const
+{
+    return {.self = m_self,
+            .freshness = m_settings.freshness,
+            .pollWait = m_settings.logPollWait,
+            .peerTimeout = m_settings.peerTimeout,
+            .logRetention = m_settings.logRetention};
+}
+
+MembershipKeeper::Handlers EntryServer::membershipHandlers()
+{
+    return {.onViewChanged =
+                [this](uint64_t view, const std::vector<EntryMember> &before,
+                       const std::vector<EntryMember> &after) {
+                    m_state.viewChanged(view, before, after);
+                    record(after.size() < before.size() ? EventKind::EntryLeft : EventKind::EntryJoined,
+                           "view " + std::to_string(view));
+                },
+            .onRemoved = [this] { giveUp(); }};
+}
+
+StateMover::Handlers EntryServer::stateHandlers()
+{
+    return {.sendToPeer = [this](const ProcessId &peer,
+                                 std::vector<uint8_t> frame) { return m_peers.send(peer, std::move(frame)); },
+            .sendToAgent = [this](const std::string &agent,
+                                  std::vector<uint8_t> frame) { m_agents.send(agent, std::move(frame)); },
+            .knownAgents = [this] { return m_membership.knownAgents(); },
+            .ownRecords = [this] { return m_dispatcher.records(); },
+            .readClaims =
+                [this](std::function<void(const std::optional<std::vector<ClaimBatch>> &)> onDone) {
+                    m_claims.readAll(Clock::wall() - m_settings.dedupWindow, std::move(onDone));
+                },
+            .onEvent = [this](EventKind kind, const std::string &entry) { record(kind, entry); }};
 }
 
 PeerHub::Handlers EntryServer::peerHandlers()
@@ -154,13 +211,14 @@
                         m_peerVersions[peer] = ping.config_version;
                     }
                     m_membership.peerHeard(peer, {.config = ping.config_version, .view = ping.view});
-                    if (ping.config_version > m_config.version())
-                        m_peers.pullConfig(peer, ping.config_version, ping.view);
+                    pullFromPeer(peer, ping);
                 },
             .onGone = [this](const std::string &peer) { m_membership.peerGone(peer); },
             .perform = [this](const DispatchActions &actions) { perform(actions); },
-            .onForward = [this](const SubmissionRequest &request,
-                                const AnswerDelivery &reply) { m_calls.submitAsOwner(request, reply); },
+            .onForward =
+                [this](const SubmissionRequest &request, const AnswerDelivery &reply) {
+                    m_calls.submitAsOwner(request, reply, Clock::now());
+                },
             .onLookup = [this](const Fingerprint &key, bool cancel,
                                const AnswerDelivery &reply) { reply(m_calls.lookupAsOwner(key, cancel)); },
             .onConfigPull =
@@ -168,9 +226,16 @@
                     wire::ConfigPushT push;
                     push.config_version = m_config.version();
                     push.state = m_config.stateText();
+                    push.roster = m_membership.rosterText();
                     m_peers.send(peer, encodeMessage(std::move(push)));
                 },
-            .onConfigPush = [this](const wire::ConfigPushT &push) { m_config.adopt(push.state); },
+            .onConfigPush =
+                [this](const wire::ConfigPushT &push) {
+                    m_config.adopt(push.state);
+                    m_membership.adopt(push.roster);
+                },
+            .onHandover = [this](const ProcessId &peer,
+                                 const wire::HandoverT &handover) { m_state.handleHandover(peer, handover); },
             .status = [this] { return peerStatus(); }};
 }
 
@@ -178,8 +243,8 @@
 {
     return {.onChanged = [this](const ConfigPtr &config) { configChanged(config); },
             .onRefused = [this](const std::string &why) { record(EventKind::ConfigRefused, why); },
-            .onLogRead = [this](Millis sentAt) { m_membership.logRead(sentAt); },
-            .onLogFailed = [this] { m_membership.logFailed(); },
+            .onLogRead = [this](Millis sentAt) { m_membership.configRead(sentAt); },
+            .onLogFailed = [this] { m_membership.configReadFailed(); },
             .isSnapshotWriter = [this] { return isLowestMember(); }};
 }
 
@@ -231,6 +296,8 @@
 
 void EntryServer::tick()
 {
+    const Millis now = Clock::now();
+    m_membership.tick(now);
     const bool current = m_membership.isCurrent();
     if (current != m_wasCurrent) {
         record(current ? EventKind::BecameCurrent : EventKind::BecameStale, "");
@@ -239,10 +306,12 @@
     m_dispatcher.setMayStart(current);
     m_dispatcher.setWallClock(Clock::wall(), Clock::now());
     m_dispatcher.setEntryCount(static_cast<uint32_t>(m_membership.members().size()));
-    perform(m_dispatcher.tick(Clock::now()));
+    perform(m_dispatcher.tick(now));
     connectPeers();
-    m_calls.tick(Clock::now());
-    m_waiters.expire(Clock::now());
+    m_state.tick(now);
+    m_claims.tick(now);
+    m_calls.tick(now);
+    m_waiters.expire(now);
     m_peers.evenOut();
     m_shipper.tick(Clock::now());
     if (m_stopping)
@@ -313,7 +382,7 @@
 
 OwnerCalls::Handlers EntryServer::callHandlers()
 {
-    return {.place = [this](const Fingerprint &key) { return m_membership.place(key); },
+    return {.place = [this](const Fingerprint &key) { return m_state.place(key, Clock::now()); },
             .forward =
                 [this](const ProcessId &peer, const SubmissionRequest &request, OwnerCalls::Reply reply) {
                     record(EventKind::SubmissionForwarded, peer.name);
@@ -339,6 +408,22 @@
 void EntryServer::submitHere(const SubmissionRequest &request, AnswerDelivery deliver)
 {
     const Millis now = Clock::now();
+    if (!m_dispatcher.lookup(request.key)) {
+        if (const std::optional<Answer> known = m_state.answerFor(request.key, request.bodyHash)) {
+            deliver(*known);
+            return;
+        }
+        const ConfigPtr config = m_dispatcher.config();
+        const ServiceDeclaration *service = config->declarations.findService(request.service);
+        const CallDeclaration *call = service ? service->findCall(request.call) : nullptr;
+        if (m_state.isIncomplete(request.key, now) && call && !call->repeatable) {
+            deliver({.outcome = Outcome::Unknown,
+                     .reason = std::string(reason::incompleteTakeover),
+                     .status = 503});
+            return;
+        }
+        m_claims.add(request.key);
+    }
     // The entry that received the submission answers at the deadline; this one keeps the waiter longer.
     const Millis deadline = now + request.budget + Waiters::answerSlack * 2;
     AnswerDelivery measured = [this, now, deliver = std::move(deliver)](const Answer &answer) {
@@ -362,7 +447,9 @@
 {
     if (cancel)
         perform(m_dispatcher.cancel(key, Clock::now()));
-    const std::optional<Answer> answer = m_dispatcher.lookup(key);
+    std::optional<Answer> answer = m_dispatcher.lookup(key);
+    if (!answer)
+        answer = m_state.answerFor(key, 0);
     return answer
         ? *answer
         : Answer{.outcome = Outcome::Unknown, .reason = std::string(reason::unknownJob), .status = 404};
@@ -407,6 +494,9 @@
     set("tombstones_dropped_total", records.tombstonesDropped);
     set("answer_bytes", records.answerBytes);
     set("answers_dropped_total", records.answersDropped);
+    set("submissions_waiting_for_owner", m_calls.waiting());
+    set("takeovers_pending", m_state.pendingTakeovers());
+    set("claims_dropped_total", m_claims.dropped());
     return m_metrics.text();
 }
 
@@ -498,40 +588,106 @@
     logger().info("stopping after the submissions in flight");
 }
 
+// The first handover lets the others serve new submissions while this entry finishes what runs; the second
+// one brings the answers.
 void EntryServer::continueStop()
 {
     const Millis waited = Clock::now() - m_stopBegan;
-    if (waited < m_settings.drain || m_leaving)
-        return;
-    m_frontend->stopAccepting();
-    const bool idle = m_dispatcher.activeSubmissions() == 0 && m_frontend->openRequests() == 0;
-    if (!idle && waited < m_settings.stopBound)
+    const bool overdue = waited >= m_settings.stopBound;
+    const size_t active = m_dispatcher.activeSubmissions();
+    if (m_stopPhase == StopPhase::Draining && (waited >= m_settings.drain || overdue)) {
+        m_frontend->stopAccepting();
+        m_state.beginFinalHandover();
+        m_stopPhase = StopPhase::Finishing;
+    }
+    if (m_stopPhase == StopPhase::Finishing) {
+        const bool idle = active == 0 && m_waiters.size() == 0 && m_frontend->openRequests() == 0;
+        if ((!idle || !m_state.isFinalHandoverDone()) && !overdue)
+            return;
+        if (!idle) {
+            logger().error("stopMs has passed: " + std::to_string(active) + " submissions are left behind");
+            m_exitCode = 1;
+        }
+        m_state.beginFinalHandover();
+        m_stopPhase = StopPhase::HandingOver;
+    }
+    if (m_stopPhase != StopPhase::HandingOver || (!m_state.isFinalHandoverDone() && !overdue))
         return;
-    m_leaving = true;
-    m_membership.leave([this] {
-        m_agents.closeAll();
-        m_peers.closeAll();
-        m_io.stop();
+    if (!m_state.isFinalHandoverDone()) {
+        logger().error("stopMs has passed: not every entry has confirmed the handover");
+        m_exitCode = 1;
+    }
+    m_stopPhase = StopPhase::Leaving;
+    m_membership.leave([this](bool appended) {
+        if (!appended)
+            logger().warning("the leave is not in the log; the other entries know of it from the handover");
+        finishStop();
     });
 }
 
+void EntryServer::finishStop()
+{
+    m_agents.closeAll();
+    m_peers.closeAll();
+    // Lets the closing frames and the last answers leave.
+    constexpr auto grace = std::chrono::milliseconds(100);
+    auto timer = std::make_shared<asio::steady_timer>(m_io, grace);
+    timer->async_wait([this, timer](const boost::system::error_code &) { m_io.stop(); });
+}
+
+// Its keys belong to others now, which have fenced it at the agents. What runs here may still finish at its
+// target, so the outcome is unknown.
+void EntryServer::giveUp()
+{
+    if (m_removed.exchange(true) || m_stopping)
+        return;
+    logger().error("this entry was reported as dead: giving up its state and joining again");
+    m_dispatcher.setMayStart(false);
+    m_waiters.answerAll(
+        {.outcome = Outcome::Unknown, .reason = std::string(reason::entryLost), .status = 504});
+    finishStop();
+}
+
+void EntryServer::pullFromPeer(const std::string &peer, const wire::PeerPingT &ping)
+{
+    const bool behind = ping.config_version > m_config.version() || ping.view > m_membership.view()
+        || !m_membership.hasRoster();
+    constexpr int64_t interval = 300;
+    const int64_t now = Clock::now().count;
+    if (!behind || now - m_pulledAt < interval)
+        return;
+    m_pulledAt = now;
+    m_peers.pullConfig(peer, m_config.version(), m_membership.view());
+}
+
 } // namespace
 
-int runEntry(const EntrySettings &settings)
+static std::optional<int> runOnce(const EntrySettings &settings)
 {
     IoContext io(static_cast<int>(settings.threads));
     EntryServer server(io, settings);
     server.start();
     asio::signal_set signals(io, SIGINT, SIGTERM);
-    signals.async_wait([&server](const boost::system::error_code &, int) { server.beginStop(); });
+    signals.async_wait([&server](const boost::system::error_code &error, int) {
+        if (!error)
+            server.beginStop();
+    });
     logger().info(settings.name + " listens on " + settings.listen.text());
     std::vector<std::jthread> threads;
     for (uint32_t i = 1; i < settings.threads; ++i)
         threads.emplace_back([&io] { io.run(); });
     io.run();
     threads.clear();
+    return server.mustStartAgain() ? std::nullopt : std::optional(server.exitCode());
+}
+
+int runEntry(const EntrySettings &settings)
+{
+    std::optional<int> exitCode;
+    while (!exitCode)
+        exitCode = runOnce(settings);
     logger().info(settings.name + " has stopped");
-    return 0;
+    return *exitCode;
 }
 
 } // namespace turmericwell
--- a/src/submission/submissiontable.h
+++ b/src/submission/submissiontable.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/declarations.h"
+#include "membership/recordstore.h"
 #include "submission/submission.h"
 #include "submission/tombstones.h"
 #include "turmericwell/outcome.h"
@@ -143,6 +144,8 @@
     // Forgets a waiter whose connection has closed.
     void dropWaiter(const Fingerprint &key, WaiterId waiter);
 
+    // All submissions, for other entries that become owners of their keys.
+    std::vector<SubmissionRecord> records() const;
     // --- change of ownership ---
     using KeyFilter = std::function<bool(const Fingerprint &)>;
     // Records of the selected keys: answered ones with the answer, running ones with `self` as the holder.
