Answer a pending key only from the entry's own submissions

Cause: on a takeover the claims are read before the agents have answered. A lookup from the receiving entry got the claim's answer, unknown with reason entry_lost, although the key still waited for the result. Change: records of other entries are used only for keys that this entry serves. Conclusion: fixed; a unit test covers the order.

--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -66,7 +66,7 @@
     std::string metricsText() const;
     std::string showText() const;
 
-    void perform(DispatchActions actions);
+    void perform(const DispatchActions &actions);
     void performOne(const SendTasks &action) { m_agents.send(action); }
     void performOne(const SendRevoke &action) { m_agents.send(action); }
     void performOne(const SendStop &action) { m_agents.send(action); }
@@ -144,7 +144,7 @@
                     m_membership.agentHeard(agent, {.config = configVersion, .view = view});
                 },
             .onGone = [](const std::string &) {},
-            .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
+            .perform = [this](const DispatchActions &actions) { perform(actions); },
             .onRecords = [this](const wire::RecordReplyT &reply) { m_state.handleRecords(reply); }};
 }
 
@@ -192,7 +192,7 @@
                     pullFromPeer(peer, ping);
                 },
             .onGone = [this](const std::string &peer) { m_membership.peerGone(peer); },
-            .perform = [this](DispatchActions actions) { perform(std::move(actions)); },
+            .perform = [this](const DispatchActions &actions) { perform(actions); },
             .onForward =
                 [this](const SubmissionRequest &request, const AnswerDelivery &reply) {
                     m_calls.submitAsOwner(request, reply, Clock::now());
@@ -327,7 +327,7 @@
     }
 }
 
-void EntryServer::perform(DispatchActions actions)
+void EntryServer::perform(const DispatchActions &actions)
 {
     for (const DispatchAction &action : actions)
         std::visit([this](const auto &one) { performOne(one); }, action);
@@ -350,7 +350,8 @@
                 },
             .submitHere = [this](const SubmissionRequest &request,
                                  AnswerDelivery deliver) { submitHere(request, std::move(deliver)); },
-            .lookupHere = [this](const Fingerprint &key, bool cancel) { return lookupHere(key, cancel); }};
+            .lookupHere = [this](const Fingerprint &key, bool cancel) { return lookupHere(key, cancel); },
+            .lookupOwn = [this](const Fingerprint &key) { return m_dispatcher.lookup(key); }};
 }
 
 void EntryServer::submit(const SubmissionRequest &request, AnswerDelivery deliver)
--- a/src/entry/ownercalls.cpp
+++ b/src/entry/ownercalls.cpp
@@ -61,9 +61,11 @@
 
 Answer OwnerCalls::lookupAsOwner(const Fingerprint &key, bool cancel)
 {
-    // An earlier owner still answers for what it runs.
-    Answer answer = m_handlers.lookupHere(key, cancel);
-    return answer.status == 404 && m_handlers.place(key).owner != m_self ? notOwner() : answer;
+    if (m_handlers.place(key).owner == m_self)
+        return m_handlers.lookupHere(key, cancel);
+    // An earlier owner still answers for what it runs. Records that came from others are not used while the
+    // key waits: a claim may be there before the result.
+    return m_handlers.lookupOwn(key).value_or(notOwner());
 }
 
 void OwnerCalls::advance(Call call)
@@ -110,19 +112,13 @@
 void OwnerCalls::replied(Call call, const ProcessId &owner, bool wasLookup,
                          const std::optional<Answer> &answer)
 {
-    if (answer && answer->status == statusNotOwner) {
+    if (!answer && !wasLookup)
+        call.sentTo = owner;
+    const bool asksForSubmission = wasLookup && !call.isLookup;
+    if (!answer || answer->status == statusNotOwner || (asksForSubmission && answer->running))
         park(std::move(call));
-    } else if (!answer) {
-        if (!wasLookup)
-            call.sentTo = owner;
-        park(std::move(call));
-    } else if (call.isLookup || !wasLookup) {
-        call.deliver(*answer);
-    } else if (answer->running) {
-        park(std::move(call));
-    } else {
-        call.deliver(answer->status == 404 ? entryLost() : *answer);
-    }
+    else
+        call.deliver(asksForSubmission && answer->status == 404 ? entryLost() : *answer);
 }
 
 void OwnerCalls::park(Call call)
--- a/src/entry/ownercalls.h
+++ b/src/entry/ownercalls.h
@@ -40,7 +40,10 @@
         std::function<bool(const ProcessId &peer, const SubmissionRequest &request, Reply reply)> forward;
         std::function<bool(const ProcessId &peer, const Fingerprint &key, bool cancel, Reply reply)> lookup;
         std::function<void(const SubmissionRequest &request, AnswerDelivery deliver)> submitHere;
+        // From all records of this entry; only used for keys that it serves.
         std::function<Answer(const Fingerprint &key, bool cancel)> lookupHere;
+        // From the submissions that this entry accepted itself, whoever serves the key now.
+        std::function<std::optional<Answer>(const Fingerprint &key)> lookupOwn;
     };
 
     OwnerCalls(ProcessId self, Handlers handlers);
--- a/tests/unit/membershipcallstest.cpp
+++ b/tests/unit/membershipcallstest.cpp
@@ -27,7 +27,8 @@
                      ++submittedHere;
                      deliver({.outcome = Outcome::Complete});
                  },
-             .lookupHere = [this](const Fingerprint &, bool) { return recordHere; }})
+             .lookupHere = [this](const Fingerprint &, bool) { return recordHere; },
+             .lookupOwn = [this](const Fingerprint &) { return ownRecord; }})
     { }
 
     bool take(std::vector<ProcessId> &list, const ProcessId &peer, OwnerCalls::Reply &&handler)
@@ -52,6 +53,7 @@
     OwnerCalls::Reply reply;
     int submittedHere = 0;
     Answer recordHere = {.status = 404};
+    std::optional<Answer> ownRecord;
     std::optional<Answer> answer;
     OwnerCalls calls;
 };
@@ -111,6 +113,18 @@
     BOOST_TEST(submittedHere == 1);
 }
 
+// Guards against an answer from a claim while the results are still being fetched from the agents.
+BOOST_AUTO_TEST_CASE(pendingKeyIsOnlyAnsweredFromOwnSubmissions)
+{
+    place = std::nullopt;
+    recordHere = {.outcome = Outcome::Unknown, .reason = std::string(reason::entryLost), .status = 504};
+    BOOST_TEST(calls.lookupAsOwner({}, false).status == statusNotOwner);
+    ownRecord = Answer{.outcome = Outcome::Complete, .status = 200};
+    BOOST_TEST(calls.lookupAsOwner({}, false).status == 200);
+    place = self;
+    BOOST_TEST(calls.lookupAsOwner({}, false).status == 504);
+}
+
 // Guards against callers that wait past their deadline for an owner that does not come back.
 BOOST_AUTO_TEST_CASE(waitingEndsAtTheDeadlineWithUnknown)
 {
