--- a/src/entry/agenthub.cpp
+++ b/src/entry/agenthub.cpp
@@ -47,8 +47,10 @@
         known = link;
         m_agents[link] = agent;
     }
-    if (replaced)
+    if (replaced) {
         replaced->close("the agent has connected again");
+        m_handlers.perform(m_dispatcher.agentLost(hello.agent, Clock::now()));
+    }
     wire::WelcomeT welcome;
     welcome.entry = m_entry.name;
     welcome.incarnation = m_entry.incarnation;
@@ -126,6 +128,9 @@
         m_handlers.onRecords(reply);
         break;
     }
+    case wire::Body::EventBatch:
+        m_handlers.onEvents(message.body.AsEventBatch()->events);
+        break;
     default:
         logger().warning("agent " + agent + " sent a message that entries do not take");
     }
@@ -133,6 +138,17 @@
 
 void AgentHub::handlePing(const FrameLinkPtr &link, const std::string &agent, const wire::PingT &ping)
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_agents.find(link);
+        if (found != m_agents.end()) {
+            AgentState &state = found->second.state;
+            state.configVersion = ping.slice_version;
+            state.running = ping.running;
+            state.queued = ping.queued;
+            state.leaving = ping.leaving;
+        }
+    }
     m_handlers.onHeard(agent, ping.config_version, ping.view);
     takeLeaving(link, ping.leaving);
     m_dispatcher.loadReported(agent, ping.running + ping.queued);
@@ -195,17 +211,15 @@
 {
     if (!ack.task)
         return;
-    const TaskRef task = fromWire(*ack.task);
-    if (ack.state == wire::RevokeState::Running) {
-        send(SendStop{.agent = agent, .task = task});
-        return;
-    }
-    // The agent sends the result itself for a task it has refused or finished; this covers a lost result.
-    if (ack.result) {
-        AgentReport report{.agent = agent};
-        report.results.push_back(fromWire(*ack.result));
-        m_handlers.perform(m_dispatcher.report(report, Clock::now()));
+    RevokeAnswer answer{
+        .agent = agent, .task = fromWire(*ack.task), .running = ack.state == wire::RevokeState::Running};
+    if (!answer.running) {
+        // Without a result the answer proves nothing.
+        if (!ack.result)
+            return;
+        answer.result = fromWire(*ack.result);
     }
+    m_handlers.perform(m_dispatcher.revokeAnswered(answer, Clock::now()));
 }
 
 void AgentHub::send(const SendTasks &action)
@@ -251,6 +265,20 @@
     return m_agents.size();
 }
 
+std::vector<AgentState> AgentHub::states() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<AgentState> result;
+    for (const auto &[link, agent] : m_agents) {
+        AgentState state = agent.state;
+        state.name = agent.id.name;
+        state.target = agent.target.name;
+        state.zone = agent.target.zone;
+        result.push_back(std::move(state));
+    }
+    return result;
+}
+
 void AgentHub::closeAll()
 {
     std::vector<FrameLinkPtr> links;
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -5,12 +5,14 @@
 #include "entry/agenthub.h"
 #include "entry/claimslog.h"
 #include "entry/configkeeper.h"
-#include "entry/entryreports.h"
+#include "entry/entrymetrics.h"
+#include "entry/eventshipper.h"
 #include "entry/frontend.h"
 #include "entry/membershipkeeper.h"
 #include "entry/ownercalls.h"
 #include "entry/peerhub.h"
 #include "entry/statemover.h"
+#include "entry/statusreport.h"
 #include "observe/eventlog.h"
 #include "observe/log.h"
 
@@ -52,6 +54,7 @@
     MembershipKeeper::Options membershipOptions() const;
     MembershipKeeper::Handlers membershipHandlers();
     StateMover::Handlers stateHandlers();
+    std::vector<SubmissionRecord> ownRecords() const;
 
     void tick();
     void connectPeers();
@@ -65,16 +68,21 @@
     Answer lookupHere(const Fingerprint &key, bool cancel);
     std::string metricsText() const;
     std::string showText() const;
+    std::string eventsText() const;
 
     void perform(const DispatchActions &actions);
     void performOne(const SendTasks &action) { m_agents.send(action); }
     void performOne(const SendRevoke &action) { m_agents.send(action); }
     void performOne(const SendStop &action) { m_agents.send(action); }
     void performOne(const AnswerWaiter &action) { m_waiters.answer(action.waiter, action.answer); }
+    void performOne(const AskHolder &action);
 
+    bool isLowestMember() const;
     void configChanged(const ConfigPtr &config);
+    void recordZoneChanges(const Config &config);
     EntryStatus status() const;
     wire::PeerPingT peerStatus() const;
+    void record(Event event);
     void record(EventKind kind, std::string_view why, uint64_t version = 0);
     void pullFromPeer(const std::string &peer, const wire::PeerPingT &ping);
     void giveUp();
@@ -85,6 +93,8 @@
     const EntrySettings m_settings;
     const EntryMember m_self;
     EventLog m_events;
+    mutable Metrics m_metrics = Metrics(entryMetrics);
+    EventShipper m_shipper;
     Waiters m_waiters;
     Dispatcher m_dispatcher;
     AgentHub m_agents;
@@ -96,6 +106,8 @@
     OwnerCalls m_calls;
     Millis m_peersDialledAt;
     bool m_wasCurrent = false;
+    mutable std::mutex m_peerVersionsMutex;
+    std::map<std::string, uint64_t> m_peerVersions;
 
     asio::steady_timer m_timer;
     std::unique_ptr<FrameListener> m_linkListener;
@@ -116,12 +128,17 @@
               .address = settings.linkAnnounced.text(),
               .zone = settings.zone})
     , m_events({.process = settings.name, .zone = settings.zone})
+    , m_shipper(settings.name, m_events, std::make_shared<LogClient>(io, settings.log))
     , m_dispatcher(
           {.router = {.maxQueued = settings.maxQueued,
                       .zone = settings.zone,
                       .policy = makePolicy(settings.policy, m_self.id.incarnation).value_or(CreditsPolicy{})},
-           .submissions = {.dedupWindow = settings.dedupWindow},
-           .onEvent = [this](Event event) { m_events.record(std::move(event)); }})
+           .submissions = {.dedupWindow = settings.dedupWindow,
+                           .tombstoneCapacity = settings.tombstoneCapacity,
+                           .answerBytes = settings.answerBytes},
+           .reconnect = settings.reconnect,
+           .answerGrace = settings.answerGrace,
+           .onEvent = [this](Event event) { record(std::move(event)); }})
     , m_agents(m_self.id, m_dispatcher, agentHandlers())
     , m_peers(io, m_self, m_dispatcher, peerHandlers())
     , m_claims(std::make_shared<LogClient>(io, settings.log), m_self.id)
@@ -131,7 +148,8 @@
               stateHandlers())
     , m_membership(io, std::make_shared<LogClient>(io, settings.log), membershipOptions(),
                    membershipHandlers())
-    , m_config(io, std::make_shared<LogClient>(io, settings.log), settings.logPollWait, configHandlers())
+    , m_config(io, std::make_shared<LogClient>(io, settings.log),
+               {.pollWait = settings.logPollWait, .retention = settings.logRetention}, configHandlers())
     , m_calls(m_self.id, callHandlers())
     , m_timer(io)
 { }
@@ -145,7 +163,8 @@
                 },
             .onGone = [](const std::string &) {},
             .perform = [this](const DispatchActions &actions) { perform(actions); },
-            .onRecords = [this](const wire::RecordReplyT &reply) { m_state.handleRecords(reply); }};
+            .onRecords = [this](const wire::RecordReplyT &reply) { m_state.handleRecords(reply); },
+            .onEvents = [this](std::vector<std::string> events) { m_shipper.take(std::move(events)); }};
 }
 
 MembershipKeeper::Options EntryServer::membershipOptions() const
@@ -176,7 +195,11 @@
             .sendToAgent = [this](const std::string &agent,
                                   std::vector<uint8_t> frame) { m_agents.send(agent, std::move(frame)); },
             .knownAgents = [this] { return m_membership.knownAgents(); },
-            .ownRecords = [this] { return m_dispatcher.records(); },
+            .ownRecords = [this] { return ownRecords(); },
+            .ownTombstones =
+                [this] { return m_dispatcher.exportTombstones([](const Fingerprint &) { return true; }); },
+            .takeTombstones =
+                [this](const std::vector<Fingerprint> &keys) { m_dispatcher.importTombstones(keys); },
             .readClaims =
                 [this](std::function<void(const std::optional<std::vector<ClaimBatch>> &)> onDone) {
                     m_claims.readAll(Clock::wall() - m_settings.dedupWindow, std::move(onDone));
@@ -184,10 +207,29 @@
             .onEvent = [this](EventKind kind, const std::string &entry) { record(kind, entry); }};
 }
 
+std::vector<SubmissionRecord> EntryServer::ownRecords() const
+{
+    const Millis now = Clock::now();
+    std::vector<SubmissionRecord> result;
+    for (KeyRecord &record :
+         m_dispatcher.exportRecords([](const Fingerprint &) { return true; }, m_self.id, now))
+        result.push_back({.key = record.key,
+                          .bodyHash = record.bodyHash,
+                          .kind = record.kind,
+                          .answered = record.answered,
+                          .answer = std::move(record.answer),
+                          .firstSeen = now - record.age});
+    return result;
+}
+
 PeerHub::Handlers EntryServer::peerHandlers()
 {
     return {.onHeard =
                 [this](const std::string &peer, const wire::PeerPingT &ping) {
+                    {
+                        const std::lock_guard lock(m_peerVersionsMutex);
+                        m_peerVersions[peer] = ping.config_version;
+                    }
                     m_membership.peerHeard(peer, {.config = ping.config_version, .view = ping.view});
                     pullFromPeer(peer, ping);
                 },
@@ -222,7 +264,15 @@
     return {.onChanged = [this](const ConfigPtr &config) { configChanged(config); },
             .onRefused = [this](const std::string &why) { record(EventKind::ConfigRefused, why); },
             .onLogRead = [this](Millis sentAt) { m_membership.configRead(sentAt); },
-            .onLogFailed = [this] { m_membership.configReadFailed(); }};
+            .onLogFailed = [this] { m_membership.configReadFailed(); },
+            .isSnapshotWriter = [this] { return isLowestMember(); }};
+}
+
+// Members are ordered by name.
+bool EntryServer::isLowestMember() const
+{
+    const std::vector<EntryMember> members = m_membership.members();
+    return !members.empty() && members.front().id == m_self.id;
 }
 
 Frontend::Handlers EntryServer::frontendHandlers()
@@ -234,12 +284,13 @@
             .isStopping = [this] { return m_stopping.load(); },
             .metricsText = [this] { return metricsText(); },
             .showText = [this] { return showText(); },
-            .eventsText = [this] { return eventLines(m_events); }};
+            .eventsText = [this] { return eventsText(); }};
 }
 
 void EntryServer::start()
 {
     record(EventKind::ProcessStarted, "");
+    m_dispatcher.setWallClock(Clock::wall(), Clock::now());
     m_linkListener = std::make_unique<FrameListener>(m_io, m_settings.linkListen,
                                                      [this](const FrameLinkPtr &link) { acceptLink(link); });
     m_frontend = std::make_unique<Frontend>(m_io, m_settings.listen, frontendHandlers());
@@ -273,6 +324,8 @@
         m_wasCurrent = current;
     }
     m_dispatcher.setMayStart(current);
+    m_dispatcher.setWallClock(Clock::wall(), now);
+    m_dispatcher.setEntryCount(static_cast<uint32_t>(m_membership.members().size()));
     perform(m_dispatcher.tick(now));
     connectPeers();
     m_state.tick(now);
@@ -280,6 +333,7 @@
     m_calls.tick(now);
     m_waiters.expire(now);
     m_peers.evenOut();
+    m_shipper.tick(Clock::now());
     if (m_stopping)
         continueStop();
     constexpr Millis interval = {100};
@@ -334,6 +388,16 @@
     m_peers.evenOut();
 }
 
+void EntryServer::performOne(const AskHolder &action)
+{
+    // The table asks again later if the holder cannot be reached now.
+    m_peers.lookup(action.holder, action.key, false,
+                   [this, key = action.key](const std::optional<Answer> &answer) {
+                       if (answer)
+                           perform(m_dispatcher.holderAnswered(key, *answer, Clock::now()));
+                   });
+}
+
 // --- submissions ---
 
 OwnerCalls::Handlers EntryServer::callHandlers()
@@ -383,7 +447,12 @@
     }
     // The entry that received the submission answers at the deadline; this one keeps the waiter longer.
     const Millis deadline = now + request.budget + Waiters::answerSlack * 2;
-    perform(m_dispatcher.submit(request, m_waiters.add(std::move(deliver), deadline), now));
+    AnswerDelivery measured = [this, now, deliver = std::move(deliver)](const Answer &answer) {
+        m_metrics.observe("submission_ms", static_cast<double>((Clock::now() - now).count));
+        m_metrics.count("answers_total", toString(answer.outcome));
+        deliver(answer);
+    };
+    perform(m_dispatcher.submit(request, m_waiters.add(std::move(measured), deadline), now));
 }
 
 void EntryServer::lookup(const JobLookup &job, const AnswerDelivery &deliver)
@@ -411,43 +480,85 @@
 
 std::string EntryServer::metricsText() const
 {
+    const auto set = [&](std::string_view name, uint64_t value) {
+        m_metrics.set(name, static_cast<double>(value));
+    };
+    set("submissions_active", m_dispatcher.activeSubmissions());
+    set("submissions_known", m_dispatcher.knownSubmissions());
+    set("submissions_waiting_for_owner", m_calls.waiting());
+    set("takeovers_pending", m_state.pendingTakeovers());
+    set("claims_dropped_total", m_claims.dropped());
+    set("tasks_in_flight", m_dispatcher.tasksInFlight());
+    set("tasks_queued", m_dispatcher.queued());
+    set("credits_idle", m_dispatcher.idleCredits());
+    set("agents_connected", m_agents.size());
+    set("config_version", m_config.version());
+    set("config_position_known", m_config.isPositionKnown() ? 1 : 0);
+    set("config_snapshots_total", m_config.snapshotsAppended());
+    set("roster_view", m_membership.view());
+    set("current", m_membership.isCurrent() ? 1 : 0);
+    set("log_readable", m_membership.isLogReadable() ? 1 : 0);
+    set("events_dropped_total", m_events.dropped());
+    set("events_not_shipped_total", m_shipper.skipped());
     const RoutingCounters routing = m_dispatcher.routingCounters();
     const uint64_t asks = m_peers.creditAsks();
     const uint64_t transfers = m_peers.creditTransfers();
+    set("task_starts_sent_total", routing.starts);
+    set("task_refusals_total", routing.refusals);
+    set("credit_asks_total", asks);
+    set("credit_transfers_total", transfers);
     // A refused start costs the message there and the one back.
-    const uint64_t wasted = asks + transfers + 2 * routing.refusals;
-    return metricLines({{"submissions_active", m_dispatcher.activeSubmissions()},
-                        {"submissions_known", m_dispatcher.knownSubmissions()},
-                        {"submissions_waiting_for_owner", m_calls.waiting()},
-                        {"tasks_in_flight", m_dispatcher.tasksInFlight()},
-                        {"tasks_queued", m_dispatcher.queued()},
-                        {"credits_idle", m_dispatcher.idleCredits()},
-                        {"task_starts_sent_total", routing.starts},
-                        {"task_refusals_total", routing.refusals},
-                        {"credit_asks_total", asks},
-                        {"credit_transfers_total", transfers},
-                        {"wasted_messages_total", wasted},
-                        {"agents_connected", m_agents.size()},
-                        {"takeovers_pending", m_state.pendingTakeovers()},
-                        {"claims_dropped_total", m_claims.dropped()},
-                        {"config_version", m_config.version()},
-                        {"events_dropped_total", m_events.dropped()}});
+    set("wasted_messages_total", asks + transfers + 2 * routing.refusals);
+    const LimitCounters limits = m_dispatcher.limitCounters();
+    set("tasks_parked", limits.tasksParked);
+    set("submissions_refused_total", limits.submissionsRefused);
+    set("retries_denied_total", limits.retriesDenied);
+    const SubmissionCounters records = m_dispatcher.submissionCounters();
+    set("tombstones", records.tombstones);
+    set("tombstones_dropped_total", records.tombstonesDropped);
+    set("answer_bytes", records.answerBytes);
+    set("answers_dropped_total", records.answersDropped);
+    return m_metrics.text();
 }
 
 std::string EntryServer::showText() const
 {
-    return toJsonText({.entry = m_self.id,
-                       .config = m_config.current(),
-                       .view = m_membership.view(),
-                       .members = m_membership.members(),
-                       .current = m_membership.isCurrent(),
-                       .logReadable = m_membership.isLogReadable(),
-                       .agents = m_agents.size()});
+    StatusReport report{.self = m_self,
+                        .config = m_config.current(),
+                        .view = m_membership.view(),
+                        .current = m_membership.isCurrent(),
+                        .logReadable = m_membership.isLogReadable(),
+                        .positionKnown = m_config.isPositionKnown(),
+                        .members = m_membership.members(),
+                        .agents = m_agents.states()};
+    const std::lock_guard lock(m_peerVersionsMutex);
+    report.peerVersions = m_peerVersions;
+    return toJsonText(report);
+}
+
+std::string EntryServer::eventsText() const
+{
+    std::string text;
+    for (const Event &event : m_events.since(0, SIZE_MAX))
+        text += toJsonText(event) + "\n";
+    return text;
+}
+
+void EntryServer::recordZoneChanges(const Config &config)
+{
+    const ConfigPtr before = m_dispatcher.config();
+    for (const ZoneDeclaration &zone : config.declarations.zones) {
+        const bool isWithdrawn = zone.state == ServingState::Withdrawn;
+        if (isWithdrawn != before->declarations.isZoneWithdrawn(zone.name))
+            record(isWithdrawn ? EventKind::ZoneWithdrawn : EventKind::ZoneReturned, zone.name,
+                   config.version);
+    }
 }
 
 void EntryServer::configChanged(const ConfigPtr &config)
 {
     record(EventKind::ConfigAccepted, config->author, config->version);
+    recordZoneChanges(*config);
     logger().info("configuration version " + std::to_string(config->version) + " is in force");
     m_dispatcher.setConfig(config);
     m_membership.setConfigVersion(config->version);
@@ -474,9 +585,17 @@
     return ping;
 }
 
+void EntryServer::record(Event event)
+{
+    m_metrics.count("events_total", toString(event.kind));
+    if (event.kind == EventKind::TaskRefused || event.kind == EventKind::SubmissionRefused)
+        m_metrics.count("refusals_total", event.reason);
+    m_events.record(std::move(event));
+}
+
 void EntryServer::record(EventKind kind, std::string_view why, uint64_t version)
 {
-    m_events.record({.kind = kind, .configVersion = version, .reason = std::string(why)});
+    record({.kind = kind, .configVersion = version, .reason = std::string(why)});
 }
 
 // --- stop ---
--- a/src/entry/statemover.cpp
+++ b/src/entry/statemover.cpp
@@ -206,8 +206,33 @@
     return result;
 }
 
+bool StateMover::sendTombstones(const Debt &debt) const
+{
+    // 16 bytes each, so a frame stays below 2 MiB.
+    constexpr size_t frameKeys = 100'000;
+    std::vector<Fingerprint> keys = m_handlers.ownTombstones();
+    {
+        const std::lock_guard lock(m_mutex);
+        std::erase_if(keys, [&](const Fingerprint &key) {
+            const EntryMember *owner = m_ownership.memberFor(key);
+            return !owner || owner->id != debt.to.id;
+        });
+    }
+    for (size_t begin = 0; begin < keys.size(); begin += frameKeys) {
+        wire::HandoverT batch;
+        batch.view = debt.view;
+        for (size_t i = begin; i < std::min(keys.size(), begin + frameKeys); ++i)
+            batch.tombstones.push_back(turmericwell::toWire(keys[i]));
+        if (!m_handlers.sendToPeer(debt.to.id, encodeMessage(std::move(batch))))
+            return false;
+    }
+    return true;
+}
+
 void StateMover::handOver(const Debt &debt, Millis now)
 {
+    if (!sendTombstones(debt))
+        return;
     // Frames stay well below the limit of 8 MiB unless one answer alone is larger.
     constexpr size_t frameBytes = 1U << 20U;
     wire::HandoverT batch;
@@ -265,6 +290,10 @@
         });
         return;
     }
+    std::vector<Fingerprint> tombstones;
+    for (const wire::Key &key : handover.tombstones)
+        tombstones.push_back(turmericwell::fromWire(key));
+    m_handlers.takeTombstones(tombstones);
     {
         const std::lock_guard lock(m_mutex);
         for (const auto &record : handover.records) {
--- a/src/entry/statemover.h
+++ b/src/entry/statemover.h
@@ -37,6 +37,9 @@
         std::function<std::vector<std::string>()> knownAgents;
         // Records of the submissions that this entry accepted itself.
         std::function<std::vector<SubmissionRecord>()> ownRecords;
+        // Fingerprints of keys whose window has passed.
+        std::function<std::vector<Fingerprint>()> ownTombstones;
+        std::function<void(const std::vector<Fingerprint> &keys)> takeTombstones;
         std::function<void(std::function<void(const std::optional<std::vector<ClaimBatch>> &)>)> readClaims;
         std::function<void(EventKind kind, const std::string &entry)> onEvent;
     };
@@ -77,6 +80,7 @@
     void payDebts(Millis now);
     void handOver(const Debt &debt, Millis now);
     std::vector<SubmissionRecord> recordsFor(const EntryMember &member) const;
+    bool sendTombstones(const Debt &debt) const;
 
     const Options m_options;
     const Handlers m_handlers;
