--- a/src/entry/agenthub.h
+++ b/src/entry/agenthub.h
@@ -49,10 +49,10 @@
         std::function<void(const std::string &agent, uint64_t configVersion, uint64_t view)> onHeard;
         std::function<void(const std::string &agent)> onGone;
         std::function<void(DispatchActions)> perform;
-        // Events of an agent, in their JSON form, for the events stream.
-        std::function<void(std::vector<std::string> events)> onEvents;
         // Answer to a record query.
         std::function<void(const wire::RecordReplyT &reply)> onRecords;
+        // Events of an agent, in their JSON form, for the events stream.
+        std::function<void(std::vector<std::string> events)> onEvents;
     };
 
     AgentHub(ProcessId entry, Dispatcher &dispatcher, Handlers handlers);
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -54,6 +54,7 @@
     MembershipKeeper::Options membershipOptions() const;
     MembershipKeeper::Handlers membershipHandlers();
     StateMover::Handlers stateHandlers();
+    std::vector<SubmissionRecord> ownRecords() const;
 
     void tick();
     void connectPeers();
@@ -162,8 +163,8 @@
                 },
             .onGone = [](const std::string &) {},
             .perform = [this](const DispatchActions &actions) { perform(actions); },
-            .onEvents = [this](std::vector<std::string> events) { m_shipper.take(std::move(events)); },
-            .onRecords = [this](const wire::RecordReplyT &reply) { m_state.handleRecords(reply); }};
+            .onRecords = [this](const wire::RecordReplyT &reply) { m_state.handleRecords(reply); },
+            .onEvents = [this](std::vector<std::string> events) { m_shipper.take(std::move(events)); }};
 }
 
 MembershipKeeper::Options EntryServer::membershipOptions() const
@@ -194,7 +195,11 @@
             .sendToAgent = [this](const std::string &agent,
                                   std::vector<uint8_t> frame) { m_agents.send(agent, std::move(frame)); },
             .knownAgents = [this] { return m_membership.knownAgents(); },
-            .ownRecords = [this] { return m_dispatcher.records(); },
+            .ownRecords = [this] { return ownRecords(); },
+            .ownTombstones =
+                [this] { return m_dispatcher.exportTombstones([](const Fingerprint &) { return true; }); },
+            .takeTombstones =
+                [this](const std::vector<Fingerprint> &keys) { m_dispatcher.importTombstones(keys); },
             .readClaims =
                 [this](std::function<void(const std::optional<std::vector<ClaimBatch>> &)> onDone) {
                     m_claims.readAll(Clock::wall() - m_settings.dedupWindow, std::move(onDone));
@@ -202,6 +207,21 @@
             .onEvent = [this](EventKind kind, const std::string &entry) { record(kind, entry); }};
 }
 
+std::vector<SubmissionRecord> EntryServer::ownRecords() const
+{
+    const Millis now = Clock::now();
+    std::vector<SubmissionRecord> result;
+    for (KeyRecord &record :
+         m_dispatcher.exportRecords([](const Fingerprint &) { return true; }, m_self.id, now))
+        result.push_back({.key = record.key,
+                          .bodyHash = record.bodyHash,
+                          .kind = record.kind,
+                          .answered = record.answered,
+                          .answer = std::move(record.answer),
+                          .firstSeen = now - record.age});
+    return result;
+}
+
 PeerHub::Handlers EntryServer::peerHandlers()
 {
     return {.onHeard =
@@ -304,7 +324,7 @@
         m_wasCurrent = current;
     }
     m_dispatcher.setMayStart(current);
-    m_dispatcher.setWallClock(Clock::wall(), Clock::now());
+    m_dispatcher.setWallClock(Clock::wall(), now);
     m_dispatcher.setEntryCount(static_cast<uint32_t>(m_membership.members().size()));
     perform(m_dispatcher.tick(now));
     connectPeers();
@@ -394,7 +414,8 @@
                 },
             .submitHere = [this](const SubmissionRequest &request,
                                  AnswerDelivery deliver) { submitHere(request, std::move(deliver)); },
-            .lookupHere = [this](const Fingerprint &key, bool cancel) { return lookupHere(key, cancel); }};
+            .lookupHere = [this](const Fingerprint &key, bool cancel) { return lookupHere(key, cancel); },
+            .lookupOwn = [this](const Fingerprint &key) { return m_dispatcher.lookup(key); }};
 }
 
 void EntryServer::submit(const SubmissionRequest &request, AnswerDelivery deliver)
@@ -464,6 +485,9 @@
     };
     set("submissions_active", m_dispatcher.activeSubmissions());
     set("submissions_known", m_dispatcher.knownSubmissions());
+    set("submissions_waiting_for_owner", m_calls.waiting());
+    set("takeovers_pending", m_state.pendingTakeovers());
+    set("claims_dropped_total", m_claims.dropped());
     set("tasks_in_flight", m_dispatcher.tasksInFlight());
     set("tasks_queued", m_dispatcher.queued());
     set("credits_idle", m_dispatcher.idleCredits());
