--- a/tests/unit/configstatetest.cpp
+++ b/tests/unit/configstatetest.cpp
@@ -43,7 +43,8 @@
         else if (kind < 5)
             log.emplace_back("not a record");
         else
-            log.push_back(change(truth.version() - std::min(truth.version(), below(3)),
+            // Bases from two versions back to one that does not exist yet.
+            log.push_back(change(std::max<uint64_t>(truth.version() + below(4), 2) - 2,
                                  "author-" + std::to_string(below(4))));
         truth.apply(offset, log.back());
     }
@@ -137,15 +138,17 @@
 BOOST_AUTO_TEST_CASE(adoptedStateWithoutPositionDoesNotMoveTheReplay)
 {
     ConfigState peer;
-    applyFrom(peer, {change(0, "a"), change(1, "b")}, 0);
+    applyFrom(peer, {change(0, "a"), change(1, "b"), change(2, "c")}, 0);
     peer.expiredBefore(9);
     ConfigState reader;
     reader.apply(0, change(0, "a"));
     BOOST_TEST(reader.adopt(peer.stateText()));
-    BOOST_TEST(reader.version() == 2U);
+    BOOST_TEST(reader.version() == 3U);
     BOOST_TEST(reader.nextOffset() == 1U);
     BOOST_TEST((reader.apply(1, change(1, "b")) == RecordEffect::Accepted));
-    BOOST_TEST(reader.version() == 2U);
+    // The replay is at version 2 now; the state in force must not follow it back.
+    BOOST_TEST(reader.version() == 3U);
+    BOOST_TEST(reader.current()->author == "c");
 }
 
 // Guards against readers that disagree because they started at different offsets. Each reader that knows its
