--- a/src/entry/agenthub.h
+++ b/src/entry/agenthub.h
@@ -51,6 +51,8 @@
         std::function<void(DispatchActions)> perform;
         // Events of an agent, in their JSON form, for the events stream.
         std::function<void(std::vector<std::string> events)> onEvents;
+        // Answer to a record query.
+        std::function<void(const wire::RecordReplyT &reply)> onRecords;
     };
 
     AgentHub(ProcessId entry, Dispatcher &dispatcher, Handlers handlers);
@@ -64,6 +66,8 @@
     void send(const SendRevoke &action);
     void send(const SendStop &action);
 
+    void send(const std::string &agent, std::vector<uint8_t> frame);
+
     size_t size() const;
     std::vector<AgentState> states() const;
     void closeAll();
