Share credits of each kind of target between entries

An entry whose tasks waited for a kind of target that it had no credits of never got them from a peer with as many idle credits of another kind, because only the totals were compared. Credits now move by kind, also to and from entries with tasks that wait, and the tick asks for them.

--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -243,7 +243,7 @@
     connectPeers();
     m_calls.tick(Clock::now());
     m_waiters.expire(Clock::now());
-    m_peers.evenOut();
+    m_peers.evenOut(true);
     m_shipper.tick(Clock::now());
     if (m_stopping)
         continueStop();
--- a/src/entry/peerhub.cpp
+++ b/src/entry/peerhub.cpp
@@ -278,7 +278,9 @@
         }
         // Counts what is on its way, so that the next message does not send it again.
         const std::lock_guard lock(m_mutex);
-        m_balances[peer].idle += moved;
+        Balance &known = m_balances[peer];
+        known.idle += moved;
+        known.queued -= std::min(known.queued, moved);
     }
     balance->idle_credits = m_dispatcher.idleCredits();
     balance->queued = m_dispatcher.queued();
@@ -322,11 +324,11 @@
         link->close("no message within the bound");
 }
 
-void PeerHub::evenOut()
+void PeerHub::evenOut(bool onTick)
 {
     const Dispatcher::CreditBalance own = m_dispatcher.balance();
-    if (own.queued > 0 && own.idle == 0)
-        askForCredits(own.queued);
+    if (own.queued > 0 && (own.idle == 0 || onTick))
+        askForCredits(own);
     else if (own.queued == 0 && own.idle > 0)
         sendSurplus();
 }
@@ -352,7 +354,7 @@
     }
 }
 
-void PeerHub::askForCredits(uint32_t queued)
+void PeerHub::askForCredits(const Dispatcher::CreditBalance &own)
 {
     std::string richest;
     {
@@ -371,8 +373,8 @@
     if (!link)
         return;
     wire::CreditAskT ask;
-    ask.queued = queued;
-    ask.idle_credits = 0;
+    ask.queued = own.queued;
+    ask.idle_credits = own.idle;
     ++m_creditAsks;
     link->send(encodeMessage(std::move(ask)));
 }
--- a/src/entry/peerhub.h
+++ b/src/entry/peerhub.h
@@ -60,8 +60,9 @@
     void sendHeartbeats();
     // Closes connections on which nothing was heard for this long, so that what waits on them is answered.
     void closeSilent(Millis now, Millis bound);
-    // Asks for credits if tasks wait here without any, or sends idle ones to peers whose tasks wait.
-    void evenOut();
+    // Asks for credits if tasks wait here without any, or sends idle ones to peers whose tasks wait. With
+    // `onTick`, asks also if there are idle credits but none of use to the tasks that wait.
+    void evenOut(bool onTick = false);
     void pullConfig(const std::string &peer, uint64_t version, uint64_t view);
     void send(const std::string &peer, std::vector<uint8_t> frame);
 
@@ -85,7 +86,7 @@
         Reply onAnswer;
     };
 
-    void askForCredits(uint32_t queued);
+    void askForCredits(const Dispatcher::CreditBalance &own);
     void sendSurplus();
     void dial(const Address &address);
     void dialled(const FrameLinkPtr &link, const Address &address);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -225,26 +225,31 @@
 std::vector<CreditAmount> Router::surplusFor(uint32_t peerIdle, uint32_t peerQueued)
 {
     std::vector<CreditAmount> result;
-    if (queued() > 0 || !usesCredits())
+    if (!usesCredits())
         return result;
-    // Half of the difference evens out idle credits. A peer whose tasks wait gets what it can use, but half
-    // of the idle credits stay here, or the next task here would have to ask for one.
+    // Half of the difference evens out idle credits. A peer whose tasks wait gets up to half of them even if
+    // it has as many, since its own are of no use to those tasks; the other half stays here, or the next task
+    // here would have to ask for one.
     const uint32_t even = m_idle > peerIdle ? (m_idle - peerIdle) / 2 : 0;
-    const uint32_t wanted = peerQueued > peerIdle ? peerQueued - peerIdle : 0;
-    uint32_t amount = std::max(even, std::min(wanted, (m_idle + 1) / 2));
-    while (amount > 0) {
-        RoutedTarget *richest = nullptr;
+    // Bounds the message and the time under the lock; further messages move the rest.
+    constexpr uint32_t mostAtOnce = 256;
+    uint32_t amount = std::min(mostAtOnce, std::max(even, std::min(peerQueued, (m_idle + 1) / 2)));
+    // One credit of each kind of target in turn, because the peer's tasks may need a certain kind.
+    while (amount > 0 && m_idle > 0) {
         for (const auto &[kind, pool] : m_pools) {
-            RoutedTarget *candidate = pool->firstWithCredit();
-            if (candidate && (!richest || candidate->idle > richest->idle))
-                richest = candidate;
+            RoutedTarget *target = amount > 0 ? pool->lastWithCredit() : nullptr;
+            if (!target)
+                continue;
+            --amount;
+            change(*target, [](RoutedTarget &changed) { --changed.idle; });
+            const auto given = std::find_if(result.begin(), result.end(), [&](const CreditAmount &credit) {
+                return credit.agent == target->agent;
+            });
+            if (given != result.end())
+                ++given->credits;
+            else
+                result.push_back({.agent = target->agent, .credits = 1, .epoch = target->epoch});
         }
-        if (!richest)
-            break;
-        const uint32_t credits = std::min(amount, (richest->idle + 1) / 2);
-        amount -= credits;
-        change(*richest, [&](RoutedTarget &changed) { changed.idle -= credits; });
-        result.push_back({.agent = richest->agent, .credits = credits, .epoch = richest->epoch});
     }
     return result;
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -86,7 +86,8 @@
     // Idle credits that can be used now.
     uint32_t idleCredits() const { return m_idle; }
     uint32_t queued() const { return static_cast<uint32_t>(m_queue.size()); }
-    // Credits to hand to a peer that reported its own balance; empty if the peer is not poorer.
+    // Credits to hand to a peer that reported its own balance; empty if it is neither poorer nor has tasks
+    // that wait. Must follow assign(), so that the credits left are of no use to the tasks in the queue.
     std::vector<CreditAmount> surplusFor(uint32_t peerIdle, uint32_t peerQueued);
 
 private:
--- a/src/routing/targetpool.cpp
+++ b/src/routing/targetpool.cpp
@@ -51,4 +51,9 @@
     return m_withCredit.empty() ? nullptr : *m_withCredit.begin();
 }
 
+RoutedTarget *TargetPool::lastWithCredit() const
+{
+    return m_withCredit.empty() ? nullptr : *m_withCredit.rbegin();
+}
+
 } // namespace turmericwell
--- a/src/routing/targetpool.h
+++ b/src/routing/targetpool.h
@@ -60,6 +60,8 @@
     const std::vector<RoutedTarget *> &open() const { return m_open; }
     // The target with an idle credit that comes first by latency, then by number of credits; or null.
     RoutedTarget *firstWithCredit() const;
+    // The target with an idle credit that comes last in that order, which this entry misses least; or null.
+    RoutedTarget *lastWithCredit() const;
 
 private:
     TargetKind m_kind;
