Pause between messages that only move credits

Each credit that came back to an entry without a queue left at once for a peer with one, in a message of its own. Forwards carry credits for free, so such a message now goes to a peer at most every 10 ms, and an ask that cannot be met gets no reply.

--- a/src/entry/peerhub.cpp
+++ b/src/entry/peerhub.cpp
@@ -291,7 +291,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_balances[peer] = {.idle = balance.idle_credits, .queued = balance.queued};
+        m_balances[peer].report(balance.idle_credits, balance.queued);
     }
     std::vector<CreditAmount> credits;
     for (const auto &credit : balance.transfer)
@@ -324,6 +324,10 @@
         link->close("no message within the bound");
 }
 
+// Time between two messages to a peer that only move credits. Forwards and their answers usually carry the
+// credits before it is over, and what gathers meanwhile leaves in one message.
+static constexpr Millis creditPause = {10};
+
 void PeerHub::evenOut(bool onTick)
 {
     const Dispatcher::CreditBalance own = m_dispatcher.balance();
@@ -335,12 +339,15 @@
 
 void PeerHub::sendSurplus()
 {
+    const Millis now = Clock::now();
     std::vector<std::string> waiting;
     {
         const std::lock_guard lock(m_mutex);
-        for (const auto &[peer, balance] : m_balances) {
-            if (balance.queued > balance.idle)
-                waiting.push_back(peer);
+        for (auto &[peer, balance] : m_balances) {
+            if (balance.queued <= balance.idle || now - balance.movedAt < creditPause)
+                continue;
+            balance.movedAt = now;
+            waiting.push_back(peer);
         }
     }
     for (const std::string &peer : waiting) {
@@ -356,18 +363,22 @@
 
 void PeerHub::askForCredits(const Dispatcher::CreditBalance &own)
 {
+    const Millis now = Clock::now();
     std::string richest;
     {
         const std::lock_guard lock(m_mutex);
         uint32_t most = 0;
         for (const auto &[peer, balance] : m_balances) {
-            if (balance.idle > most) {
+            if (balance.idle > most && now - balance.movedAt >= creditPause) {
                 most = balance.idle;
                 richest = peer;
             }
         }
-        if (!richest.empty())
-            m_balances[richest].idle = 0;
+        if (!richest.empty()) {
+            Balance &asked = m_balances[richest];
+            asked.idle = 0;
+            asked.movedAt = now;
+        }
     }
     const FrameLinkPtr link = richest.empty() ? nullptr : linkTo(richest);
     if (!link)
@@ -414,7 +425,7 @@
         const wire::PeerPingT &ping = *message.body.AsPeerPing();
         {
             const std::lock_guard lock(m_mutex);
-            m_balances[peer] = {.idle = ping.idle_credits, .queued = ping.queued};
+            m_balances[peer].report(ping.idle_credits, ping.queued);
         }
         m_handlers.onHeard(peer, ping);
         break;
@@ -445,10 +456,13 @@
         const wire::CreditAskT &ask = *message.body.AsCreditAsk();
         {
             const std::lock_guard lock(m_mutex);
-            m_balances[peer] = {.idle = ask.idle_credits, .queued = ask.queued};
+            m_balances[peer].report(ask.idle_credits, ask.queued);
         }
         wire::CreditTransferT transfer;
         transfer.balance = balanceFor(peer);
+        // The peer does not wait for a reply, and one without credits would be of no use.
+        if (transfer.balance->transfer.empty())
+            break;
         ++m_creditTransfers;
         link->send(encodeMessage(std::move(transfer)));
         break;
--- a/src/entry/peerhub.h
+++ b/src/entry/peerhub.h
@@ -79,6 +79,14 @@
     {
         uint32_t idle = 0;
         uint32_t queued = 0;
+        // When a message last went to the peer only for credits.
+        Millis movedAt;
+
+        void report(uint32_t idleCredits, uint32_t waiting)
+        {
+            idle = idleCredits;
+            queued = waiting;
+        }
     };
     struct Pending
     {
