--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -332,7 +332,7 @@
     m_claims.tick(now);
     m_calls.tick(now);
     m_waiters.expire(now);
-    m_peers.evenOut();
+    m_peers.evenOut(true);
     m_shipper.tick(Clock::now());
     if (m_stopping)
         continueStop();
--- a/src/entry/peerhub.h
+++ b/src/entry/peerhub.h
@@ -61,8 +61,9 @@
     void sendHeartbeats();
     // Closes connections on which nothing was heard for this long, so that what waits on them is answered.
     void closeSilent(Millis now, Millis bound);
-    // Asks for credits if tasks wait here without any, or sends idle ones to peers whose tasks wait.
-    void evenOut();
+    // Asks for credits if tasks wait here without any, or sends idle ones to peers whose tasks wait. With
+    // `onTick`, asks also if there are idle credits but none of use to the tasks that wait.
+    void evenOut(bool onTick = false);
     void pullConfig(const std::string &peer, uint64_t version, uint64_t view);
     void send(const std::string &peer, std::vector<uint8_t> frame);
     // Returns false if this incarnation is not connected.
@@ -81,6 +82,14 @@
     {
         uint32_t idle = 0;
         uint32_t queued = 0;
+        // When a message last went to the peer only for credits.
+        Millis movedAt;
+
+        void report(uint32_t idleCredits, uint32_t waiting)
+        {
+            idle = idleCredits;
+            queued = waiting;
+        }
     };
     struct Pending
     {
@@ -88,7 +97,7 @@
         Reply onAnswer;
     };
 
-    void askForCredits(uint32_t queued);
+    void askForCredits(const Dispatcher::CreditBalance &own);
     void sendSurplus();
     void dial(const Address &address);
     void dialled(const FrameLinkPtr &link, const Address &address);
