Refuse names and keys that are not UTF-8

Cause: fuzz_caller (seed 1) found that a service name with the byte F7 came back in the answer, which was then not JSON.

--- a/src/entry/callerapi.cpp
+++ b/src/entry/callerapi.cpp
@@ -15,6 +15,14 @@
     return {.status = status, .reason = std::string(reason::badInput), .detail = std::move(detail)};
 }
 
+// Names and keys come back in answers, which would not be JSON with other bytes.
+static bool isUtf8(std::string_view text)
+{
+    boost::system::error_code error;
+    json::parse(json::serialize(json::string(text)), error);
+    return !error;
+}
+
 namespace {
 
 // Fields that requests and jobs share.
@@ -69,8 +77,9 @@
                                          const Config &config)
 {
     const auto key = request.headers.find("idempotency-key");
-    if (key == request.headers.end() || key->second.empty() || key->second.size() > maxKeyBytes)
-        return badInput("header Idempotency-Key is required, with 1 to 256 bytes");
+    if (key == request.headers.end() || key->second.empty() || key->second.size() > maxKeyBytes
+        || !isUtf8(key->second))
+        return badInput("header Idempotency-Key is required, with 1 to 256 bytes of UTF-8");
     const ServiceDeclaration *declaration = config.declarations.findService(service);
     if (!declaration)
         return BadRequest{.status = 404,
@@ -169,8 +178,8 @@
         const std::string_view encoded =
             path.substr(services.size(), path.size() - services.size() - requests.size());
         const std::optional<std::string> service = percentDecode(encoded);
-        if (!service)
-            return badInput("bad percent encoding in the path");
+        if (!service || !isUtf8(*service))
+            return badInput("bad encoding in the path");
         return parseServiceRequest(request, *service, config);
     }
     if (path == jobs) {
@@ -182,8 +191,8 @@
         if (request.method != "GET" && request.method != "DELETE")
             return badInput("use GET or DELETE", 405);
         const std::optional<std::string> key = percentDecode(path.substr(jobs.size() + 1));
-        if (!key)
-            return badInput("bad percent encoding in the path");
+        if (!key || !isUtf8(*key))
+            return badInput("bad encoding in the path");
         return JobLookup{.key = Fingerprint::ofKey(jobKeySpace, *key),
                          .keyText = *key,
                          .cancel = request.method == "DELETE"};
--- a/tests/fuzz/fuzzframe.cpp
+++ b/tests/fuzz/fuzzframe.cpp
@@ -28,7 +28,9 @@
         [&]() -> boost::leaf::result<void> {
             BOOST_LEAF_AUTO(message, decodeMessage(payload));
             const std::vector<uint8_t> frame = encodeEnvelope(*message);
-            BOOST_LEAF_AUTO(again, decodeMessage(std::span(frame).subspan(frameHeaderBytes)));
+            // A copy, since a payload is received into an aligned buffer of its own.
+            const std::vector<uint8_t> copy(frame.begin() + frameHeaderBytes, frame.end());
+            BOOST_LEAF_AUTO(again, decodeMessage(copy));
             if (again->body.type != message->body.type)
                 std::abort();
             return {};
@@ -49,7 +51,7 @@
             if (frameHeaderProblem(header).empty() && header.payloadBytes > maxFrameBytes)
                 std::abort();
         }
-        decode(input);
+        decode(std::vector<uint8_t>(input.begin(), input.end()));
         return 0;
     }
     static const std::vector<uint8_t> valid = validFrame();
