--- a/src/config/declarationdiff.cpp
+++ b/src/config/declarationdiff.cpp
@@ -33,6 +33,17 @@
     return items;
 }
 
+// First characters of a line, such as "~ zone patan".
+std::string heading(char sign, std::string_view kind, std::string_view name)
+{
+    return std::string(1, sign).append(" ").append(kind).append(" ").append(name);
+}
+
+std::string childKey(std::string_view parent, std::string_view name)
+{
+    return std::string(parent).append(".").append(name);
+}
+
 void diffItems(const std::string &kind, const json::array &before, const json::array &after, Lines &lines);
 
 void diffValues(const std::string &item, const std::string &key, const json::value *before,
@@ -44,11 +55,10 @@
         diffItems(item + " call", before->as_array(), after->as_array(), lines);
     } else if (before && after && before->is_object() && after->is_object()) {
         for (const auto &[name, value] : before->get_object())
-            diffValues(item, key + "." + std::string(name), &value, after->get_object().if_contains(name),
-                       lines);
+            diffValues(item, childKey(key, name), &value, after->get_object().if_contains(name), lines);
         for (const auto &[name, value] : after->get_object()) {
             if (!before->get_object().contains(name))
-                diffValues(item, key + "." + std::string(name), nullptr, &value, lines);
+                diffValues(item, childKey(key, name), nullptr, &value, lines);
         }
     } else {
         lines.push_back("~ " + item + ": " + key + " " + (before ? json::serialize(*before) : "(none)")
@@ -60,18 +70,19 @@
 {
     const Items old = itemsByName(before);
     const Items fresh = itemsByName(after);
-    for (const auto &[name, item] : old) {
+    for (const auto &[name, fields] : old) {
         const auto found = fresh.find(name);
         if (found == fresh.end()) {
-            lines.push_back("- " + kind + " " + name);
+            lines.push_back(heading('-', kind, name));
             continue;
         }
-        for (const auto &[key, value] : *item)
-            diffValues(kind + " " + name, std::string(key), &value, found->second->if_contains(key), lines);
+        const std::string item = std::string(kind).append(" ").append(name);
+        for (const auto &[key, value] : *fields)
+            diffValues(item, std::string(key), &value, found->second->if_contains(key), lines);
     }
-    for (const auto &[name, item] : fresh) {
+    for (const auto &[name, fields] : fresh) {
         if (!old.contains(name))
-            lines.push_back("+ " + kind + " " + name);
+            lines.push_back(heading('+', kind, name));
     }
 }
 
--- a/tests/unit/observetimelinetest.cpp
+++ b/tests/unit/observetimelinetest.cpp
@@ -51,6 +51,7 @@
 std::vector<std::string> order(const std::vector<Event> &events)
 {
     std::vector<std::string> result;
+    result.reserve(events.size());
     for (const Event &event : events)
         result.push_back(event.process + "#" + std::to_string(event.sequence));
     return result;
@@ -111,14 +112,15 @@
         == "1970-01-01T00:00:05.005Z agent-a (thamel): task j-0 was refused by kiosk-1: zone_withdrawn "
            "(operators have withdrawn the availability zone); it did not run there [config 2] "
            "[after entry-1#2]");
-    BOOST_TEST(
-        lines[4]
-        == "1970-01-01T00:00:10.007Z entry-1 (patan): task j-0 was sent to agent-b, accepted before 7 ms "
-           "[config 2]");
-    BOOST_TEST(
-        lines[6]
-        == "1970-01-01T00:00:05.058Z agent-b (thamel): task j-0 ended on kiosk-1: complete, ran for 50 ms "
-           "[config 2]");
+    BOOST_TEST(lines[4]
+               == "1970-01-01T00:00:10.007Z entry-1 (patan): task j-0 was sent to agent-b, 7 ms after its "
+                  "submission was "
+                  "accepted "
+                  "[config 2]");
+    BOOST_TEST(lines[6]
+               == "1970-01-01T00:00:05.058Z agent-b (thamel): task j-0 ended on kiosk-1: complete, 50 ms "
+                  "after its start "
+                  "[config 2]");
 }
 
 // Guards against a filter that hides the entry's side of what happened at a target or in a zone.
