Close every connection before an entry starts again without state

Cause: a link and its handlers hold each other, so a connection that was accepted while the entry gave up its state stayed open in the process. The peer kept writing to it, the new incarnation heard nothing on it and reported the live peer as dead. Change: at the end the listener closes first, then every accepted and dialled link; nothing is dialled or ticked after that.

--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -117,6 +117,9 @@
     enum class StopPhase : uint8_t { Draining, Finishing, HandingOver, Leaving };
     StopPhase m_stopPhase = StopPhase::Draining;
     std::atomic<bool> m_removed = false;
+    std::atomic<bool> m_finished = false;
+    std::mutex m_acceptedMutex;
+    std::vector<std::weak_ptr<FrameLink>> m_accepted;
     std::atomic<int64_t> m_pulledAt = 0;
     int m_exitCode = 0;
 };
@@ -316,6 +319,8 @@
 
 void EntryServer::tick()
 {
+    if (m_finished)
+        return;
     const Millis now = Clock::now();
     m_membership.tick(now);
     const bool current = m_membership.isCurrent();
@@ -348,6 +353,13 @@
 
 void EntryServer::acceptLink(const FrameLinkPtr &link)
 {
+    {
+        // A link and its handlers hold each other until it is closed, so every one must be closed at the end:
+        // a connection that stays open looks like a silent entry to the other side.
+        const std::lock_guard lock(m_acceptedMutex);
+        std::erase_if(m_accepted, [](const std::weak_ptr<FrameLink> &known) { return known.expired(); });
+        m_accepted.push_back(link);
+    }
     link->start({.onFrame =
                      [this, link](std::span<const uint8_t> payload) {
                          leaf::try_handle_all(
@@ -365,6 +377,8 @@
                          m_agents.closed(link);
                          m_peers.closed(link);
                      }});
+    if (m_finished)
+        link->close("this entry has stopped");
 }
 
 void EntryServer::handleMessage(const FrameLinkPtr &link, const Message &message)
@@ -648,8 +662,16 @@
 
 void EntryServer::finishStop()
 {
-    m_agents.closeAll();
+    m_finished = true;
+    m_linkListener.reset();
     m_peers.closeAll();
+    {
+        const std::lock_guard lock(m_acceptedMutex);
+        for (const std::weak_ptr<FrameLink> &known : m_accepted) {
+            if (const FrameLinkPtr link = known.lock())
+                link->closeAfterWrites();
+        }
+    }
     // Lets the closing frames and the last answers leave.
     constexpr auto grace = std::chrono::milliseconds(100);
     auto timer = std::make_shared<asio::steady_timer>(m_io, grace);
--- a/src/entry/peerhub.cpp
+++ b/src/entry/peerhub.cpp
@@ -47,7 +47,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_dialling.insert(address.text()).second)
+        if (m_closing || !m_dialling.insert(address.text()).second)
             return;
     }
     constexpr Millis connectTimeout = {1'000};
@@ -65,6 +65,8 @@
 {
     {
         const std::lock_guard lock(m_mutex);
+        if (m_closing)
+            return;
         m_dialled[link] = address;
         m_heardAt[link] = Clock::now();
     }
@@ -502,10 +504,17 @@
 
 void PeerHub::closeAll()
 {
-    for (const std::string &peer : connectedPeers()) {
-        if (const FrameLinkPtr link = linkTo(peer))
-            link->closeAfterWrites();
+    std::vector<FrameLinkPtr> links;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_closing = true;
+        for (const auto &[name, link] : m_links)
+            links.push_back(link);
+        for (const auto &[link, address] : m_dialled)
+            links.push_back(link);
     }
+    for (const FrameLinkPtr &link : links)
+        link->closeAfterWrites();
 }
 
 } // namespace turmericwell
--- a/src/entry/peerhub.h
+++ b/src/entry/peerhub.h
@@ -70,6 +70,7 @@
 
     bool isConnected(const std::string &peer) const;
     std::vector<std::string> connectedPeers() const;
+    // Closes every connection for good.
     void closeAll();
 
     // Messages sent only to move credits.
@@ -120,6 +121,8 @@
     // Addresses that are being dialled or to which a dialled connection is open.
     std::set<std::string> m_dialling;
     std::unordered_map<uint64_t, Pending> m_pending;
+    // Nothing is dialled any more.
+    bool m_closing = false;
     uint64_t m_nextRequest = 1;
     std::atomic<uint64_t> m_creditAsks = 0;
     std::atomic<uint64_t> m_creditTransfers = 0;
--- a/tests/unit/membershippeerstest.cpp
+++ b/tests/unit/membershippeerstest.cpp
@@ -161,6 +161,20 @@
                                        [](const std::optional<Answer> &) {}));
 }
 
+// Guards against a stopped hub that leaves a connection open, which looks like a silent entry to the peer.
+BOOST_AUTO_TEST_CASE(closedHubEndsItsConnectionsAndDialsNoMore)
+{
+    TwoPeers peers;
+    BOOST_REQUIRE(peers.connect());
+    peers.high.hub.closeAll();
+    BOOST_TEST(peers.runUntil([&] { return peers.high.gone == 1 && peers.low.gone == 1; }));
+    peers.high.lastAccepted = nullptr;
+    peers.low.lastAccepted = nullptr;
+    peers.high.hub.connectToAddress(peers.low.address);
+    peers.io.run_for(std::chrono::milliseconds(50));
+    BOOST_TEST((peers.low.lastAccepted == nullptr));
+}
+
 // Guards against a frozen peer that holds its callers for as long as the connection stays open.
 BOOST_AUTO_TEST_CASE(silentConnectionIsClosed)
 {
