--- a/src/entry/agenthub.cpp
+++ b/src/entry/agenthub.cpp
@@ -121,6 +121,9 @@
     case wire::Body::Drain:
         m_handlers.perform(m_dispatcher.agentLeaving(agent, Clock::now()));
         break;
+    case wire::Body::EventBatch:
+        m_handlers.onEvents(message.body.AsEventBatch()->events);
+        break;
     case wire::Body::RecordReply: {
         // The connection names the agent; the field in the message is not trusted.
         wire::RecordReplyT reply = *message.body.AsRecordReply();
@@ -128,9 +131,6 @@
         m_handlers.onRecords(reply);
         break;
     }
-    case wire::Body::EventBatch:
-        m_handlers.onEvents(message.body.AsEventBatch()->events);
-        break;
     default:
         logger().warning("agent " + agent + " sent a message that entries do not take");
     }
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -166,8 +166,8 @@
                 },
             .onGone = [](const std::string &) {},
             .perform = [this](const DispatchActions &actions) { perform(actions); },
-            .onRecords = [this](const wire::RecordReplyT &reply) { m_state.handleRecords(reply); },
-            .onEvents = [this](std::vector<std::string> events) { m_shipper.take(std::move(events)); }};
+            .onEvents = [this](std::vector<std::string> events) { m_shipper.take(std::move(events)); },
+            .onRecords = [this](const wire::RecordReplyT &reply) { m_state.handleRecords(reply); }};
 }
 
 MembershipKeeper::Options EntryServer::membershipOptions() const
@@ -532,6 +532,9 @@
     set("tombstones_dropped_total", records.tombstonesDropped);
     set("answer_bytes", records.answerBytes);
     set("answers_dropped_total", records.answersDropped);
+    set("submissions_waiting_for_owner", m_calls.waiting());
+    set("takeovers_pending", m_state.pendingTakeovers());
+    set("claims_dropped_total", m_claims.dropped());
     return m_metrics.text();
 }
 
@@ -653,10 +656,12 @@
         m_exitCode = 1;
     }
     m_stopPhase = StopPhase::Leaving;
-    m_membership.leave([this](bool appended) {
-        if (!appended)
-            logger().warning("the leave is not in the log; the other entries know of it from the handover");
-        finishStop();
+    m_shipper.flush([this] {
+        m_membership.leave([this](bool appended) {
+            if (!appended)
+                logger().warning("the leave is not in the log; the other entries know of it from the handover");
+            finishStop();
+        });
     });
 }
 
