--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -659,7 +659,8 @@
     m_shipper.flush([this] {
         m_membership.leave([this](bool appended) {
             if (!appended)
-                logger().warning("the leave is not in the log; the other entries know of it from the handover");
+                logger().warning(
+                    "the leave is not in the log; the other entries know of it from the handover");
             finishStop();
         });
     });
