Keep evidence fresh over configuration changes and push slices at once

Cause: after a record the follower waited a whole long poll before it counted the tail as read, so evidence was up to 3 s old and agents of all zones refused starts as stale for 0.8 s after each change; a returned zone waited for the next ping. Ruled out: credits (queues were full and idle credits 0 at every entry), currency of the entries (current was 1 throughout), the ejector (no failures). Change: the read after a record does not wait; the poll time is 500 ms; entries send slices when a configuration comes into force and when a target is announced; an agent counts evidence for a newer version only once it has the slice.

--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
+#include <map>
 
 namespace turmericwell {
 
@@ -78,6 +79,8 @@
     std::map<ProcessId, wire::ResultBatchT> m_results;
     bool m_flushPosted = false;
     uint64_t m_newestVersion = 0;
+    // Evidence that entries gave for versions whose slice has not arrived, by version.
+    std::map<uint64_t, Millis> m_pendingEvidence;
     uint64_t m_newestView = 0;
     asio::steady_timer m_timer;
     HttpServer m_http;
@@ -258,8 +261,12 @@
 
 void AgentServer::handlePong(EntryLink &link, const wire::PongT &pong)
 {
-    if (pong.current)
-        m_core.evidence({pong.sent_ms - pong.checked_age_ms});
+    const Millis evidenceAt = {pong.sent_ms - pong.checked_age_ms};
+    // Evidence for a version that this agent does not have yet counts once its slice has arrived.
+    if (pong.current && pong.config_version <= m_core.slice().configVersion)
+        m_core.evidence(evidenceAt);
+    else if (pong.current)
+        m_pendingEvidence[pong.config_version] = evidenceAt;
     m_newestVersion = std::max(m_newestVersion, pong.config_version);
     m_newestView = std::max(m_newestView, pong.view);
     learnEntries(pong.entries);
@@ -280,6 +287,10 @@
                                .zoneWithdrawn = slice.zone_withdrawn,
                                .targetWithdrawn = slice.target_withdrawn},
                               Clock::now()));
+    const auto notYet = m_pendingEvidence.upper_bound(m_core.slice().configVersion);
+    for (auto it = m_pendingEvidence.begin(); it != notYet; ++it)
+        m_core.evidence(it->second);
+    m_pendingEvidence.erase(m_pendingEvidence.begin(), notYet);
 }
 
 void AgentServer::handleRecordQuery(EntryLink &link, const wire::RecordQueryT &query)
--- a/src/entry/agenthub.cpp
+++ b/src/entry/agenthub.cpp
@@ -56,6 +56,8 @@
     welcome.incarnation = m_entry.incarnation;
     welcome.entries = toWire(m_handlers.status().members);
     link->send(encodeMessage(std::move(welcome)));
+    // The slice depends on the target, which may have been announced or changed since the last one.
+    sendSlice(link, agent.target);
     if (agent.target.slots > 0)
         m_handlers.perform(m_dispatcher.agentUp(agent.id, agent.target, hello.leaving, Clock::now()));
 }
@@ -189,6 +191,11 @@
             return;
         target = found->second.target;
     }
+    sendSlice(link, target);
+}
+
+void AgentHub::sendSlice(const FrameLinkPtr &link, const TargetInfo &target) const
+{
     const ConfigPtr config = m_dispatcher.config();
     wire::SliceT slice;
     slice.config_version = config->version;
@@ -197,6 +204,18 @@
     link->send(encodeMessage(std::move(slice)));
 }
 
+void AgentHub::sendSlices() const
+{
+    std::vector<std::pair<FrameLinkPtr, TargetInfo>> agents;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[link, agent] : m_agents)
+            agents.emplace_back(link, agent.target);
+    }
+    for (const auto &[link, target] : agents)
+        sendSlice(link, target);
+}
+
 void AgentHub::handleResults(const std::string &agent, const wire::ResultBatchT &batch)
 {
     AgentReport report{
--- a/src/entry/agenthub.h
+++ b/src/entry/agenthub.h
@@ -70,6 +70,9 @@
 
     size_t size() const;
     std::vector<AgentState> states() const;
+    // Sends each agent its part of a configuration that has come into force, so that it need not wait for its
+    // ping.
+    void sendSlices() const;
     void closeAll();
 
 private:
@@ -85,6 +88,7 @@
     std::string nameOf(const FrameLinkPtr &link) const;
     void handlePing(const FrameLinkPtr &link, const std::string &agent, const wire::PingT &ping);
     void takeLeaving(const FrameLinkPtr &link, bool leaving);
+    void sendSlice(const FrameLinkPtr &link, const TargetInfo &target) const;
     void handleSliceRequest(const FrameLinkPtr &link, const std::string &agent);
     void handleResults(const std::string &agent, const wire::ResultBatchT &batch);
     void handleRevokeAck(const std::string &agent, const wire::RevokeAckT &ack);
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -579,6 +579,7 @@
     logger().info("configuration version " + std::to_string(config->version) + " is in force");
     m_dispatcher.setConfig(config);
     m_membership.setConfigVersion(config->version);
+    m_agents.sendSlices();
 }
 
 EntryStatus EntryServer::status() const
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -24,7 +24,9 @@
     std::vector<Address> peers;
     uint32_t threads = 2;
     Millis freshness = {3'000};
-    Millis logPollWait = {1'000};
+    // Evidence of a read is up to two poll times old, and agents use it for another ping interval; together
+    // they stay below the freshness bound.
+    Millis logPollWait = {500};
     Millis peerTimeout = {2'000};
     Millis reconnect = {3'000};
     Millis takeover = {5'000};
--- a/src/entry/logfollower.cpp
+++ b/src/entry/logfollower.cpp
@@ -52,7 +52,8 @@
     case ReadStatus::Done:
         for (const LogRecord &record : result.records)
             m_handlers.onRecord(record);
-        m_atTail = result.records.empty() || m_atTail;
+        // After records the next read does not wait: it proves at once that the tail was reached.
+        m_atTail = result.records.empty();
         m_next = std::max(m_next, result.next);
         if (result.records.empty())
             m_handlers.onTail(sentAt);
--- a/tests/process/test_agent.py
+++ b/tests/process/test_agent.py
@@ -1,5 +1,6 @@
 """Real agents and targets: withdrawn zones, leaving targets, paused agents and planned stops."""
 
+import json
 import sys
 import threading
 import time
@@ -94,6 +95,37 @@
         late = [r for r in starts(cluster, "patan-1") if r["timeMs"] > accepted + START_BOUND_MS]
         self.assertEqual(late, [])
 
+    def test_change_under_load_refuses_nothing(self):
+        """Guards against evidence that ages past the bound after a configuration change, which stopped all zones."""
+        cluster = self.cluster()
+        job = self.job(cluster, "change", 300, 200)
+        wait_until(lambda: len(starts(cluster, "thamel-1")) > 8, 20, "work on the target")
+        operators = Operators(cluster, NoRecorder())
+        operators.weight = 2
+        self.assertIsNotNone(operators.apply("operator"))
+        self.assert_whole(job.wait(), 300)
+        names = [cluster.address(f"agent-{spec['name']}") for spec in cluster.worker_specs]
+        arguments = [part for name in names for part in ("--process", name)]
+        events = cluster.run("timeline", "--format", "json", *arguments).stdout.splitlines()
+        ready = min(r["timeMs"] for r in cluster.target_records() if r["what"] == "start")
+        refused = [e for e in map(json.loads, events) if e["kind"] == "task_refused" and e["timeMs"] > ready
+                   and e.get("reason") == "stale"]
+        self.assertEqual(refused, [])
+
+    def test_target_announced_in_withdrawn_zone(self):
+        """Guards against a slice that was made before the target was announced, with the zone still unknown (G3)."""
+        cluster = self.cluster()
+        cluster.processes["target-patan-1"].kill()
+        cluster.processes["agent-patan-1"].kill()
+        Operators(cluster, NoRecorder()).set_zone("patan", "withdrawn")
+        spec = next(spec for spec in cluster.worker_specs if spec["name"] == "patan-1")
+        cluster.record_path(spec).unlink(missing_ok=True)
+        cluster.start_agent(spec)
+        time.sleep(2.5)
+        cluster.start_target(spec)
+        self.assert_whole(self.job(cluster, "late-target", 200, 100).wait(), 200)
+        self.assertEqual(starts(cluster, "patan-1"), [])
+
     def test_leaving_target_is_not_cut(self):
         """Guards against new work on a leaving target (G7) and against cutting its running tasks (G8)."""
         cluster = self.cluster()
