Report in pings whether an agent takes work

Cause: an agent without evidence refused each start as stale, and entries sent again. Change: pings report a target without fresh evidence as not taking work, and a change is sent at once.

--- a/src/agent/agentcore.h
+++ b/src/agent/agentcore.h
@@ -121,6 +121,8 @@
     // False if a task that is about to be sent to the target may no longer start.
     bool mayStillStart(Millis now) const { return refusal(now).empty(); }
     bool isFresh(Millis now) const;
+    // The target is up and stays, and the evidence is fresh. Withdrawals are known to the entries themselves.
+    bool takesWork(Millis now) const { return !isLeaving() && isTargetUp(now) && isFresh(now); }
     uint32_t running() const { return static_cast<uint32_t>(m_running); }
     uint32_t queued() const { return static_cast<uint32_t>(m_queue.size()); }
     uint32_t creditEpoch() const { return m_creditEpoch; }
--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -47,6 +47,7 @@
 
     void handleMessage(EntryLink &link, const Message &message);
     void handlePong(EntryLink &link, const wire::PongT &pong);
+    void reportReadiness();
     void handleSlice(const wire::SliceT &slice);
     void learnEntries(const std::vector<std::unique_ptr<wire::MemberT>> &members);
     void handleRecordQuery(EntryLink &link, const wire::RecordQueryT &query);
@@ -78,6 +79,7 @@
     // Results that go out with the next flush, by entry.
     std::map<ProcessId, wire::ResultBatchT> m_results;
     bool m_flushPosted = false;
+    bool m_reportedReady = false;
     uint64_t m_newestVersion = 0;
     // Evidence that entries gave for versions whose slice has not arrived, by version.
     std::map<uint64_t, Millis> m_pendingEvidence;
@@ -154,7 +156,7 @@
     ping.view = m_newestView;
     ping.running = m_core.running();
     ping.queued = m_core.queued();
-    ping.leaving = m_core.isLeaving() || !m_core.isTargetUp(Clock::now());
+    ping.leaving = !m_core.takesWork(Clock::now());
     return encodeMessage(std::move(ping));
 }
 
@@ -267,6 +269,7 @@
         m_core.evidence(evidenceAt);
     else if (pong.current)
         m_pendingEvidence[pong.config_version] = evidenceAt;
+    reportReadiness();
     m_newestVersion = std::max(m_newestVersion, pong.config_version);
     m_newestView = std::max(m_newestView, pong.view);
     learnEntries(pong.entries);
@@ -278,6 +281,17 @@
     }
 }
 
+// Entries send nothing to an agent that takes no work; a change of that does not wait for the next ping.
+void AgentServer::reportReadiness()
+{
+    const bool takesWork = m_core.takesWork(Clock::now());
+    if (takesWork == m_reportedReady)
+        return;
+    m_reportedReady = takesWork;
+    for (const auto &link : m_links)
+        link->send(pingFrame());
+}
+
 void AgentServer::handleSlice(const wire::SliceT &slice)
 {
     if (slice.config_version > m_core.slice().configVersion)
@@ -291,6 +305,7 @@
     for (auto it = m_pendingEvidence.begin(); it != notYet; ++it)
         m_core.evidence(it->second);
     m_pendingEvidence.erase(m_pendingEvidence.begin(), notYet);
+    reportReadiness();
 }
 
 void AgentServer::handleRecordQuery(EntryLink &link, const wire::RecordQueryT &query)
