--- a/src/cli/rolecommands.cpp
+++ b/src/cli/rolecommands.cpp
@@ -1,7 +1,7 @@
 // Subcommands that run a process: entry and agent.
 #include "agentd/agentserver.h"
 #include "cli/options.h"
-#include "entry/entryserver.h"
+#include "entry/runentry.h"
 #include "observe/log.h"
 
 #include <iostream>
--- a/src/entry/statemover.cpp
+++ b/src/entry/statemover.cpp
@@ -356,8 +356,13 @@
 {
     advanceTakeovers(now);
     payDebts(now);
-    const std::lock_guard lock(m_mutex);
-    m_records.dropOlderThanWindow(now);
+    std::vector<Fingerprint> dropped;
+    {
+        const std::lock_guard lock(m_mutex);
+        dropped = m_records.dropOlderThanWindow(now);
+    }
+    if (!dropped.empty())
+        m_handlers.takeTombstones(dropped);
 }
 
 } // namespace turmericwell
--- a/src/membership/recordstore.cpp
+++ b/src/membership/recordstore.cpp
@@ -97,9 +97,16 @@
     return StoredRecord{.record = found->second.record, .awaitsAgent = isRunning(found->second)};
 }
 
-void RecordStore::dropOlderThanWindow(Millis now)
+std::vector<Fingerprint> RecordStore::dropOlderThanWindow(Millis now)
 {
-    std::erase_if(m_records, [&](const auto &item) { return now - item.second.record.firstSeen > m_window; });
+    std::vector<Fingerprint> dropped;
+    std::erase_if(m_records, [&](const auto &item) {
+        if (now - item.second.record.firstSeen <= m_window)
+            return false;
+        dropped.push_back(item.first);
+        return true;
+    });
+    return dropped;
 }
 
 } // namespace turmericwell
--- a/src/membership/recordstore.h
+++ b/src/membership/recordstore.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace turmericwell {
 
@@ -55,7 +56,8 @@
     void addClaim(const Fingerprint &key, Millis now);
     void addStarted(const RecoveredTask &task, Millis now);
     std::optional<StoredRecord> find(const Fingerprint &key) const;
-    void dropOlderThanWindow(Millis now);
+    // Returns the keys that were dropped; they must still be refused, so they become tombstones.
+    std::vector<Fingerprint> dropOlderThanWindow(Millis now);
     size_t size() const { return m_records.size(); }
     // Calls visit for each record, so that they are handed on when keys move again.
     template <typename Visit>
--- a/tests/unit/membershipownershiptest.cpp
+++ b/tests/unit/membershipownershiptest.cpp
@@ -187,7 +187,8 @@
     BOOST_TEST((store.find(key)->record.answer.outcome == Outcome::Complete));
     store.addClaim(key, 0_ms);
     BOOST_TEST((store.find(key)->record.answer.outcome == Outcome::Complete));
-    store.dropOlderThanWindow(600'001_ms);
+    // A dropped key must go on as a tombstone, or it could run again.
+    BOOST_TEST((store.dropOlderThanWindow(600'001_ms) == std::vector<Fingerprint>{key}));
     BOOST_TEST(store.size() == 0U);
 }
 
