Split the agent process and share the access to JSON fields

Change: HTTP side and main function of the agent in files of their own; src/core/jsonfields; the second settings are gone. Conclusion: no change of behaviour.

--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -2,95 +2,21 @@
 // small.
 #include "agentd/agentserver.h"
 
-#include "agentd/agentmetrics.h"
-#include "agentd/entrylink.h"
-#include "net/http.h"
-#include "observe/eventlog.h"
 #include "observe/log.h"
 #include "observe/timeline.h"
-#include "target/targetclient.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/json.hpp>
-#include <map>
 
 namespace turmericwell {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
-namespace {
-
-const Logger &logger()
+static const Logger &logger()
 {
     static const Logger instance("agent");
     return instance;
 }
 
-class AgentServer
-{
-public:
-    AgentServer(IoContext &io, const AgentSettings &settings);
-
-    void beginStop();
-
-private:
-    void tick();
-    void connectTo(const Address &address);
-    std::vector<uint8_t> helloFrame() const;
-    std::vector<uint8_t> pingFrame() const;
-
-    void handleHttp(const HttpRequest &request, const HttpResponder &respond);
-    void handleAnnouncement(const HttpRequest &request, const HttpResponder &respond);
-
-    void handleMessage(EntryLink &link, const Message &message);
-    void handlePong(EntryLink &link, const wire::PongT &pong);
-    void reportReadiness();
-    void handleSlice(const wire::SliceT &slice);
-    void learnEntries(const std::vector<std::unique_ptr<wire::MemberT>> &members);
-    void handleRecordQuery(EntryLink &link, const wire::RecordQueryT &query);
-    void handleLost(EntryLink &link);
-
-    void perform(const AgentActions &actions);
-    void performOne(const RunOnTarget &action);
-    void performOne(const StopOnTarget &action);
-    void performOne(const SendResult &action);
-    void performOne(const SendRevokeAck &action);
-    void performOne(const SendCredits &action);
-    void flushResults();
-    void shipEvents();
-    std::string metricsText();
-    EntryLink *linkTo(const ProcessId &entry);
-    void record(EventKind kind, const TaskRef &task, std::string_view why);
-    void finishStop();
-
-    IoContext &m_io;
-    const AgentSettings m_settings;
-    const uint64_t m_incarnation = static_cast<uint64_t>(Clock::wall().count);
-    AgentCore m_core;
-    EventLog m_events;
-    Metrics m_metrics = Metrics(agentMetrics);
-    // Last event that was handed to an entry for the events stream.
-    uint64_t m_shippedUpTo = 0;
-    std::unique_ptr<TargetClient> m_target;
-    std::vector<std::shared_ptr<EntryLink>> m_links;
-    // Results that go out with the next flush, by entry.
-    std::map<ProcessId, wire::ResultBatchT> m_results;
-    bool m_flushPosted = false;
-    bool m_reportedReady = false;
-    uint64_t m_newestVersion = 0;
-    // Evidence that entries gave for versions whose slice has not arrived, by version.
-    std::map<uint64_t, Millis> m_pendingEvidence;
-    uint64_t m_newestView = 0;
-    asio::steady_timer m_timer;
-    HttpServer m_http;
-    bool m_stopping = false;
-    Millis m_stopBegan;
-    bool m_stopped = false;
-};
-
 AgentServer::AgentServer(IoContext &io, const AgentSettings &settings)
     : m_io(io)
     , m_settings(settings)
@@ -160,66 +86,6 @@
     return encodeMessage(std::move(ping));
 }
 
-void AgentServer::handleHttp(const HttpRequest &request, const HttpResponder &respond)
-{
-    if (request.method == "POST" && request.path == "/v1/announce") {
-        handleAnnouncement(request, respond);
-    } else if (request.path == "/healthz") {
-        respond({.status = m_stopping ? 503 : 200, .body = R"({"status":"ok"})"});
-    } else if (request.path == "/metrics") {
-        respond({.body = metricsText(), .contentType = "text/plain; version=0.0.4"});
-    } else if (request.path == "/v1/events") {
-        std::string body;
-        for (const Event &event : m_events.since(0, SIZE_MAX))
-            body += toJsonText(event) + "\n";
-        respond({.body = std::move(body), .contentType = "application/x-ndjson"});
-    } else {
-        respond({.status = 404, .body = "{}"});
-    }
-}
-
-void AgentServer::handleAnnouncement(const HttpRequest &request, const HttpResponder &respond)
-{
-    Problems problems;
-    const json::value value = parseJsonText("announcement", request.body, problems);
-    JsonReader reader("announcement", "", value, problems);
-    TargetInfo info;
-    info.name = reader.requiredText("target");
-    info.service = reader.requiredText("service");
-    info.worker = m_settings.worker;
-    info.zone = m_settings.zone;
-    info.rack = reader.text("rack", m_settings.rack);
-    const auto count = [&](std::string_view key, IntegerRange range) {
-        return static_cast<uint32_t>(reader.integer(key, range.least, range));
-    };
-    info.slots = count("slots", {.least = 1, .most = 10'000});
-    info.connections = count("connections", {.least = 1, .most = 10'000});
-    info.cores = count("cores", {.least = 0, .most = 4'096});
-    info.memoryGb = count("memoryGb", {.least = 0, .most = 65'536});
-    info.accelerators = count("accelerators", {.least = 0, .most = 1'024});
-    const std::optional<Address> address = Address::parse(reader.requiredText("address"));
-    static constexpr std::array<std::string_view, 2> states = {"up", "leaving"};
-    const bool leaving = reader.word("state", states[0], states) == states[1];
-    reader.finish();
-    if (!address)
-        reader.problem("address", "must be IP:PORT");
-    if (!problems.empty()) {
-        respond({.status = 400, .body = json::serialize(json::object{{"error", problems.front().text()}})});
-        return;
-    }
-    if (!m_target || !(m_target->address() == *address))
-        m_target = std::make_unique<TargetClient>(m_io, *address, info.connections);
-    const bool changed = m_core.target() != info || m_core.isLeaving() != leaving;
-    const AgentActions actions = m_core.targetAnnounced(info, leaving, Clock::now());
-    // Entries drop credits of a target that they do not know yet.
-    if (changed) {
-        for (const auto &link : m_links)
-            link->send(helloFrame());
-    }
-    perform(actions);
-    respond({.body = "{}"});
-}
-
 void AgentServer::handleMessage(EntryLink &link, const Message &message)
 {
     const Millis now = Clock::now();
@@ -468,16 +334,6 @@
     (*found)->send(encodeMessage(std::move(batch)));
 }
 
-std::string AgentServer::metricsText()
-{
-    m_metrics.set("tasks_running", m_core.running());
-    m_metrics.set("tasks_queued", m_core.queued());
-    m_metrics.set("config_version", static_cast<double>(m_core.slice().configVersion));
-    m_metrics.set("current", m_core.isFresh(Clock::now()) ? 1 : 0);
-    m_metrics.set("events_dropped_total", static_cast<double>(m_events.dropped()));
-    return m_metrics.text();
-}
-
 void AgentServer::beginStop()
 {
     if (m_stopping)
@@ -509,18 +365,4 @@
     grace->async_wait([this, grace](const boost::system::error_code &) { m_io.stop(); });
 }
 
-} // namespace
-
-int runAgent(const AgentSettings &settings)
-{
-    IoContext io(1);
-    AgentServer server(io, settings);
-    asio::signal_set signals(io, SIGINT, SIGTERM);
-    signals.async_wait([&server](const boost::system::error_code &, int) { server.beginStop(); });
-    logger().info(settings.name + " listens on " + settings.listen.text());
-    io.run();
-    logger().info(settings.name + " has stopped");
-    return 0;
-}
-
 } // namespace turmericwell
--- a/src/agentd/agentserver.h
+++ b/src/agentd/agentserver.h
@@ -1,11 +1,83 @@
-// The agent process: connections to all entries, the target's announcements, and the agent's decisions.
+// The parts of an agent process: connections to all entries, the target's announcements, and the agent's
+// decisions.
 #pragma once
 
+#include "agent/agentcore.h"
+#include "agentd/agentmetrics.h"
 #include "agentd/agentsettings.h"
+#include "agentd/entrylink.h"
+#include "net/http.h"
+#include "observe/eventlog.h"
+#include "target/targetclient.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
 
 namespace turmericwell {
 
-// Runs until SIGTERM or SIGINT and a graceful stop. Returns the exit code of the process.
-int runAgent(const AgentSettings &settings);
+class AgentServer
+{
+public:
+    AgentServer(IoContext &io, const AgentSettings &settings);
+
+    void beginStop();
+
+private:
+    void tick();
+    void connectTo(const Address &address);
+    std::vector<uint8_t> helloFrame() const;
+    std::vector<uint8_t> pingFrame() const;
+
+    void handleHttp(const HttpRequest &request, const HttpResponder &respond);
+    void handleAnnouncement(const HttpRequest &request, const HttpResponder &respond);
+
+    void handleMessage(EntryLink &link, const Message &message);
+    void handlePong(EntryLink &link, const wire::PongT &pong);
+    void reportReadiness();
+    void handleSlice(const wire::SliceT &slice);
+    void learnEntries(const std::vector<std::unique_ptr<wire::MemberT>> &members);
+    void handleRecordQuery(EntryLink &link, const wire::RecordQueryT &query);
+    void handleLost(EntryLink &link);
+
+    void perform(const AgentActions &actions);
+    void performOne(const RunOnTarget &action);
+    void performOne(const StopOnTarget &action);
+    void performOne(const SendResult &action);
+    void performOne(const SendRevokeAck &action);
+    void performOne(const SendCredits &action);
+    void flushResults();
+    void shipEvents();
+    std::string metricsText();
+    EntryLink *linkTo(const ProcessId &entry);
+    void record(EventKind kind, const TaskRef &task, std::string_view why);
+    void finishStop();
+
+    IoContext &m_io;
+    const AgentSettings m_settings;
+    const uint64_t m_incarnation = static_cast<uint64_t>(Clock::wall().count);
+    AgentCore m_core;
+    EventLog m_events;
+    Metrics m_metrics = Metrics(agentMetrics);
+    // Last event that was handed to an entry for the events stream.
+    uint64_t m_shippedUpTo = 0;
+    std::unique_ptr<TargetClient> m_target;
+    std::vector<std::shared_ptr<EntryLink>> m_links;
+    // Results that go out with the next flush, by entry.
+    std::map<ProcessId, wire::ResultBatchT> m_results;
+    bool m_flushPosted = false;
+    bool m_reportedReady = false;
+    uint64_t m_newestVersion = 0;
+    // Evidence that entries gave for versions whose slice has not arrived, by version.
+    std::map<uint64_t, Millis> m_pendingEvidence;
+    uint64_t m_newestView = 0;
+    boost::asio::steady_timer m_timer;
+    HttpServer m_http;
+    bool m_stopping = false;
+    Millis m_stopBegan;
+    bool m_stopped = false;
+};
 
 } // namespace turmericwell
--- a/src/cli/rolecommands.cpp
+++ b/src/cli/rolecommands.cpp
@@ -1,5 +1,5 @@
 // Subcommands that run a process: entry and agent.
-#include "agentd/agentserver.h"
+#include "agentd/runagent.h"
 #include "cli/options.h"
 #include "entry/runentry.h"
 #include "observe/log.h"
--- a/src/config/configstate.cpp
+++ b/src/config/configstate.cpp
@@ -1,6 +1,7 @@
 // Acceptance rule for configuration records.
 #include "config/configstate.h"
 
+#include "core/jsonfields.h"
 #include "turmericwell/fingerprint.h"
 
 #include <algorithm>
@@ -30,22 +31,6 @@
     m_nextOffset = oldestOffset;
 }
 
-static std::string textAt(const json::object &object, std::string_view key)
-{
-    const json::value *value = object.if_contains(key);
-    return value && value->is_string() ? std::string(std::string_view(value->get_string())) : std::string();
-}
-
-static std::optional<uint64_t> countAt(const json::object &object, std::string_view key)
-{
-    const json::value *value = object.if_contains(key);
-    boost::system::error_code error;
-    if (!value || !value->is_number())
-        return std::nullopt;
-    const auto count = value->to_number<uint64_t>(error);
-    return error ? std::nullopt : std::optional<uint64_t>(count);
-}
-
 static std::shared_ptr<Config> readConfig(const json::object &record, std::string_view idKey)
 {
     const json::value *declarations = record.if_contains("declarations");
--- a/src/entry/entryreports.cpp
+++ b/src/entry/entryreports.cpp
@@ -44,9 +44,6 @@
     set("tombstones_dropped_total", records.tombstonesDropped);
     set("answer_bytes", records.answerBytes);
     set("answers_dropped_total", records.answersDropped);
-    set("submissions_waiting_for_owner", m_calls.waiting());
-    set("takeovers_pending", m_state.pendingTakeovers());
-    set("claims_dropped_total", m_claims.dropped());
     return m_metrics.text();
 }
 
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -1,6 +1,8 @@
 // Roster records and rendezvous hashing.
 #include "membership/roster.h"
 
+#include "core/jsonfields.h"
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <optional>
@@ -24,22 +26,6 @@
     return best;
 }
 
-static std::string textAt(const json::object &object, std::string_view key)
-{
-    const json::value *value = object.if_contains(key);
-    return value && value->is_string() ? std::string(std::string_view(value->get_string())) : std::string();
-}
-
-static std::optional<uint64_t> countAt(const json::object &object, std::string_view key)
-{
-    const json::value *value = object.if_contains(key);
-    boost::system::error_code error;
-    if (!value || !value->is_number())
-        return std::nullopt;
-    const auto count = value->to_number<uint64_t>(error);
-    return error ? std::nullopt : std::optional<uint64_t>(count);
-}
-
 static std::optional<json::object> parseObject(std::string_view text)
 {
     boost::system::error_code error;
