Parse the options of all stand-ins in one place

Cause: log, proxy and target stand-ins repeated the same option parsing, and nothing called AgentHub::closeAll any more. Change: parseStandinOptions serves the three; the unused function is gone. Conclusion: no change of behaviour.

--- a/src/entry/agenthub.cpp
+++ b/src/entry/agenthub.cpp
@@ -298,16 +298,4 @@
     return result;
 }
 
-void AgentHub::closeAll()
-{
-    std::vector<FrameLinkPtr> links;
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const auto &[name, link] : m_links)
-            links.push_back(link);
-    }
-    for (const FrameLinkPtr &link : links)
-        link->closeAfterWrites();
-}
-
 } // namespace turmericwell
--- a/src/entry/agenthub.h
+++ b/src/entry/agenthub.h
@@ -73,7 +73,6 @@
     // Sends each agent its part of a configuration that has come into force, so that it need not wait for its
     // ping.
     void sendSlices() const;
-    void closeAll();
 
 private:
     struct Agent
--- a/src/standin/logstandin.cpp
+++ b/src/standin/logstandin.cpp
@@ -4,6 +4,7 @@
 // next N appends take effect although their answers are lost.
 #include "net/http.h"
 #include "standin/standin.h"
+#include "standin/standinoptions.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -223,17 +224,8 @@
         "time that an append takes")("retention-ms", options::value<int64_t>()->default_value(3'600'000),
                                      "time for which records are kept");
     options::variables_map values;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), values);
-        if (values.contains("help")) {
-            std::cout << description;
-            return 0;
-        }
-        options::notify(values);
-    } catch (const options::error &error) {
-        std::cerr << error.what() << '\n';
-        return 2;
-    }
+    if (const std::optional<int> exit = parseStandinOptions(argc, argv, description, values))
+        return *exit;
     const std::optional<Address> listen = Address::parse(values["listen"].as<std::string>());
     if (!listen) {
         std::cerr << "--listen must be IP:PORT\n";
--- a/src/standin/proxystandin.cpp
+++ b/src/standin/proxystandin.cpp
@@ -6,6 +6,7 @@
 #include "net/http.h"
 #include "standin/proxylink.h"
 #include "standin/standin.h"
+#include "standin/standinoptions.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
@@ -168,17 +169,8 @@
                                                          "IP address and port for POST /control")(
         "plan", options::value<std::string>()->required(), "JSON file with seed, links and faults");
     options::variables_map values;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), values);
-        if (values.contains("help")) {
-            std::cout << description;
-            return 0;
-        }
-        options::notify(values);
-    } catch (const options::error &error) {
-        std::cerr << error.what() << '\n';
-        return 2;
-    }
+    if (const std::optional<int> exit = parseStandinOptions(argc, argv, description, values))
+        return *exit;
     const std::optional<Address> control = Address::parse(values["control"].as<std::string>());
     std::ifstream file(values["plan"].as<std::string>());
     std::stringstream text;
--- a/src/standin/targetstandin.cpp
+++ b/src/standin/targetstandin.cpp
@@ -4,6 +4,7 @@
 // Each start and end is written to a file for independent checks.
 #include "net/http.h"
 #include "standin/standin.h"
+#include "standin/standinoptions.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -217,17 +218,8 @@
         "accelerators of the worker")("rack", options::value(&settings.rack), "rack of the worker")(
         "record-file", options::value(&settings.recordFile), "file for a line at each start and end");
     options::variables_map values;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), values);
-        if (values.contains("help")) {
-            std::cout << description;
-            return 0;
-        }
-        options::notify(values);
-    } catch (const options::error &error) {
-        std::cerr << error.what() << '\n';
-        return 2;
-    }
+    if (const std::optional<int> exit = parseStandinOptions(argc, argv, description, values))
+        return *exit;
     const std::optional<Address> listenAddress = Address::parse(listen);
     const std::optional<Address> announcedAddress = Address::parse(announced.empty() ? listen : announced);
     const std::optional<Address> agentAddress = Address::parse(agent);
