--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -18,6 +18,8 @@
 
 ExitCode entryCommand(std::span<const std::string> arguments);
 ExitCode agentCommand(std::span<const std::string> arguments);
+ExitCode fleetEntryCommand(std::span<const std::string> arguments);
+ExitCode fleetAgentCommand(std::span<const std::string> arguments);
 ExitCode validateCommand(std::span<const std::string> arguments);
 ExitCode applyCommand(std::span<const std::string> arguments);
 ExitCode showCommand(std::span<const std::string> arguments);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -21,6 +21,8 @@
     Command{"entry", "run an entry: caller interface, ownership of keys, routing",
             turmericwell::entryCommand},
     Command{"agent", "run an agent beside a target", turmericwell::agentCommand},
+    Command{"fleet-entry", "run an entry on a platform with a store", turmericwell::fleetEntryCommand},
+    Command{"fleet-agent", "run an agent on a platform with a store", turmericwell::fleetAgentCommand},
     Command{"validate", "check a directory of declarations", turmericwell::validateCommand},
     Command{"apply", "publish a directory of declarations", turmericwell::applyCommand},
     Command{"show", "show the configuration in force and the instances", turmericwell::showCommand},
@@ -32,7 +34,7 @@
 {
     out << "usage: turmericwell COMMAND [options]\n\ncommands:\n";
     for (const Command &command : commands)
-        out << "  " << command.name << std::string(12 - command.name.size(), ' ') << command.summary << '\n';
+        out << "  " << command.name << std::string(14 - command.name.size(), ' ') << command.summary << '\n';
     out << "\nturmericwell COMMAND --help describes the options of a command.\n"
            "exit codes: 0 done, 1 failure, 2 bad usage or settings, 3 invalid declarations, 4 conflict,\n"
            "            5 outcome not known\n";
--- /dev/null
+++ b/src/fleet/agentnode.cpp
@@ -0,0 +1,236 @@
+// Connections of an agent, and its calls to the worker.
+#include "fleet/agentnode.h"
+
+namespace turmericwell {
+
+constexpr Millis tickInterval = {20};
+constexpr Millis reportInterval = {10};
+constexpr Millis startTimeout = {400};
+constexpr Millis stopTimeout = {400};
+// Beyond the wait of the call.
+constexpr Millis holdTimeout = {250};
+
+AgentNode::AgentNode(IoContext &io, const FleetSettings &settings, uint64_t incarnation, StoreApi &store,
+                     WorkerApi &worker, StructuredLog &log)
+    : m_io(io)
+    , m_settings(settings)
+    , m_self{.name = settings.name,
+             .incarnation = incarnation,
+             .role = fleet::ProcessRole::Agent,
+             .zone = settings.zone}
+    , m_worker(worker)
+    , m_log(log)
+    , m_timers(io)
+    , m_keeper({.partitions = settings.partitions, .lease = settings.workerLease}, incarnation, Clock::now(),
+               *this, log)
+    , m_registration({.identity = m_self, .address = settings.peerListen}, store, io, log)
+    , m_listener(io, settings.peerListen, [this](const FrameLinkPtr &link) {
+        accepted(std::make_shared<NodeLink>(m_io, link, m_self));
+    })
+{ }
+
+void AgentNode::start()
+{
+    m_registration.start();
+    m_timers.every(tickInterval, [this] { m_keeper.advance(Clock::now()); });
+    m_timers.every(reportInterval, [this] { sendReports(); });
+}
+
+void AgentNode::beginStop(std::function<void()> onDone)
+{
+    // Runs go on under the worker's lease until the next process of this instance takes them over.
+    m_log.always(Clock::now(), "agent_stopping", {{"runs", m_keeper.runCount()}});
+    onDone();
+}
+
+bool AgentNode::announced(const WorkerAnnouncement &announcement)
+{
+    return m_keeper.announced(announcement, Clock::now());
+}
+
+void AgentNode::deregistered(std::string_view worker)
+{
+    m_keeper.deregistered(worker, Clock::now());
+}
+
+void AgentNode::accepted(const NodeLinkPtr &link)
+{
+    link->start(
+        {.onHello = [this, link](const fleet::HelloT &hello) { introduce(link, hello); },
+         .onMessage =
+             [this, link](fleet::EnvelopeT &envelope) {
+                 if (const std::optional<EntryNumber> entry = numberOf(link))
+                     received(*entry, envelope);
+             },
+         .onPong = [this, link](Millis sentAt, const fleet::PongT &answer) { pong(link, sentAt, answer); },
+         .onClosed =
+             [this, link, guard = m_timers.guard()](const std::string &reason) {
+                 if (!guard.expired())
+                     closed(link, reason);
+             },
+         .makePong = [] { return fleet::PongT(); }});
+}
+
+void AgentNode::introduce(const NodeLinkPtr &link, const fleet::HelloT &hello)
+{
+    const Millis now = Clock::now();
+    for (const auto &[number, entry] : m_entries) {
+        if (entry.name == hello.node)
+            entry.link->close("replaced by a newer connection");
+    }
+    const EntryNumber number = m_nextEntry++;
+    m_entries[number] = {.link = link, .name = hello.node};
+    m_log.always(now, "peer_connected", {{"peer", hello.node}, {"incarnation", hello.incarnation}});
+    m_keeper.entryConnected(number, now);
+    link->send(m_keeper.report(now));
+}
+
+std::optional<EntryNumber> AgentNode::numberOf(const NodeLinkPtr &link) const
+{
+    for (const auto &[number, entry] : m_entries) {
+        if (entry.link == link)
+            return number;
+    }
+    return std::nullopt;
+}
+
+NodeLinkPtr AgentNode::linkOf(EntryNumber entry) const
+{
+    const auto found = m_entries.find(entry);
+    return found == m_entries.end() ? nullptr : found->second.link;
+}
+
+void AgentNode::closed(const NodeLinkPtr &link, const std::string &reason)
+{
+    const std::optional<EntryNumber> number = numberOf(link);
+    if (!number)
+        return;
+    m_log.always(Clock::now(), "peer_disconnected", {{"peer", link->peer().node}, {"reason", reason}});
+    m_keeper.entryDisconnected(*number);
+    m_entries.erase(*number);
+}
+
+void AgentNode::pong(const NodeLinkPtr &link, Millis pingSentAt, const fleet::PongT &answer)
+{
+    const std::optional<EntryNumber> number = numberOf(link);
+    if (!number)
+        return;
+    m_keeper.entryAnswered(*number, pingSentAt);
+    Entry &entry = m_entries.at(*number);
+    entry.evacuatedZones = {answer.evacuated_zones.begin(), answer.evacuated_zones.end()};
+    // An entry that cannot read the store may lack an evacuation, so each zone that any entry names counts.
+    std::set<std::string> zones;
+    for (const auto &[id, other] : m_entries)
+        zones.insert(other.evacuatedZones.begin(), other.evacuatedZones.end());
+    m_keeper.setEvacuatedZones(std::move(zones), Clock::now());
+}
+
+static RunOrder toRunOrder(fleet::StartOrderT &message)
+{
+    return {.partition = message.partition,
+            .epoch = message.epoch,
+            .run = fromWire(message.run),
+            .payload = std::move(message.payload),
+            .checkpoint = std::move(message.checkpoint),
+            .size = {message.cpu_milli, message.memory_mb, message.accelerators},
+            .estimateMs = message.estimate_ms,
+            .priority = message.priority,
+            .slack = {message.slack_ms}};
+}
+
+void AgentNode::received(EntryNumber entry, fleet::EnvelopeT &envelope)
+{
+    const Millis now = Clock::now();
+    if (fleet::StartOrderT *order = envelope.body.AsStartOrder()) {
+        m_keeper.order(entry, toRunOrder(*order), now);
+    } else if (const fleet::StopOrderT *stop = envelope.body.AsStopOrder()) {
+        m_keeper.stop(entry, stop->partition, stop->epoch, fromWire(stop->run), now);
+    } else if (const fleet::EndStoredT *stored = envelope.body.AsEndStored()) {
+        m_keeper.endStored(fromWire(stored->run), now);
+    } else if (const fleet::ClaimT *claim = envelope.body.AsClaim()) {
+        m_keeper.claim(entry, claim->partition, claim->epoch, now);
+    } else if (const fleet::RunSizeT *size = envelope.body.AsRunSize()) {
+        m_keeper.sizeTold(fromWire(size->run), {size->cpu_milli, size->memory_mb, size->accelerators}, now);
+    }
+}
+
+void AgentNode::sendReports()
+{
+    if (!m_keeper.takeReportChange())
+        return;
+    fleet::WorkerReportT report = m_keeper.report(Clock::now());
+    for (const auto &[number, entry] : m_entries) {
+        report.orders = m_keeper.ordersTaken(number);
+        entry.link->send(fleet::WorkerReportT(report));
+    }
+}
+
+void AgentNode::callStart(const StartCall &call)
+{
+    m_worker.start(call, startTimeout,
+                   [this, run = call.run, guard = m_timers.guard()](OrderAnswer answer,
+                                                                    std::optional<Millis> workerClock) {
+                       if (!guard.expired())
+                           m_keeper.startAnswered(run, answer, workerClock, Clock::now());
+                   });
+}
+
+void AgentNode::callStop(const StopCall &call)
+{
+    m_worker.stop(call, stopTimeout, [this, run = call.run, guard = m_timers.guard()](OrderAnswer answer) {
+        if (!guard.expired())
+            m_keeper.stopAnswered(run, answer, Clock::now());
+    });
+}
+
+void AgentNode::callHold(const HoldCall &call)
+{
+    m_worker.hold(call, call.wait + holdTimeout,
+                  [this, guard = m_timers.guard()](OrderAnswer answer, const WorkerLists &lists) {
+                      if (!guard.expired())
+                          m_keeper.holdAnswered(answer, lists, Clock::now());
+                  });
+}
+
+void AgentNode::tellStarted(EntryNumber entry, const RunId &run)
+{
+    const NodeLinkPtr link = linkOf(entry);
+    if (!link)
+        return;
+    fleet::RunStartedT message;
+    message.run = std::make_unique<fleet::RunRef>(toWire(run));
+    link->send(std::move(message));
+}
+
+void AgentNode::tellRejected(EntryNumber entry, const RunId &run, RejectReason reason)
+{
+    const NodeLinkPtr link = linkOf(entry);
+    if (!link)
+        return;
+    fleet::RunRejectedT message;
+    message.run = std::make_unique<fleet::RunRef>(toWire(run));
+    message.reason = reason;
+    link->send(std::move(message));
+}
+
+void AgentNode::tellEnded(EntryNumber entry, const RunId &run, EndKind kind, std::string_view checkpoint)
+{
+    const NodeLinkPtr link = linkOf(entry);
+    if (!link)
+        return;
+    fleet::RunEndT message;
+    message.run = std::make_unique<fleet::RunRef>(toWire(run));
+    message.kind = kind;
+    message.checkpoint = checkpoint;
+    link->send(std::move(message));
+}
+
+void AgentNode::tellClaim(EntryNumber entry, const fleet::ClaimReportT &report)
+{
+    const NodeLinkPtr link = linkOf(entry);
+    if (!link)
+        return;
+    link->send(fleet::ClaimReportT(report));
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/fleet/agentnode.h
@@ -0,0 +1,77 @@
+// An agent on a platform with a store: keeps the worker of its instance and takes orders of the entries.
+#pragma once
+
+#include "fleet/fleetsettings.h"
+#include "fleet/memberlist.h"
+#include "fleet/nodelink.h"
+#include "worker/workerkeeper.h"
+
+#include <map>
+
+namespace turmericwell {
+
+// Calls to the worker. An implementation translates; it neither repeats nor delays a call.
+class WorkerApi
+{
+public:
+    virtual ~WorkerApi() = default;
+    virtual void start(const StartCall &call, Millis timeout,
+                       std::function<void(OrderAnswer, std::optional<Millis> workerClock)> onDone) = 0;
+    virtual void stop(const StopCall &call, Millis timeout, std::function<void(OrderAnswer)> onDone) = 0;
+    virtual void hold(const HoldCall &call, Millis timeout,
+                      std::function<void(OrderAnswer, const WorkerLists &)> onDone) = 0;
+};
+
+class AgentNode : public WorkerEffects
+{
+public:
+    AgentNode(IoContext &io, const FleetSettings &settings, uint64_t incarnation, StoreApi &store,
+              WorkerApi &worker, StructuredLog &log);
+
+    void start();
+    // Nothing new is started; the callback runs when no connection to an entry needs this process any longer.
+    void beginStop(std::function<void()> onDone);
+
+    bool announced(const WorkerAnnouncement &announcement);
+    void deregistered(std::string_view worker);
+
+    // --- WorkerEffects ---
+    void callStart(const StartCall &call) override;
+    void callStop(const StopCall &call) override;
+    void callHold(const HoldCall &call) override;
+    void tellStarted(EntryNumber entry, const RunId &run) override;
+    void tellRejected(EntryNumber entry, const RunId &run, RejectReason reason) override;
+    void tellEnded(EntryNumber entry, const RunId &run, EndKind kind, std::string_view checkpoint) override;
+    void tellClaim(EntryNumber entry, const fleet::ClaimReportT &report) override;
+
+private:
+    struct Entry
+    {
+        NodeLinkPtr link;
+        std::string name;
+        std::set<std::string> evacuatedZones;
+    };
+
+    void accepted(const NodeLinkPtr &link);
+    void introduce(const NodeLinkPtr &link, const fleet::HelloT &hello);
+    void closed(const NodeLinkPtr &link, const std::string &reason);
+    void received(EntryNumber entry, fleet::EnvelopeT &envelope);
+    void pong(const NodeLinkPtr &link, Millis pingSentAt, const fleet::PongT &pong);
+    std::optional<EntryNumber> numberOf(const NodeLinkPtr &link) const;
+    NodeLinkPtr linkOf(EntryNumber entry) const;
+    void sendReports();
+
+    IoContext &m_io;
+    const FleetSettings m_settings;
+    const NodeIdentity m_self;
+    WorkerApi &m_worker;
+    StructuredLog &m_log;
+    Timers m_timers;
+    WorkerKeeper m_keeper;
+    Registration m_registration;
+    FrameListener m_listener;
+    std::map<EntryNumber, Entry> m_entries;
+    EntryNumber m_nextEntry = 1;
+};
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/fleet/entrycalls.cpp
@@ -0,0 +1,174 @@
+// Calls of clients: performed here if this entry owns the job's partition, forwarded to the owner otherwise.
+//
+// A call is tried again until its time is over. A submission whose try got no answer may have been accepted,
+// so its final answer is never a refusal.
+#include "fleet/entrynode.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+constexpr Millis retryDelay = {25};
+// Time to get the answer to the client.
+constexpr Millis answerMargin = {60};
+constexpr Millis leastRetryAfter = {1'000};
+constexpr unsigned attemptShift = 48;
+
+void EntryNode::call(JobCall call, JobReplyHandler onDone)
+{
+    const Millis wait = std::max(call.wait - answerMargin, Millis{10});
+    const uint64_t id = m_nextCall++;
+    m_calls[id] = {.call = std::move(call), .deadline = Clock::now() + wait, .onDone = std::move(onDone)};
+    m_timers.after(wait, [this, id] { expire(id); });
+    route(id);
+}
+
+NodeLinkPtr EntryNode::ownerLink(uint32_t partition) const
+{
+    uint64_t bestEpoch = 0;
+    NodeLinkPtr link;
+    for (const auto &[name, peer] : m_peers) {
+        for (const auto &owned : peer.report.partitions) {
+            if (owned->partition == partition && owned->ready && owned->epoch >= bestEpoch) {
+                bestEpoch = owned->epoch;
+                link = peer.link;
+            }
+        }
+    }
+    return link;
+}
+
+void EntryNode::perform(JobCall &call, JobReplyHandler onDone)
+{
+    const Millis now = Clock::now();
+    switch (call.kind) {
+    case fleet::CallKind::Submit:
+        m_book.submit(JobSpec(*call.spec), now, std::move(onDone));
+        return;
+    case fleet::CallKind::Cancel:
+        m_book.cancel(call.job, now, std::move(onDone));
+        return;
+    case fleet::CallKind::Query:
+        onDone(m_book.query(call.job));
+        return;
+    }
+}
+
+void EntryNode::route(uint64_t id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    PendingCall &pending = found->second;
+    const uint64_t attempt = ++pending.attempt;
+    const uint32_t partition = partitionOf(pending.call.job, m_settings.partitions);
+    if (m_book.isServing(partition)) {
+        perform(pending.call,
+                [this, id, attempt](JobReply reply) { answered(id, attempt, std::move(reply)); });
+        return;
+    }
+    const NodeLinkPtr link = ownerLink(partition);
+    if (!link) {
+        m_timers.after(retryDelay, [this, id] { route(id); });
+        return;
+    }
+    pending.askedLink = link;
+    fleet::JobCallT message;
+    message.call = id | (attempt << attemptShift);
+    message.kind = pending.call.kind;
+    message.job = pending.call.job;
+    if (pending.call.spec)
+        message.spec = std::make_unique<JobSpec>(*pending.call.spec);
+    message.wait_ms = (pending.deadline - Clock::now()).count;
+    link->send(std::move(message));
+}
+
+void EntryNode::answered(uint64_t id, uint64_t attempt, JobReply reply)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end() || found->second.attempt != attempt)
+        return;
+    PendingCall &pending = found->second;
+    pending.askedLink.reset();
+    const bool tryAgain =
+        reply.status == fleet::CallStatus::NotReady || reply.status == fleet::CallStatus::Unknown;
+    if (tryAgain) {
+        pending.uncertain = pending.uncertain || reply.status == fleet::CallStatus::Unknown;
+        m_timers.after(retryDelay, [this, id] { route(id); });
+        return;
+    }
+    // A refusal of this try says nothing about an earlier one without an answer.
+    if (reply.status == fleet::CallStatus::Refused && pending.uncertain)
+        reply.status = fleet::CallStatus::Unknown;
+    finish(id, reply);
+}
+
+void EntryNode::expire(uint64_t id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const PendingCall &pending = found->second;
+    const uint32_t partition = partitionOf(pending.call.job, m_settings.partitions);
+    const bool mayBeDone = pending.uncertain || pending.askedLink || m_book.isServing(partition);
+    finish(id,
+           {.status = mayBeDone ? fleet::CallStatus::Unknown : fleet::CallStatus::NotReady,
+            .retryAfter = leastRetryAfter,
+            .reason = mayBeDone ? "no answer from the owner in time" : "the owner is not known"});
+}
+
+void EntryNode::finish(uint64_t id, const JobReply &reply)
+{
+    const auto found = m_calls.find(id);
+    const JobReplyHandler onDone = std::move(found->second.onDone);
+    if (reply.status != fleet::CallStatus::Done && reply.status != fleet::CallStatus::NotKnown) {
+        m_log.write(Clock::now(), "call_not_served",
+                    {{"job", jobIdText(found->second.call.job)},
+                     {"call", fleet::EnumNameCallKind(found->second.call.kind)},
+                     {"status", fleet::EnumNameCallStatus(reply.status)},
+                     {"reason", reply.reason},
+                     {"retry_after_ms", reply.retryAfter}});
+    }
+    m_calls.erase(found);
+    onDone(reply);
+}
+
+void EntryNode::performForPeer(const NodeLinkPtr &link, fleet::JobCallT &message)
+{
+    if (message.kind == fleet::CallKind::Submit && (!message.spec || message.spec->id != message.job)) {
+        m_log.always(Clock::now(), "call_unreadable", {{"peer", link->peer().node}});
+        return;
+    }
+    JobCall call{.kind = message.kind, .job = message.job, .spec = std::move(message.spec)};
+    perform(call, [weak = std::weak_ptr(link), number = message.call](const JobReply &reply) {
+        const NodeLinkPtr peer = weak.lock();
+        if (!peer)
+            return;
+        fleet::JobAnswerT answer;
+        answer.call = number;
+        answer.status = reply.status;
+        answer.phase = reply.phase;
+        answer.running = reply.running;
+        answer.retry_after_ms = reply.retryAfter.count;
+        answer.reason = reply.reason;
+        peer->send(std::move(answer));
+    });
+    m_book.advance(Clock::now());
+}
+
+uint32_t EntryNode::pendingCount(const std::string &queue) const
+{
+    uint32_t count = 0;
+    const std::map<std::string, uint32_t> own = m_book.pendingByQueue();
+    if (const auto found = own.find(queue); found != own.end())
+        count += found->second;
+    for (const auto &[name, peer] : m_peers) {
+        for (const auto &item : peer.report.pending) {
+            if (item->queue == queue)
+                count += item->count;
+        }
+    }
+    return count;
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/fleet/entrynode.cpp
@@ -0,0 +1,433 @@
+// Connections of an entry to agents and other entries.
+#include "fleet/entrynode.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+constexpr Millis tickInterval = {15};
+constexpr Millis reportInterval = {250};
+constexpr Millis dialTimeout = {700};
+// A process that was not scheduled for this long may have lost its ownership meanwhile.
+constexpr Millis pauseLimit = {700};
+// Runs on an agent without a connection end within this time after the last answer to its pings: the agent
+// stops the runs of a silent owner after 3 s, and a lease of 1 s can be running.
+constexpr Millis agentGoneAfter = {4'500};
+// An agent that could not be reached for this long since it was first heard of holds no runs.
+constexpr Millis agentForgottenAfter = {6'000};
+
+EntryNode::EntryNode(IoContext &io, const FleetSettings &settings, uint64_t incarnation, StoreApi &store,
+                     StructuredLog &log)
+    : m_io(io)
+    , m_settings(settings)
+    , m_self{.name = settings.name,
+             .incarnation = incarnation,
+             .role = fleet::ProcessRole::Entry,
+             .zone = settings.zone}
+    , m_log(log)
+    , m_timers(io)
+    , m_book({.partitions = settings.partitions}, m_pool, *this, log)
+    , m_owner({.member = settings.name, .memberTtl = std::max(settings.leastMemberTtl, Millis{1'500})}, store,
+              io, log, m_book,
+              {.onLoaded = [this](uint32_t partition) { partitionLoaded(partition); },
+               .onClosed = [this](uint32_t) { sendReport(); }})
+    , m_members(store, io, log,
+                {.onMember = [this](const Member &member) { memberFound(member); },
+                 .onRemoved = [this](const std::string &name) { m_contacts.erase(name); }})
+    , m_registration({.identity = m_self, .address = settings.peerListen}, store, io, log)
+    , m_listener(
+          io, settings.peerListen,
+          [this](const FrameLinkPtr &link) { connected(std::make_shared<NodeLink>(m_io, link, m_self), {}); })
+    , m_lastTick(Clock::now())
+{ }
+
+EntryNode::~EntryNode() = default;
+
+void EntryNode::start()
+{
+    m_registration.start();
+    m_members.start();
+    m_owner.start();
+    m_timers.every(tickInterval, [this] { tick(); });
+    m_timers.every(reportInterval, [this] { sendReport(); });
+}
+
+void EntryNode::beginStop(std::function<void()> onReleased)
+{
+    m_stopping = true;
+    m_owner.release([this, onReleased = std::move(onReleased)] {
+        sendReport();
+        onReleased();
+    });
+}
+
+void EntryNode::setQueues(QueueTable queues)
+{
+    if (queues.version() <= m_queues.version() && m_queues.version() != 0)
+        return;
+    m_log.always(Clock::now(), "configuration_in_force",
+                 {{"version", queues.version()}, {"before", m_queues.version()}, {"queues", queues.size()}});
+    m_queues = std::move(queues);
+}
+
+void EntryNode::setEvacuatedZones(std::set<std::string> zones)
+{
+    if (zones == m_pool.evacuatedZones())
+        return;
+    m_log.always(Clock::now(), "evacuated_zones_changed", {{"zones", zones.size()}});
+    m_pool.setEvacuatedZones(std::move(zones));
+}
+
+void EntryNode::memberFound(const Member &member)
+{
+    if (member.identity.name == m_self.name)
+        return;
+    Contact &contact = m_contacts[member.identity.name];
+    contact.member = member;
+    const bool isAgent = member.identity.role == fleet::ProcessRole::Agent;
+    if (isAgent && !m_agentNumbers.contains(member.identity.name)) {
+        const auto number = static_cast<AgentNumber>(m_agentNumbers.size() + 1);
+        m_agentNumbers[member.identity.name] = number;
+        m_agents[number] = {.name = member.identity.name, .firstSeen = Clock::now()};
+    }
+    // Of two entries the one with the lower name dials; agents never dial.
+    if (isAgent || m_self.name < member.identity.name)
+        dial(member.identity.name);
+}
+
+void EntryNode::dial(const std::string &name)
+{
+    const auto found = m_contacts.find(name);
+    if (found == m_contacts.end() || found->second.connected || found->second.dialling)
+        return;
+    found->second.dialling = true;
+    dialFrameLink(m_io, found->second.member.address, dialTimeout,
+                  [this, name, guard = m_timers.guard()](const FrameLinkPtr &link) {
+                      const auto contact = guard.expired() ? m_contacts.end() : m_contacts.find(name);
+                      if (guard.expired() || contact == m_contacts.end())
+                          return;
+                      contact->second.dialling = false;
+                      if (!link) {
+                          m_timers.after(contact->second.backoff.next(), [this, name] { dial(name); });
+                          return;
+                      }
+                      contact->second.connected = true;
+                      connected(std::make_shared<NodeLink>(m_io, link, m_self), name);
+                  });
+}
+
+void EntryNode::connected(const NodeLinkPtr &link, const std::string &dialledName)
+{
+    link->start({.onHello = [this, link](const fleet::HelloT &hello) { introduce(link, hello); },
+                 .onMessage = [this, link](fleet::EnvelopeT &envelope) { received(link, envelope); },
+                 .onPong = [](Millis, const fleet::PongT &) {},
+                 .onClosed =
+                     [this, link, dialledName, guard = m_timers.guard()](const std::string &reason) {
+                         if (guard.expired())
+                             return;
+                         closed(link, reason);
+                         const auto contact = m_contacts.find(dialledName);
+                         if (contact == m_contacts.end())
+                             return;
+                         contact->second.connected = false;
+                         m_timers.after(contact->second.backoff.next(),
+                                        [this, dialledName] { dial(dialledName); });
+                     },
+                 .makePong =
+                     [this] {
+                         fleet::PongT pong;
+                         const auto &zones = m_pool.evacuatedZones();
+                         pong.evacuated_zones.assign(zones.begin(), zones.end());
+                         return pong;
+                     }});
+}
+
+void EntryNode::introduce(const NodeLinkPtr &link, const fleet::HelloT &hello)
+{
+    if (const auto contact = m_contacts.find(hello.node); contact != m_contacts.end())
+        contact->second.backoff.reset();
+    m_log.always(Clock::now(), "peer_connected", {{"peer", hello.node}, {"incarnation", hello.incarnation}});
+    if (hello.role == fleet::ProcessRole::Agent) {
+        agentConnected(link, hello);
+        return;
+    }
+    Peer &peer = m_peers[hello.node];
+    if (peer.link && peer.link != link)
+        peer.link->close("replaced by a newer connection");
+    peer.link = link;
+    sendReport();
+}
+
+void EntryNode::agentConnected(const NodeLinkPtr &link, const fleet::HelloT &hello)
+{
+    const auto number = m_agentNumbers.find(hello.node);
+    if (number == m_agentNumbers.end())
+        return;
+    Agent &agent = m_agents.at(number->second);
+    if (agent.link && agent.link != link)
+        agent.link->close("replaced by a newer connection");
+    m_book.agentDisconnected(number->second);
+    m_pool.remove(number->second);
+    agent.link = link;
+    agent.incarnation = hello.incarnation;
+    agent.goneAt.reset();
+    agent.lastConnected = Clock::now();
+    for (const fleet::OwnedPartitionT &owned : m_book.owned()) {
+        if (owned.ready)
+            claim(agent, owned.partition, owned.epoch);
+    }
+}
+
+void EntryNode::closed(const NodeLinkPtr &link, const std::string &reason)
+{
+    const Millis now = Clock::now();
+    const std::string &name = link->peer().node;
+    if (!name.empty())
+        m_log.always(now, "peer_disconnected", {{"peer", name}, {"reason", reason}});
+    if (const auto number = m_agentNumbers.find(name); number != m_agentNumbers.end()) {
+        Agent &agent = m_agents.at(number->second);
+        if (agent.link != link)
+            return;
+        agent.link.reset();
+        agent.goneAt = std::max(link->lastPongSent(), now - agentGoneAfter) + agentGoneAfter;
+        agent.lastConnected = now;
+        m_book.agentDisconnected(number->second);
+        m_pool.remove(number->second);
+    } else if (const auto peer = m_peers.find(name); peer != m_peers.end() && peer->second.link == link) {
+        m_peers.erase(peer);
+        m_owner.joinSoon();
+    }
+    std::vector<uint64_t> unanswered;
+    for (const auto &[id, call] : m_calls) {
+        if (call.askedLink == link)
+            unanswered.push_back(id);
+    }
+    for (const uint64_t id : unanswered)
+        answered(id, m_calls.at(id).attempt,
+                 {.status = fleet::CallStatus::Unknown, .reason = "owner disconnected"});
+}
+
+void EntryNode::claim(const Agent &agent, uint32_t partition, uint64_t epoch)
+{
+    if (!agent.link)
+        return;
+    fleet::ClaimT message;
+    message.partition = partition;
+    message.epoch = epoch;
+    agent.link->send(message);
+}
+
+void EntryNode::partitionLoaded(uint32_t partition)
+{
+    const std::optional<uint64_t> epoch = m_book.epochOf(partition);
+    for (const auto &[number, agent] : m_agents)
+        claim(agent, partition, epoch.value_or(0));
+    sendReport();
+}
+
+void EntryNode::sendReport()
+{
+    fleet::EntryReportT report;
+    for (const fleet::OwnedPartitionT &owned : m_book.owned())
+        report.partitions.push_back(std::make_unique<fleet::OwnedPartitionT>(owned));
+    for (const auto &[queue, count] : m_book.pendingByQueue()) {
+        auto item = std::make_unique<fleet::PendingCountT>();
+        item->queue = queue;
+        item->count = count;
+        report.pending.push_back(std::move(item));
+    }
+    report.waiting_cpu_ms = m_book.waitingCpuMs();
+    report.stopping = m_stopping;
+    report.store_reachable = m_owner.storeWorks();
+    fleet::EnvelopeT envelope;
+    envelope.body.Set(std::move(report));
+    for (const auto &[name, peer] : m_peers)
+        peer.link->send(*envelope.body.AsEntryReport());
+}
+
+void EntryNode::received(const NodeLinkPtr &link, fleet::EnvelopeT &envelope)
+{
+    const std::string &name = link->peer().node;
+    if (link->peer().role == fleet::ProcessRole::Entry) {
+        receivedFromEntry(link, envelope);
+        return;
+    }
+    const auto number = m_agentNumbers.find(name);
+    if (number != m_agentNumbers.end() && m_agents.at(number->second).link == link)
+        receivedFromAgent(number->second, envelope);
+}
+
+static AgentEnd toAgentEnd(const fleet::RunEndT &end)
+{
+    return {.run = fromWire(end.run), .kind = end.kind, .checkpoint = end.checkpoint};
+}
+
+static WorkerState toWorkerState(fleet::WorkerReportT &report)
+{
+    return {.usable = report.usable,
+            .draining = report.draining,
+            .worker = std::move(report.worker),
+            .service = std::move(report.service),
+            .zone = std::move(report.zone),
+            .labels = std::move(report.labels),
+            .capacity = {report.cpu_milli, report.memory_mb, report.accelerators},
+            .free = {report.free_cpu_milli, report.free_memory_mb, report.free_accelerators},
+            .queuedCpuMs = report.queued_cpu_ms,
+            .ordersTaken = report.orders};
+}
+
+void EntryNode::receivedFromAgent(AgentNumber agent, fleet::EnvelopeT &envelope)
+{
+    const Millis now = Clock::now();
+    bool roomChanged = true;
+    if (fleet::WorkerReportT *report = envelope.body.AsWorkerReport()) {
+        m_pool.report(agent, toWorkerState(*report));
+    } else if (const fleet::RunEndT *end = envelope.body.AsRunEnd()) {
+        m_book.runEnded(agent, toAgentEnd(*end), now);
+    } else if (const fleet::RunStartedT *started = envelope.body.AsRunStarted()) {
+        m_book.runStarted(agent, fromWire(started->run), now);
+        roomChanged = false;
+    } else if (const fleet::RunRejectedT *rejected = envelope.body.AsRunRejected()) {
+        m_book.runRejected(agent, fromWire(rejected->run), rejected->reason, now);
+    } else if (const fleet::ClaimReportT *claim = envelope.body.AsClaimReport()) {
+        if (!claim->accepted) {
+            m_log.always(now, "claim_superseded", {{"partition", claim->partition}, {"epoch", claim->epoch}});
+            m_owner.joinSoon();
+            return;
+        }
+        std::vector<RunId> running;
+        for (const fleet::RunRef &run : claim->running)
+            running.push_back(fromWire(run));
+        std::vector<AgentEnd> ended;
+        for (const auto &item : claim->ended)
+            ended.push_back(toAgentEnd(*item));
+        m_book.claimReport(agent, claim->partition, claim->epoch, running, ended, now);
+    }
+    if (roomChanged && !m_confirmAfter)
+        m_book.advance(now);
+}
+
+void EntryNode::receivedFromEntry(const NodeLinkPtr &link, fleet::EnvelopeT &envelope)
+{
+    if (fleet::JobCallT *call = envelope.body.AsJobCall()) {
+        performForPeer(link, *call);
+    } else if (const fleet::JobAnswerT *answer = envelope.body.AsJobAnswer()) {
+        // The call's number carries the attempt in its upper half.
+        constexpr unsigned attemptShift = 48;
+        const uint64_t id = answer->call & ((uint64_t{1} << attemptShift) - 1);
+        answered(id, answer->call >> attemptShift,
+                 {.status = answer->status,
+                  .phase = answer->phase,
+                  .running = answer->running,
+                  .retryAfter = {answer->retry_after_ms},
+                  .reason = answer->reason});
+    } else if (fleet::EntryReportT *report = envelope.body.AsEntryReport()) {
+        const auto peer = m_peers.find(link->peer().node);
+        if (peer == m_peers.end() || peer->second.link != link)
+            return;
+        const bool hasStopped =
+            report->stopping && report->partitions.empty() && !peer->second.report.partitions.empty();
+        peer->second.report = std::move(*report);
+        int64_t waiting = 0;
+        for (const auto &[name, other] : m_peers)
+            waiting += other.report.waiting_cpu_ms;
+        m_book.setPeersWaitingCpuMs(waiting);
+        if (hasStopped)
+            m_owner.joinSoon();
+    }
+}
+
+void EntryNode::noteAgents(Millis now)
+{
+    std::set<AgentNumber> expected;
+    for (auto &[number, agent] : m_agents) {
+        if (agent.goneAt && now >= *agent.goneAt) {
+            agent.goneAt.reset();
+            m_log.always(now, "agent_gone", {{"agent", agent.name}});
+            m_book.agentGone(number, now);
+        }
+        const Millis lastSign = std::max(agent.firstSeen, agent.lastConnected);
+        if (agent.link || now - lastSign < agentForgottenAfter)
+            expected.insert(number);
+    }
+    m_book.setExpectedAgents(std::move(expected), m_members.isSynced());
+}
+
+void EntryNode::tick()
+{
+    const Millis now = Clock::now();
+    if (now - m_lastTick > pauseLimit) {
+        m_log.always(now, "process_was_paused", {{"ms", now - m_lastTick}});
+        m_confirmAfter = now;
+        m_owner.joinSoon();
+    }
+    m_lastTick = now;
+    noteAgents(now);
+    if (m_confirmAfter && m_owner.lastConfirmed() >= *m_confirmAfter)
+        m_confirmAfter.reset();
+    if (!m_confirmAfter)
+        m_book.advance(now);
+}
+
+void EntryNode::store(uint32_t partition, JobId job, std::string record, bool mayDrop,
+                      std::function<void(StoreOutcome, Millis)> onDone)
+{
+    m_owner.store(partition, job, std::move(record), mayDrop, std::move(onDone));
+}
+
+void EntryNode::start(const StartRequest &request)
+{
+    const Agent &agent = m_agents.at(request.agent);
+    if (!agent.link)
+        return;
+    fleet::StartOrderT order;
+    order.partition = request.partition;
+    order.epoch = request.epoch;
+    order.run = std::make_unique<fleet::RunRef>(toWire(request.run));
+    order.payload = request.spec->payload;
+    order.checkpoint = request.checkpoint;
+    order.cpu_milli = request.step->cpu_milli;
+    order.memory_mb = request.step->memory_mb;
+    order.accelerators = request.step->accelerators;
+    order.estimate_ms = request.estimateMs;
+    order.priority = request.spec->priority;
+    order.slack_ms = request.slack.count;
+    agent.link->send(std::move(order));
+}
+
+void EntryNode::stop(AgentNumber number, uint32_t partition, uint64_t epoch, const RunId &run)
+{
+    const auto agent = m_agents.find(number);
+    if (agent == m_agents.end() || !agent->second.link)
+        return;
+    fleet::StopOrderT order;
+    order.partition = partition;
+    order.epoch = epoch;
+    order.run = std::make_unique<fleet::RunRef>(toWire(run));
+    agent->second.link->send(std::move(order));
+}
+
+void EntryNode::endStored(AgentNumber number, const RunId &run)
+{
+    const auto agent = m_agents.find(number);
+    if (agent == m_agents.end() || !agent->second.link)
+        return;
+    fleet::EndStoredT message;
+    message.run = std::make_unique<fleet::RunRef>(toWire(run));
+    agent->second.link->send(std::move(message));
+}
+
+void EntryNode::tellSize(AgentNumber number, const RunId &run, const StepSpec &step)
+{
+    const auto agent = m_agents.find(number);
+    if (agent == m_agents.end() || !agent->second.link)
+        return;
+    fleet::RunSizeT message;
+    message.run = std::make_unique<fleet::RunRef>(toWire(run));
+    message.cpu_milli = step.cpu_milli;
+    message.memory_mb = step.memory_mb;
+    message.accelerators = step.accelerators;
+    agent->second.link->send(std::move(message));
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/fleet/entrynode.h
@@ -0,0 +1,144 @@
+// An entry on a platform with a store: owner of some partitions of the job table, and the way to the owners
+// of the others.
+#pragma once
+
+#include "config/queuetable.h"
+#include "fleet/fleetsettings.h"
+#include "fleet/memberlist.h"
+#include "fleet/nodelink.h"
+#include "fleet/partitionowner.h"
+#include "jobs/jobbook.h"
+
+#include <map>
+#include <memory>
+
+namespace turmericwell {
+
+struct JobCall
+{
+    fleet::CallKind kind = fleet::CallKind::Query;
+    JobId job = 0;
+    // Only for submissions.
+    std::unique_ptr<JobSpec> spec;
+    // The caller gets an answer within this time.
+    Millis wait;
+};
+
+class EntryNode : public JobEffects
+{
+public:
+    EntryNode(IoContext &io, const FleetSettings &settings, uint64_t incarnation, StoreApi &store,
+              StructuredLog &log);
+    ~EntryNode() override;
+
+    void start();
+    // Gives up the partitions and calls back; calls of clients are forwarded until the process ends.
+    void beginStop(std::function<void()> onReleased);
+
+    void setQueues(QueueTable queues);
+    void setEvacuatedZones(std::set<std::string> zones);
+    const QueueTable &queues() const { return m_queues; }
+    bool isStopping() const { return m_stopping; }
+
+    // The handler is called once, within the call's time.
+    void call(JobCall call, JobReplyHandler onDone);
+    // Accepted jobs of the queue of which no task has started.
+    uint32_t pendingCount(const std::string &queue) const;
+
+    // --- JobEffects ---
+    void store(uint32_t partition, JobId job, std::string record, bool mayDrop,
+               std::function<void(StoreOutcome, Millis)> onDone) override;
+    void start(const StartRequest &request) override;
+    void stop(AgentNumber agent, uint32_t partition, uint64_t epoch, const RunId &run) override;
+    void endStored(AgentNumber agent, const RunId &run) override;
+    void tellSize(AgentNumber agent, const RunId &run, const StepSpec &step) override;
+
+private:
+    struct Agent
+    {
+        std::string name;
+        NodeLinkPtr link;
+        uint64_t incarnation = 0;
+        // Set while there is no connection: runs on the agent end by then.
+        std::optional<Millis> goneAt;
+        Millis firstSeen;
+        Millis lastConnected;
+    };
+
+    struct Peer
+    {
+        NodeLinkPtr link;
+        fleet::EntryReportT report;
+    };
+
+    // A process that has registered itself, and the state of dialling it.
+    struct Contact
+    {
+        Member member;
+        bool connected = false;
+        bool dialling = false;
+        Backoff backoff{{100}, {1'000}};
+    };
+
+    struct PendingCall
+    {
+        JobCall call;
+        Millis deadline;
+        JobReplyHandler onDone;
+        // A try was sent to an owner that has not answered it.
+        bool uncertain = false;
+        // Number of the try under way; answers of earlier ones are ignored.
+        uint64_t attempt = 0;
+        NodeLinkPtr askedLink;
+    };
+
+    // --- entrynode.cpp: connections ---
+    void memberFound(const Member &member);
+    void dial(const std::string &name);
+    void connected(const NodeLinkPtr &link, const std::string &dialledName);
+    void introduce(const NodeLinkPtr &link, const fleet::HelloT &hello);
+    void closed(const NodeLinkPtr &link, const std::string &reason);
+    void agentConnected(const NodeLinkPtr &link, const fleet::HelloT &hello);
+    void received(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
+    void receivedFromAgent(AgentNumber agent, fleet::EnvelopeT &envelope);
+    void receivedFromEntry(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
+    void claim(const Agent &agent, uint32_t partition, uint64_t epoch);
+    void partitionLoaded(uint32_t partition);
+    void sendReport();
+    void tick();
+    void noteAgents(Millis now);
+
+    // --- entrycalls.cpp: calls of clients ---
+    void route(uint64_t id);
+    void perform(JobCall &call, JobReplyHandler onDone);
+    void answered(uint64_t id, uint64_t attempt, JobReply reply);
+    void finish(uint64_t id, const JobReply &reply);
+    void expire(uint64_t id);
+    NodeLinkPtr ownerLink(uint32_t partition) const;
+    void performForPeer(const NodeLinkPtr &link, fleet::JobCallT &message);
+
+    IoContext &m_io;
+    const FleetSettings m_settings;
+    const NodeIdentity m_self;
+    StructuredLog &m_log;
+    Timers m_timers;
+    WorkerPool m_pool;
+    JobBook m_book;
+    PartitionOwner m_owner;
+    MemberList m_members;
+    Registration m_registration;
+    FrameListener m_listener;
+    QueueTable m_queues;
+    std::map<std::string, Contact> m_contacts;
+    std::map<AgentNumber, Agent> m_agents;
+    std::map<std::string, AgentNumber> m_agentNumbers;
+    std::map<std::string, Peer> m_peers;
+    std::map<uint64_t, PendingCall> m_calls;
+    uint64_t m_nextCall = 1;
+    bool m_stopping = false;
+    Millis m_lastTick;
+    // After a pause of the process nothing is ordered until the store has confirmed the ownership again.
+    std::optional<Millis> m_confirmAfter;
+};
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/fleet/fleetsettings.cpp
@@ -0,0 +1,54 @@
+// Strict reading of settings: unknown keys are problems, because the platform fills in a template of ours.
+#include "fleet/fleetsettings.h"
+
+#include "net/settingsreader.h"
+
+namespace turmericwell {
+
+static FleetSettings readCommon(JsonReader &reader)
+{
+    constexpr int64_t mostPartitions = 1'024;
+    FleetSettings settings;
+    settings.name = reader.requiredText("name");
+    settings.zone = reader.requiredText("zone");
+    settings.store = readAddress(reader, "store");
+    settings.peerListen = readAddress(reader, "peerListen");
+    settings.metricsListen = readAddress(reader, "metricsListen");
+    settings.partitions =
+        static_cast<uint32_t>(reader.integer("partitions", 8, {.least = 1, .most = mostPartitions}));
+    settings.leastMemberTtl = reader.millis("leastMemberTtlMs", {1'000}, {.least = 100, .most = 60'000});
+    settings.workerLease = reader.millis("workerLeaseMs", {1'000}, {.least = 100, .most = 60'000});
+    settings.drainTime = reader.millis("drainMs", {2'000}, {.least = 100, .most = 60'000});
+    settings.stopGrace = reader.millis("stopGraceMs", {6'000}, {.least = 500, .most = 600'000});
+    settings.logLinesPerSecond =
+        static_cast<uint32_t>(reader.integer("logLinesPerSecond", 800, {.least = 10, .most = 1'000'000}));
+    return settings;
+}
+
+FleetSettings parseFleetEntrySettings(const std::string &file, std::string_view text, Problems &problems)
+{
+    const boost::json::value value = parseJsonText(file, text, problems);
+    if (!problems.empty())
+        return {};
+    JsonReader reader(file, "", value, problems);
+    FleetSettings settings = readCommon(reader);
+    settings.clientListen = readAddress(reader, "clientListen");
+    settings.readyListen = readAddress(reader, "readyListen");
+    reader.finish();
+    return settings;
+}
+
+FleetSettings parseFleetAgentSettings(const std::string &file, std::string_view text, Problems &problems)
+{
+    const boost::json::value value = parseJsonText(file, text, problems);
+    if (!problems.empty())
+        return {};
+    JsonReader reader(file, "", value, problems);
+    FleetSettings settings = readCommon(reader);
+    settings.controlListen = readAddress(reader, "controlListen");
+    settings.worker = readAddress(reader, "worker");
+    reader.finish();
+    return settings;
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/fleet/fleetsettings.h
@@ -0,0 +1,37 @@
+// Settings of entries and agents that run on a platform with a store.
+#pragma once
+
+#include "config/jsonreader.h"
+#include "net/address.h"
+
+#include <string>
+
+namespace turmericwell {
+
+struct FleetSettings
+{
+    std::string name;
+    std::string zone;
+    Address store;
+    // Connections of other processes of the system arrive here.
+    Address peerListen;
+    // Entries only.
+    Address clientListen;
+    Address readyListen;
+    // Agents only: the worker's announcements arrive here, its own interface is at `worker`.
+    Address controlListen;
+    Address worker;
+    Address metricsListen;
+    uint32_t partitions = 8;
+    Millis leastMemberTtl;
+    Millis workerLease;
+    Millis drainTime;
+    Millis stopGrace;
+    uint32_t logLinesPerSecond = 800;
+};
+
+// Reads the settings file of an entry; problems are added to the list.
+FleetSettings parseFleetEntrySettings(const std::string &file, std::string_view text, Problems &problems);
+FleetSettings parseFleetAgentSettings(const std::string &file, std::string_view text, Problems &problems);
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/fleet/memberlist.cpp
@@ -0,0 +1,89 @@
+// Registrations as JSON values.
+#include "fleet/memberlist.h"
+
+#include "core/jsonfields.h"
+
+#include <boost/json.hpp>
+
+namespace turmericwell {
+
+namespace json = boost::json;
+
+static constexpr const char *membersTopic = "keyed.members";
+constexpr Millis registrationTimeout = {800};
+constexpr std::string_view entryWord = "entry";
+constexpr std::string_view agentWord = "agent";
+
+std::string encodeMember(const Member &member)
+{
+    const bool isEntry = member.identity.role == fleet::ProcessRole::Entry;
+    return json::serialize(json::object{{"role", isEntry ? entryWord : agentWord},
+                                        {"address", member.address.text()},
+                                        {"zone", member.identity.zone},
+                                        {"incarnation", member.identity.incarnation}});
+}
+
+std::optional<Member> decodeMember(std::string_view name, std::string_view value)
+{
+    boost::system::error_code error;
+    const json::value parsed = json::parse(value, error);
+    if (error || !parsed.is_object())
+        return std::nullopt;
+    const json::object &object = parsed.get_object();
+    const std::string role = textAt(object, "role");
+    const std::optional<Address> address = Address::parse(textAt(object, "address"));
+    const std::optional<uint64_t> incarnation = countAt(object, "incarnation");
+    if (!address || !incarnation || (role != entryWord && role != agentWord))
+        return std::nullopt;
+    return Member{
+        .identity = {.name = std::string(name),
+                     .incarnation = *incarnation,
+                     .role = role == entryWord ? fleet::ProcessRole::Entry : fleet::ProcessRole::Agent,
+                     .zone = textAt(object, "zone")},
+        .address = *address};
+}
+
+Registration::Registration(Member self, StoreApi &store, IoContext &io, StructuredLog &log)
+    : m_self(std::move(self))
+    , m_store(store)
+    , m_timers(io)
+    , m_log(log)
+{ }
+
+void Registration::start()
+{
+    const AppendCall call{.topic = membersTopic,
+                          .records = {{.key = m_self.identity.name, .value = encodeMember(m_self)}}};
+    m_store.append(call, registrationTimeout, [this, guard = m_timers.guard()](const AppendAnswer &answer) {
+        if (guard.expired())
+            return;
+        if (answer.status == StoreStatus::Done) {
+            m_log.always(Clock::now(), "registered",
+                         {{"address", m_self.address.text()}, {"failures", m_failures}});
+            return;
+        }
+        if (++m_failures == 1)
+            m_log.always(Clock::now(), "registration_failed", {{"status", static_cast<int>(answer.status)}});
+        m_timers.after(m_backoff.next(), [this] { start(); });
+    });
+}
+
+MemberList::MemberList(StoreApi &store, IoContext &io, StructuredLog &log, Handlers handlers)
+    : m_handlers(std::move(handlers))
+    , m_log(log)
+    , m_follower({.topic = membersTopic}, store, io, log,
+                 {.onRecord =
+                      [this](const StoreRecord &record) {
+                          if (record.value.empty()) {
+                              m_handlers.onRemoved(record.key);
+                              return;
+                          }
+                          if (const std::optional<Member> member = decodeMember(record.key, record.value))
+                              m_handlers.onMember(*member);
+                          else
+                              m_log.always(Clock::now(), "registration_unreadable", {{"name", record.key}});
+                      },
+                  .onSynced = [this] { m_synced = true; }})
+{ }
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/fleet/memberlist.h
@@ -0,0 +1,62 @@
+// The processes of the system, as they have registered themselves in a keyed topic of the store.
+//
+// Registrations of processes that are gone stay until the process is replaced; a connection that cannot be
+// made costs little.
+#pragma once
+
+#include "fleet/nodelink.h"
+#include "net/address.h"
+#include "store/topicfollower.h"
+
+#include <map>
+#include <optional>
+
+namespace turmericwell {
+
+struct Member
+{
+    NodeIdentity identity;
+    Address address;
+};
+
+std::string encodeMember(const Member &member);
+std::optional<Member> decodeMember(std::string_view name, std::string_view value);
+
+// Registers a process, and tries until the store has taken the registration.
+class Registration
+{
+public:
+    Registration(Member self, StoreApi &store, IoContext &io, StructuredLog &log);
+    void start();
+
+private:
+    Member m_self;
+    StoreApi &m_store;
+    Timers m_timers;
+    StructuredLog &m_log;
+    uint32_t m_failures = 0;
+    Backoff m_backoff{{100}, {1'000}};
+};
+
+class MemberList
+{
+public:
+    struct Handlers
+    {
+        std::function<void(const Member &member)> onMember;
+        std::function<void(const std::string &name)> onRemoved;
+    };
+
+    MemberList(StoreApi &store, IoContext &io, StructuredLog &log, Handlers handlers);
+    void start() { m_follower.start(); }
+    // All registrations have been read at least once.
+    bool isSynced() const { return m_synced; }
+
+private:
+    const Handlers m_handlers;
+    StructuredLog &m_log;
+    bool m_synced = false;
+    TopicFollower m_follower;
+};
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/fleet/nodelink.cpp
@@ -0,0 +1,92 @@
+// Introduction and pings.
+#include "fleet/nodelink.h"
+
+namespace turmericwell {
+
+constexpr Millis pingInterval = {350};
+// Three pings; shorter than the time after which an agent stops the runs of a silent owner.
+constexpr Millis silenceLimit = {1'200};
+
+NodeLink::NodeLink(IoContext &io, FrameLinkPtr link, const NodeIdentity &self)
+    : m_timers(io)
+    , m_link(std::move(link))
+    , m_self(self)
+    , m_lastHeard(Clock::now())
+{ }
+
+void NodeLink::start(Handlers handlers)
+{
+    m_handlers = std::move(handlers);
+    m_link->start({.onFrame = [self = shared_from_this()](
+                                  std::span<const uint8_t> payload) { self->received(payload); },
+                   .onClosed =
+                       [self = shared_from_this()](const std::string &reason) {
+                           if (std::exchange(self->m_closed, true))
+                               return;
+                           const Handlers last = std::exchange(self->m_handlers, {});
+                           if (last.onClosed)
+                               last.onClosed(reason);
+                       }});
+    fleet::HelloT hello;
+    hello.node = m_self.name;
+    hello.incarnation = m_self.incarnation;
+    hello.role = m_self.role;
+    hello.zone = m_self.zone;
+    send(std::move(hello));
+    checkPeer();
+}
+
+void NodeLink::close(const std::string &reason)
+{
+    m_link->close(reason);
+}
+
+void NodeLink::checkPeer()
+{
+    if (m_closed)
+        return;
+    const Millis now = Clock::now();
+    if (now - m_lastHeard > silenceLimit) {
+        close("peer is silent");
+        return;
+    }
+    fleet::PingT ping;
+    ping.sent_ms = now.count;
+    send(ping);
+    m_timers.after(pingInterval, [weak = weak_from_this()] {
+        if (const NodeLinkPtr self = weak.lock())
+            self->checkPeer();
+    });
+}
+
+void NodeLink::received(std::span<const uint8_t> payload)
+{
+    const std::unique_ptr<fleet::EnvelopeT> envelope = decodeFleetMessage(payload);
+    if (!envelope) {
+        close("message cannot be decoded");
+        return;
+    }
+    if (m_closed)
+        return;
+    if (const fleet::HelloT *hello = envelope->body.AsHello()) {
+        if (!std::exchange(m_introduced, true)) {
+            m_peer = *hello;
+            m_handlers.onHello(m_peer);
+        }
+    } else if (const fleet::PingT *ping = envelope->body.AsPing()) {
+        fleet::PongT pong = m_handlers.makePong();
+        pong.sent_ms = ping->sent_ms;
+        m_lastPongSent = Clock::now();
+        send(std::move(pong));
+    } else if (const fleet::PongT *pong = envelope->body.AsPong()) {
+        // The peer was alive after this side had sent the ping. When the pong arrives does not matter: it can
+        // have waited while this process was paused.
+        m_lastHeard = std::max(m_lastHeard, Millis{pong->sent_ms});
+        if (m_introduced)
+            m_handlers.onPong({pong->sent_ms}, *pong);
+    } else if (m_introduced) {
+        m_handlers.onMessage(*envelope);
+    }
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/fleet/partitionowner.cpp
@@ -0,0 +1,184 @@
+// Opens, loads and closes partitions.
+#include "fleet/partitionowner.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+static constexpr const char *jobsTopic = "keyed.jobs";
+static constexpr const char *ownersGroup = "entries";
+static constexpr const char *producerName = "owner";
+constexpr Millis pageTimeout = {1'500};
+constexpr Millis pageRetryDelay = {100};
+constexpr Millis releaseCheckInterval = {10};
+// Records that wait for the store when the process stops get this long.
+constexpr Millis mostReleaseTime = {800};
+
+PartitionOwner::PartitionOwner(PartitionOwnerOptions options, StoreApi &store, IoContext &io,
+                               StructuredLog &log, JobBook &book, Handlers handlers)
+    : m_options(std::move(options))
+    , m_store(store)
+    , m_io(io)
+    , m_timers(io)
+    , m_log(log)
+    , m_book(book)
+    , m_handlers(std::move(handlers))
+    , m_group(
+          {.group = ownersGroup, .member = m_options.member, .topic = jobsTopic, .ttl = m_options.memberTtl},
+          store, io, log, [this](uint64_t generation, const std::set<uint32_t> &partitions) {
+              joined(generation, partitions);
+          })
+{ }
+
+void PartitionOwner::start()
+{
+    // A former process of the same name may still be a member. Its partitions are dealt anew at once, and the
+    // new generation gives this process an epoch of its own.
+    m_store.leave({.group = ownersGroup, .member = m_options.member}, pageTimeout,
+                  [this, guard = m_timers.guard()](StoreStatus) {
+                      if (!guard.expired())
+                          m_group.start();
+                  });
+}
+
+void PartitionOwner::joined(uint64_t generation, const std::set<uint32_t> &partitions)
+{
+    if (m_releasing)
+        return;
+    std::vector<uint32_t> revoked;
+    for (const auto &[partition, owned] : m_owned) {
+        if (!partitions.contains(partition))
+            revoked.push_back(partition);
+    }
+    for (const uint32_t partition : revoked)
+        close(partition);
+    for (const uint32_t partition : partitions) {
+        const auto fenced = m_fencedEpochs.find(partition);
+        const bool mayOpen = fenced == m_fencedEpochs.end() || fenced->second < generation;
+        if (!m_owned.contains(partition) && mayOpen)
+            open(partition, generation);
+    }
+}
+
+void PartitionOwner::open(uint32_t partition, uint64_t epoch)
+{
+    m_log.always(Clock::now(), "partition_opening", {{"partition", partition}, {"epoch", epoch}});
+    Owned &owned = m_owned[partition];
+    owned.epoch = epoch;
+    owned.openedAt = Clock::now();
+    owned.queue = std::make_unique<AppendQueue>(
+        AppendQueueOptions{
+            .topic = jobsTopic, .partition = partition, .producer = producerName, .epoch = epoch},
+        m_store, m_io, m_log);
+    owned.queue->onFenced = [this, partition, epoch] {
+        m_timers.after({0}, [this, partition, epoch] {
+            const auto found = m_owned.find(partition);
+            if (found == m_owned.end() || found->second.epoch != epoch)
+                return;
+            m_fencedEpochs[partition] = epoch;
+            close(partition);
+            m_group.joinSoon();
+        });
+    };
+    m_book.openPartition(partition, epoch);
+    owned.queue->open([this, partition, epoch](AppendOutcome outcome) {
+        if (outcome == AppendOutcome::Stored)
+            loadPage(partition, epoch, {});
+    });
+}
+
+void PartitionOwner::close(uint32_t partition)
+{
+    m_book.closePartition(partition, Clock::now());
+    m_owned.erase(partition);
+    m_handlers.onClosed(partition);
+}
+
+void PartitionOwner::loadPage(uint32_t partition, uint64_t epoch, const std::string &after)
+{
+    m_store.newest({.topic = jobsTopic, .partition = partition, .after = after}, pageTimeout,
+                   [this, partition, epoch, after, guard = m_timers.guard()](const NewestAnswer &answer) {
+                       if (!guard.expired())
+                           pageLoaded(partition, epoch, after, answer);
+                   });
+}
+
+void PartitionOwner::pageLoaded(uint32_t partition, uint64_t epoch, const std::string &after,
+                                const NewestAnswer &answer)
+{
+    const auto found = m_owned.find(partition);
+    if (found == m_owned.end() || found->second.epoch != epoch)
+        return;
+    const Millis now = Clock::now();
+    if (answer.status != StoreStatus::Done) {
+        m_timers.after(pageRetryDelay,
+                       [this, partition, epoch, after] { loadPage(partition, epoch, after); });
+        return;
+    }
+    for (const StoreRecord &record : answer.records) {
+        ++found->second.records;
+        if (const std::optional<JobId> job = parseJobId(record.key); job && !record.value.empty())
+            m_book.loadRecord(partition, *job, record.value, now);
+    }
+    if (answer.hasMore && !answer.records.empty()) {
+        loadPage(partition, epoch, answer.records.back().key);
+        return;
+    }
+    m_book.loaded(partition, now);
+    m_log.always(now, "partition_owned",
+                 {{"partition", partition},
+                  {"epoch", epoch},
+                  {"records", found->second.records},
+                  {"took_ms", now - found->second.openedAt}});
+    m_handlers.onLoaded(partition);
+}
+
+void PartitionOwner::store(uint32_t partition, JobId job, std::string record, bool mayDrop,
+                           std::function<void(StoreOutcome, Millis)> onDone)
+{
+    const auto found = m_owned.find(partition);
+    if (found == m_owned.end()) {
+        m_timers.after({0}, [onDone = std::move(onDone)] { onDone(StoreOutcome::Superseded, Clock::now()); });
+        return;
+    }
+    found->second.queue->add(jobIdText(job), std::move(record), mayDrop,
+                             [onDone = std::move(onDone)](AppendOutcome outcome) {
+                                 const Millis now = Clock::now();
+                                 if (outcome == AppendOutcome::Stored)
+                                     onDone(StoreOutcome::Stored, now);
+                                 else if (outcome == AppendOutcome::NotStored)
+                                     onDone(StoreOutcome::NotStored, now);
+                                 else
+                                     onDone(StoreOutcome::Superseded, now);
+                             });
+}
+
+bool PartitionOwner::storeWorks() const
+{
+    return std::none_of(m_owned.begin(), m_owned.end(),
+                        [](const auto &item) { return item.second.queue->isFailing(); });
+}
+
+void PartitionOwner::release(std::function<void()> onDone)
+{
+    m_releasing = true;
+    finishRelease(Clock::now() + mostReleaseTime, std::move(onDone));
+}
+
+void PartitionOwner::finishRelease(Millis deadline, std::function<void()> onDone)
+{
+    const bool idle = std::all_of(m_owned.begin(), m_owned.end(),
+                                  [](const auto &item) { return item.second.queue->isIdle(); });
+    if (!idle && Clock::now() < deadline) {
+        m_timers.after(releaseCheckInterval, [this, deadline, onDone] { finishRelease(deadline, onDone); });
+        return;
+    }
+    std::vector<uint32_t> partitions;
+    for (const auto &[partition, owned] : m_owned)
+        partitions.push_back(partition);
+    for (const uint32_t partition : partitions)
+        close(partition);
+    m_group.leave(std::move(onDone));
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/fleet/partitionowner.h
@@ -0,0 +1,75 @@
+// Ownership of the partitions of the job table.
+//
+// The store deals the partitions to the entries. A new owner first sets its epoch on the partition, which
+// fences the former one, and then reads the records, so that it has seen everything that was ever stored.
+#pragma once
+
+#include "jobs/jobbook.h"
+#include "store/appendqueue.h"
+#include "store/groupmember.h"
+
+#include <map>
+#include <memory>
+
+namespace turmericwell {
+
+struct PartitionOwnerOptions
+{
+    std::string member;
+    Millis memberTtl = {1'500};
+};
+
+class PartitionOwner
+{
+public:
+    // Called when a partition has been loaded, or has been given up.
+    struct Handlers
+    {
+        std::function<void(uint32_t partition)> onLoaded;
+        std::function<void(uint32_t partition)> onClosed;
+    };
+
+    PartitionOwner(PartitionOwnerOptions options, StoreApi &store, IoContext &io, StructuredLog &log,
+                   JobBook &book, Handlers handlers);
+
+    void start();
+    // A peer has given up its partitions, or may have.
+    void joinSoon() { m_group.joinSoon(); }
+    // Stores what is waiting, then gives up all partitions.
+    void release(std::function<void()> onDone);
+    void store(uint32_t partition, JobId job, std::string record, bool mayDrop,
+               std::function<void(StoreOutcome, Millis)> onDone);
+    Millis lastConfirmed() const { return m_group.lastConfirmed(); }
+    bool storeWorks() const;
+
+private:
+    struct Owned
+    {
+        uint64_t epoch = 0;
+        std::unique_ptr<AppendQueue> queue;
+        Millis openedAt;
+        uint32_t records = 0;
+    };
+
+    void joined(uint64_t generation, const std::set<uint32_t> &partitions);
+    void open(uint32_t partition, uint64_t epoch);
+    void close(uint32_t partition);
+    void loadPage(uint32_t partition, uint64_t epoch, const std::string &after);
+    void pageLoaded(uint32_t partition, uint64_t epoch, const std::string &after, const NewestAnswer &answer);
+    void finishRelease(Millis deadline, std::function<void()> onDone);
+
+    const PartitionOwnerOptions m_options;
+    StoreApi &m_store;
+    IoContext &m_io;
+    Timers m_timers;
+    StructuredLog &m_log;
+    JobBook &m_book;
+    const Handlers m_handlers;
+    std::map<uint32_t, Owned> m_owned;
+    // Epochs that were fenced; a partition is opened again only with a higher one.
+    std::map<uint32_t, uint64_t> m_fencedEpochs;
+    bool m_releasing = false;
+    GroupMember m_group;
+};
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/jobs/jobbook.cpp
@@ -0,0 +1,403 @@
+// Ownership of partitions and calls of clients.
+#include "jobs/jobbook.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <xxhash.h>
+
+namespace turmericwell {
+
+// Time that an order, its answer and the record of the end take beside the task itself.
+constexpr Millis dispatchOverhead = {20};
+constexpr Millis leastRetryAfter = {1'000};
+// Run numbers of a loaded job start at its owner's epoch times this, above those of any former owner.
+constexpr uint32_t runsPerEpoch = 1'000;
+
+uint32_t partitionOf(JobId job, uint32_t partitions)
+{
+    return static_cast<uint32_t>(XXH3_64bits(&job, sizeof(job)) % partitions);
+}
+
+JobBook::JobBook(JobBookOptions options, WorkerPool &pool, JobEffects &effects, StructuredLog &log)
+    : m_options(options)
+    , m_pool(pool)
+    , m_effects(effects)
+    , m_log(log)
+{ }
+
+void JobBook::openPartition(uint32_t partition, uint64_t epoch)
+{
+    m_partitions[partition] = {.epoch = epoch};
+}
+
+bool JobBook::isServing(uint32_t partition) const
+{
+    const auto found = m_partitions.find(partition);
+    return found != m_partitions.end() && found->second.loaded;
+}
+
+std::optional<uint64_t> JobBook::epochOf(uint32_t partition) const
+{
+    const auto found = m_partitions.find(partition);
+    return found == m_partitions.end() ? std::nullopt : std::optional(found->second.epoch);
+}
+
+std::vector<fleet::OwnedPartitionT> JobBook::owned() const
+{
+    std::vector<fleet::OwnedPartitionT> result;
+    for (const auto &[number, partition] : m_partitions) {
+        fleet::OwnedPartitionT item;
+        item.partition = number;
+        item.epoch = partition.epoch;
+        item.ready = partition.loaded;
+        result.push_back(item);
+    }
+    return result;
+}
+
+void JobBook::loadRecord(uint32_t partition, JobId id, std::string_view bytes, Millis now)
+{
+    std::optional<JobRecord> record = decodeJobRecord(bytes);
+    if (!record) {
+        m_log.always(now, "record_unreadable", {{"job", jobIdText(id)}, {"bytes", bytes.size()}});
+        return;
+    }
+    if (record->phase != JobPhase::Active || !record->spec) {
+        m_ended[id] = {.phase = record->phase, .forgetAt = now + m_options.retention, .partition = partition};
+        m_endedOrder.push_back(id);
+        return;
+    }
+    Job &job = addJob(std::move(*record->spec), partition, now);
+    job.accepted = true;
+    job.runBase = static_cast<uint32_t>(m_partitions[partition].epoch) * runsPerEpoch;
+    job.failedRuns = record->failed_runs;
+    for (const uint32_t number : record->done_tasks) {
+        if (number >= job.tasks.size() || job.tasks[number].phase == TaskPhase::Done)
+            continue;
+        Task &task = job.tasks[number];
+        task.phase = TaskPhase::Done;
+        --job.stepRemaining[task.step];
+    }
+    for (const fleet::FailedRun &failed : job.failedRuns) {
+        if (failed.task() >= job.tasks.size())
+            continue;
+        Task &task = job.tasks[failed.task()];
+        ++task.failures;
+        task.run = std::max(task.run, failed.run());
+    }
+    openReadySteps(job);
+    for (Task &task : job.tasks) {
+        if (task.phase == TaskPhase::Waiting)
+            task.phase = TaskPhase::Unlocated;
+    }
+    dequeue(job);
+}
+
+void JobBook::loaded(uint32_t number, Millis now)
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end())
+        return;
+    found->second.loaded = true;
+    found->second.loadedAt = now;
+    const auto active = std::count_if(m_jobs.begin(), m_jobs.end(),
+                                      [&](const auto &item) { return item.second.partition == number; });
+    m_log.always(now, "partition_loaded",
+                 {{"partition", number}, {"epoch", found->second.epoch}, {"active_jobs", active}});
+}
+
+void JobBook::closePartition(uint32_t number, Millis now)
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end())
+        return;
+    m_log.always(now, "partition_closed", {{"partition", number}, {"epoch", found->second.epoch}});
+    m_partitions.erase(found);
+    std::vector<JobReplyHandler> undecided;
+    for (auto item = m_jobs.begin(); item != m_jobs.end();) {
+        Job &job = item->second;
+        if (job.partition != number) {
+            ++item;
+            continue;
+        }
+        dequeue(job);
+        std::move(job.submitters.begin(), job.submitters.end(), std::back_inserter(undecided));
+        std::move(job.cancellers.begin(), job.cancellers.end(), std::back_inserter(undecided));
+        item = m_jobs.erase(item);
+    }
+    std::erase_if(m_ended, [&](const auto &item) { return item.second.partition == number; });
+    std::erase_if(m_endedOrder, [&](JobId id) { return !m_ended.contains(id); });
+    for (const JobReplyHandler &handler : undecided)
+        handler({.status = fleet::CallStatus::Unknown, .reason = "ownership moved"});
+}
+
+static std::string_view unsupportedPart(const JobSpec &spec)
+{
+    if (spec.long_running)
+        return "long-running jobs are not supported";
+    if (spec.repeat_count > 0)
+        return "repeated jobs are not supported";
+    for (size_t number = 0; number < spec.steps.size(); ++number) {
+        const StepSpec &step = *spec.steps[number];
+        if (step.gang)
+            return "gangs are not supported";
+        if (step.fills || step.target_ms > 0)
+            return "serving and filling tasks are not supported";
+        const auto isLater = [number](uint32_t earlier) { return earlier >= number; };
+        if (std::any_of(step.after.begin(), step.after.end(), isLater))
+            return "a step depends on a later step";
+    }
+    return {};
+}
+
+Millis JobBook::predictedWait(const JobSpec &spec) const
+{
+    const int64_t capacity = m_pool.capacityMilli(spec.service);
+    if (capacity <= 0)
+        return {INT32_MAX};
+    const int64_t waiting = m_waitingCpuMs + m_peersWaitingCpuMs;
+    return {waiting * 1'000 / capacity};
+}
+
+std::optional<JobReply> JobBook::refusal(const JobSpec &spec, Millis now)
+{
+    JobReply reply{.status = fleet::CallStatus::Refused, .retryAfter = leastRetryAfter};
+    reply.reason = unsupportedPart(spec);
+    if (!reply.reason.empty())
+        return reply;
+    for (const auto &step : spec.steps) {
+        const PlacementNeeds needs{.service = spec.service,
+                                   .size = {step->cpu_milli, step->memory_mb, step->accelerators},
+                                   .requiredLabel = step->required_label};
+        if (!m_pool.canEverHold(needs)) {
+            reply.reason = "no worker can hold a task of this size";
+            return reply;
+        }
+    }
+    const Millis wait = predictedWait(spec);
+    int64_t chain = 0;
+    for (const auto &step : spec.steps)
+        chain = std::max<int64_t>(chain, m_runTimes.estimateMs(spec.queue, step->estimate_ms));
+    const Millis slack = objective(spec) - Millis{chain} - dispatchOverhead;
+    if (wait <= slack)
+        return std::nullopt;
+    reply.reason = "the waiting work would make the job late";
+    reply.retryAfter = std::max(leastRetryAfter, wait);
+    m_log.write(now, "job_refused",
+                {{"job", jobIdText(spec.id)},
+                 {"queue", spec.queue},
+                 {"reason", reply.reason},
+                 {"wait_ms", wait},
+                 {"slack_ms", slack},
+                 {"waiting_cpu_ms", m_waitingCpuMs},
+                 {"peers_waiting_cpu_ms", m_peersWaitingCpuMs}});
+    return reply;
+}
+
+JobBook::Job &JobBook::addJob(JobSpec spec, uint32_t partition, Millis now)
+{
+    const JobId id = spec.id;
+    Job &job = m_jobs[id];
+    job.spec = std::move(spec);
+    job.partition = partition;
+    job.acceptedAt = now;
+    job.dueAt = now + objective(job.spec);
+    for (uint32_t number = 0; number < job.spec.steps.size(); ++number) {
+        job.stepFirst.push_back(static_cast<uint32_t>(job.tasks.size()));
+        const uint32_t count = job.spec.steps[number]->count;
+        job.stepRemaining.push_back(count);
+        for (uint32_t index = 0; index < count; ++index)
+            job.tasks.push_back({.step = number, .index = index});
+    }
+    return job;
+}
+
+void JobBook::submit(JobSpec spec, Millis now, JobReplyHandler onDone)
+{
+    const uint32_t partition = partitionOf(spec.id, m_options.partitions);
+    if (!isServing(partition)) {
+        onDone({.status = fleet::CallStatus::NotReady,
+                .retryAfter = leastRetryAfter,
+                .reason = "not the owner"});
+        return;
+    }
+    if (const auto ended = m_ended.find(spec.id); ended != m_ended.end()) {
+        onDone({.status = fleet::CallStatus::Done, .phase = ended->second.phase});
+        return;
+    }
+    if (Job *known = findJob(spec.id)) {
+        if (known->accepted && !known->spec.best_effort)
+            onDone({.status = fleet::CallStatus::Done, .running = known->anyStarted});
+        else
+            known->submitters.push_back(std::move(onDone));
+        return;
+    }
+    if (std::optional<JobReply> refused = refusal(spec, now)) {
+        onDone(std::move(*refused));
+        return;
+    }
+    Job &job = addJob(std::move(spec), partition, now);
+    job.submitters.push_back(std::move(onDone));
+    writeRecord(job, now);
+}
+
+JobReply JobBook::query(JobId id) const
+{
+    if (!isServing(partitionOf(id, m_options.partitions)))
+        return {
+            .status = fleet::CallStatus::NotReady, .retryAfter = leastRetryAfter, .reason = "not the owner"};
+    if (const auto ended = m_ended.find(id); ended != m_ended.end())
+        return {.status = fleet::CallStatus::Done, .phase = ended->second.phase};
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || !found->second.accepted)
+        return {.status = fleet::CallStatus::NotKnown};
+    return {
+        .status = fleet::CallStatus::Done, .phase = JobPhase::Active, .running = found->second.anyStarted};
+}
+
+void JobBook::cancel(JobId id, Millis now, JobReplyHandler onDone)
+{
+    if (!isServing(partitionOf(id, m_options.partitions))) {
+        onDone({.status = fleet::CallStatus::NotReady,
+                .retryAfter = leastRetryAfter,
+                .reason = "not the owner"});
+        return;
+    }
+    Job *job = findJob(id);
+    if (!job) {
+        const JobReply reply = query(id);
+        m_log.write(now, "cancel_without_effect",
+                    {{"job", jobIdText(id)}, {"known", reply.status == fleet::CallStatus::Done}});
+        onDone(reply);
+        return;
+    }
+    job->cancellers.push_back(std::move(onDone));
+    if (job->phase == JobPhase::Active)
+        endJob(*job, JobPhase::Cancelled, now);
+}
+
+std::map<std::string, uint32_t> JobBook::pendingByQueue() const
+{
+    std::map<std::string, uint32_t> result;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.accepted && !job.anyStarted && job.phase == JobPhase::Active)
+            ++result[job.spec.queue];
+    }
+    return result;
+}
+
+void JobBook::writeRecord(Job &job, Millis now)
+{
+    if (job.recordInFlight) {
+        job.recordDirty = true;
+        return;
+    }
+    job.recordInFlight = true;
+    job.recordDirty = false;
+    JobRecord record;
+    record.phase = job.phase;
+    record.queue = job.spec.queue;
+    record.changed_wall_ms = now.count;
+    if (job.phase == JobPhase::Active) {
+        record.spec = std::make_unique<JobSpec>(job.spec);
+        record.failed_runs = job.failedRuns;
+        for (uint32_t number = 0; number < job.tasks.size(); ++number) {
+            if (job.tasks[number].phase == TaskPhase::Done)
+                record.done_tasks.push_back(number);
+        }
+    }
+    const JobId id = job.spec.id;
+    const uint32_t partition = job.partition;
+    const uint64_t epoch = m_partitions.at(partition).epoch;
+    std::vector<UnstoredEnd> ends = std::exchange(job.unstoredEnds, {});
+    m_effects.store(partition, id, encodeJobRecord(record), !job.accepted,
+                    [this, id, partition, epoch, phase = job.phase,
+                     ends = std::move(ends)](StoreOutcome outcome, Millis doneAt) mutable {
+                        recordStored(id, partition, epoch, phase, std::move(ends), outcome, doneAt);
+                    });
+}
+
+void JobBook::recordStored(JobId id, uint32_t partition, uint64_t epoch, JobPhase phase,
+                           std::vector<UnstoredEnd> ends, StoreOutcome outcome, Millis now)
+{
+    // After a change of ownership the job has been forgotten and its callers have been told.
+    if (epochOf(partition) != epoch || outcome == StoreOutcome::Superseded)
+        return;
+    Job *job = findJob(id);
+    if (!job)
+        return;
+    job->recordInFlight = false;
+    if (outcome == StoreOutcome::Stored) {
+        for (const UnstoredEnd &end : ends)
+            m_effects.endStored(end.agent, end.run);
+    }
+    if (!job->accepted) {
+        finishAcceptance(*job, outcome, now);
+        job = findJob(id);
+        if (!job)
+            return;
+    }
+    if (phase != JobPhase::Active) {
+        retire(id, now);
+        return;
+    }
+    if (job->recordDirty)
+        writeRecord(*job, now);
+}
+
+void JobBook::finishAcceptance(Job &job, StoreOutcome outcome, Millis now)
+{
+    std::vector<JobReplyHandler> submitters = std::exchange(job.submitters, {});
+    if (outcome != StoreOutcome::Stored) {
+        m_log.write(now, "job_not_stored", {{"job", jobIdText(job.spec.id)}, {"queue", job.spec.queue}});
+        std::move(job.cancellers.begin(), job.cancellers.end(), std::back_inserter(submitters));
+        m_jobs.erase(job.spec.id);
+        for (const JobReplyHandler &submitter : submitters) {
+            submitter({.status = fleet::CallStatus::Refused,
+                       .retryAfter = leastRetryAfter,
+                       .reason = "the store cannot be reached"});
+        }
+        return;
+    }
+    job.accepted = true;
+    m_log.write(now, "job_accepted",
+                {{"job", jobIdText(job.spec.id)},
+                 {"queue", job.spec.queue},
+                 {"tasks", job.tasks.size()},
+                 {"store_ms", now - job.acceptedAt},
+                 {"due_in_ms", job.dueAt - now}});
+    if (job.spec.best_effort) {
+        job.submitters = std::move(submitters);
+    } else {
+        for (const JobReplyHandler &submitter : submitters)
+            submitter({.status = fleet::CallStatus::Done});
+    }
+    if (job.phase == JobPhase::Active)
+        openReadySteps(job);
+}
+
+void JobBook::retire(JobId id, Millis now)
+{
+    Job &job = m_jobs.at(id);
+    m_log.write(now, "job_ended",
+                {{"job", jobIdText(id)},
+                 {"queue", job.spec.queue},
+                 {"phase", fleet::EnumNameJobPhase(job.phase)},
+                 {"took_ms", now - job.acceptedAt},
+                 {"late", now > job.dueAt}});
+    stopRuns(job);
+    for (const UnstoredEnd &end : job.unstoredEnds)
+        m_effects.endStored(end.agent, end.run);
+    const JobReply reply{.status = fleet::CallStatus::Done, .phase = job.phase};
+    m_ended[id] = {.phase = job.phase, .forgetAt = now + m_options.retention, .partition = job.partition};
+    m_endedOrder.push_back(id);
+    std::vector<JobReplyHandler> handlers = std::move(job.cancellers);
+    std::move(job.submitters.begin(), job.submitters.end(), std::back_inserter(handlers));
+    dequeue(job);
+    m_jobs.erase(id);
+    for (const JobReplyHandler &handler : handlers)
+        handler(reply);
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/jobs/jobbookdispatch.cpp
@@ -0,0 +1,203 @@
+// Order of the waiting jobs, and placement of their tasks.
+//
+// Load pattern: bursts beyond the room of all workers. Jobs that can still be in time go first, by the latest
+// moment at which they have to start; jobs that are late anyway use the room that is left, oldest first.
+#include "jobs/jobbook.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericwell {
+
+constexpr Millis dispatchOverhead = {20};
+constexpr Millis progressInterval = {100};
+constexpr Millis purgeInterval = {1'000};
+// Jobs that found no room before one pass over the queue ends.
+constexpr uint32_t mostUnplacedJobs = 24;
+
+Millis JobBook::objective(const JobSpec &spec) const
+{
+    int64_t chain = 0;
+    for (const auto &step : spec.steps) {
+        const int64_t estimate = m_runTimes.estimateMs(spec.queue, step->estimate_ms);
+        chain = step->after.empty() ? std::max(chain, estimate) : chain + estimate;
+    }
+    return {std::llround(static_cast<double>(chain) * std::max(1.0, spec.stretch)) + spec.target_latency_ms};
+}
+
+Millis JobBook::remainingChain(const Job &job) const
+{
+    int64_t chain = 0;
+    for (size_t number = 0; number < job.spec.steps.size(); ++number) {
+        if (job.stepRemaining[number] == 0)
+            continue;
+        const StepSpec &step = *job.spec.steps[number];
+        const int64_t estimate = m_runTimes.estimateMs(job.spec.queue, step.estimate_ms);
+        chain = step.after.empty() ? std::max(chain, estimate) : chain + estimate;
+    }
+    return {chain};
+}
+
+void JobBook::enqueue(Job &job)
+{
+    if (job.queued || job.phase != JobPhase::Active || !job.accepted)
+        return;
+    job.queued = true;
+    job.latestStart = job.dueAt - remainingChain(job) - dispatchOverhead;
+    m_punctual.emplace(job.latestStart, job.spec.id);
+}
+
+void JobBook::dequeue(Job &job)
+{
+    if (!job.queued)
+        return;
+    job.queued = false;
+    m_punctual.erase({job.latestStart, job.spec.id});
+    m_late.erase({job.acceptedAt, job.spec.id});
+}
+
+void JobBook::demoteLate(Millis now)
+{
+    while (!m_punctual.empty() && m_punctual.begin()->first < now) {
+        const JobId id = m_punctual.begin()->second;
+        m_punctual.erase(m_punctual.begin());
+        m_late.emplace(m_jobs.at(id).acceptedAt, id);
+    }
+}
+
+bool JobBook::placeTask(Job &job, Task &task, Millis now)
+{
+    const StepSpec &step = *job.spec.steps[task.step];
+    const Partition &partition = m_partitions.at(job.partition);
+    std::map<AgentNumber, uint32_t> siblings;
+    if (step.worker_limit > 0) {
+        for (const Task &other : job.tasks) {
+            if (other.step == task.step
+                && (other.phase == TaskPhase::Ordered || other.phase == TaskPhase::Running))
+                ++siblings[other.agent];
+        }
+    }
+    const Room size{step.cpu_milli, step.memory_mb, step.accelerators};
+    const std::optional<AgentNumber> agent = m_pool.choose({.service = job.spec.service,
+                                                            .size = size,
+                                                            .requiredLabel = step.required_label,
+                                                            .dataRack = step.data_rack,
+                                                            .workerLimit = step.worker_limit,
+                                                            .siblings = &siblings,
+                                                            .eligible = &partition.reported},
+                                                           now);
+    if (!agent)
+        return false;
+    task.phase = TaskPhase::Ordered;
+    task.agent = *agent;
+    task.run = std::max(task.run, job.runBase) + 1;
+    m_pool.orderSent(*agent, size);
+    const RunId run = runId(job, task);
+    m_log.write(now, "run_ordered",
+                {{"job", jobIdText(job.spec.id)},
+                 {"task", taskIdText(run.task)},
+                 {"run", run.number},
+                 {"worker", m_pool.find(*agent)->worker},
+                 {"slack_ms", job.latestStart - now}});
+    m_effects.start({.agent = *agent,
+                     .partition = job.partition,
+                     .epoch = partition.epoch,
+                     .run = run,
+                     .spec = &job.spec,
+                     .step = &step,
+                     .checkpoint = task.checkpoint,
+                     .estimateMs = m_runTimes.estimateMs(job.spec.queue, step.estimate_ms),
+                     .slack = job.latestStart - now});
+    return true;
+}
+
+bool JobBook::placeTasks(Job &job, Millis now)
+{
+    bool all = true;
+    for (Task &task : job.tasks) {
+        if (task.phase != TaskPhase::Waiting)
+            continue;
+        // The tasks of a job are alike: if one finds no room the others rarely do.
+        if (!placeTask(job, task, now)) {
+            all = false;
+            break;
+        }
+    }
+    if (all)
+        dequeue(job);
+    return all;
+}
+
+void JobBook::dispatch(Millis now)
+{
+    uint32_t unplaced = 0;
+    const auto pass = [&](const std::set<std::pair<Millis, JobId>> &queue) {
+        std::vector<JobId> order;
+        order.reserve(queue.size());
+        for (const auto &[key, id] : queue)
+            order.push_back(id);
+        for (const JobId id : order) {
+            if (unplaced >= mostUnplacedJobs)
+                return;
+            if (!placeTasks(m_jobs.at(id), now))
+                ++unplaced;
+        }
+    };
+    pass(m_punctual);
+    pass(m_late);
+    m_waitingCpuMs = 0;
+    for (const auto &[key, id] : m_punctual) {
+        const Job &job = m_jobs.at(id);
+        for (const Task &task : job.tasks) {
+            const StepSpec &step = *job.spec.steps[task.step];
+            if (task.phase == TaskPhase::Waiting)
+                m_waitingCpuMs +=
+                    int64_t{step.cpu_milli} * m_runTimes.estimateMs(job.spec.queue, step.estimate_ms) / 1'000;
+        }
+    }
+}
+
+void JobBook::storeProgress(Millis now)
+{
+    if (now < m_nextProgress)
+        return;
+    m_nextProgress = now + progressInterval;
+    for (auto &[id, job] : m_jobs) {
+        const bool due = !job.unstoredEnds.empty() && now - job.oldestUnstoredEnd >= m_options.progressDelay;
+        if (due && !job.recordInFlight)
+            writeRecord(job, now);
+    }
+}
+
+void JobBook::purge(Millis now)
+{
+    if (now < m_nextPurge)
+        return;
+    m_nextPurge = now + purgeInterval;
+    while (!m_endedOrder.empty()) {
+        const JobId id = m_endedOrder.front();
+        const auto found = m_ended.find(id);
+        if (found != m_ended.end()) {
+            if (found->second.forgetAt > now)
+                return;
+            const uint32_t partition = found->second.partition;
+            m_ended.erase(found);
+            m_effects.store(partition, id, {}, true, [](StoreOutcome, Millis) {});
+        }
+        m_endedOrder.pop_front();
+    }
+}
+
+void JobBook::advance(Millis now)
+{
+    for (auto &[number, partition] : m_partitions) {
+        if (partition.loaded && !partition.located)
+            locatePartition(number, partition, now);
+    }
+    demoteLate(now);
+    dispatch(now);
+    storeProgress(now);
+    purge(now);
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/jobs/jobbookruns.cpp
@@ -0,0 +1,303 @@
+// Tasks and runs of the jobs in the book.
+#include "jobs/jobbook.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+JobBook::Job *JobBook::findJob(JobId id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+JobBook::Task *JobBook::findTask(Job &job, const TaskId &id)
+{
+    if (id.occurrence != 0 || id.step >= job.stepFirst.size() || id.index >= job.spec.steps[id.step]->count)
+        return nullptr;
+    return &job.tasks[job.stepFirst[id.step] + id.index];
+}
+
+RunId JobBook::runId(const Job &job, const Task &task) const
+{
+    return {.task = {.job = job.spec.id, .step = task.step, .index = task.index}, .number = task.run};
+}
+
+void JobBook::openReadySteps(Job &job)
+{
+    for (uint32_t number = 0; number < job.spec.steps.size(); ++number) {
+        const StepSpec &step = *job.spec.steps[number];
+        const bool ready = std::all_of(step.after.begin(), step.after.end(),
+                                       [&](uint32_t earlier) { return job.stepRemaining[earlier] == 0; });
+        if (!ready)
+            continue;
+        for (uint32_t index = 0; index < step.count; ++index) {
+            Task &task = job.tasks[job.stepFirst[number] + index];
+            if (task.phase == TaskPhase::Blocked)
+                task.phase = TaskPhase::Waiting;
+        }
+    }
+    enqueue(job);
+    // A job without tasks has nothing to wait for.
+    if (job.accepted && job.phase == JobPhase::Active
+        && std::all_of(job.stepRemaining.begin(), job.stepRemaining.end(),
+                       [](uint32_t left) { return left == 0; }))
+        endJob(job, JobPhase::Completed, job.acceptedAt);
+}
+
+void JobBook::noteUnstoredEnd(Job &job, AgentNumber agent, const RunId &run, Millis now)
+{
+    if (job.unstoredEnds.empty())
+        job.oldestUnstoredEnd = now;
+    job.unstoredEnds.push_back({.agent = agent, .run = run});
+}
+
+void JobBook::makeWaiting(Job &job, Task &task, Millis)
+{
+    task.phase = TaskPhase::Waiting;
+    if (job.phase == JobPhase::Active)
+        enqueue(job);
+}
+
+void JobBook::stopRuns(Job &job)
+{
+    const auto partition = m_partitions.find(job.partition);
+    if (partition == m_partitions.end())
+        return;
+    for (const Task &task : job.tasks) {
+        if (task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Running)
+            m_effects.stop(task.agent, job.partition, partition->second.epoch, runId(job, task));
+    }
+}
+
+void JobBook::endJob(Job &job, JobPhase phase, Millis now)
+{
+    job.phase = phase;
+    dequeue(job);
+    writeRecord(job, now);
+}
+
+void JobBook::taskDone(Job &job, Task &task, Millis now)
+{
+    if (task.phase == TaskPhase::Running) {
+        const StepSpec &step = *job.spec.steps[task.step];
+        m_runTimes.observe(job.spec.queue, step.estimate_ms, now - task.startedAt);
+    }
+    task.phase = TaskPhase::Done;
+    task.checkpoint.clear();
+    if (--job.stepRemaining[task.step] > 0 || job.phase != JobPhase::Active)
+        return;
+    const bool allDone = std::all_of(job.stepRemaining.begin(), job.stepRemaining.end(),
+                                     [](uint32_t left) { return left == 0; });
+    if (allDone)
+        endJob(job, JobPhase::Completed, now);
+    else
+        openReadySteps(job);
+}
+
+void JobBook::taskFailed(Job &job, Task &task, AgentNumber agent, const RunId &run, Millis now)
+{
+    const uint32_t number = job.stepFirst[task.step] + task.index;
+    const auto counted = [&](const fleet::FailedRun &failed) {
+        return failed.task() == number && failed.run() == run.number;
+    };
+    if (std::none_of(job.failedRuns.begin(), job.failedRuns.end(), counted)) {
+        job.failedRuns.emplace_back(number, run.number);
+        ++task.failures;
+        m_pool.runFailed(agent, now);
+    }
+    if (run.number != task.run && task.phase != TaskPhase::Unlocated)
+        return;
+    if (job.phase == JobPhase::Active && task.failures >= std::max(1U, job.spec.attempts)) {
+        task.phase = TaskPhase::Waiting;
+        endJob(job, JobPhase::Failed, now);
+        return;
+    }
+    makeWaiting(job, task, now);
+}
+
+void JobBook::runStarted(AgentNumber agent, const RunId &run, Millis now)
+{
+    Job *job = findJob(run.task.job);
+    Task *task = job ? findTask(*job, run.task) : nullptr;
+    if (!task || task->agent != agent || task->run != run.number) {
+        // An order that was carried out late, by a worker or from a connection that is lost.
+        const uint32_t number = partitionOf(run.task.job, m_options.partitions);
+        if (isServing(number))
+            m_effects.stop(agent, number, m_partitions.at(number).epoch, run);
+        return;
+    }
+    if (task->phase != TaskPhase::Ordered)
+        return;
+    task->phase = TaskPhase::Running;
+    task->startedAt = now;
+    job->anyStarted = true;
+}
+
+void JobBook::runEnded(AgentNumber agent, const AgentEnd &end, Millis now)
+{
+    const RunId &run = end.run;
+    if (!isServing(partitionOf(run.task.job, m_options.partitions)))
+        return;
+    Job *job = findJob(run.task.job);
+    Task *task = job ? findTask(*job, run.task) : nullptr;
+    m_log.write(now, "run_ended",
+                {{"job", jobIdText(run.task.job)},
+                 {"task", taskIdText(run.task)},
+                 {"run", run.number},
+                 {"how", fleet::EnumNameEndKind(end.kind)},
+                 {"known", task != nullptr}});
+    if (!task || task->phase == TaskPhase::Done) {
+        m_effects.endStored(agent, run);
+        return;
+    }
+    const bool isCurrent = run.number == task->run;
+    if (!end.checkpoint.empty())
+        task->checkpoint = end.checkpoint;
+    if (end.kind == EndKind::Done) {
+        if (!isCurrent && (task->phase == TaskPhase::Ordered || task->phase == TaskPhase::Running))
+            m_effects.stop(task->agent, job->partition, m_partitions.at(job->partition).epoch,
+                           runId(*job, *task));
+        m_pool.runSucceeded(agent);
+        noteUnstoredEnd(*job, agent, run, now);
+        taskDone(*job, *task, now);
+        return;
+    }
+    if (end.kind == EndKind::Failed) {
+        noteUnstoredEnd(*job, agent, run, now);
+        taskFailed(*job, *task, agent, run, now);
+        return;
+    }
+    m_effects.endStored(agent, run);
+    if (isCurrent && (task->phase == TaskPhase::Ordered || task->phase == TaskPhase::Running))
+        makeWaiting(*job, *task, now);
+}
+
+void JobBook::runRejected(AgentNumber agent, const RunId &run, RejectReason reason, Millis now)
+{
+    Job *job = findJob(run.task.job);
+    Task *task = job ? findTask(*job, run.task) : nullptr;
+    m_log.write(now, "run_rejected",
+                {{"job", jobIdText(run.task.job)},
+                 {"task", taskIdText(run.task)},
+                 {"run", run.number},
+                 {"reason", fleet::EnumNameRejectReason(reason)},
+                 {"known", task != nullptr}});
+    if (!task || task->agent != agent || task->run != run.number || task->phase != TaskPhase::Ordered)
+        return;
+    if (reason == RejectReason::Unhealthy)
+        m_pool.runFailed(agent, now);
+    makeWaiting(*job, *task, now);
+}
+
+void JobBook::adoptRun(AgentNumber agent, const RunId &run, Millis now)
+{
+    const uint32_t number = partitionOf(run.task.job, m_options.partitions);
+    const uint64_t epoch = m_partitions.at(number).epoch;
+    Job *job = findJob(run.task.job);
+    Task *task = job ? findTask(*job, run.task) : nullptr;
+    const bool hasOtherRun = task && (task->phase == TaskPhase::Ordered || task->phase == TaskPhase::Running)
+        && (task->run != run.number || task->agent != agent);
+    if (!task || task->phase == TaskPhase::Done || job->phase != JobPhase::Active || hasOtherRun) {
+        m_effects.stop(agent, number, epoch, run);
+        return;
+    }
+    m_effects.tellSize(agent, run, *job->spec.steps[task->step]);
+    if (task->phase == TaskPhase::Running)
+        return;
+    task->phase = TaskPhase::Running;
+    task->agent = agent;
+    task->run = run.number;
+    task->startedAt = now;
+    job->anyStarted = true;
+}
+
+void JobBook::claimReport(AgentNumber agent, uint32_t number, uint64_t epoch, std::span<const RunId> running,
+                          std::span<const AgentEnd> ended, Millis now)
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end() || found->second.epoch != epoch || !found->second.loaded)
+        return;
+    std::set<RunId> reported(running.begin(), running.end());
+    for (const AgentEnd &end : ended)
+        reported.insert(end.run);
+    for (const RunId &run : running)
+        adoptRun(agent, run, now);
+    for (const AgentEnd &end : ended)
+        runEnded(agent, end, now);
+    std::vector<std::pair<JobId, RunId>> lost;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.partition != number)
+            continue;
+        for (const Task &task : job.tasks) {
+            const bool isOrdered = task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Running;
+            if (isOrdered && task.agent == agent && !reported.contains(runId(job, task)))
+                lost.emplace_back(id, runId(job, task));
+        }
+    }
+    for (const auto &[id, run] : lost) {
+        m_log.write(
+            now, "run_lost",
+            {{"job", jobIdText(id)}, {"task", taskIdText(run.task)}, {"run", run.number}, {"agent", agent}});
+        Job &job = m_jobs.at(id);
+        makeWaiting(job, *findTask(job, run.task), now);
+    }
+    found->second.reported.insert(agent);
+}
+
+void JobBook::agentDisconnected(AgentNumber agent)
+{
+    for (auto &[number, partition] : m_partitions)
+        partition.reported.erase(agent);
+}
+
+void JobBook::agentGone(AgentNumber agent, Millis now)
+{
+    agentDisconnected(agent);
+    for (auto &[id, job] : m_jobs) {
+        for (Task &task : job.tasks) {
+            if (task.agent != agent || (task.phase != TaskPhase::Ordered && task.phase != TaskPhase::Running))
+                continue;
+            m_log.write(now, "run_lost",
+                        {{"job", jobIdText(id)},
+                         {"task", taskIdText(runId(job, task).task)},
+                         {"run", task.run},
+                         {"agent", agent}});
+            makeWaiting(job, task, now);
+        }
+    }
+}
+
+void JobBook::setExpectedAgents(std::set<AgentNumber> agents, bool allKnown)
+{
+    m_expectedAgents = std::move(agents);
+    m_allAgentsKnown = allKnown;
+}
+
+void JobBook::locatePartition(uint32_t number, Partition &partition, Millis now)
+{
+    const bool allReported = m_allAgentsKnown
+        && std::includes(partition.reported.begin(), partition.reported.end(), m_expectedAgents.begin(),
+                         m_expectedAgents.end());
+    if (!allReported && now - partition.loadedAt < m_options.unlocatedBound)
+        return;
+    partition.located = true;
+    uint32_t restarted = 0;
+    for (auto &[id, job] : m_jobs) {
+        if (job.partition != number)
+            continue;
+        for (Task &task : job.tasks) {
+            if (task.phase != TaskPhase::Unlocated)
+                continue;
+            ++restarted;
+            makeWaiting(job, task, now);
+        }
+    }
+    m_log.always(now, "partition_located",
+                 {{"partition", number},
+                  {"all_agents_reported", allReported},
+                  {"after_ms", now - partition.loadedAt},
+                  {"tasks_without_run", restarted}});
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/jobs/runtimes.cpp
@@ -0,0 +1,39 @@
+// Exponential averages of run times.
+#include "jobs/runtimes.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+// Until this many tasks have ended the declared figure stands alone.
+constexpr uint32_t leastSamples = 20;
+constexpr double newestWeight = 0.02;
+constexpr double leastRatio = 0.25;
+constexpr double mostRatio = 4;
+
+void RunTimes::observe(std::string_view queue, uint32_t declaredMs, Millis actual)
+{
+    if (declaredMs == 0 || actual.count <= 0)
+        return;
+    auto found = m_averages.find(queue);
+    if (found == m_averages.end())
+        found = m_averages.emplace(std::string(queue), Average{}).first;
+    Average &average = found->second;
+    ++average.samples;
+    const double weight = std::max(newestWeight, 1.0 / average.samples);
+    const auto actualMs = static_cast<double>(actual.count);
+    const double ratio = std::clamp(actualMs / declaredMs, leastRatio, mostRatio);
+    average.actualMs += weight * (actualMs - average.actualMs);
+    average.ratio += weight * (ratio - average.ratio);
+}
+
+uint32_t RunTimes::estimateMs(std::string_view queue, uint32_t declaredMs) const
+{
+    const auto found = m_averages.find(queue);
+    if (found == m_averages.end() || found->second.samples < leastSamples)
+        return declaredMs;
+    const Average &average = found->second;
+    return static_cast<uint32_t>((declaredMs * average.ratio + average.actualMs) / 2);
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/jobs/workerpool.cpp
@@ -0,0 +1,147 @@
+// Chooses the worker with the largest free share among those that have room.
+#include "jobs/workerpool.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+// One failure can be the task's own fault; two in a row point to the worker.
+constexpr uint32_t failuresUntilAvoided = 2;
+constexpr Millis firstAvoidance = {500};
+constexpr Millis longestAvoidance = {4'000};
+
+void WorkerPool::report(AgentNumber agent, WorkerState state)
+{
+    Worker &worker = m_workers[agent];
+    const uint64_t notTaken = worker.ordersSent - std::min(worker.ordersSent, state.ordersTaken);
+    while (worker.uncovered.size() > notTaken) {
+        worker.uncoveredTotal -= worker.uncovered.front();
+        worker.uncovered.pop_front();
+    }
+    if (worker.state.worker != state.worker) {
+        worker.failuresInRow = 0;
+        worker.avoidUntil = {};
+    }
+    worker.state = std::move(state);
+}
+
+void WorkerPool::remove(AgentNumber agent)
+{
+    m_workers.erase(agent);
+}
+
+bool WorkerPool::admissible(const Worker &worker, const PlacementNeeds &needs) const
+{
+    const WorkerState &state = worker.state;
+    if (!state.usable || state.draining || state.service != needs.service || m_evacuated.contains(state.zone))
+        return false;
+    const auto &labels = state.labels;
+    return needs.requiredLabel.empty()
+        || std::find(labels.begin(), labels.end(), needs.requiredLabel) != labels.end();
+}
+
+Room WorkerPool::freeRoom(const Worker &worker) const
+{
+    Room room = worker.state.free;
+    room -= worker.uncoveredTotal;
+    return room;
+}
+
+std::optional<AgentNumber> WorkerPool::choose(const PlacementNeeds &needs, Millis now)
+{
+    std::optional<AgentNumber> best;
+    double bestScore = 0;
+    std::uniform_real_distribution<double> jitter(0, 0.05);
+    for (const auto &[agent, worker] : m_workers) {
+        if (!admissible(worker, needs) || (needs.eligible && !needs.eligible->contains(agent)))
+            continue;
+        const Room room = freeRoom(worker);
+        if (!room.holds(needs.size))
+            continue;
+        if (needs.workerLimit > 0 && needs.siblings) {
+            const auto placed = needs.siblings->find(agent);
+            if (placed != needs.siblings->end() && placed->second >= needs.workerLimit)
+                continue;
+        }
+        // Jitter keeps entries with the same view from choosing the same worker.
+        double score =
+            static_cast<double>(room.cpuMilli) / static_cast<double>(worker.state.capacity.cpuMilli + 1)
+            + jitter(m_random);
+        const auto &labels = worker.state.labels;
+        if (!needs.dataRack.empty()
+            && std::find(labels.begin(), labels.end(), needs.dataRack) != labels.end())
+            score += 1;
+        if (worker.avoidUntil > now)
+            score -= 4;
+        if (!best || score > bestScore) {
+            best = agent;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void WorkerPool::orderSent(AgentNumber agent, const Room &size)
+{
+    Worker &worker = m_workers[agent];
+    ++worker.ordersSent;
+    worker.uncovered.push_back(size);
+    worker.uncoveredTotal += size;
+}
+
+void WorkerPool::runFailed(AgentNumber agent, Millis now)
+{
+    const auto found = m_workers.find(agent);
+    if (found == m_workers.end())
+        return;
+    Worker &worker = found->second;
+    ++worker.failuresInRow;
+    if (worker.failuresInRow < failuresUntilAvoided)
+        return;
+    const uint32_t doublings = std::min(worker.failuresInRow - failuresUntilAvoided, 3U);
+    worker.avoidUntil = now + std::min(firstAvoidance * (int64_t{1} << doublings), longestAvoidance);
+}
+
+void WorkerPool::runSucceeded(AgentNumber agent)
+{
+    const auto found = m_workers.find(agent);
+    if (found == m_workers.end())
+        return;
+    found->second.failuresInRow = 0;
+    found->second.avoidUntil = {};
+}
+
+int64_t WorkerPool::capacityMilli(std::string_view service) const
+{
+    int64_t total = 0;
+    for (const auto &[agent, worker] : m_workers) {
+        if (admissible(worker, {.service = service}))
+            total += worker.state.capacity.cpuMilli;
+    }
+    return total;
+}
+
+int64_t WorkerPool::freeMilli(std::string_view service) const
+{
+    int64_t total = 0;
+    for (const auto &[agent, worker] : m_workers) {
+        if (admissible(worker, {.service = service}))
+            total += std::max<int64_t>(0, freeRoom(worker).cpuMilli);
+    }
+    return total;
+}
+
+bool WorkerPool::canEverHold(const PlacementNeeds &needs) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &item) {
+        return admissible(item.second, needs) && item.second.state.capacity.holds(needs.size);
+    });
+}
+
+const WorkerState *WorkerPool::find(AgentNumber agent) const
+{
+    const auto found = m_workers.find(agent);
+    return found == m_workers.end() ? nullptr : &found->second.state;
+}
+
+} // namespace turmericwell
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -53,6 +53,8 @@
     HttpServer(IoContext &io, const Address &address, HttpServerOptions options, Handler handler);
     ~HttpServer();
 
+    // Connections are closed after the next response; new ones are still accepted.
+    void closeAfterResponses();
     void stopAccepting();
     // Requests that were read and not answered yet.
     size_t openRequests() const;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -228,9 +228,14 @@
     stopAccepting();
 }
 
-void HttpServer::stopAccepting()
+void HttpServer::closeAfterResponses()
 {
     m_state->shared->stopping = true;
+}
+
+void HttpServer::stopAccepting()
+{
+    closeAfterResponses();
     asio::post(m_state->acceptor.get_executor(), [state = m_state] {
         beast::error_code ignored;
         state->acceptor.close(ignored);
--- /dev/null
+++ b/src/observe/structuredlog.cpp
@@ -0,0 +1,140 @@
+// JSON lines through a log4cplus appender on standard output.
+#include "observe/structuredlog.h"
+
+#include <cmath>
+#include <cstdio>
+#include <fcntl.h>
+#include <iostream>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <unistd.h>
+
+namespace turmericwell {
+
+constexpr Millis oneSecond = {1'000};
+
+static log4cplus::Logger &decisionLogger()
+{
+    // Never destroyed: lines may be written until the process ends.
+    static auto *const initializer = new log4cplus::Initializer;
+    (void)initializer;
+    static auto *const logger =
+        new log4cplus::Logger(log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("decisions")));
+    return *logger;
+}
+
+StructuredLog::StructuredLog(std::string process, StructuredLogOptions options)
+    : m_process(std::move(process))
+    , m_options(options)
+    , m_enabled(true)
+{
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    constexpr bool logToStandardError = false;
+    constexpr bool flushEachLine = false;
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(logToStandardError, flushEachLine));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    log4cplus::Logger &logger = decisionLogger();
+    logger.removeAllAppenders();
+    logger.addAppender(appender);
+    logger.setAdditivity(false);
+    logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+}
+
+static void appendText(std::string &line, std::string_view text)
+{
+    line += '"';
+    for (const char c : text) {
+        if (c == '"' || c == '\\') {
+            line += '\\';
+            line += c;
+        } else if (static_cast<unsigned char>(c) < ' ') {
+            line += ' ';
+        } else {
+            line += c;
+        }
+    }
+    line += '"';
+}
+
+static void appendNumber(std::string &line, double number)
+{
+    if (!std::isfinite(number)) {
+        line += "null";
+        return;
+    }
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.4g", number);
+    line += text.data();
+}
+
+void StructuredLog::append(Millis now, std::string_view event, std::initializer_list<LogField> fields)
+{
+    std::string line = "{\"t\":" + std::to_string(now.count) + ",\"process\":";
+    appendText(line, m_process);
+    line += ",\"event\":";
+    appendText(line, event);
+    for (const LogField &field : fields) {
+        line += ',';
+        appendText(line, field.name);
+        line += ':';
+        std::visit(
+            [&line](const auto &value) {
+                using Value = std::decay_t<decltype(value)>;
+                if constexpr (std::is_same_v<Value, std::string_view>)
+                    appendText(line, value);
+                else if constexpr (std::is_same_v<Value, bool>)
+                    line += value ? "true" : "false";
+                else if constexpr (std::is_same_v<Value, double>)
+                    appendNumber(line, value);
+                else
+                    line += std::to_string(value);
+            },
+            field.value);
+    }
+    line += '}';
+    decisionLogger().log(log4cplus::INFO_LOG_LEVEL, line);
+}
+
+void StructuredLog::write(Millis now, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (!m_enabled)
+        return;
+    if (now - m_secondStart >= oneSecond || now < m_secondStart) {
+        m_secondStart = now;
+        m_linesThisSecond = 0;
+        if (m_droppedUnreported > 0)
+            append(now, "log_lines_dropped", {{"lines", m_droppedUnreported}});
+        m_droppedUnreported = 0;
+    }
+    if (++m_linesThisSecond > m_options.linesPerSecond) {
+        ++m_droppedUnreported;
+        ++m_droppedTotal;
+        return;
+    }
+    append(now, event, fields);
+}
+
+void StructuredLog::always(Millis now, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (m_enabled)
+        append(now, event, fields);
+}
+
+void StructuredLog::flush(Millis)
+{
+    if (!m_enabled)
+        return;
+    std::cout.flush();
+    if (std::cout.good())
+        return;
+    // The reader of standard output is too slow: the buffered lines are lost.
+    std::cout.clear();
+    ++m_droppedUnreported;
+    ++m_droppedTotal;
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/store/appendqueue.cpp
@@ -0,0 +1,191 @@
+// Group commit with sequence numbers.
+#include "store/appendqueue.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+AppendQueue::AppendQueue(AppendQueueOptions options, StoreApi &store, IoContext &io, StructuredLog &log)
+    : m_options(std::move(options))
+    , m_store(store)
+    , m_timers(io)
+    , m_log(log)
+{ }
+
+void AppendQueue::open(std::function<void(AppendOutcome)> onOpen)
+{
+    m_onOpen = std::move(onOpen);
+    m_opening = true;
+    m_inFlight = true;
+    send();
+}
+
+void AppendQueue::add(std::string key, std::string value, bool mayDrop, Done onDone)
+{
+    if (m_fenced) {
+        m_timers.after({0}, [onDone = std::move(onDone)] { onDone(AppendOutcome::Superseded); });
+        return;
+    }
+    m_waiting.push_back({.record = {.key = std::move(key), .value = std::move(value)},
+                         .mayDrop = mayDrop,
+                         .addedAt = Clock::now(),
+                         .onDone = std::move(onDone)});
+    sendNext();
+}
+
+void AppendQueue::sendNext()
+{
+    if (m_inFlight || m_waiting.empty() || m_fenced || m_sendScheduled)
+        return;
+    const Millis now = Clock::now();
+    const Millis earliest = m_sentAt + m_options.spacing;
+    // Records that are added by the same event share the append.
+    m_sendScheduled = true;
+    m_timers.after(std::max(Millis{0}, earliest - now), [this] {
+        m_sendScheduled = false;
+        if (m_inFlight || m_waiting.empty() || m_fenced)
+            return;
+        size_t bytes = 0;
+        while (!m_waiting.empty() && bytes < m_options.mostBytes) {
+            bytes += m_waiting.front().record.value.size();
+            m_batch.push_back(std::move(m_waiting.front()));
+            m_waiting.pop_front();
+        }
+        m_inFlight = true;
+        send();
+    });
+}
+
+void AppendQueue::send()
+{
+    m_sentAt = Clock::now();
+    AppendCall call{.topic = m_options.topic,
+                    .partition = m_options.partition,
+                    .producer = m_options.producer,
+                    .epoch = m_options.epoch,
+                    .sequence = m_sequence};
+    for (const Item &item : m_batch)
+        call.records.push_back(item.record);
+    m_store.append(call, m_options.timeout, [this, guard = m_timers.guard()](const AppendAnswer &answer) {
+        if (!guard.expired())
+            answered(answer);
+    });
+}
+
+void AppendQueue::answered(const AppendAnswer &answer)
+{
+    switch (answer.status) {
+    case StoreStatus::Done:
+        finishBatch(AppendOutcome::Stored);
+        return;
+    case StoreStatus::Fenced:
+        fenced();
+        return;
+    case StoreStatus::WrongSequence:
+        // An earlier try of the same batch has been carried out.
+        if (m_uncertain && answer.expectedSequence == m_sequence + 1) {
+            finishBatch(AppendOutcome::Stored);
+            return;
+        }
+        m_log.always(Clock::now(), "append_sequence_corrected",
+                     {{"partition", m_options.partition},
+                      {"sent", m_sequence},
+                      {"expected", answer.expectedSequence}});
+        m_sequence = answer.expectedSequence;
+        retry();
+        return;
+    case StoreStatus::NoAnswer:
+        m_uncertain = true;
+        retry();
+        return;
+    case StoreStatus::Refused:
+    case StoreStatus::Expired:
+    case StoreStatus::Invalid:
+        retry();
+        return;
+    }
+}
+
+void AppendQueue::finishBatch(AppendOutcome outcome)
+{
+    if (m_failures > 0)
+        m_log.always(Clock::now(), "append_works",
+                     {{"partition", m_options.partition}, {"failures", m_failures}});
+    m_failures = 0;
+    m_uncertain = false;
+    m_inFlight = false;
+    m_backoff.reset();
+    ++m_sequence;
+    std::vector<Item> batch = std::exchange(m_batch, {});
+    if (m_opening) {
+        m_opening = false;
+        m_onOpen(outcome);
+    }
+    const auto guard = m_timers.guard();
+    for (const Item &item : batch)
+        item.onDone(outcome);
+    if (!guard.expired())
+        sendNext();
+}
+
+void AppendQueue::dropExpired(Millis now)
+{
+    std::vector<Done> dropped;
+    const auto drop = [&](Item &item) {
+        if (!item.mayDrop || now - item.addedAt < m_options.dropAfter)
+            return false;
+        dropped.push_back(std::move(item.onDone));
+        return true;
+    };
+    // A batch that may have been stored must be repeated as it is.
+    if (!m_uncertain)
+        std::erase_if(m_batch, drop);
+    std::erase_if(m_waiting, drop);
+    for (const Done &done : dropped)
+        m_timers.after({0}, [done] { done(AppendOutcome::NotStored); });
+}
+
+void AppendQueue::retry()
+{
+    const Millis now = Clock::now();
+    if (++m_failures == 1)
+        m_log.always(now, "append_failed", {{"partition", m_options.partition}, {"epoch", m_options.epoch}});
+    dropExpired(now);
+    if (m_batch.empty() && !m_opening) {
+        m_inFlight = false;
+        m_sentAt = now + m_backoff.next();
+        sendNext();
+        return;
+    }
+    m_timers.after(m_backoff.next(), [this] {
+        dropExpired(Clock::now());
+        if (m_batch.empty() && !m_opening) {
+            m_inFlight = false;
+            sendNext();
+            return;
+        }
+        send();
+    });
+}
+
+void AppendQueue::fenced()
+{
+    m_fenced = true;
+    m_inFlight = false;
+    m_log.always(Clock::now(), "append_fenced",
+                 {{"partition", m_options.partition}, {"epoch", m_options.epoch}});
+    std::vector<Item> items = std::exchange(m_batch, {});
+    std::move(m_waiting.begin(), m_waiting.end(), std::back_inserter(items));
+    m_waiting.clear();
+    const auto guard = m_timers.guard();
+    if (m_opening) {
+        m_opening = false;
+        m_onOpen(AppendOutcome::Superseded);
+    }
+    for (const Item &item : items)
+        item.onDone(AppendOutcome::Superseded);
+    if (!guard.expired() && onFenced)
+        onFenced();
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/worker/workerkeeper.cpp
@@ -0,0 +1,523 @@
+// Orders, room, owners and leases.
+#include "worker/workerkeeper.h"
+
+#include "jobs/jobbook.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+// A worker's clock may be this much slow.
+constexpr int64_t clockErrorPercent = 2;
+constexpr Millis leaseMargin = {100};
+constexpr Millis stopRetryInterval = {150};
+// A fencing token that was refused is raised by this much: more than a clock jump of some seconds.
+constexpr uint64_t fenceIncrement = 10'000;
+constexpr uint32_t holdFailuresUntilUnusable = 2;
+
+WorkerKeeper::WorkerKeeper(WorkerKeeperOptions options, uint64_t firstFence, Millis now,
+                           WorkerEffects &effects, StructuredLog &log)
+    : m_options(options)
+    , m_effects(effects)
+    , m_log(log)
+    , m_fence(firstFence)
+    , m_startedAt(now)
+    , m_leaseEnd(now + options.lease + options.lease * clockErrorPercent / 100 + leaseMargin)
+{ }
+
+bool WorkerKeeper::announced(const WorkerAnnouncement &announcement, Millis now)
+{
+    if (announcement.born < m_leastBorn)
+        return false;
+    const bool isSameLife =
+        m_worker && m_worker->worker == announcement.worker && m_worker->born == announcement.born;
+    if (isSameLife && announcement.sequence < m_worker->sequence)
+        return false;
+    if (m_worker && !isSameLife)
+        newWorkerLife(now);
+    const bool changed = !isSameLife || m_worker->draining != announcement.draining;
+    if (changed) {
+        m_log.always(now, "worker_announced",
+                     {{"worker", announcement.worker},
+                      {"service", announcement.service},
+                      {"born", announcement.born},
+                      {"draining", announcement.draining},
+                      {"cpu_milli", announcement.capacity.cpuMilli}});
+    }
+    m_worker = announcement;
+    m_leastBorn = announcement.born;
+    m_reportChanged = m_reportChanged || changed;
+    if (m_worker->draining)
+        rejectQueued(RejectReason::Draining, now);
+    startQueued(now);
+    return true;
+}
+
+void WorkerKeeper::deregistered(std::string_view worker, Millis now)
+{
+    if (!m_worker || m_worker->worker != worker)
+        return;
+    m_log.always(now, "worker_deregistered", {{"worker", worker}});
+    newWorkerLife(now);
+    m_leastBorn = m_worker->born + 1;
+    m_worker.reset();
+}
+
+std::optional<RejectReason> WorkerKeeper::obstacle() const
+{
+    if (!m_worker || !m_listsKnown || m_holdFailures >= holdFailuresUntilUnusable)
+        return RejectReason::NoWorker;
+    if (m_worker->draining)
+        return RejectReason::Draining;
+    if (m_evacuated.contains(m_worker->zone))
+        return RejectReason::Evacuated;
+    return std::nullopt;
+}
+
+bool WorkerKeeper::isUsable() const
+{
+    return !obstacle();
+}
+
+Room WorkerKeeper::usedRoom() const
+{
+    Room used;
+    for (const auto &[id, run] : m_runs) {
+        if (run.phase != RunPhase::Queued)
+            used += run.order.size;
+    }
+    return used;
+}
+
+Room WorkerKeeper::queuedRoom() const
+{
+    Room queued;
+    for (const auto &[id, run] : m_runs) {
+        if (run.phase == RunPhase::Queued)
+            queued += run.order.size;
+    }
+    return queued;
+}
+
+bool WorkerKeeper::allSizesKnown() const
+{
+    return std::all_of(m_runs.begin(), m_runs.end(), [](const auto &item) { return item.second.sizeKnown; });
+}
+
+Millis WorkerKeeper::workerNow(Millis now) const
+{
+    return m_clockSample + (now - m_clockSampledAt);
+}
+
+void WorkerKeeper::noteClock(Millis workerClock, Millis now)
+{
+    m_clockSample = workerClock;
+    m_clockSampledAt = now;
+}
+
+void WorkerKeeper::noteLease(Millis deadline, Millis now)
+{
+    const Millis left = deadline - workerNow(now);
+    const Millis end = now + left + left * clockErrorPercent / 100 + leaseMargin;
+    m_leaseEnd = std::max(m_leaseEnd, end);
+}
+
+WorkerKeeper::Owner &WorkerKeeper::ownerOf(const RunId &run)
+{
+    const uint32_t partition = partitionOf(run.task.job, m_options.partitions);
+    const auto [owner, isNew] = m_owners.try_emplace(partition);
+    if (isNew)
+        owner->second.lastContact = m_startedAt;
+    return owner->second;
+}
+
+void WorkerKeeper::entryConnected(EntryNumber entry, Millis now)
+{
+    m_contacts[entry] = now;
+    m_ordersTaken[entry] = 0;
+}
+
+void WorkerKeeper::entryDisconnected(EntryNumber entry)
+{
+    m_contacts.erase(entry);
+    m_ordersTaken.erase(entry);
+    for (auto &[number, owner] : m_owners) {
+        if (owner.entry == entry)
+            owner.entry.reset();
+    }
+}
+
+void WorkerKeeper::entryAnswered(EntryNumber entry, Millis pingSentAt)
+{
+    const auto found = m_contacts.find(entry);
+    if (found == m_contacts.end())
+        return;
+    found->second = std::max(found->second, pingSentAt);
+    for (auto &[number, owner] : m_owners) {
+        if (owner.entry == entry)
+            owner.lastContact = std::max(owner.lastContact, found->second);
+    }
+}
+
+void WorkerKeeper::setEvacuatedZones(std::set<std::string> zones, Millis now)
+{
+    if (zones == m_evacuated)
+        return;
+    m_evacuated = std::move(zones);
+    m_reportChanged = true;
+    const bool isEvacuated = m_worker && m_evacuated.contains(m_worker->zone);
+    m_log.always(now, "evacuated_zones_changed", {{"zones", m_evacuated.size()}, {"own_zone", isEvacuated}});
+    if (isEvacuated)
+        rejectQueued(RejectReason::Evacuated, now);
+    startQueued(now);
+}
+
+void WorkerKeeper::claim(EntryNumber entry, uint32_t partition, uint64_t epoch, Millis now)
+{
+    Owner &owner = m_owners[partition];
+    if (epoch < owner.epoch) {
+        fleet::ClaimReportT report;
+        report.partition = partition;
+        report.epoch = epoch;
+        m_log.always(now, "claim_rejected",
+                     {{"partition", partition}, {"epoch", epoch}, {"known", owner.epoch}});
+        m_effects.tellClaim(entry, report);
+        return;
+    }
+    m_log.always(now, "claim_accepted",
+                 {{"partition", partition}, {"epoch", epoch}, {"before", owner.epoch}});
+    owner.epoch = epoch;
+    owner.entry = entry;
+    owner.lastContact = std::max(owner.lastContact, m_contacts[entry]);
+    owner.reportDue = true;
+    // The owner orders again what has not been started.
+    std::erase_if(m_runs, [&](const auto &item) {
+        return item.second.phase == RunPhase::Queued && item.second.order.partition == partition;
+    });
+    m_reportChanged = true;
+    reportClaims(now);
+}
+
+void WorkerKeeper::reportClaims(Millis now)
+{
+    if (!m_listsKnown)
+        return;
+    for (auto &[partition, owner] : m_owners) {
+        if (!owner.reportDue || !owner.entry)
+            continue;
+        owner.reportDue = false;
+        fleet::ClaimReportT report;
+        report.partition = partition;
+        report.epoch = owner.epoch;
+        report.accepted = true;
+        for (const auto &[id, run] : m_runs) {
+            if (run.order.partition == partition && run.phase != RunPhase::Queued)
+                report.running.push_back(toWire(id));
+        }
+        for (const auto &[number, end] : m_ends) {
+            if (end.stored || partitionOf(end.run.task.job, m_options.partitions) != partition)
+                continue;
+            auto item = std::make_unique<fleet::RunEndT>();
+            item->run = std::make_unique<fleet::RunRef>(toWire(end.run));
+            item->kind = end.kind;
+            item->checkpoint = end.checkpoint;
+            report.ended.push_back(std::move(item));
+        }
+        m_log.write(now, "claim_reported",
+                    {{"partition", partition},
+                     {"epoch", owner.epoch},
+                     {"running", report.running.size()},
+                     {"ended", report.ended.size()}});
+        m_effects.tellClaim(*owner.entry, report);
+    }
+}
+
+void WorkerKeeper::order(EntryNumber entry, RunOrder order, Millis now)
+{
+    ++m_ordersTaken[entry];
+    m_reportChanged = true;
+    const RunId id = order.run;
+    const Owner &owner = m_owners[order.partition];
+    std::optional<RejectReason> reason = obstacle();
+    if (order.epoch != owner.epoch || owner.entry != entry)
+        reason = RejectReason::Superseded;
+    else if (!reason && queuedRoom().cpuMilli > 0 && m_runs.size() > m_options.mostQueued) {
+        const auto queued = std::count_if(m_runs.begin(), m_runs.end(), [](const auto &item) {
+            return item.second.phase == RunPhase::Queued;
+        });
+        if (static_cast<size_t>(queued) >= m_options.mostQueued)
+            reason = RejectReason::NoRoom;
+    }
+    if (reason) {
+        m_log.write(now, "run_refused",
+                    {{"job", jobIdText(id.task.job)},
+                     {"task", taskIdText(id.task)},
+                     {"run", id.number},
+                     {"reason", fleet::EnumNameRejectReason(*reason)}});
+        m_effects.tellRejected(entry, id, *reason);
+        return;
+    }
+    const auto [item, isNew] = m_runs.try_emplace(id);
+    if (!isNew)
+        return;
+    item->second.latestStart = now + order.slack;
+    item->second.orderedAt = now;
+    item->second.order = std::move(order);
+    startQueued(now);
+}
+
+void WorkerKeeper::startQueued(Millis now)
+{
+    std::vector<std::pair<std::pair<Millis, Millis>, Run *>> queue;
+    for (auto &[id, run] : m_runs) {
+        if (run.phase != RunPhase::Queued)
+            continue;
+        // Runs that cannot be in time any more go last.
+        const bool isLate = run.latestStart < now;
+        queue.push_back({{isLate ? Millis{INT64_MAX} : run.latestStart, run.orderedAt}, &run});
+    }
+    if (queue.empty() || !allSizesKnown())
+        return;
+    if (const std::optional<RejectReason> reason = obstacle()) {
+        rejectQueued(*reason, now);
+        return;
+    }
+    std::sort(queue.begin(), queue.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
+    Room room = m_worker->capacity;
+    room -= usedRoom();
+    for (const auto &[key, run] : queue) {
+        if (!room.holds(run->order.size))
+            return;
+        const Owner &owner = m_owners[run->order.partition];
+        if (now - owner.lastContact > m_options.ownerFreshness)
+            continue;
+        room -= run->order.size;
+        sendStart(*run, now);
+    }
+}
+
+void WorkerKeeper::sendStart(Run &run, Millis now)
+{
+    run.phase = RunPhase::Starting;
+    m_reportChanged = true;
+    const Millis deadline = workerNow(now) + m_options.startValidity;
+    noteLease(deadline, now);
+    m_effects.callStart({.run = run.order.run,
+                         .payload = run.order.payload,
+                         .checkpoint = run.order.checkpoint,
+                         .deadline = deadline,
+                         .fence = m_fence,
+                         .worker = m_worker->worker});
+}
+
+void WorkerKeeper::startAnswered(const RunId &id, OrderAnswer answer, std::optional<Millis> workerClock,
+                                 Millis now)
+{
+    if (workerClock)
+        noteClock(*workerClock, now);
+    const auto found = m_runs.find(id);
+    if (found == m_runs.end()
+        || (found->second.phase != RunPhase::Starting && found->second.phase != RunPhase::Stopping))
+        return;
+    Run &run = found->second;
+    const Owner &owner = ownerOf(id);
+    m_log.write(now, "run_start_answered",
+                {{"job", jobIdText(id.task.job)},
+                 {"task", taskIdText(id.task)},
+                 {"run", id.number},
+                 {"answer", static_cast<int>(answer)},
+                 {"waited_ms", now - run.orderedAt}});
+    if (answer == OrderAnswer::Done) {
+        run.listedFrom = now;
+        if (run.phase == RunPhase::Starting) {
+            run.phase = RunPhase::Running;
+            if (owner.entry)
+                m_effects.tellStarted(*owner.entry, id);
+        }
+        return;
+    }
+    if (answer == OrderAnswer::NoAnswer) {
+        // The order may still be carried out: a stop makes the worker reject it.
+        sendStop(run, now);
+        return;
+    }
+    if (answer == OrderAnswer::Fenced)
+        m_fence += fenceIncrement;
+    RejectReason reason = RejectReason::NoWorker;
+    if (answer == OrderAnswer::Unhealthy)
+        reason = RejectReason::Unhealthy;
+    else if (answer == OrderAnswer::OldRun)
+        reason = RejectReason::OldRun;
+    else if (answer == OrderAnswer::NoRoom)
+        reason = RejectReason::NoRoom;
+    m_runs.erase(found);
+    m_reportChanged = true;
+    if (owner.entry)
+        m_effects.tellRejected(*owner.entry, id, reason);
+    startQueued(now);
+}
+
+void WorkerKeeper::stop(EntryNumber entry, uint32_t partition, uint64_t epoch, const RunId &id, Millis now)
+{
+    const Owner &owner = m_owners[partition];
+    const auto found = m_runs.find(id);
+    if (owner.epoch != epoch || owner.entry != entry || found == m_runs.end())
+        return;
+    m_log.write(now, "run_stop_ordered",
+                {{"job", jobIdText(id.task.job)}, {"task", taskIdText(id.task)}, {"run", id.number}});
+    if (found->second.phase == RunPhase::Queued) {
+        m_runs.erase(found);
+        m_reportChanged = true;
+        return;
+    }
+    if (found->second.phase != RunPhase::Stopping)
+        sendStop(found->second, now);
+}
+
+void WorkerKeeper::sendStop(Run &run, Millis now)
+{
+    run.phase = RunPhase::Stopping;
+    run.nextStop = now + m_options.lease;
+    if (m_worker)
+        m_effects.callStop({.run = run.order.run, .fence = m_fence, .worker = m_worker->worker});
+}
+
+void WorkerKeeper::stopAnswered(const RunId &id, OrderAnswer answer, Millis now)
+{
+    const auto found = m_runs.find(id);
+    if (found == m_runs.end())
+        return;
+    Run &run = found->second;
+    if (answer == OrderAnswer::Done) {
+        // A list that is asked for from now on shows the run, its end, or neither if it never started.
+        run.listedFrom = now;
+        run.nextStop = {INT64_MAX};
+        return;
+    }
+    if (answer == OrderAnswer::Fenced)
+        m_fence += fenceIncrement;
+    run.nextStop = now + stopRetryInterval;
+}
+
+void WorkerKeeper::rejectQueued(RejectReason reason, Millis now)
+{
+    for (auto item = m_runs.begin(); item != m_runs.end();) {
+        if (item->second.phase != RunPhase::Queued) {
+            ++item;
+            continue;
+        }
+        const RunId id = item->first;
+        const Owner &owner = ownerOf(id);
+        m_log.write(now, "run_refused",
+                    {{"job", jobIdText(id.task.job)},
+                     {"task", taskIdText(id.task)},
+                     {"run", id.number},
+                     {"reason", fleet::EnumNameRejectReason(reason)}});
+        if (owner.entry)
+            m_effects.tellRejected(*owner.entry, id, reason);
+        item = m_runs.erase(item);
+        m_reportChanged = true;
+    }
+}
+
+void WorkerKeeper::endStored(const RunId &run, Millis)
+{
+    for (auto &[number, end] : m_ends) {
+        if (end.run == run)
+            end.stored = true;
+    }
+}
+
+void WorkerKeeper::sizeTold(const RunId &id, const Room &size, Millis now)
+{
+    const auto found = m_runs.find(id);
+    if (found == m_runs.end() || found->second.sizeKnown)
+        return;
+    found->second.sizeKnown = true;
+    found->second.order.size = size;
+    m_reportChanged = true;
+    startQueued(now);
+}
+
+void WorkerKeeper::checkOwners(Millis now)
+{
+    for (auto &[id, run] : m_runs) {
+        const Owner &owner = ownerOf(id);
+        if (now - owner.lastContact <= m_options.ownerSilence)
+            continue;
+        if (run.phase != RunPhase::Starting && run.phase != RunPhase::Running)
+            continue;
+        m_log.write(now, "run_stopped_without_owner",
+                    {{"job", jobIdText(id.task.job)},
+                     {"task", taskIdText(id.task)},
+                     {"run", id.number},
+                     {"silent_ms", now - owner.lastContact}});
+        sendStop(run, now);
+    }
+    std::erase_if(m_runs, [&](const auto &item) {
+        return item.second.phase == RunPhase::Queued
+            && now - ownerOf(item.first).lastContact > m_options.ownerSilence;
+    });
+}
+
+void WorkerKeeper::advance(Millis now)
+{
+    if (!m_listsKnown && now > m_leaseEnd) {
+        // Nobody has renewed the lease since this process started, so nothing runs.
+        m_listsKnown = true;
+        m_reportChanged = true;
+    }
+    if (now > m_leaseEnd && !m_runs.empty())
+        loseRuns("lease lapsed", now);
+    checkOwners(now);
+    for (auto &[id, run] : m_runs) {
+        if (run.phase == RunPhase::Stopping && now >= run.nextStop)
+            sendStop(run, now);
+    }
+    startQueued(now);
+    reportClaims(now);
+    nextHold(now);
+}
+
+fleet::WorkerReportT WorkerKeeper::report(Millis) const
+{
+    fleet::WorkerReportT report;
+    report.usable = isUsable() && allSizesKnown();
+    if (!m_worker)
+        return report;
+    report.worker = m_worker->worker;
+    report.born = m_worker->born;
+    report.service = m_worker->service;
+    report.zone = m_worker->zone;
+    report.labels = m_worker->labels;
+    report.draining = m_worker->draining;
+    report.cold_ms = m_worker->cold.count;
+    const Room &capacity = m_worker->capacity;
+    report.cpu_milli = static_cast<uint32_t>(capacity.cpuMilli);
+    report.memory_mb = static_cast<uint32_t>(capacity.memoryMb);
+    report.accelerators = static_cast<uint32_t>(capacity.accelerators);
+    Room free = capacity;
+    free -= usedRoom();
+    free -= queuedRoom();
+    report.free_cpu_milli = static_cast<int32_t>(free.cpuMilli);
+    report.free_memory_mb = static_cast<int32_t>(free.memoryMb);
+    report.free_accelerators = static_cast<int32_t>(free.accelerators);
+    for (const auto &[id, run] : m_runs) {
+        if (run.phase == RunPhase::Queued)
+            report.queued_cpu_ms += run.order.size.cpuMilli * run.order.estimateMs / 1'000;
+    }
+    return report;
+}
+
+uint64_t WorkerKeeper::ordersTaken(EntryNumber entry) const
+{
+    const auto found = m_ordersTaken.find(entry);
+    return found == m_ordersTaken.end() ? 0 : found->second;
+}
+
+bool WorkerKeeper::takeReportChange()
+{
+    return std::exchange(m_reportChanged, false);
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/worker/workerkeeper.h
@@ -0,0 +1,203 @@
+// Decisions of an agent: which orders its worker gets, how long the worker's lease lasts, and what the owners
+// of the jobs are told. No input or output: effects go through WorkerEffects, time is passed in.
+//
+// Rules that hold whatever fails:
+// - The room of the worker is never exceeded by what may run on it, including runs that are being stopped.
+// - An order is taken only from the owner with the highest epoch seen for its partition, and started only
+// while that
+//   owner has answered a recent ping.
+// - An end is confirmed to the worker only after the owner has stored it.
+// - A run is reported as lost only when the worker's lists or the end of its lease show that it does not
+// exist.
+#pragma once
+
+#include "observe/structuredlog.h"
+#include "worker/workerstate.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+
+namespace turmericwell {
+
+// Names one connected entry within an agent process; a new connection gets a new number.
+using EntryNumber = uint32_t;
+
+class WorkerEffects
+{
+public:
+    virtual ~WorkerEffects() = default;
+    virtual void callStart(const StartCall &call) = 0;
+    virtual void callStop(const StopCall &call) = 0;
+    virtual void callHold(const HoldCall &call) = 0;
+    virtual void tellStarted(EntryNumber entry, const RunId &run) = 0;
+    virtual void tellRejected(EntryNumber entry, const RunId &run, RejectReason reason) = 0;
+    virtual void tellEnded(EntryNumber entry, const RunId &run, EndKind kind,
+                           std::string_view checkpoint) = 0;
+    virtual void tellClaim(EntryNumber entry, const fleet::ClaimReportT &report) = 0;
+};
+
+struct RunOrder
+{
+    uint32_t partition = 0;
+    uint64_t epoch = 0;
+    RunId run;
+    std::string payload;
+    std::string checkpoint;
+    Room size;
+    uint32_t estimateMs = 0;
+    uint32_t priority = 0;
+    Millis slack;
+};
+
+struct WorkerKeeperOptions
+{
+    uint32_t partitions = 1;
+    // Longest lease that a worker grants.
+    Millis lease = {1'000};
+    // A start that reaches the worker later than this is rejected there.
+    Millis startValidity = {500};
+    // Longest wait for an end in one call.
+    Millis holdWait = {250};
+    // Starts need an answer of the owner to a ping that is younger than this.
+    Millis ownerFreshness = {1'500};
+    // Runs are stopped when their owner has not answered for this long.
+    Millis ownerSilence = {3'000};
+    // Orders beyond this many waiting ones are rejected.
+    size_t mostQueued = 8;
+};
+
+class WorkerKeeper
+{
+public:
+    WorkerKeeper(WorkerKeeperOptions options, uint64_t firstFence, Millis now, WorkerEffects &effects,
+                 StructuredLog &log);
+
+    // --- worker ---
+    // False if the announcement is older than what is known.
+    bool announced(const WorkerAnnouncement &announcement, Millis now);
+    void deregistered(std::string_view worker, Millis now);
+    void startAnswered(const RunId &run, OrderAnswer answer, std::optional<Millis> workerClock, Millis now);
+    void stopAnswered(const RunId &run, OrderAnswer answer, Millis now);
+    void holdAnswered(OrderAnswer answer, const WorkerLists &lists, Millis now);
+
+    // --- entries ---
+    void entryConnected(EntryNumber entry, Millis now);
+    void entryDisconnected(EntryNumber entry);
+    // The entry has answered the ping that was sent at this time.
+    void entryAnswered(EntryNumber entry, Millis pingSentAt);
+    void setEvacuatedZones(std::set<std::string> zones, Millis now);
+    void claim(EntryNumber entry, uint32_t partition, uint64_t epoch, Millis now);
+    void order(EntryNumber entry, RunOrder order, Millis now);
+    void stop(EntryNumber entry, uint32_t partition, uint64_t epoch, const RunId &run, Millis now);
+    void endStored(const RunId &run, Millis now);
+    void sizeTold(const RunId &run, const Room &size, Millis now);
+
+    void advance(Millis now);
+
+    fleet::WorkerReportT report(Millis now) const;
+    // True if the report has changed since the last call.
+    bool takeReportChange();
+    size_t runCount() const { return m_runs.size(); }
+
+private:
+    enum class RunPhase : uint8_t { Queued, Starting, Running, Stopping };
+
+    struct Run
+    {
+        RunPhase phase = RunPhase::Queued;
+        RunOrder order;
+        bool sizeKnown = true;
+        // Moment from which the worker's lists must contain the run.
+        std::optional<Millis> listedFrom;
+        Millis latestStart;
+        Millis orderedAt;
+        // The stop has to be sent at this time (again).
+        Millis nextStop;
+        // The run was ordered to stop before the worker answered its start.
+        bool stopWanted = false;
+    };
+
+    struct Owner
+    {
+        uint64_t epoch = 0;
+        std::optional<EntryNumber> entry;
+        // Last moment at which the owner was known to be in touch.
+        Millis lastContact;
+        bool reportDue = false;
+    };
+
+    struct End
+    {
+        RunId run;
+        EndKind kind = EndKind::Done;
+        std::string checkpoint;
+        bool stored = false;
+    };
+
+    // --- workerkeeper.cpp ---
+    bool isUsable() const;
+    std::optional<RejectReason> obstacle() const;
+    Room usedRoom() const;
+    Room queuedRoom() const;
+    bool allSizesKnown() const;
+    Millis workerNow(Millis now) const;
+    void noteClock(Millis workerClock, Millis now);
+    void noteLease(Millis deadline, Millis now);
+    void startQueued(Millis now);
+    void sendStart(Run &run, Millis now);
+    void sendStop(Run &run, Millis now);
+    void rejectQueued(RejectReason reason, Millis now);
+    void checkOwners(Millis now);
+    void reportClaims(Millis now);
+    Owner &ownerOf(const RunId &run);
+
+    // --- workerlists.cpp ---
+    void newWorkerLife(Millis now);
+    void loseRuns(std::string_view cause, Millis now);
+    void loseRun(const RunId &id, std::string_view cause, Millis now);
+    void mergeRunning(const WorkerLists &lists, Millis now);
+    void mergeEnded(const WorkerLists &lists, Millis now);
+    void loseUnlisted(const WorkerLists &lists, Millis now);
+    void noteEnd(const ListedEnd &listed, Millis now);
+    uint64_t endsStoredThrough() const;
+    void nextHold(Millis now);
+
+    const WorkerKeeperOptions m_options;
+    WorkerEffects &m_effects;
+    StructuredLog &m_log;
+    uint64_t m_fence;
+    const Millis m_startedAt;
+
+    std::optional<WorkerAnnouncement> m_worker;
+    // A life of the worker below this one is over.
+    int64_t m_leastBorn = 0;
+    // The lists of this life have been received, or nothing can run.
+    bool m_listsKnown = false;
+    uint32_t m_holdFailures = 0;
+    Millis m_clockSample;
+    Millis m_clockSampledAt;
+    // On the clock of this process: after this moment nothing runs on the worker unless a lease is renewed.
+    Millis m_leaseEnd;
+    bool m_holdInFlight = false;
+    Millis m_holdSentAt;
+    Millis m_holdNotBefore;
+    bool m_holdBroughtNews = false;
+
+    std::map<RunId, Run> m_runs;
+    std::map<uint32_t, Owner> m_owners;
+    // Ends that the worker still lists, by its number.
+    std::map<uint64_t, End> m_ends;
+    uint64_t m_lastEnd = 0;
+    std::map<EntryNumber, Millis> m_contacts;
+    std::map<EntryNumber, uint64_t> m_ordersTaken;
+    std::set<std::string> m_evacuated;
+    bool m_reportChanged = true;
+
+public:
+    uint64_t ordersTaken(EntryNumber entry) const;
+};
+
+} // namespace turmericwell
