Answer best-effort jobs when they end, without the store

Change: best-effort jobs stay in memory; a new owner takes over their runs as orphans, and a partition that is handed over stores them first. The wait of such a call is the client's deadline.

--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -153,7 +153,8 @@
         answer.reason = reply.reason;
         peer->send(std::move(answer));
     });
-    m_book.advance(Clock::now());
+    if (!m_confirmAfter)
+        m_book.advance(Clock::now());
 }
 
 uint32_t EntryNode::pendingCount(const std::string &queue) const
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -10,9 +10,9 @@
 static constexpr const char *producerName = "owner";
 constexpr Millis pageTimeout = {1'500};
 constexpr Millis pageRetryDelay = {100};
-constexpr Millis releaseCheckInterval = {10};
-// Records that wait for the store when the process stops get this long.
-constexpr Millis mostReleaseTime = {800};
+constexpr Millis handOverCheckInterval = {5};
+// Records that wait for the store when a partition is handed over get this long.
+constexpr Millis mostHandOverTime = {500};
 
 PartitionOwner::PartitionOwner(PartitionOwnerOptions options, StoreApi &store, IoContext &io,
                                StructuredLog &log, JobBook &book, Handlers handlers)
@@ -51,7 +51,7 @@
             revoked.push_back(partition);
     }
     for (const uint32_t partition : revoked)
-        close(partition);
+        handOver(partition);
     for (const uint32_t partition : partitions) {
         const auto fenced = m_fencedEpochs.find(partition);
         const bool mayOpen = fenced == m_fencedEpochs.end() || fenced->second < generation;
@@ -159,26 +159,53 @@
                         [](const auto &item) { return item.second.queue->isFailing(); });
 }
 
-void PartitionOwner::release(std::function<void()> onDone)
+void PartitionOwner::handOver(uint32_t partition)
 {
-    m_releasing = true;
-    finishRelease(Clock::now() + mostReleaseTime, std::move(onDone));
+    Owned &owned = m_owned.at(partition);
+    if (owned.closeBy)
+        return;
+    const Millis now = Clock::now();
+    owned.closeBy = now + mostHandOverTime;
+    m_book.freezePartition(partition, now);
+    // The next join lets the store deal the partition to another member.
+    m_group.setPaused(true);
+    finishHandOvers();
 }
 
-void PartitionOwner::finishRelease(Millis deadline, std::function<void()> onDone)
+void PartitionOwner::finishHandOvers()
 {
-    const bool idle = std::all_of(m_owned.begin(), m_owned.end(),
-                                  [](const auto &item) { return item.second.queue->isIdle(); });
-    if (!idle && Clock::now() < deadline) {
-        m_timers.after(releaseCheckInterval, [this, deadline, onDone] { finishRelease(deadline, onDone); });
+    const Millis now = Clock::now();
+    std::vector<uint32_t> ready;
+    bool waiting = false;
+    for (const auto &[partition, owned] : m_owned) {
+        if (!owned.closeBy)
+            continue;
+        if (owned.queue->isIdle() || now >= *owned.closeBy)
+            ready.push_back(partition);
+        else
+            waiting = true;
+    }
+    for (const uint32_t partition : ready)
+        close(partition);
+    if (waiting) {
+        m_timers.after(handOverCheckInterval, [this] { finishHandOvers(); });
         return;
     }
+    m_group.setPaused(false);
+    if (m_releasing && m_onReleased)
+        m_group.leave(std::exchange(m_onReleased, {}));
+}
+
+void PartitionOwner::release(std::function<void()> onDone)
+{
+    m_releasing = true;
     std::vector<uint32_t> partitions;
     for (const auto &[partition, owned] : m_owned)
         partitions.push_back(partition);
     for (const uint32_t partition : partitions)
-        close(partition);
-    m_group.leave(std::move(onDone));
+        handOver(partition);
+    m_onReleased = std::move(onDone);
+    finishHandOvers();
 }
 
 } // namespace turmericwell
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -48,6 +48,8 @@
         uint64_t epoch = 0;
         std::unique_ptr<AppendQueue> queue;
         Millis openedAt;
+        // Set once the partition is being handed over.
+        std::optional<Millis> closeBy;
         uint32_t records = 0;
     };
 
@@ -56,7 +58,9 @@
     void close(uint32_t partition);
     void loadPage(uint32_t partition, uint64_t epoch, const std::string &after);
     void pageLoaded(uint32_t partition, uint64_t epoch, const std::string &after, const NewestAnswer &answer);
-    void finishRelease(Millis deadline, std::function<void()> onDone);
+    // Stores what the next owner needs; the partition is closed when that is done or the time is over.
+    void handOver(uint32_t partition);
+    void finishHandOvers();
 
     const PartitionOwnerOptions m_options;
     StoreApi &m_store;
@@ -68,6 +72,8 @@
     std::map<uint32_t, Owned> m_owned;
     // Epochs that were fenced; a partition is opened again only with a higher one.
     std::map<uint32_t, uint64_t> m_fencedEpochs;
+    // Called when the last partition has been handed over on the way to a stop.
+    std::function<void()> m_onReleased;
     bool m_releasing = false;
     GroupMember m_group;
 };
--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -34,7 +34,7 @@
 bool JobBook::isServing(uint32_t partition) const
 {
     const auto found = m_partitions.find(partition);
-    return found != m_partitions.end() && found->second.loaded;
+    return found != m_partitions.end() && found->second.loaded && !found->second.frozen;
 }
 
 std::optional<uint64_t> JobBook::epochOf(uint32_t partition) const
@@ -50,7 +50,7 @@
         fleet::OwnedPartitionT item;
         item.partition = number;
         item.epoch = partition.epoch;
-        item.ready = partition.loaded;
+        item.ready = partition.loaded && !partition.frozen;
         result.push_back(item);
     }
     return result;
@@ -64,12 +64,16 @@
         return;
     }
     if (record->phase != JobPhase::Active || !record->spec) {
-        m_ended[id] = {.phase = record->phase, .forgetAt = now + m_options.retention, .partition = partition};
+        m_ended[id] = {.phase = record->phase,
+                       .forgetAt = now + m_options.retention,
+                       .partition = partition,
+                       .recorded = true};
         m_endedOrder.push_back(id);
         return;
     }
     Job &job = addJob(std::move(*record->spec), partition, now);
     job.accepted = true;
+    job.recorded = true;
     job.runBase = static_cast<uint32_t>(m_partitions[partition].epoch) * runsPerEpoch;
     job.failedRuns = record->failed_runs;
     for (const uint32_t number : record->done_tasks) {
@@ -107,6 +111,25 @@
                  {{"partition", number}, {"epoch", found->second.epoch}, {"active_jobs", active}});
 }
 
+void JobBook::freezePartition(uint32_t number, Millis now)
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end() || found->second.frozen)
+        return;
+    found->second.frozen = true;
+    uint32_t stored = 0;
+    for (auto &[id, job] : m_jobs) {
+        if (job.partition != number || job.phase != JobPhase::Active)
+            continue;
+        dequeue(job);
+        if (job.spec.best_effort || !job.unstoredEnds.empty()) {
+            writeRecord(job, now);
+            ++stored;
+        }
+    }
+    m_log.always(now, "partition_frozen", {{"partition", number}, {"epoch", found->second.epoch}, {"stored", stored}});
+}
+
 void JobBook::closePartition(uint32_t number, Millis now)
 {
     const auto found = m_partitions.find(number);
@@ -127,6 +150,9 @@
         item = m_jobs.erase(item);
     }
     std::erase_if(m_ended, [&](const auto &item) { return item.second.partition == number; });
+    std::erase_if(m_orphans, [&](const auto &item) {
+        return partitionOf(item.first.task.job, m_options.partitions) == number;
+    });
     std::erase_if(m_endedOrder, [&](JobId id) { return !m_ended.contains(id); });
     for (const JobReplyHandler &handler : undecided)
         handler({.status = fleet::CallStatus::Unknown, .reason = "ownership moved"});
@@ -237,11 +263,42 @@
         onDone(std::move(*refused));
         return;
     }
+    if (spec.best_effort) {
+        acceptBestEffort(std::move(spec), partition, now, std::move(onDone));
+        return;
+    }
     Job &job = addJob(std::move(spec), partition, now);
     job.submitters.push_back(std::move(onDone));
     writeRecord(job, now);
 }
 
+void JobBook::acceptBestEffort(JobSpec spec, uint32_t number, Millis now, JobReplyHandler onDone)
+{
+    const JobId id = spec.id;
+    Job &job = addJob(std::move(spec), number, now);
+    job.submitters.push_back(std::move(onDone));
+    job.accepted = true;
+    const Partition &partition = m_partitions.at(number);
+    job.runBase = static_cast<uint32_t>(partition.epoch) * runsPerEpoch;
+    m_log.write(now, "job_accepted",
+                {{"job", jobIdText(id)},
+                 {"queue", job.spec.queue},
+                 {"tasks", job.tasks.size()},
+                 {"best_effort", true},
+                 {"located", partition.located},
+                 {"due_in_ms", job.dueAt - now}});
+    openReadySteps(job);
+    // A former owner may have started the job.
+    if (!partition.located) {
+        dequeue(job);
+        for (Task &task : job.tasks) {
+            if (task.phase == TaskPhase::Waiting)
+                task.phase = TaskPhase::Unlocated;
+        }
+    }
+    adoptOrphans(job, now);
+}
+
 JobReply JobBook::query(JobId id) const
 {
     if (!isServing(partitionOf(id, m_options.partitions)))
@@ -295,6 +352,7 @@
     }
     job.recordInFlight = true;
     job.recordDirty = false;
+    job.recorded = true;
     JobRecord record;
     record.phase = job.phase;
     record.queue = job.spec.queue;
@@ -390,7 +448,10 @@
     for (const UnstoredEnd &end : job.unstoredEnds)
         m_effects.endStored(end.agent, end.run);
     const JobReply reply{.status = fleet::CallStatus::Done, .phase = job.phase};
-    m_ended[id] = {.phase = job.phase, .forgetAt = now + m_options.retention, .partition = job.partition};
+    m_ended[id] = {.phase = job.phase,
+                   .forgetAt = now + m_options.retention,
+                   .partition = job.partition,
+                   .recorded = job.recorded};
     m_endedOrder.push_back(id);
     std::vector<JobReplyHandler> handlers = std::move(job.cancellers);
     std::move(job.submitters.begin(), job.submitters.end(), std::back_inserter(handlers));
@@ -400,4 +461,13 @@
         handler(reply);
 }
 
+void JobBook::retireFinished(Millis now)
+{
+    const std::vector<JobId> finished = std::exchange(m_finished, {});
+    for (const JobId id : finished) {
+        if (findJob(id))
+            retire(id, now);
+    }
+}
+
 } // namespace turmericwell
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -2,8 +2,11 @@
 // cancels, and recovery after a change of ownership. No input or output: effects go through JobEffects, time
 // is passed in.
 //
+// A best-effort job is not stored: it is answered when it ends, and after a failure of its owner it is submitted again.
+// Only when a partition is handed over to another owner do its best-effort jobs go through the store.
+//
 // Rules that hold whatever fails:
-// - A job is answered as accepted only after its record is stored.
+// - A job that has to be kept is answered as accepted only after its record is stored.
 // - An end is reported back to the agent as stored only after a record that contains it is stored, and a job
 // is shown
 //   as ended only after the record with that phase is stored.
@@ -106,7 +109,9 @@
     void openPartition(uint32_t partition, uint64_t epoch);
     void loadRecord(uint32_t partition, JobId job, std::string_view record, Millis now);
     void loaded(uint32_t partition, Millis now);
-    // Forgets the partition. Callers that wait for a record get Unknown.
+    // The partition goes to another owner: nothing more is accepted or ordered, and all its active jobs are stored.
+    void freezePartition(uint32_t partition, Millis now);
+    // Forgets the partition. Callers that wait get Unknown.
     void closePartition(uint32_t partition, Millis now);
     bool isServing(uint32_t partition) const;
     std::optional<uint64_t> epochOf(uint32_t partition) const;
@@ -188,7 +193,10 @@
         // Not Active once the job has ended; shown to clients only when the record is stored.
         JobPhase phase = JobPhase::Active;
         bool accepted = false;
+        // The store has a record of the job, or may have.
+        bool recorded = false;
         bool anyStarted = false;
+        bool anyOrdered = false;
         bool recordInFlight = false;
         bool recordDirty = false;
         bool queued = false;
@@ -206,6 +214,15 @@
         JobPhase phase = JobPhase::Completed;
         Millis forgetAt;
         uint32_t partition = 0;
+        bool recorded = false;
+    };
+
+    // A run of a job that this owner does not know. Its job may be submitted again, and then takes the run over.
+    struct Orphan
+    {
+        AgentNumber agent = 0;
+        Millis stopAt;
+        bool stopped = false;
     };
 
     struct Partition
@@ -213,6 +230,7 @@
         uint64_t epoch = 0;
         bool loaded = false;
         bool located = false;
+        bool frozen = false;
         Millis loadedAt;
         std::set<AgentNumber> reported;
     };
@@ -225,7 +243,9 @@
     void recordStored(JobId id, uint32_t partition, uint64_t epoch, JobPhase phase,
                       std::vector<UnstoredEnd> ends, StoreOutcome outcome, Millis now);
     void finishAcceptance(Job &job, StoreOutcome outcome, Millis now);
+    void acceptBestEffort(JobSpec spec, uint32_t partition, Millis now, JobReplyHandler onDone);
     void retire(JobId id, Millis now);
+    void retireFinished(Millis now);
 
     // --- jobbookruns.cpp: tasks and runs ---
     Job *findJob(JobId id);
@@ -239,12 +259,15 @@
     void stopRuns(Job &job);
     void noteUnstoredEnd(Job &job, AgentNumber agent, const RunId &run, Millis now);
     void adoptRun(AgentNumber agent, const RunId &run, Millis now);
+    void adoptOrphans(Job &job, Millis now);
+    void stopOrphans(Millis now);
     void locatePartition(uint32_t number, Partition &partition, Millis now);
 
     // --- jobbookdispatch.cpp: order and placement ---
     void enqueue(Job &job);
     void dequeue(Job &job);
     void demoteLate(Millis now);
+    void refuseHopeless(Millis now);
     void dispatch(Millis now);
     bool placeTasks(Job &job, Millis now);
     bool placeTask(Job &job, Task &task, Millis now);
@@ -266,6 +289,9 @@
     // Jobs with waiting tasks that can still be in time, by the latest start; then those that cannot.
     std::set<std::pair<Millis, JobId>> m_punctual;
     std::set<std::pair<Millis, JobId>> m_late;
+    // Best-effort jobs that have ended and are still in m_jobs.
+    std::vector<JobId> m_finished;
+    std::map<RunId, Orphan> m_orphans;
     std::set<AgentNumber> m_expectedAgents;
     bool m_allAgentsKnown = false;
     int64_t m_waitingCpuMs = 0;
--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -10,6 +10,7 @@
 namespace turmericwell {
 
 constexpr Millis dispatchOverhead = {20};
+constexpr Millis refusalRetryAfter = {1'000};
 constexpr Millis progressInterval = {100};
 constexpr Millis purgeInterval = {1'000};
 // Jobs that found no room before one pass over the queue ends.
@@ -40,7 +41,9 @@
 
 void JobBook::enqueue(Job &job)
 {
-    if (job.queued || job.phase != JobPhase::Active || !job.accepted)
+    const auto partition = m_partitions.find(job.partition);
+    const bool frozen = partition == m_partitions.end() || partition->second.frozen;
+    if (job.queued || job.phase != JobPhase::Active || !job.accepted || frozen)
         return;
     job.queued = true;
     job.latestStart = job.dueAt - remainingChain(job) - dispatchOverhead;
@@ -65,6 +68,32 @@
     }
 }
 
+void JobBook::refuseHopeless(Millis now)
+{
+    std::vector<JobId> hopeless;
+    for (const auto &[key, id] : m_late) {
+        const Job &job = m_jobs.at(id);
+        if (job.spec.best_effort && !job.anyOrdered && !job.recorded)
+            hopeless.push_back(id);
+    }
+    for (const JobId id : hopeless) {
+        Job &job = m_jobs.at(id);
+        m_log.write(now, "job_refused",
+                    {{"job", jobIdText(id)},
+                     {"queue", job.spec.queue},
+                     {"reason", "no room in time"},
+                     {"waited_ms", now - job.acceptedAt}});
+        dequeue(job);
+        const std::vector<JobReplyHandler> submitters = std::move(job.submitters);
+        m_jobs.erase(id);
+        for (const JobReplyHandler &submitter : submitters) {
+            submitter({.status = fleet::CallStatus::Refused,
+                       .retryAfter = refusalRetryAfter,
+                       .reason = "no worker had room in time"});
+        }
+    }
+}
+
 bool JobBook::placeTask(Job &job, Task &task, Millis now)
 {
     const StepSpec &step = *job.spec.steps[task.step];
@@ -88,6 +117,7 @@
                                                            now);
     if (!agent)
         return false;
+    job.anyOrdered = true;
     task.phase = TaskPhase::Ordered;
     task.agent = *agent;
     task.run = std::max(task.run, job.runBase) + 1;
@@ -181,8 +211,10 @@
             if (found->second.forgetAt > now)
                 return;
             const uint32_t partition = found->second.partition;
+            const bool recorded = found->second.recorded;
             m_ended.erase(found);
-            m_effects.store(partition, id, {}, true, [](StoreOutcome, Millis) {});
+            if (recorded)
+                m_effects.store(partition, id, {}, true, [](StoreOutcome, Millis) {});
         }
         m_endedOrder.pop_front();
     }
@@ -190,12 +222,15 @@
 
 void JobBook::advance(Millis now)
 {
+    retireFinished(now);
+    stopOrphans(now);
     for (auto &[number, partition] : m_partitions) {
         if (partition.loaded && !partition.located)
             locatePartition(number, partition, now);
     }
     demoteLate(now);
     dispatch(now);
+    refuseHopeless(now);
     storeProgress(now);
     purge(now);
 }
--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -5,6 +5,9 @@
 
 namespace turmericwell {
 
+// Entries submit the jobs of a lost owner again as soon as a new one is known.
+constexpr Millis orphanPatience = {600};
+
 JobBook::Job *JobBook::findJob(JobId id)
 {
     const auto found = m_jobs.find(id);
@@ -47,6 +50,10 @@
 
 void JobBook::noteUnstoredEnd(Job &job, AgentNumber agent, const RunId &run, Millis now)
 {
+    if (job.spec.best_effort) {
+        m_effects.endStored(agent, run);
+        return;
+    }
     if (job.unstoredEnds.empty())
         job.oldestUnstoredEnd = now;
     job.unstoredEnds.push_back({.agent = agent, .run = run});
@@ -74,7 +81,11 @@
 {
     job.phase = phase;
     dequeue(job);
-    writeRecord(job, now);
+    // The job object stays until the event that ended it has been handled.
+    if (job.spec.best_effort)
+        m_finished.push_back(job.spec.id);
+    if (!job.spec.best_effort || job.recorded)
+        writeRecord(job, now);
 }
 
 void JobBook::taskDone(Job &job, Task &task, Millis now)
@@ -139,6 +150,7 @@
     const RunId &run = end.run;
     if (!isServing(partitionOf(run.task.job, m_options.partitions)))
         return;
+    m_orphans.erase(run);
     Job *job = findJob(run.task.job);
     Task *task = job ? findTask(*job, run.task) : nullptr;
     m_log.write(now, "run_ended",
@@ -196,6 +208,10 @@
     const uint64_t epoch = m_partitions.at(number).epoch;
     Job *job = findJob(run.task.job);
     Task *task = job ? findTask(*job, run.task) : nullptr;
+    if (!job && !m_ended.contains(run.task.job)) {
+        m_orphans.try_emplace(run, Orphan{.agent = agent, .stopAt = now + orphanPatience});
+        return;
+    }
     const bool hasOtherRun = task && (task->phase == TaskPhase::Ordered || task->phase == TaskPhase::Running)
         && (task->run != run.number || task->agent != agent);
     if (!task || task->phase == TaskPhase::Done || job->phase != JobPhase::Active || hasOtherRun) {
@@ -212,6 +228,28 @@
     job->anyStarted = true;
 }
 
+void JobBook::adoptOrphans(Job &job, Millis now)
+{
+    const RunId first{.task = {.job = job.spec.id}};
+    auto item = m_orphans.lower_bound(first);
+    while (item != m_orphans.end() && item->first.task.job == job.spec.id) {
+        const auto [run, orphan] = *item;
+        item = m_orphans.erase(item);
+        adoptRun(orphan.agent, run, now);
+    }
+}
+
+void JobBook::stopOrphans(Millis now)
+{
+    for (auto &[run, orphan] : m_orphans) {
+        if (orphan.stopped || now < orphan.stopAt)
+            continue;
+        orphan.stopped = true;
+        const uint32_t number = partitionOf(run.task.job, m_options.partitions);
+        m_effects.stop(orphan.agent, number, m_partitions.at(number).epoch, run);
+    }
+}
+
 void JobBook::claimReport(AgentNumber agent, uint32_t number, uint64_t epoch, std::span<const RunId> running,
                           std::span<const AgentEnd> ended, Millis now)
 {
@@ -221,6 +259,10 @@
     std::set<RunId> reported(running.begin(), running.end());
     for (const AgentEnd &end : ended)
         reported.insert(end.run);
+    std::erase_if(m_orphans, [&](const auto &item) {
+        return item.second.agent == agent && !reported.contains(item.first)
+            && partitionOf(item.first.task.job, m_options.partitions) == number;
+    });
     for (const RunId &run : running)
         adoptRun(agent, run, now);
     for (const AgentEnd &end : ended)
@@ -254,6 +296,7 @@
 void JobBook::agentGone(AgentNumber agent, Millis now)
 {
     agentDisconnected(agent);
+    std::erase_if(m_orphans, [&](const auto &item) { return item.second.agent == agent; });
     for (auto &[id, job] : m_jobs) {
         for (Task &task : job.tasks) {
             if (task.agent != agent || (task.phase != TaskPhase::Ordered && task.phase != TaskPhase::Running))
--- a/src/store/groupmember.cpp
+++ b/src/store/groupmember.cpp
@@ -17,6 +17,14 @@
     join();
 }
 
+void GroupMember::setPaused(bool paused)
+{
+    const bool resumed = m_paused && !paused;
+    m_paused = paused;
+    if (resumed)
+        joinSoon();
+}
+
 void GroupMember::joinSoon()
 {
     if (!m_leaving)
@@ -27,7 +35,7 @@
 {
     const uint64_t number = ++m_joinNumber;
     m_timers.after(delay, [this, number] {
-        if (number == m_joinNumber && !m_leaving)
+        if (number == m_joinNumber && !m_leaving && !m_paused)
             join();
     });
 }
--- a/src/store/groupmember.h
+++ b/src/store/groupmember.h
@@ -36,6 +36,8 @@
     void start();
     // Joins at once, as when a peer has left.
     void joinSoon();
+    // While paused no join is sent, so that no partition that is being given up is dealt to another member.
+    void setPaused(bool paused);
     // Gives up all partitions; no join follows.
     void leave(std::function<void()> onDone);
     // When the last join that the store has answered was sent.
@@ -54,6 +56,7 @@
     // Only the join with this number schedules the next one.
     uint64_t m_joinNumber = 0;
     bool m_leaving = false;
+    bool m_paused = false;
     uint32_t m_failures = 0;
     Millis m_lastConfirmed;
     Backoff m_backoff{{50}, {300}};
