Shorten failover and refuse what cannot be served

Change: peers end the membership of an entry that cannot be dialled again; runs without an owner stop after 1.6 s instead of 3 s; registrations expire after 8 s; an agent drains on a stop; idle connections are closed.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -5,6 +5,11 @@
 
 constexpr Millis tickInterval = {20};
 constexpr Millis reportInterval = {10};
+constexpr Millis aloneCheckInterval = {1'000};
+constexpr Millis mostTimeAlone = {2'500};
+constexpr Millis drainCheckInterval = {50};
+// Part of the stop's grace that is left for the end of the process.
+constexpr Millis stopMargin = {1'000};
 constexpr Millis startTimeout = {400};
 constexpr Millis stopTimeout = {400};
 // Beyond the wait of the call.
@@ -34,13 +39,41 @@
     m_registration.start();
     m_timers.every(tickInterval, [this] { m_keeper.advance(Clock::now()); });
     m_timers.every(reportInterval, [this] { sendReports(); });
+    m_timers.every(aloneCheckInterval, [this] { registerIfAlone(); });
+}
+
+void AgentNode::registerIfAlone()
+{
+    const Millis now = Clock::now();
+    if (!m_entries.empty()) {
+        m_lastEntry = now;
+        return;
+    }
+    if (now - m_lastEntry < mostTimeAlone)
+        return;
+    m_lastEntry = now;
+    m_registration.start();
 }
 
 void AgentNode::beginStop(std::function<void()> onDone)
 {
-    // Runs go on under the worker's lease until the next process of this instance takes them over.
-    m_log.always(Clock::now(), "agent_stopping", {{"runs", m_keeper.runCount()}});
-    onDone();
+    const Millis now = Clock::now();
+    m_log.always(now, "agent_draining", {{"runs", m_keeper.runCount()}});
+    m_keeper.drain(now);
+    checkDrained(now + m_settings.stopGrace - stopMargin, std::move(onDone));
+}
+
+void AgentNode::checkDrained(Millis deadline, std::function<void()> onDone)
+{
+    const Millis now = Clock::now();
+    if (m_keeper.isIdle() || now >= deadline) {
+        // Runs that are left go on under the worker's lease until the next process of this instance finds
+        // them.
+        m_log.always(now, "agent_drained", {{"runs", m_keeper.runCount()}});
+        onDone();
+        return;
+    }
+    m_timers.after(drainCheckInterval, [this, deadline, onDone] { checkDrained(deadline, onDone); });
 }
 
 bool AgentNode::announced(const WorkerAnnouncement &announcement)
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -60,6 +60,10 @@
     std::optional<EntryNumber> numberOf(const NodeLinkPtr &link) const;
     NodeLinkPtr linkOf(EntryNumber entry) const;
     void sendReports();
+    // An entry may have taken a registration out of the list, and a dead store may have kept it from being
+    // made.
+    void registerIfAlone();
+    void checkDrained(Millis deadline, std::function<void()> onDone);
 
     IoContext &m_io;
     const FleetSettings m_settings;
@@ -72,6 +76,7 @@
     FrameListener m_listener;
     std::map<EntryNumber, Entry> m_entries;
     EntryNumber m_nextEntry = 1;
+    Millis m_lastEntry;
 };
 
 } // namespace turmericwell
--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -18,7 +18,14 @@
 {
     const Millis wait = std::max(call.wait - answerMargin, Millis{10});
     const uint64_t id = m_nextCall++;
-    m_calls[id] = {.call = std::move(call), .deadline = Clock::now() + wait, .onDone = std::move(onDone)};
+    const Millis now = Clock::now();
+    // A submission without an owner is refused once it could not be in time any more.
+    const Millis ownerWait =
+        call.kind == fleet::CallKind::Submit ? std::min(wait, declaredSlack(*call.spec)) : wait;
+    m_calls[id] = {.call = std::move(call),
+                   .deadline = now + wait,
+                   .ownerDeadline = now + ownerWait,
+                   .onDone = std::move(onDone)};
     m_timers.after(wait, [this, id] { expire(id); });
     route(id);
 }
@@ -69,6 +76,13 @@
     }
     const NodeLinkPtr link = ownerLink(partition);
     if (!link) {
+        if (!pending.uncertain && Clock::now() >= pending.ownerDeadline) {
+            finish(id,
+                   {.status = fleet::CallStatus::NotReady,
+                    .retryAfter = leastRetryAfter,
+                    .reason = "the owner is not known"});
+            return;
+        }
         m_timers.after(retryDelay, [this, id] { route(id); });
         return;
     }
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -7,12 +7,18 @@
 
 constexpr Millis tickInterval = {15};
 constexpr Millis reportInterval = {250};
+constexpr Millis expiryInterval = {1'000};
 constexpr Millis dialTimeout = {700};
 // A process that was not scheduled for this long may have lost its ownership meanwhile.
 constexpr Millis pauseLimit = {700};
 // Runs on an agent without a connection end within this time after the last answer to its pings: the agent
-// stops the runs of a silent owner after 3 s, and a lease of 1 s can be running.
-constexpr Millis agentGoneAfter = {4'500};
+// stops the runs of a silent owner after 1.6 s, and a lease of 1 s on a slow clock may still be running.
+constexpr Millis agentGoneAfter = {2'900};
+// Time that a lost entry gets to be reached again before its membership is ended on its behalf.
+constexpr Millis redialTimeout = {250};
+// An agent that was not reached for this long is taken out of the list of members; it registers again if it
+// lives.
+constexpr Millis memberExpiry = {8'000};
 // An agent that could not be reached for this long since it was first heard of holds no runs.
 constexpr Millis agentForgottenAfter = {6'000};
 
@@ -27,7 +33,7 @@
     , m_log(log)
     , m_timers(io)
     , m_book({.partitions = settings.partitions}, m_pool, *this, log)
-    , m_owner({.member = settings.name, .memberTtl = std::max(settings.leastMemberTtl, Millis{1'500})}, store,
+    , m_owner({.member = settings.name, .memberTtl = std::max(settings.leastMemberTtl, Millis{1'000})}, store,
               io, log, m_book,
               {.onLoaded = [this](uint32_t partition) { partitionLoaded(partition); },
                .onClosed = [this](uint32_t) { sendReport(); }})
@@ -50,6 +56,7 @@
     m_owner.start();
     m_timers.every(tickInterval, [this] { tick(); });
     m_timers.every(reportInterval, [this] { sendReport(); });
+    m_timers.every(expiryInterval, [this] { expireMembers(Clock::now()); });
 }
 
 void EntryNode::beginStop(std::function<void()> onReleased)
@@ -195,7 +202,8 @@
         m_pool.remove(number->second);
     } else if (const auto peer = m_peers.find(name); peer != m_peers.end() && peer->second.link == link) {
         m_peers.erase(peer);
-        m_owner.joinSoon();
+        notePeersWaiting();
+        checkLostEntry(name);
     }
     std::vector<uint64_t> unanswered;
     for (const auto &[id, call] : m_calls) {
@@ -328,15 +336,51 @@
         const bool hasStopped =
             report->stopping && report->partitions.empty() && !peer->second.report.partitions.empty();
         peer->second.report = std::move(*report);
-        int64_t waiting = 0;
-        for (const auto &[name, other] : m_peers)
-            waiting += other.report.waiting_cpu_ms;
-        m_book.setPeersWaitingCpuMs(waiting);
+        notePeersWaiting();
         if (hasStopped)
             m_owner.joinSoon();
     }
 }
 
+void EntryNode::notePeersWaiting()
+{
+    int64_t waiting = 0;
+    for (const auto &[name, other] : m_peers)
+        waiting += other.report.waiting_cpu_ms;
+    m_book.setPeersWaitingCpuMs(waiting);
+}
+
+void EntryNode::checkLostEntry(const std::string &name)
+{
+    const auto contact = m_contacts.find(name);
+    if (contact == m_contacts.end())
+        return;
+    dialFrameLink(m_io, contact->second.member.address, redialTimeout,
+                  [this, name, guard = m_timers.guard()](const FrameLinkPtr &link) {
+                      if (guard.expired() || m_peers.contains(name))
+                          return;
+                      if (link) {
+                          link->close("only a check");
+                          return;
+                      }
+                      m_log.always(Clock::now(), "entry_lost", {{"entry", name}});
+                      m_owner.expel(name);
+                  });
+}
+
+void EntryNode::expireMembers(Millis now)
+{
+    for (auto &[number, agent] : m_agents) {
+        const auto contact = m_contacts.find(agent.name);
+        const Millis lastSign = std::max(agent.firstSeen, agent.lastConnected);
+        if (agent.link || contact == m_contacts.end() || now - lastSign < memberExpiry)
+            continue;
+        m_log.always(now, "member_expired", {{"agent", agent.name}, {"unreached_ms", now - lastSign}});
+        m_members.remove(agent.name);
+        m_contacts.erase(contact);
+    }
+}
+
 void EntryNode::noteAgents(Millis now)
 {
     std::set<AgentNumber> expected;
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -84,6 +84,7 @@
     {
         JobCall call;
         Millis deadline;
+        Millis ownerDeadline;
         JobReplyHandler onDone;
         // A try was sent to an owner that has not answered it.
         bool uncertain = false;
@@ -107,6 +108,11 @@
     void sendReport();
     void tick();
     void noteAgents(Millis now);
+    void notePeersWaiting();
+    // Ends the membership of an entry that cannot be reached, so that its partitions find a new owner soon. A
+    // mistake is harmless: the entry joins again, and epochs keep its writes apart.
+    void checkLostEntry(const std::string &name);
+    void expireMembers(Millis now);
 
     // --- entrycalls.cpp: calls of clients ---
     void route(uint64_t id);
--- a/src/fleet/memberlist.cpp
+++ b/src/fleet/memberlist.cpp
@@ -70,6 +70,7 @@
 
 MemberList::MemberList(StoreApi &store, IoContext &io, StructuredLog &log, Handlers handlers)
     : m_handlers(std::move(handlers))
+    , m_store(store)
     , m_log(log)
     , m_follower({.topic = membersTopic}, store, io, log,
                  {.onRecord =
@@ -86,4 +87,13 @@
                   .onSynced = [this] { m_synced = true; }})
 { }
 
+void MemberList::remove(const std::string &name)
+{
+    m_store.append({.topic = membersTopic, .records = {{.key = name}}}, registrationTimeout,
+                   [this, name](const AppendAnswer &answer) {
+                       if (answer.status != StoreStatus::Done)
+                           m_log.always(Clock::now(), "registration_not_removed", {{"name", name}});
+                   });
+}
+
 } // namespace turmericwell
--- a/src/fleet/memberlist.h
+++ b/src/fleet/memberlist.h
@@ -49,11 +49,14 @@
 
     MemberList(StoreApi &store, IoContext &io, StructuredLog &log, Handlers handlers);
     void start() { m_follower.start(); }
+    // Deletes a registration; one try.
+    void remove(const std::string &name);
     // All registrations have been read at least once.
     bool isSynced() const { return m_synced; }
 
 private:
     const Handlers m_handlers;
+    StoreApi &m_store;
     StructuredLog &m_log;
     bool m_synced = false;
     TopicFollower m_follower;
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -159,6 +159,15 @@
                         [](const auto &item) { return item.second.queue->isFailing(); });
 }
 
+void PartitionOwner::expel(const std::string &member)
+{
+    m_store.leave({.group = ownersGroup, .member = member}, pageTimeout,
+                  [this, guard = m_timers.guard()](StoreStatus) {
+                      if (!guard.expired())
+                          m_group.joinSoon();
+                  });
+}
+
 void PartitionOwner::handOver(uint32_t partition)
 {
     Owned &owned = m_owned.at(partition);
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -35,6 +35,8 @@
     void start();
     // A peer has given up its partitions, or may have.
     void joinSoon() { m_group.joinSoon(); }
+    // Ends the membership of another entry.
+    void expel(const std::string &member);
     // Stores what is waiting, then gives up all partitions.
     void release(std::function<void()> onDone);
     void store(uint32_t partition, JobId job, std::string record, bool mayDrop,
--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -127,7 +127,8 @@
             ++stored;
         }
     }
-    m_log.always(now, "partition_frozen", {{"partition", number}, {"epoch", found->second.epoch}, {"stored", stored}});
+    m_log.always(now, "partition_frozen",
+                 {{"partition", number}, {"epoch", found->second.epoch}, {"stored", stored}});
 }
 
 void JobBook::closePartition(uint32_t number, Millis now)
@@ -182,6 +183,12 @@
     const int64_t capacity = m_pool.capacityMilli(spec.service);
     if (capacity <= 0)
         return {INT32_MAX};
+    int64_t needed = 0;
+    for (const auto &step : spec.steps)
+        needed = std::max(needed, int64_t{step->cpu_milli} * step->count);
+    // Work that waits beside free room waits for something else than room.
+    if (m_pool.freeMilli(spec.service) - m_waitingCpuMilli >= needed)
+        return {0};
     const int64_t waiting = m_waitingCpuMs + m_peersWaitingCpuMs;
     return {waiting * 1'000 / capacity};
 }
@@ -290,7 +297,6 @@
     openReadySteps(job);
     // A former owner may have started the job.
     if (!partition.located) {
-        dequeue(job);
         for (Task &task : job.tasks) {
             if (task.phase == TaskPhase::Waiting)
                 task.phase = TaskPhase::Unlocated;
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -2,8 +2,9 @@
 // cancels, and recovery after a change of ownership. No input or output: effects go through JobEffects, time
 // is passed in.
 //
-// A best-effort job is not stored: it is answered when it ends, and after a failure of its owner it is submitted again.
-// Only when a partition is handed over to another owner do its best-effort jobs go through the store.
+// A best-effort job is not stored: it is answered when it ends, and after a failure of its owner it is
+// submitted again. Only when a partition is handed over to another owner do its best-effort jobs go through
+// the store.
 //
 // Rules that hold whatever fails:
 // - A job that has to be kept is answered as accepted only after its record is stored.
@@ -34,6 +35,9 @@
 // Partition of the job table that holds a job.
 uint32_t partitionOf(JobId job, uint32_t partitions);
 
+// Longest wait before the first start that leaves the job in time, going by the declared run times.
+Millis declaredSlack(const JobSpec &spec);
+
 enum class StoreOutcome : uint8_t {
     Stored,
     // The record was not stored and never will be.
@@ -91,8 +95,9 @@
 struct JobBookOptions
 {
     uint32_t partitions = 1;
-    // After this long without contact to its agent no run of a partition's former owner exists.
-    Millis unlocatedBound = {4'500};
+    // After this long without contact to its agent no run of a partition's former owner exists: the agent
+    // stops runs 1.6 s after the owner's last sign, and a lease of 1 s on a slow clock may still be running.
+    Millis unlocatedBound = {2'900};
     // Ends of unfinished jobs are stored after this delay, so that most jobs need one record for all ends.
     Millis progressDelay = {1'000};
     // Ended jobs are remembered for this long.
@@ -109,7 +114,8 @@
     void openPartition(uint32_t partition, uint64_t epoch);
     void loadRecord(uint32_t partition, JobId job, std::string_view record, Millis now);
     void loaded(uint32_t partition, Millis now);
-    // The partition goes to another owner: nothing more is accepted or ordered, and all its active jobs are stored.
+    // The partition goes to another owner: nothing more is accepted or ordered, and all its active jobs are
+    // stored.
     void freezePartition(uint32_t partition, Millis now);
     // Forgets the partition. Callers that wait get Unknown.
     void closePartition(uint32_t partition, Millis now);
@@ -217,7 +223,8 @@
         bool recorded = false;
     };
 
-    // A run of a job that this owner does not know. Its job may be submitted again, and then takes the run over.
+    // A run of a job that this owner does not know. Its job may be submitted again, and then takes the run
+    // over.
     struct Orphan
     {
         AgentNumber agent = 0;
@@ -295,6 +302,8 @@
     std::set<AgentNumber> m_expectedAgents;
     bool m_allAgentsKnown = false;
     int64_t m_waitingCpuMs = 0;
+    // Processors that the waiting tasks ask for.
+    int64_t m_waitingCpuMilli = 0;
     int64_t m_peersWaitingCpuMs = 0;
     Millis m_nextProgress;
     Millis m_nextPurge;
--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -16,6 +16,15 @@
 // Jobs that found no room before one pass over the queue ends.
 constexpr uint32_t mostUnplacedJobs = 24;
 
+Millis declaredSlack(const JobSpec &spec)
+{
+    int64_t chain = 0;
+    for (const auto &step : spec.steps)
+        chain = step->after.empty() ? std::max<int64_t>(chain, step->estimate_ms) : chain + step->estimate_ms;
+    const auto stretched = std::llround(static_cast<double>(chain) * (std::max(1.0, spec.stretch) - 1));
+    return std::max(Millis{0}, Millis{stretched + spec.target_latency_ms} - dispatchOverhead);
+}
+
 Millis JobBook::objective(const JobSpec &spec) const
 {
     int64_t chain = 0;
@@ -145,6 +154,8 @@
 {
     bool all = true;
     for (Task &task : job.tasks) {
+        if (task.phase == TaskPhase::Unlocated)
+            all = false;
         if (task.phase != TaskPhase::Waiting)
             continue;
         // The tasks of a job are alike: if one finds no room the others rarely do.
@@ -176,13 +187,16 @@
     pass(m_punctual);
     pass(m_late);
     m_waitingCpuMs = 0;
+    m_waitingCpuMilli = 0;
     for (const auto &[key, id] : m_punctual) {
         const Job &job = m_jobs.at(id);
         for (const Task &task : job.tasks) {
             const StepSpec &step = *job.spec.steps[task.step];
-            if (task.phase == TaskPhase::Waiting)
-                m_waitingCpuMs +=
-                    int64_t{step.cpu_milli} * m_runTimes.estimateMs(job.spec.queue, step.estimate_ms) / 1'000;
+            if (task.phase != TaskPhase::Waiting)
+                continue;
+            m_waitingCpuMilli += step.cpu_milli;
+            m_waitingCpuMs +=
+                int64_t{step.cpu_milli} * m_runTimes.estimateMs(job.spec.queue, step.estimate_ms) / 1'000;
         }
     }
 }
--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -197,6 +197,9 @@
                  {"known", task != nullptr}});
     if (!task || task->agent != agent || task->run != run.number || task->phase != TaskPhase::Ordered)
         return;
+    // The agent knows another owner of the partition; nothing more is ordered until it accepts a claim.
+    if (reason == RejectReason::Superseded)
+        m_partitions.at(job->partition).reported.erase(agent);
     if (reason == RejectReason::Unhealthy)
         m_pool.runFailed(agent, now);
     makeWaiting(*job, *task, now);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -55,6 +55,8 @@
 
     // Connections are closed after the next response; new ones are still accepted.
     void closeAfterResponses();
+    // Closes the connections on which no request is being read or answered.
+    void closeIdle();
     void stopAccepting();
     // Requests that were read and not answered yet.
     size_t openRequests() const;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <mutex>
+#include <set>
 
 namespace turmericwell {
 
@@ -69,12 +71,17 @@
 
 namespace {
 
+class HttpSession;
+
 struct ServerShared
 {
     HttpServerOptions options;
     HttpServer::Handler handler;
     std::atomic<size_t> openRequests = 0;
     std::atomic<bool> stopping = false;
+    // Open connections; guarded by the mutex.
+    std::mutex mutex;
+    std::set<HttpSession *> sessions;
 };
 
 class HttpSession : public std::enable_shared_from_this<HttpSession>
@@ -86,10 +93,30 @@
     {
         boost::system::error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        const std::lock_guard lock(m_shared->mutex);
+        m_shared->sessions.insert(this);
+    }
+    ~HttpSession()
+    {
+        const std::lock_guard lock(m_shared->mutex);
+        m_shared->sessions.erase(this);
+    }
+    HttpSession(const HttpSession &) = delete;
+    HttpSession &operator=(const HttpSession &) = delete;
+
+    void closeIfIdle()
+    {
+        asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+            if (self->m_reading && self->m_buffer.size() == 0 && !self->m_parser->got_some()) {
+                beast::error_code ignored;
+                self->m_stream.socket().cancel(ignored);
+            }
+        });
     }
 
     void read()
     {
+        m_reading = true;
         m_parser.emplace();
         m_parser->body_limit(m_shared->options.maxBodyBytes);
         m_stream.expires_after(std::chrono::milliseconds(m_shared->options.idleTimeout.count));
@@ -101,6 +128,7 @@
 private:
     void onRead(const beast::error_code &error)
     {
+        m_reading = false;
         if (error == http::error::body_limit) {
             m_keepAlive = false;
             write({.status = 413, .body = R"({"outcome":"not_run","reason":"too_large"})"});
@@ -187,6 +215,8 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
     bool m_keepAlive = true;
+    // A request is awaited or being read.
+    bool m_reading = false;
 };
 
 } // namespace
@@ -233,6 +263,20 @@
     m_state->shared->stopping = true;
 }
 
+void HttpServer::closeIdle()
+{
+    std::vector<std::shared_ptr<HttpSession>> open;
+    {
+        const std::lock_guard lock(m_state->shared->mutex);
+        for (HttpSession *session : m_state->shared->sessions) {
+            if (std::shared_ptr<HttpSession> alive = session->weak_from_this().lock())
+                open.push_back(std::move(alive));
+        }
+    }
+    for (const std::shared_ptr<HttpSession> &session : open)
+        session->closeIfIdle();
+}
+
 void HttpServer::stopAccepting()
 {
     closeAfterResponses();
--- a/src/observe/structuredlog.cpp
+++ b/src/observe/structuredlog.cpp
@@ -1,20 +1,66 @@
 // JSON lines through a log4cplus appender on standard output.
 #include "observe/structuredlog.h"
 
+#include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdio>
 #include <fcntl.h>
-#include <iostream>
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <unistd.h>
 
 namespace turmericwell {
 
 constexpr Millis oneSecond = {1'000};
 
+// Most bytes of one write: a pipe takes them whole or not at all, so that no line is cut.
+constexpr size_t mostWriteBytes = 4'096;
+
+// Collects whole lines and writes them in groups.
+class BufferedAppender : public log4cplus::Appender
+{
+public:
+    ~BufferedAppender() override { destructorImpl(); }
+    void close() override { closed = true; }
+
+    // Returns the number of lines that standard output did not take.
+    uint64_t writeOut()
+    {
+        uint64_t lost = 0;
+        std::string_view rest = m_lines;
+        while (!rest.empty()) {
+            size_t bytes = std::min(rest.size(), mostWriteBytes);
+            const size_t lastEnd = rest.rfind('\n', bytes - 1);
+            bytes = lastEnd == std::string_view::npos ? rest.find('\n') + 1 : lastEnd + 1;
+            const std::string_view group = rest.substr(0, bytes);
+            if (::write(STDOUT_FILENO, group.data(), group.size()) != static_cast<ssize_t>(group.size()))
+                lost += static_cast<uint64_t>(std::count(group.begin(), group.end(), '\n'));
+            rest.remove_prefix(bytes);
+        }
+        m_lines.clear();
+        return lost;
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        m_lines += event.getMessage();
+        m_lines += '\n';
+    }
+
+private:
+    std::string m_lines;
+};
+
+static BufferedAppender &decisionAppender()
+{
+    static auto *const appender = new BufferedAppender;
+    return *appender;
+}
+
 static log4cplus::Logger &decisionLogger()
 {
     // Never destroyed: lines may be written until the process ends.
@@ -33,13 +79,9 @@
     const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0)
         ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
-    constexpr bool logToStandardError = false;
-    constexpr bool flushEachLine = false;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(logToStandardError, flushEachLine));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
     log4cplus::Logger &logger = decisionLogger();
     logger.removeAllAppenders();
-    logger.addAppender(appender);
+    logger.addAppender(log4cplus::SharedAppenderPtr(&decisionAppender()));
     logger.setAdditivity(false);
     logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
 }
@@ -128,13 +170,9 @@
 {
     if (!m_enabled)
         return;
-    std::cout.flush();
-    if (std::cout.good())
-        return;
-    // The reader of standard output is too slow: the buffered lines are lost.
-    std::cout.clear();
-    ++m_droppedUnreported;
-    ++m_droppedTotal;
+    const uint64_t lost = decisionAppender().writeOut();
+    m_droppedUnreported += lost;
+    m_droppedTotal += lost;
 }
 
 } // namespace turmericwell
--- a/src/store/groupmember.h
+++ b/src/store/groupmember.h
@@ -19,8 +19,8 @@
     std::string member;
     std::string topic;
     // The store deals the member's partitions anew when it has heard nothing for this long.
-    Millis ttl = {1'500};
-    Millis interval = {300};
+    Millis ttl = {1'000};
+    Millis interval = {250};
     Millis timeout = {600};
 };
 
--- a/src/worker/workerkeeper.cpp
+++ b/src/worker/workerkeeper.cpp
@@ -67,7 +67,7 @@
 {
     if (!m_worker || !m_listsKnown || m_holdFailures >= holdFailuresUntilUnusable)
         return RejectReason::NoWorker;
-    if (m_worker->draining)
+    if (m_worker->draining || m_draining)
         return RejectReason::Draining;
     if (m_evacuated.contains(m_worker->zone))
         return RejectReason::Evacuated;
@@ -460,6 +460,13 @@
     });
 }
 
+void WorkerKeeper::drain(Millis now)
+{
+    m_draining = true;
+    m_reportChanged = true;
+    rejectQueued(RejectReason::Draining, now);
+}
+
 void WorkerKeeper::advance(Millis now)
 {
     if (!m_listsKnown && now > m_leaseEnd) {
@@ -515,6 +522,12 @@
     return found == m_ordersTaken.end() ? 0 : found->second;
 }
 
+bool WorkerKeeper::isIdle() const
+{
+    return m_runs.empty()
+        && std::all_of(m_ends.begin(), m_ends.end(), [](const auto &item) { return item.second.stored; });
+}
+
 bool WorkerKeeper::takeReportChange()
 {
     return std::exchange(m_reportChanged, false);
--- a/src/worker/workerkeeper.h
+++ b/src/worker/workerkeeper.h
@@ -64,7 +64,7 @@
     // Starts need an answer of the owner to a ping that is younger than this.
     Millis ownerFreshness = {1'500};
     // Runs are stopped when their owner has not answered for this long.
-    Millis ownerSilence = {3'000};
+    Millis ownerSilence = {1'600};
     // Orders beyond this many waiting ones are rejected.
     size_t mostQueued = 8;
 };
@@ -95,12 +95,16 @@
     void endStored(const RunId &run, Millis now);
     void sizeTold(const RunId &run, const Room &size, Millis now);
 
+    // Takes no more orders; what runs goes on.
+    void drain(Millis now);
     void advance(Millis now);
 
     fleet::WorkerReportT report(Millis now) const;
     // True if the report has changed since the last call.
     bool takeReportChange();
     size_t runCount() const { return m_runs.size(); }
+    // Nothing runs, and the owners have stored all ends.
+    bool isIdle() const;
 
 private:
     enum class RunPhase : uint8_t { Queued, Starting, Running, Stopping };
@@ -195,6 +199,7 @@
     std::map<EntryNumber, uint64_t> m_ordersTaken;
     std::set<std::string> m_evacuated;
     bool m_reportChanged = true;
+    bool m_draining = false;
 
 public:
     uint64_t ordersTaken(EntryNumber entry) const;
