Move slow runs, give up jobs without callers, and test the decision objects

Cause: runs on workers that turn slow or stand still kept their place until the client's deadline, and jobs whose callers had left kept room. Change: the pool keeps each worker's pace and leaves slow workers out; a run beyond 2.5 times its estimate is stopped and started on a sound worker; best-effort jobs end with their last caller. Tests of the job book, the worker keeper and the append queue.

--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -50,7 +50,7 @@
     const Millis now = Clock::now();
     switch (call.kind) {
     case fleet::CallKind::Submit:
-        m_book.submit(JobSpec(*call.spec), now, std::move(onDone));
+        m_book.submit(JobSpec(*call.spec), call.wait, now, std::move(onDone));
         return;
     case fleet::CallKind::Cancel:
         m_book.cancel(call.job, now, std::move(onDone));
@@ -153,7 +153,10 @@
         m_log.always(Clock::now(), "call_unreadable", {{"peer", link->peer().node}});
         return;
     }
-    JobCall call{.kind = message.kind, .job = message.job, .spec = std::move(message.spec)};
+    JobCall call{.kind = message.kind,
+                 .job = message.job,
+                 .spec = std::move(message.spec),
+                 .wait = {message.wait_ms}};
     perform(call, [weak = std::weak_ptr(link), number = message.call](const JobReply &reply) {
         const NodeLinkPtr peer = weak.lock();
         if (!peer)
--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -10,6 +10,8 @@
 
 // Time that an order, its answer and the record of the end take beside the task itself.
 constexpr Millis dispatchOverhead = {20};
+// Entries submit best-effort jobs of a former owner again within this time, if a caller still waits.
+constexpr Millis loadedJobPatience = {2'000};
 constexpr Millis leastRetryAfter = {1'000};
 // Run numbers of a loaded job start at its owner's epoch times this, above those of any former owner.
 constexpr uint32_t runsPerEpoch = 1'000;
@@ -74,6 +76,7 @@
     Job &job = addJob(std::move(*record->spec), partition, now);
     job.accepted = true;
     job.recorded = true;
+    job.expiresAt = now + loadedJobPatience;
     job.runBase = static_cast<uint32_t>(m_partitions[partition].epoch) * runsPerEpoch;
     job.failedRuns = record->failed_runs;
     for (const uint32_t number : record->done_tasks) {
@@ -246,7 +249,7 @@
     return job;
 }
 
-void JobBook::submit(JobSpec spec, Millis now, JobReplyHandler onDone)
+void JobBook::submit(JobSpec spec, Millis wait, Millis now, JobReplyHandler onDone)
 {
     const uint32_t partition = partitionOf(spec.id, m_options.partitions);
     if (!isServing(partition)) {
@@ -264,6 +267,7 @@
             onDone({.status = fleet::CallStatus::Done, .running = known->anyStarted});
         else
             known->submitters.push_back(std::move(onDone));
+        known->expiresAt = std::max(known->expiresAt, now + wait);
         return;
     }
     if (std::optional<JobReply> refused = refusal(spec, now)) {
@@ -271,7 +275,7 @@
         return;
     }
     if (spec.best_effort) {
-        acceptBestEffort(std::move(spec), partition, now, std::move(onDone));
+        acceptBestEffort(std::move(spec), partition, wait, now, std::move(onDone));
         return;
     }
     Job &job = addJob(std::move(spec), partition, now);
@@ -279,12 +283,13 @@
     writeRecord(job, now);
 }
 
-void JobBook::acceptBestEffort(JobSpec spec, uint32_t number, Millis now, JobReplyHandler onDone)
+void JobBook::acceptBestEffort(JobSpec spec, uint32_t number, Millis wait, Millis now, JobReplyHandler onDone)
 {
     const JobId id = spec.id;
     Job &job = addJob(std::move(spec), number, now);
     job.submitters.push_back(std::move(onDone));
     job.accepted = true;
+    job.expiresAt = now + wait;
     const Partition &partition = m_partitions.at(number);
     job.runBase = static_cast<uint32_t>(partition.epoch) * runsPerEpoch;
     m_log.write(now, "job_accepted",
@@ -453,12 +458,21 @@
     stopRuns(job);
     for (const UnstoredEnd &end : job.unstoredEnds)
         m_effects.endStored(end.agent, end.run);
-    const JobReply reply{.status = fleet::CallStatus::Done, .phase = job.phase};
-    m_ended[id] = {.phase = job.phase,
-                   .forgetAt = now + m_options.retention,
-                   .partition = job.partition,
-                   .recorded = job.recorded};
-    m_endedOrder.push_back(id);
+    const JobReply reply = job.givenUp ? JobReply{.status = fleet::CallStatus::Unknown, .reason = "not done in time"}
+                                       : JobReply{.status = fleet::CallStatus::Done, .phase = job.phase};
+    if (job.givenUp) {
+        // Until its runs have ended, a new submission of the job has to wait for them.
+        for (const Task &task : job.tasks) {
+            if (task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Running)
+                m_orphans[runId(job, task)] = {.agent = task.agent, .stopAt = now, .stopped = true};
+        }
+    } else {
+        m_ended[id] = {.phase = job.phase,
+                       .forgetAt = now + m_options.retention,
+                       .partition = job.partition,
+                       .recorded = job.recorded};
+        m_endedOrder.push_back(id);
+    }
     std::vector<JobReplyHandler> handlers = std::move(job.cancellers);
     std::move(job.submitters.begin(), job.submitters.end(), std::back_inserter(handlers));
     dequeue(job);
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -124,7 +124,8 @@
     std::vector<fleet::OwnedPartitionT> owned() const;
 
     // --- calls of clients ---
-    void submit(JobSpec spec, Millis now, JobReplyHandler onDone);
+    // A best-effort job is given up when all its callers have stopped waiting.
+    void submit(JobSpec spec, Millis wait, Millis now, JobReplyHandler onDone);
     JobReply query(JobId job) const;
     void cancel(JobId job, Millis now, JobReplyHandler onDone);
     std::map<std::string, uint32_t> pendingByQueue() const;
@@ -174,6 +175,10 @@
         uint32_t failures = 0;
         Millis startedAt;
         std::string checkpoint;
+        // Runs that were stopped because they took too long.
+        uint32_t moves = 0;
+        // The present run has been reported as slow.
+        bool slowReported = false;
     };
 
     struct UnstoredEnd
@@ -196,6 +201,8 @@
         Millis acceptedAt;
         // Time by which the job's last task has to end for the job to be in time.
         Millis dueAt;
+        // A best-effort job without a caller any more is given up.
+        Millis expiresAt;
         // Not Active once the job has ended; shown to clients only when the record is stored.
         JobPhase phase = JobPhase::Active;
         bool accepted = false;
@@ -203,6 +210,8 @@
         bool recorded = false;
         bool anyStarted = false;
         bool anyOrdered = false;
+        // All callers have stopped waiting. The job is not remembered, so that it can be submitted again.
+        bool givenUp = false;
         bool recordInFlight = false;
         bool recordDirty = false;
         bool queued = false;
@@ -250,7 +259,7 @@
     void recordStored(JobId id, uint32_t partition, uint64_t epoch, JobPhase phase,
                       std::vector<UnstoredEnd> ends, StoreOutcome outcome, Millis now);
     void finishAcceptance(Job &job, StoreOutcome outcome, Millis now);
-    void acceptBestEffort(JobSpec spec, uint32_t partition, Millis now, JobReplyHandler onDone);
+    void acceptBestEffort(JobSpec spec, uint32_t partition, Millis wait, Millis now, JobReplyHandler onDone);
     void retire(JobId id, Millis now);
     void retireFinished(Millis now);
 
@@ -281,6 +290,9 @@
     Millis objective(const JobSpec &spec) const;
     Millis remainingChain(const Job &job) const;
     void storeProgress(Millis now);
+    void checkRuns(Millis now);
+    void checkRun(Job &job, Task &task, Millis now);
+    void expireJobs(Millis now);
     void purge(Millis now);
 
     const JobBookOptions m_options;
@@ -306,6 +318,7 @@
     int64_t m_waitingCpuMilli = 0;
     int64_t m_peersWaitingCpuMs = 0;
     Millis m_nextProgress;
+    Millis m_nextRunCheck;
     Millis m_nextPurge;
 };
 
--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -12,6 +12,11 @@
 constexpr Millis dispatchOverhead = {20};
 constexpr Millis refusalRetryAfter = {1'000};
 constexpr Millis progressInterval = {100};
+constexpr Millis runCheckInterval = {30};
+// A run counts as slow beyond this multiple of its estimate. Estimates are off by tens of percent.
+constexpr double slowRunFactor = 2.5;
+constexpr Millis leastSlowRun = {80};
+constexpr uint32_t mostMoves = 3;
 constexpr Millis purgeInterval = {1'000};
 // Jobs that found no room before one pass over the queue ends.
 constexpr uint32_t mostUnplacedJobs = 24;
@@ -115,6 +120,7 @@
                 ++siblings[other.agent];
         }
     }
+    const uint32_t estimate = m_runTimes.estimateMs(job.spec.queue, step.estimate_ms);
     const Room size{step.cpu_milli, step.memory_mb, step.accelerators};
     const std::optional<AgentNumber> agent = m_pool.choose({.service = job.spec.service,
                                                             .size = size,
@@ -122,6 +128,8 @@
                                                             .dataRack = step.data_rack,
                                                             .workerLimit = step.worker_limit,
                                                             .siblings = &siblings,
+                                                            .estimate = {estimate},
+                                                            .slack = job.latestStart - now,
                                                             .eligible = &partition.reported},
                                                            now);
     if (!agent)
@@ -145,7 +153,7 @@
                      .spec = &job.spec,
                      .step = &step,
                      .checkpoint = task.checkpoint,
-                     .estimateMs = m_runTimes.estimateMs(job.spec.queue, step.estimate_ms),
+                     .estimateMs = estimate,
                      .slack = job.latestStart - now});
     return true;
 }
@@ -201,6 +209,74 @@
     }
 }
 
+// Load pattern: workers that turn slow or stand still while they run tasks. A run that takes a multiple of its estimate
+// is stopped and started elsewhere, if a sound worker has room. The limit doubles with each move, so that a task that is
+// long by itself keeps its place.
+void JobBook::checkRun(Job &job, Task &task, Millis now)
+{
+    const StepSpec &step = *job.spec.steps[task.step];
+    const uint32_t estimate = std::max(1U, m_runTimes.estimateMs(job.spec.queue, step.estimate_ms));
+    const Millis elapsed = now - task.startedAt;
+    const double timesEstimate = static_cast<double>(elapsed.count) / estimate;
+    const double limit = slowRunFactor * static_cast<double>(1U << task.moves);
+    if (timesEstimate < limit || elapsed < leastSlowRun)
+        return;
+    if (!task.slowReported) {
+        task.slowReported = true;
+        m_pool.runPace(task.agent, timesEstimate, now);
+    }
+    if (task.moves >= mostMoves)
+        return;
+    const PlacementNeeds needs{.service = job.spec.service,
+                               .size = {step.cpu_milli, step.memory_mb, step.accelerators},
+                               .requiredLabel = step.required_label,
+                               .eligible = &m_partitions.at(job.partition).reported};
+    const std::optional<AgentNumber> other = m_pool.choose(needs, now);
+    if (!other || *other == task.agent || m_pool.slowness(*other, now) > 1)
+        return;
+    ++task.moves;
+    m_log.write(now, "run_moved",
+                {{"job", jobIdText(job.spec.id)},
+                 {"task", taskIdText(runId(job, task).task)},
+                 {"run", task.run},
+                 {"elapsed_ms", elapsed},
+                 {"estimate_ms", estimate},
+                 {"slowness", m_pool.slowness(task.agent, now)}});
+    m_effects.stop(task.agent, job.partition, m_partitions.at(job.partition).epoch, runId(job, task));
+}
+
+void JobBook::checkRuns(Millis now)
+{
+    if (now < m_nextRunCheck)
+        return;
+    m_nextRunCheck = now + runCheckInterval;
+    for (auto &[id, job] : m_jobs) {
+        if (job.phase != JobPhase::Active || m_partitions.at(job.partition).frozen)
+            continue;
+        for (Task &task : job.tasks) {
+            if (task.phase == TaskPhase::Running)
+                checkRun(job, task, now);
+        }
+    }
+    expireJobs(now);
+}
+
+void JobBook::expireJobs(Millis now)
+{
+    std::vector<JobId> expired;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.spec.best_effort && job.phase == JobPhase::Active && now >= job.expiresAt && !job.recordInFlight)
+            expired.push_back(id);
+    }
+    for (const JobId id : expired) {
+        Job &job = m_jobs.at(id);
+        m_log.write(now, "job_given_up",
+                    {{"job", jobIdText(id)}, {"queue", job.spec.queue}, {"took_ms", now - job.acceptedAt}});
+        job.givenUp = true;
+        endJob(job, JobPhase::Cancelled, now);
+    }
+}
+
 void JobBook::storeProgress(Millis now)
 {
     if (now < m_nextProgress)
@@ -245,6 +321,7 @@
     demoteLate(now);
     dispatch(now);
     refuseHopeless(now);
+    checkRuns(now);
     storeProgress(now);
     purge(now);
 }
--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -92,7 +92,12 @@
 {
     if (task.phase == TaskPhase::Running) {
         const StepSpec &step = *job.spec.steps[task.step];
-        m_runTimes.observe(job.spec.queue, step.estimate_ms, now - task.startedAt);
+        const Millis took = now - task.startedAt;
+        const uint32_t estimate = std::max(1U, m_runTimes.estimateMs(job.spec.queue, step.estimate_ms));
+        m_pool.runPace(task.agent, static_cast<double>(took.count) / estimate, now);
+        // What a slow worker takes says nothing about the queue.
+        if (m_pool.slowness(task.agent, now) == 1)
+            m_runTimes.observe(job.spec.queue, step.estimate_ms, took);
     }
     task.phase = TaskPhase::Done;
     task.checkpoint.clear();
@@ -142,6 +147,7 @@
         return;
     task->phase = TaskPhase::Running;
     task->startedAt = now;
+    task->slowReported = false;
     job->anyStarted = true;
 }
 
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -2,6 +2,7 @@
 #include "jobs/workerpool.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace turmericwell {
 
@@ -9,6 +10,12 @@
 constexpr uint32_t failuresUntilAvoided = 2;
 constexpr Millis firstAvoidance = {500};
 constexpr Millis longestAvoidance = {4'000};
+constexpr double newestPaceWeight = 0.25;
+// Estimates are off by tens of percent, so a smaller factor says nothing about the worker.
+constexpr double leastSlowness = 1.5;
+constexpr double mostPace = 20;
+// A worker that gets no runs is taken to have recovered half of its slowness after this time.
+constexpr Millis paceHalfLife = {1'500};
 
 void WorkerPool::report(AgentNumber agent, WorkerState state)
 {
@@ -21,6 +28,7 @@
     if (worker.state.worker != state.worker) {
         worker.failuresInRow = 0;
         worker.avoidUntil = {};
+        worker.pace = 1;
     }
     worker.state = std::move(state);
 }
@@ -47,6 +55,29 @@
     return room;
 }
 
+void WorkerPool::runPace(AgentNumber agent, double timesEstimate, Millis now)
+{
+    const auto found = m_workers.find(agent);
+    if (found == m_workers.end())
+        return;
+    Worker &worker = found->second;
+    worker.pace += newestPaceWeight * (std::min(timesEstimate, mostPace) - worker.pace);
+    worker.paceAt = now;
+}
+
+double WorkerPool::slowness(const Worker &worker, Millis now)
+{
+    const double age = static_cast<double>((now - worker.paceAt).count) / static_cast<double>(paceHalfLife.count);
+    const double pace = 1 + (worker.pace - 1) * std::exp2(-age);
+    return pace < leastSlowness ? 1 : pace;
+}
+
+double WorkerPool::slowness(AgentNumber agent, Millis now) const
+{
+    const auto found = m_workers.find(agent);
+    return found == m_workers.end() ? 1 : slowness(found->second, now);
+}
+
 std::optional<AgentNumber> WorkerPool::choose(const PlacementNeeds &needs, Millis now)
 {
     std::optional<AgentNumber> best;
@@ -63,6 +94,10 @@
             if (placed != needs.siblings->end() && placed->second >= needs.workerLimit)
                 continue;
         }
+        const double slow = slowness(worker, now);
+        if (slow > 1 && needs.slack.count > 0
+            && static_cast<double>(needs.estimate.count) * (slow - 1) > static_cast<double>(needs.slack.count))
+            continue;
         // Jitter keeps entries with the same view from choosing the same worker.
         double score =
             static_cast<double>(room.cpuMilli) / static_cast<double>(worker.state.capacity.cpuMilli + 1)
@@ -71,6 +106,7 @@
         if (!needs.dataRack.empty()
             && std::find(labels.begin(), labels.end(), needs.dataRack) != labels.end())
             score += 1;
+        score -= slow - 1;
         if (worker.avoidUntil > now)
             score -= 4;
         if (!best || score > bestScore) {
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -75,6 +75,10 @@
     uint32_t workerLimit = 0;
     // Tasks of the same step by agent, for workerLimit. May be null.
     const std::map<AgentNumber, uint32_t> *siblings = nullptr;
+    // Expected run time, and how much longer it may take for the job to be in time. Workers that are known to be slower
+    // than that are left out; 0 for no limit.
+    Millis estimate;
+    Millis slack;
     // Agents that may be chosen; null for all.
     const std::set<AgentNumber> *eligible = nullptr;
 };
@@ -93,6 +97,10 @@
     // A worker that fails what it starts gets no new work for some time, unless all others are worse.
     void runFailed(AgentNumber agent, Millis now);
     void runSucceeded(AgentNumber agent);
+    // A run took, or has taken so far, this multiple of its estimate.
+    void runPace(AgentNumber agent, double timesEstimate, Millis now);
+    // How many times its estimate a run takes on the worker; 1 for a sound one.
+    double slowness(AgentNumber agent, Millis now) const;
 
     // Processor room of all usable workers of a service.
     int64_t capacityMilli(std::string_view service) const;
@@ -111,8 +119,13 @@
         uint64_t ordersSent = 0;
         uint32_t failuresInRow = 0;
         Millis avoidUntil;
+        // Average of run times over estimates, and when it was last updated.
+        double pace = 1;
+        Millis paceAt;
     };
 
+    static double slowness(const Worker &worker, Millis now);
+
     bool admissible(const Worker &worker, const PlacementNeeds &needs) const;
     Room freeRoom(const Worker &worker) const;
 
--- /dev/null
+++ b/tests/unit/appendqueuetest.cpp
@@ -0,0 +1,145 @@
+// Append queue: grouping, and true outcomes when the store refuses, stays silent or fences.
+#include "store/appendqueue.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace turmericwell {
+
+namespace {
+
+class ScriptedStore : public StoreApi
+{
+public:
+    void append(const AppendCall &call, Millis, std::function<void(AppendAnswer)> onDone) override
+    {
+        calls.push_back(call);
+        pending = std::move(onDone);
+    }
+    void read(const ReadCall &, Millis, std::function<void(ReadAnswer)>) override { }
+    void newest(const NewestCall &, Millis, std::function<void(NewestAnswer)>) override { }
+    void join(const JoinCall &, Millis, std::function<void(JoinAnswer)>) override { }
+    void leave(const LeaveCall &, Millis, std::function<void(StoreStatus)>) override { }
+
+    void answer(const AppendAnswer &answer) { std::exchange(pending, {})(answer); }
+
+    std::vector<AppendCall> calls;
+    std::function<void(AppendAnswer)> pending;
+};
+
+struct AppendQueueFixture
+{
+    AppendQueueFixture()
+    {
+        queue.open([](AppendOutcome) {});
+        store.answer({.status = StoreStatus::Done});
+    }
+
+    void add(const std::string &key, bool mayDrop = false)
+    {
+        queue.add(key, "value", mayDrop, [this](AppendOutcome outcome) { outcomes.push_back(outcome); });
+    }
+
+    // Runs timers until the store gets the given number of calls in all.
+    void waitForCall(size_t count)
+    {
+        io.restart();
+        while (store.calls.size() < count && io.run_one() > 0) { }
+    }
+
+    void waitForOutcomes(size_t count)
+    {
+        io.restart();
+        while (outcomes.size() < count && io.run_one() > 0) { }
+    }
+
+    IoContext io;
+    StructuredLog log;
+    ScriptedStore store;
+    AppendQueue queue {{.topic = "keyed.jobs", .producer = "owner", .epoch = 3, .dropAfter = {0}, .spacing = {1}},
+                       store,
+                       io,
+                       log};
+    std::vector<AppendOutcome> outcomes;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AppendQueueTest)
+
+// Guards against one call for each record under load.
+BOOST_FIXTURE_TEST_CASE(recordsThatArriveMeanwhileShareTheNextAppend, AppendQueueFixture)
+{
+    add("a");
+    waitForCall(2);
+    add("b");
+    add("c");
+    store.answer({.status = StoreStatus::Done});
+    waitForCall(3);
+    BOOST_TEST(store.calls[2].records.size() == 2U);
+    BOOST_TEST(store.calls[2].sequence == store.calls[1].sequence + 1);
+    store.answer({.status = StoreStatus::Done});
+    BOOST_TEST(outcomes.size() == 3U);
+}
+
+// Guards against a record that is stored twice, or reported as not stored although it is.
+BOOST_FIXTURE_TEST_CASE(appendWithoutAnswerIsRepeatedAsItWas, AppendQueueFixture)
+{
+    add("a", true);
+    waitForCall(2);
+    store.answer({.status = StoreStatus::NoAnswer});
+    waitForCall(3);
+    BOOST_TEST(outcomes.empty());
+    BOOST_TEST(store.calls[2].sequence == store.calls[1].sequence);
+    BOOST_TEST_REQUIRE(store.calls[2].records.size() == 1U);
+    store.answer({.status = StoreStatus::WrongSequence, .expectedSequence = store.calls[2].sequence + 1});
+    BOOST_TEST_REQUIRE(outcomes.size() == 1U);
+    BOOST_TEST((outcomes[0] == AppendOutcome::Stored));
+}
+
+// Guards against a refusal while the record can still be stored: it is dropped only after a definite answer.
+BOOST_FIXTURE_TEST_CASE(refusedRecordIsDroppedAndNeverSentAgain, AppendQueueFixture)
+{
+    add("a", true);
+    waitForCall(2);
+    store.answer({.status = StoreStatus::Refused});
+    waitForOutcomes(1);
+    BOOST_TEST_REQUIRE(outcomes.size() == 1U);
+    BOOST_TEST((outcomes[0] == AppendOutcome::NotStored));
+    add("b");
+    waitForCall(3);
+    BOOST_TEST(store.calls[2].records[0].key == "b");
+    BOOST_TEST(store.calls[2].sequence == store.calls[1].sequence);
+}
+
+// Guards against a refusal after a try without an answer, which may have stored the record.
+BOOST_FIXTURE_TEST_CASE(recordThatMayBeStoredIsNotDropped, AppendQueueFixture)
+{
+    add("a", true);
+    waitForCall(2);
+    store.answer({.status = StoreStatus::NoAnswer});
+    waitForCall(3);
+    store.answer({.status = StoreStatus::Refused});
+    waitForCall(4);
+    BOOST_TEST(outcomes.empty());
+    store.answer({.status = StoreStatus::Done});
+    BOOST_TEST((outcomes[0] == AppendOutcome::Stored));
+}
+
+// Guards against a superseded owner that tells its callers that a record is, or is not, stored.
+BOOST_FIXTURE_TEST_CASE(fencedQueueLeavesTheOutcomeToTheNewOwner, AppendQueueFixture)
+{
+    bool fenced = false;
+    queue.onFenced = [&fenced] { fenced = true; };
+    add("a");
+    waitForCall(2);
+    add("b");
+    store.answer({.status = StoreStatus::Fenced});
+    BOOST_TEST_REQUIRE(outcomes.size() == 2U);
+    BOOST_TEST((outcomes[0] == AppendOutcome::Superseded));
+    BOOST_TEST((outcomes[1] == AppendOutcome::Superseded));
+    BOOST_TEST(fenced);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace turmericwell
--- /dev/null
+++ b/tests/unit/jobbookfixture.h
@@ -0,0 +1,129 @@
+// A job book with effects that are recorded instead of carried out, and agents that the test speaks for.
+#pragma once
+
+#include "jobs/jobbook.h"
+
+#include <string>
+#include <vector>
+
+namespace turmericwell {
+
+struct StoredRecord
+{
+    JobId job = 0;
+    std::string value;
+    bool mayDrop = false;
+    std::function<void(StoreOutcome, Millis)> onDone;
+};
+
+class RecordedEffects : public JobEffects
+{
+public:
+    struct Start
+    {
+        AgentNumber agent = 0;
+        RunId run;
+    };
+
+    void store(uint32_t, JobId job, std::string value, bool mayDrop,
+               std::function<void(StoreOutcome, Millis)> onDone) override
+    {
+        records.push_back({job, std::move(value), mayDrop, std::move(onDone)});
+    }
+    void start(const StartRequest &request) override { starts.push_back({request.agent, request.run}); }
+    void stop(AgentNumber agent, uint32_t, uint64_t, const RunId &run) override { stops.push_back({agent, run}); }
+    void endStored(AgentNumber, const RunId &run) override { confirmed.push_back(run); }
+    void tellSize(AgentNumber, const RunId &run, const StepSpec &) override { sized.push_back(run); }
+
+    std::vector<StoredRecord> records;
+    std::vector<Start> starts;
+    std::vector<Start> stops;
+    std::vector<RunId> confirmed;
+    std::vector<RunId> sized;
+};
+
+// One partition, two agents with a worker of four processors each.
+struct JobBookFixture
+{
+    explicit JobBookFixture(uint64_t epoch = 1)
+    {
+        book.openPartition(0, epoch);
+        for (AgentNumber agent = 1; agent <= 2; ++agent)
+            pool.report(agent, workerWith(4'000));
+    }
+
+    static WorkerState workerWith(int64_t freeMilli)
+    {
+        return {.usable = true,
+                .worker = "w",
+                .service = "kiosk",
+                .zone = "patan",
+                .capacity = {4'000, 8'000, 0},
+                .free = {freeMilli, 8'000, 0}};
+    }
+
+    static JobSpec job(JobId id, uint32_t tasks, bool bestEffort)
+    {
+        JobSpec spec;
+        spec.id = id;
+        spec.queue = "unlock";
+        spec.service = "kiosk";
+        spec.attempts = 2;
+        spec.stretch = 1.6;
+        spec.target_latency_ms = 60;
+        spec.best_effort = bestEffort;
+        auto step = std::make_unique<StepSpec>();
+        step->count = tasks;
+        step->cpu_milli = 1'000;
+        step->memory_mb = 64;
+        step->estimate_ms = 100;
+        spec.steps.push_back(std::move(step));
+        return spec;
+    }
+
+    void load(bool agentsReport = true)
+    {
+        book.loaded(0, now);
+        book.setExpectedAgents({1, 2}, true);
+        if (agentsReport) {
+            for (AgentNumber agent = 1; agent <= 2; ++agent)
+                book.claimReport(agent, 0, *book.epochOf(0), {}, {}, now);
+        }
+        book.advance(now);
+    }
+
+    void submit(JobSpec spec)
+    {
+        book.submit(std::move(spec), {2'000}, now, [this](JobReply reply) { replies.push_back(std::move(reply)); });
+        book.advance(now);
+    }
+
+    void storeAll(StoreOutcome outcome = StoreOutcome::Stored)
+    {
+        std::vector<StoredRecord> records = std::exchange(effects.records, {});
+        for (StoredRecord &record : records)
+            record.onDone(outcome, now);
+        book.advance(now);
+    }
+
+    void end(const RecordedEffects::Start &start, EndKind kind)
+    {
+        book.runEnded(start.agent, {.run = start.run, .kind = kind}, now);
+        book.advance(now);
+    }
+
+    void startAll()
+    {
+        for (const auto &start : effects.starts)
+            book.runStarted(start.agent, start.run, now);
+    }
+
+    Millis now = {100'000};
+    StructuredLog log;
+    WorkerPool pool;
+    RecordedEffects effects;
+    JobBook book {{.partitions = 1}, pool, effects, log};
+    std::vector<JobReply> replies;
+};
+
+} // namespace turmericwell
--- /dev/null
+++ b/tests/unit/jobbooktest.cpp
@@ -0,0 +1,275 @@
+// Job book: durability before answers, ends, failures, hand-over and recovery.
+#include "unit/jobbookfixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace turmericwell {
+
+BOOST_AUTO_TEST_SUITE(JobBookTest)
+
+// Guards against an accepted job that is lost when the machines lose power right after the answer.
+BOOST_FIXTURE_TEST_CASE(jobIsAnsweredAndStartedOnlyOnceStored, JobBookFixture)
+{
+    load();
+    submit(job(1, 2, false));
+    BOOST_TEST(replies.empty());
+    BOOST_TEST(effects.starts.empty());
+    storeAll();
+    BOOST_TEST_REQUIRE(replies.size() == 1U);
+    BOOST_TEST((replies[0].status == fleet::CallStatus::Done));
+    BOOST_TEST(effects.starts.size() == 2U);
+}
+
+// Guards against a refusal that is not true: the record must never be stored afterwards.
+BOOST_FIXTURE_TEST_CASE(jobThatCannotBeStoredIsRefusedAndNeverRuns, JobBookFixture)
+{
+    load();
+    submit(job(1, 2, false));
+    BOOST_TEST(effects.records[0].mayDrop);
+    storeAll(StoreOutcome::NotStored);
+    BOOST_TEST_REQUIRE(replies.size() == 1U);
+    BOOST_TEST((replies[0].status == fleet::CallStatus::Refused));
+    BOOST_TEST(effects.starts.empty());
+    BOOST_TEST((book.query(1).status == fleet::CallStatus::NotKnown));
+}
+
+// Guards against two jobs from one identifier.
+BOOST_FIXTURE_TEST_CASE(resubmissionIsTheSameJob, JobBookFixture)
+{
+    load();
+    submit(job(1, 2, false));
+    submit(job(1, 2, false));
+    storeAll();
+    submit(job(1, 2, false));
+    BOOST_TEST(replies.size() == 3U);
+    BOOST_TEST(effects.starts.size() == 2U);
+}
+
+// Guards against an end that the worker forgets while no record of it is stored, and against a job that is shown as
+// completed before that.
+BOOST_FIXTURE_TEST_CASE(endIsConfirmedAndShownOnlyOnceStored, JobBookFixture)
+{
+    load();
+    submit(job(1, 1, false));
+    storeAll();
+    startAll();
+    end(effects.starts[0], EndKind::Done);
+    BOOST_TEST(effects.confirmed.empty());
+    BOOST_TEST((book.query(1).phase == JobPhase::Active));
+    storeAll();
+    BOOST_TEST(effects.confirmed.size() == 1U);
+    BOOST_TEST((book.query(1).phase == JobPhase::Completed));
+}
+
+// Guards against ends of unfinished jobs that stay unconfirmed.
+BOOST_FIXTURE_TEST_CASE(progressOfAnUnfinishedJobIsStoredAfterTheDelay, JobBookFixture)
+{
+    load();
+    submit(job(1, 2, false));
+    storeAll();
+    startAll();
+    end(effects.starts[0], EndKind::Done);
+    BOOST_TEST(effects.records.empty());
+    now += Millis{1'100};
+    book.advance(now);
+    storeAll();
+    BOOST_TEST(effects.confirmed.size() == 1U);
+}
+
+// Guards against more failed runs than the queue allows.
+BOOST_FIXTURE_TEST_CASE(jobFailsAfterTheAllowedAttempts, JobBookFixture)
+{
+    load();
+    submit(job(1, 1, false));
+    storeAll();
+    startAll();
+    end(effects.starts[0], EndKind::Failed);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    BOOST_TEST(effects.starts[1].run.number == 2U);
+    end(effects.starts[1], EndKind::Failed);
+    storeAll();
+    BOOST_TEST(effects.starts.size() == 2U);
+    BOOST_TEST((book.query(1).phase == JobPhase::Failed));
+}
+
+// Guards against an end that is listed again, as after a restart of its agent, and counts twice.
+BOOST_FIXTURE_TEST_CASE(failureThatIsReportedAgainCountsOnce, JobBookFixture)
+{
+    load();
+    submit(job(1, 1, false));
+    storeAll();
+    startAll();
+    const auto first = effects.starts[0];
+    end(first, EndKind::Failed);
+    end(first, EndKind::Failed);
+    BOOST_TEST((book.query(1).phase == JobPhase::Active));
+    BOOST_TEST(effects.starts.size() == 2U);
+}
+
+// Guards against a cancel that is acknowledged before it is stored, and against runs that go on after it.
+BOOST_FIXTURE_TEST_CASE(cancelIsStoredThenStopsTheRuns, JobBookFixture)
+{
+    load();
+    submit(job(1, 2, false));
+    storeAll();
+    startAll();
+    replies.clear();
+    book.cancel(1, now, [this](JobReply reply) { replies.push_back(std::move(reply)); });
+    BOOST_TEST(replies.empty());
+    storeAll();
+    BOOST_TEST_REQUIRE(replies.size() == 1U);
+    BOOST_TEST((replies[0].phase == JobPhase::Cancelled));
+    BOOST_TEST(effects.stops.size() == 2U);
+}
+
+// Guards against a second run of a task whose run goes on at an agent that the new owner has not heard of yet.
+BOOST_FIXTURE_TEST_CASE(loadedJobWaitsForTheReportsOfAllAgents, JobBookFixture)
+{
+    JobRecord record;
+    record.spec = std::make_unique<JobSpec>(job(1, 2, false));
+    book.loadRecord(0, 1, encodeJobRecord(record), now);
+    load(false);
+    BOOST_TEST(effects.starts.empty());
+    const RunId running{.task = {.job = 1, .index = 0}, .number = 1};
+    book.claimReport(1, 0, 1, std::span(&running, 1), {}, now);
+    book.advance(now);
+    BOOST_TEST(effects.starts.empty());
+    book.claimReport(2, 0, 1, {}, {}, now);
+    book.advance(now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
+    BOOST_TEST(effects.starts[0].run.task.index == 1U);
+    BOOST_TEST(effects.sized.size() == 1U);
+}
+
+// Guards against a wait without end for an agent that is gone for good.
+BOOST_FIXTURE_TEST_CASE(loadedJobStartsWhenNoFormerRunCanBeLeft, JobBookFixture)
+{
+    JobRecord record;
+    record.spec = std::make_unique<JobSpec>(job(1, 1, false));
+    book.loadRecord(0, 1, encodeJobRecord(record), now);
+    load(false);
+    book.claimReport(1, 0, 1, {}, {}, now);
+    now += Millis{2'899};
+    book.advance(now);
+    BOOST_TEST(effects.starts.empty());
+    now += Millis{1};
+    book.advance(now);
+    BOOST_TEST(effects.starts.size() == 1U);
+}
+
+// Guards against run numbers that do not rise after everything lost power.
+BOOST_AUTO_TEST_CASE(runNumbersRiseOverOwners)
+{
+    JobBookFixture first(1);
+    first.load();
+    first.submit(JobBookFixture::job(1, 1, false));
+    first.storeAll();
+    JobBookFixture second(7);
+    JobRecord record;
+    record.spec = std::make_unique<JobSpec>(JobBookFixture::job(1, 1, false));
+    second.book.loadRecord(0, 1, encodeJobRecord(record), second.now);
+    second.load();
+    BOOST_TEST_REQUIRE(second.effects.starts.size() == 1U);
+    BOOST_TEST(second.effects.starts[0].run.number > first.effects.starts[0].run.number);
+}
+
+// Guards against a second run of a best-effort job that is submitted again to the owner's successor.
+BOOST_FIXTURE_TEST_CASE(resubmittedBestEffortJobTakesOverItsRuns, JobBookFixture)
+{
+    book.loaded(0, now);
+    book.setExpectedAgents({1, 2}, true);
+    const RunId running{.task = {.job = 1, .index = 0}, .number = 1};
+    book.claimReport(1, 0, 1, std::span(&running, 1), {}, now);
+    submit(job(1, 2, true));
+    BOOST_TEST(effects.starts.empty());
+    book.claimReport(2, 0, 1, {}, {}, now);
+    book.advance(now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
+    BOOST_TEST(effects.starts[0].run.task.index == 1U);
+    BOOST_TEST(effects.stops.empty());
+}
+
+// Guards against runs that nobody asks for any longer.
+BOOST_FIXTURE_TEST_CASE(runOfAnUnknownJobIsStoppedWhenNobodySubmitsItAgain, JobBookFixture)
+{
+    load();
+    const RunId running{.task = {.job = 1, .index = 0}, .number = 1};
+    book.claimReport(1, 0, 1, std::span(&running, 1), {}, now);
+    book.advance(now);
+    BOOST_TEST(effects.stops.empty());
+    now += Millis{700};
+    book.advance(now);
+    BOOST_TEST(effects.stops.size() == 1U);
+    // A late submission still waits for the end of the run that is being stopped.
+    submit(job(1, 1, true));
+    BOOST_TEST(effects.starts.empty());
+    end({.agent = 1, .run = running}, EndKind::Stopped);
+    BOOST_TEST(effects.starts.size() == 1U);
+}
+
+// Guards against best-effort jobs that are lost when their partition is handed over as planned.
+BOOST_FIXTURE_TEST_CASE(handOverStoresBestEffortJobs, JobBookFixture)
+{
+    load();
+    submit(job(1, 2, true));
+    BOOST_TEST(effects.records.empty());
+    startAll();
+    end(effects.starts[0], EndKind::Done);
+    book.freezePartition(0, now);
+    BOOST_TEST_REQUIRE(effects.records.size() == 1U);
+    const std::optional<JobRecord> record = decodeJobRecord(effects.records[0].value);
+    BOOST_TEST_REQUIRE(record.has_value());
+    BOOST_TEST(record->done_tasks.size() == 1U);
+    book.closePartition(0, now);
+    BOOST_TEST_REQUIRE(replies.size() == 1U);
+    BOOST_TEST((replies[0].status == fleet::CallStatus::Unknown));
+}
+
+// Guards against work for callers that have left, which takes the room of others.
+BOOST_FIXTURE_TEST_CASE(bestEffortJobEndsWithItsLastCaller, JobBookFixture)
+{
+    load();
+    submit(job(1, 1, true));
+    startAll();
+    now += Millis{2'100};
+    book.advance(now);
+    book.advance(now);
+    BOOST_TEST(effects.stops.size() >= 1U);
+    BOOST_TEST(book.activeJobs() == 0U);
+}
+
+// Guards against orders to an agent that knows another owner, which it rejects one after the other.
+BOOST_FIXTURE_TEST_CASE(supersededOwnerOrdersNothingMore, JobBookFixture)
+{
+    load();
+    submit(job(1, 1, true));
+    BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
+    const auto first = effects.starts[0];
+    book.runRejected(first.agent, first.run, RejectReason::Superseded, now);
+    book.advance(now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    BOOST_TEST(effects.starts[1].agent != first.agent);
+    book.runRejected(effects.starts[1].agent, effects.starts[1].run, RejectReason::Superseded, now);
+    book.advance(now);
+    BOOST_TEST(effects.starts.size() == 2U);
+}
+
+// Guards against jobs that stay on a worker that has turned slow while a sound one has room.
+BOOST_FIXTURE_TEST_CASE(slowRunIsMovedToASoundWorker, JobBookFixture)
+{
+    load();
+    submit(job(1, 1, true));
+    startAll();
+    const auto first = effects.starts[0];
+    now += Millis{260};
+    book.advance(now);
+    BOOST_TEST_REQUIRE(effects.stops.size() == 1U);
+    BOOST_TEST(effects.starts.size() == 1U);
+    end(first, EndKind::Stopped);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    BOOST_TEST(effects.starts[1].agent != first.agent);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace turmericwell
--- /dev/null
+++ b/tests/unit/workerkeepertest.cpp
@@ -0,0 +1,308 @@
+// Worker keeper: room, leases, owners, lists of the worker.
+#include "worker/workerkeeper.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace turmericwell {
+
+namespace {
+
+class RecordedWorkerEffects : public WorkerEffects
+{
+public:
+    struct Told
+    {
+        EntryNumber entry = 0;
+        RunId run;
+        EndKind kind = EndKind::Done;
+    };
+
+    void callStart(const StartCall &call) override { starts.push_back(call.run); }
+    void callStop(const StopCall &call) override { stops.push_back(call.run); }
+    void callHold(const HoldCall &call) override
+    {
+        ++holds;
+        lastHold = call;
+    }
+    void tellStarted(EntryNumber entry, const RunId &run) override { started.push_back({entry, run}); }
+    void tellRejected(EntryNumber entry, const RunId &run, RejectReason reason) override
+    {
+        rejected.push_back({entry, run});
+        reasons.push_back(reason);
+    }
+    void tellEnded(EntryNumber entry, const RunId &run, EndKind kind, std::string_view) override
+    {
+        ended.push_back({entry, run, kind});
+    }
+    void tellClaim(EntryNumber, const fleet::ClaimReportT &report) override
+    {
+        claims.push_back(std::make_unique<fleet::ClaimReportT>(report));
+    }
+
+    std::vector<RunId> starts;
+    std::vector<RunId> stops;
+    uint32_t holds = 0;
+    HoldCall lastHold;
+    std::vector<Told> started;
+    std::vector<Told> rejected;
+    std::vector<RejectReason> reasons;
+    std::vector<Told> ended;
+    std::vector<std::unique_ptr<fleet::ClaimReportT>> claims;
+};
+
+// An agent with a worker of four processors, and one entry that owns the only partition with epoch 5.
+struct WorkerKeeperFixture
+{
+    WorkerKeeperFixture()
+    {
+        keeper.entryConnected(1, now);
+        keeper.announced(announcement(), now);
+        keeper.advance(now);
+        answerHold({});
+        keeper.claim(1, 0, 5, now);
+    }
+
+    static WorkerAnnouncement announcement(int64_t born = 10, bool draining = false, uint64_t sequence = 1)
+    {
+        return {.worker = "w",
+                .service = "kiosk",
+                .zone = "patan",
+                .capacity = {4'000, 8'000, 0},
+                .draining = draining,
+                .born = born,
+                .sequence = sequence};
+    }
+
+    static RunOrder order(JobId job, uint32_t run = 1, int64_t cpu = 1'000, uint64_t epoch = 5)
+    {
+        return {.epoch = epoch,
+                .run = {.task = {.job = job}, .number = run},
+                .size = {cpu, 64, 0},
+                .estimateMs = 100,
+                .slack = {100}};
+    }
+
+    void answerHold(WorkerLists lists)
+    {
+        lists.workerClock = now - workerStart;
+        lists.born = 10;
+        keeper.holdAnswered(OrderAnswer::Done, lists, now);
+    }
+
+    // Time passes while the owner answers each ping.
+    void pass(Millis time, bool ownerAnswers = true)
+    {
+        const Millis end = now + time;
+        while (now < end) {
+            now += Millis{20};
+            if (ownerAnswers)
+                keeper.entryAnswered(1, now);
+            keeper.advance(now);
+        }
+    }
+
+    void startRun(JobId job)
+    {
+        keeper.order(1, order(job), now);
+        keeper.startAnswered(order(job).run, OrderAnswer::Done, now - workerStart, now);
+    }
+
+    const Millis workerStart = {90'000};
+    Millis now = {100'000};
+    StructuredLog log;
+    RecordedWorkerEffects effects;
+    WorkerKeeper keeper {{.partitions = 1}, 1, now, effects, log};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WorkerKeeperTest)
+
+// Guards against a worker that is filled beyond its processors: it checks nothing itself.
+BOOST_FIXTURE_TEST_CASE(startsOnlyWhatFits, WorkerKeeperFixture)
+{
+    for (JobId job = 1; job <= 5; ++job)
+        keeper.order(1, order(job), now);
+    BOOST_TEST(effects.starts.size() == 4U);
+    keeper.startAnswered(order(1).run, OrderAnswer::Done, std::nullopt, now);
+    answerHold({.ended = {{.number = 1, .run = order(1).run, .kind = EndKind::Done}}});
+    BOOST_TEST(effects.starts.size() == 5U);
+}
+
+// Guards against room that is given away while a run is still being stopped.
+BOOST_FIXTURE_TEST_CASE(stoppedRunKeepsItsRoomUntilItsEndIsListed, WorkerKeeperFixture)
+{
+    for (JobId job = 1; job <= 4; ++job)
+        startRun(job);
+    keeper.stop(1, 0, 5, order(1).run, now);
+    BOOST_TEST(effects.stops.size() == 1U);
+    keeper.order(1, order(5), now);
+    keeper.stopAnswered(order(1).run, OrderAnswer::Done, now);
+    BOOST_TEST(effects.starts.size() == 4U);
+    answerHold({.ended = {{.number = 1, .run = order(1).run, .kind = EndKind::Stopped}}});
+    BOOST_TEST(effects.starts.size() == 5U);
+}
+
+// Guards against orders of a superseded owner, and against a claim of one.
+BOOST_FIXTURE_TEST_CASE(onlyTheHighestEpochIsObeyed, WorkerKeeperFixture)
+{
+    keeper.entryConnected(2, now);
+    keeper.claim(2, 0, 6, now);
+    keeper.order(1, order(1, 1, 1'000, 5), now);
+    BOOST_TEST(effects.starts.empty());
+    BOOST_TEST_REQUIRE(effects.reasons.size() == 1U);
+    BOOST_TEST((effects.reasons[0] == RejectReason::Superseded));
+    keeper.claim(1, 0, 5, now);
+    BOOST_TEST(!effects.claims.back()->accepted);
+    keeper.order(2, order(1, 1, 1'000, 6), now);
+    BOOST_TEST(effects.starts.size() == 1U);
+}
+
+// Guards against a second run elsewhere while this one goes on: the owner counts on the stop.
+BOOST_FIXTURE_TEST_CASE(runsAreStoppedWhenTheirOwnerIsSilent, WorkerKeeperFixture)
+{
+    startRun(1);
+    const Millis lastContact = now;
+    while (now < lastContact + Millis{1'600}) {
+        pass({20}, false);
+        answerHold({.running = {{.run = order(1).run}}});
+    }
+    BOOST_TEST(effects.stops.empty());
+    pass({20}, false);
+    BOOST_TEST(effects.stops.size() == 1U);
+}
+
+// Guards against a start by an agent that was paused: the order may be given to another agent by then.
+BOOST_FIXTURE_TEST_CASE(queuedRunIsNotStartedAfterAPause, WorkerKeeperFixture)
+{
+    for (JobId job = 1; job <= 5; ++job)
+        keeper.order(1, order(job), now);
+    keeper.startAnswered(order(1).run, OrderAnswer::Done, std::nullopt, now);
+    now += Millis{5'000};
+    answerHold({.ended = {{.number = 1, .run = order(1).run, .kind = EndKind::Done}}});
+    BOOST_TEST(effects.starts.size() == 4U);
+}
+
+// Guards against ends that the worker forgets before the owner has stored them.
+BOOST_FIXTURE_TEST_CASE(endsAreConfirmedInOrderOnceStored, WorkerKeeperFixture)
+{
+    startRun(1);
+    startRun(2);
+    answerHold({.ended = {{.number = 1, .run = order(1).run}, {.number = 2, .run = order(2).run}}});
+    keeper.endStored(order(2).run, now);
+    pass({100});
+    BOOST_TEST(effects.lastHold.endsStored == 0U);
+    keeper.endStored(order(1).run, now);
+    answerHold({.ended = {{.number = 1, .run = order(1).run}, {.number = 2, .run = order(2).run}}});
+    pass({100});
+    BOOST_TEST(effects.lastHold.endsStored == 2U);
+}
+
+// Guards against a run that is taken for lost because a list that was made before its start lacks it.
+BOOST_FIXTURE_TEST_CASE(listThatWasAskedForBeforeTheStartDoesNotLoseTheRun, WorkerKeeperFixture)
+{
+    pass({100});
+    now += Millis{1};
+    startRun(1);
+    answerHold({});
+    BOOST_TEST(effects.ended.empty());
+    pass({100});
+    answerHold({});
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    BOOST_TEST((effects.ended[0].kind == EndKind::Lost));
+}
+
+// Guards against a start that is carried out after its answer was lost: a stop makes the worker reject it.
+BOOST_FIXTURE_TEST_CASE(startWithoutAnswerIsStoppedBeforeItIsReportedLost, WorkerKeeperFixture)
+{
+    keeper.order(1, order(1), now);
+    keeper.startAnswered(order(1).run, OrderAnswer::NoAnswer, std::nullopt, now);
+    BOOST_TEST(effects.stops.size() == 1U);
+    BOOST_TEST(effects.ended.empty());
+    pass({20});
+    keeper.stopAnswered(order(1).run, OrderAnswer::Done, now);
+    answerHold({});
+    BOOST_TEST(effects.ended.empty());
+    pass({100});
+    answerHold({});
+    BOOST_TEST(effects.ended.size() == 1U);
+}
+
+// Guards against orders to a worker that says that it leaves.
+BOOST_FIXTURE_TEST_CASE(drainingWorkerGetsNothingNew, WorkerKeeperFixture)
+{
+    for (JobId job = 1; job <= 5; ++job)
+        keeper.order(1, order(job), now);
+    keeper.announced(announcement(10, true, 2), now);
+    BOOST_TEST(effects.rejected.size() == 1U);
+    keeper.order(1, order(6), now);
+    BOOST_TEST_REQUIRE(effects.reasons.size() == 2U);
+    BOOST_TEST((effects.reasons[1] == RejectReason::Draining));
+}
+
+// Guards against a start in a zone that operators have withdrawn, for orders that already wait at the agent.
+BOOST_FIXTURE_TEST_CASE(evacuatedZoneGetsNothingNew, WorkerKeeperFixture)
+{
+    for (JobId job = 1; job <= 5; ++job)
+        keeper.order(1, order(job), now);
+    keeper.setEvacuatedZones({"patan"}, now);
+    BOOST_TEST(effects.rejected.size() == 1U);
+    keeper.setEvacuatedZones({}, now);
+    keeper.order(1, order(6), now);
+    BOOST_TEST(effects.rejected.size() == 1U);
+}
+
+// Guards against an announcement of a former life that arrives late, after a partition.
+BOOST_FIXTURE_TEST_CASE(announcementOfAFormerLifeIsIgnored, WorkerKeeperFixture)
+{
+    BOOST_TEST(keeper.announced(announcement(11), now));
+    BOOST_TEST(!keeper.announced(announcement(10, true, 9), now));
+    BOOST_TEST(!keeper.report(now).draining);
+}
+
+// Guards against runs that are thought to go on after a restart of the worker under its name.
+BOOST_FIXTURE_TEST_CASE(newLifeOfTheWorkerLosesItsRuns, WorkerKeeperFixture)
+{
+    startRun(1);
+    keeper.announced(announcement(11), now);
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    BOOST_TEST((effects.ended[0].kind == EndKind::Lost));
+}
+
+// Guards against runs that are reported lost while the worker, behind a cut, still works on them.
+BOOST_FIXTURE_TEST_CASE(runsAreLostOnlyWhenTheLeaseHasLapsed, WorkerKeeperFixture)
+{
+    startRun(1);
+    pass({20});
+    keeper.holdAnswered(OrderAnswer::NoAnswer, {}, now);
+    const Millis sent = now;
+    while (effects.ended.empty() && now < sent + Millis{5'000}) {
+        const uint32_t before = effects.holds;
+        pass({20});
+        if (effects.holds > before)
+            keeper.holdAnswered(OrderAnswer::NoAnswer, {}, now);
+    }
+    // No answer shows that a later renewal did not arrive, so each extends the time.
+    BOOST_TEST(effects.ended.empty());
+    pass({1'200});
+    BOOST_TEST(effects.ended.size() == 1U);
+}
+
+// Guards against an overfull worker after a restart of its agent, which does not know the sizes of what runs.
+BOOST_AUTO_TEST_CASE(nothingStartsBesideRunsOfUnknownSize)
+{
+    WorkerKeeperFixture fixture;
+    const RunId found{.task = {.job = 9}, .number = 3};
+    fixture.answerHold({.running = {{.run = found}}});
+    fixture.keeper.order(1, WorkerKeeperFixture::order(1), fixture.now);
+    BOOST_TEST(fixture.effects.starts.empty());
+    BOOST_TEST(!fixture.keeper.report(fixture.now).usable);
+    fixture.keeper.sizeTold(found, {3'500, 64, 0}, fixture.now);
+    BOOST_TEST(fixture.effects.starts.empty());
+    fixture.answerHold({.ended = {{.number = 1, .run = found}}});
+    BOOST_TEST(fixture.effects.starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace turmericwell
