Withdraw drained agents and predict waits from the work that goes first

Cause: after a restart of everything each partition waited 2.9 s for agents that were taken away long before (their registrations lived 8 s), and admission compared a job with all waiting work, although later deadlines go after it. Change: an agent that has drained says so and withdraws its registration; registrations expire after 4.5 s and are restored by entries that still reach the agent; the predicted wait counts work with an earlier latest start, and work that waits at agents. Runs are moved from sound workers only beyond 6 times the estimate.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -70,7 +70,13 @@
         // Runs that are left go on under the worker's lease until the next process of this instance finds
         // them.
         m_log.always(now, "agent_drained", {{"runs", m_keeper.runCount()}});
-        onDone();
+        if (!m_keeper.isIdle()) {
+            onDone();
+            return;
+        }
+        for (const auto &[number, entry] : m_entries)
+            entry.link->send(fleet::LeavingT());
+        m_registration.withdraw(std::move(onDone));
         return;
     }
     m_timers.after(drainCheckInterval, [this, deadline, onDone] { checkDrained(deadline, onDone); });
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -18,7 +18,7 @@
 constexpr Millis redialTimeout = {250};
 // An agent that was not reached for this long is taken out of the list of members; it registers again if it
 // lives.
-constexpr Millis memberExpiry = {8'000};
+constexpr Millis memberExpiry = {4'500};
 // An agent that could not be reached for this long since it was first heard of holds no runs.
 constexpr Millis agentForgottenAfter = {6'000};
 
@@ -39,7 +39,7 @@
                .onClosed = [this](uint32_t) { sendReport(); }})
     , m_members(store, io, log,
                 {.onMember = [this](const Member &member) { memberFound(member); },
-                 .onRemoved = [this](const std::string &name) { m_contacts.erase(name); }})
+                 .onRemoved = [this](const std::string &name) { memberRemoved(name); }})
     , m_registration({.identity = m_self, .address = settings.peerListen}, store, io, log)
     , m_listener(
           io, settings.peerListen,
@@ -102,6 +102,21 @@
         dial(member.identity.name);
 }
 
+void EntryNode::memberRemoved(const std::string &name)
+{
+    const auto contact = m_contacts.find(name);
+    if (contact == m_contacts.end())
+        return;
+    const auto number = m_agentNumbers.find(name);
+    const bool lives = number != m_agentNumbers.end() && m_agents.at(number->second).link
+        && !m_agents.at(number->second).leaving;
+    // Another entry has lost this agent and has taken it out of the list.
+    if (lives)
+        m_members.restore(contact->second.member);
+    else
+        m_contacts.erase(contact);
+}
+
 void EntryNode::dial(const std::string &name)
 {
     const auto found = m_contacts.find(name);
@@ -178,6 +193,7 @@
     agent.link = link;
     agent.incarnation = hello.incarnation;
     agent.goneAt.reset();
+    agent.leaving = false;
     agent.lastConnected = Clock::now();
     for (const fleet::OwnedPartitionT &owned : m_book.owned()) {
         if (owned.ready)
@@ -198,6 +214,12 @@
         agent.link.reset();
         agent.goneAt = std::max(link->lastPongSent(), now - agentGoneAfter) + agentGoneAfter;
         agent.lastConnected = now;
+        // An agent that has drained leaves nothing behind.
+        if (agent.leaving) {
+            agent.goneAt = now;
+            agent.lastConnected = now - agentForgottenAfter;
+            agent.firstSeen = agent.lastConnected;
+        }
         m_book.agentDisconnected(number->second);
         m_pool.remove(number->second);
     } else if (const auto peer = m_peers.find(name); peer != m_peers.end() && peer->second.link == link) {
@@ -288,7 +310,9 @@
 {
     const Millis now = Clock::now();
     bool roomChanged = true;
-    if (fleet::WorkerReportT *report = envelope.body.AsWorkerReport()) {
+    if (envelope.body.AsLeaving()) {
+        m_agents.at(agent).leaving = true;
+    } else if (fleet::WorkerReportT *report = envelope.body.AsWorkerReport()) {
         m_pool.report(agent, toWorkerState(*report));
     } else if (const fleet::RunEndT *end = envelope.body.AsRunEnd()) {
         m_book.runEnded(agent, toAgentEnd(*end), now);
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -63,6 +63,8 @@
         std::optional<Millis> goneAt;
         Millis firstSeen;
         Millis lastConnected;
+        // The agent has said that it ends and that nothing runs on its worker.
+        bool leaving = false;
     };
 
     struct Peer
@@ -95,6 +97,7 @@
 
     // --- entrynode.cpp: connections ---
     void memberFound(const Member &member);
+    void memberRemoved(const std::string &name);
     void dial(const std::string &name);
     void connected(const NodeLinkPtr &link, const std::string &dialledName);
     void introduce(const NodeLinkPtr &link, const fleet::HelloT &hello);
--- a/src/fleet/memberlist.cpp
+++ b/src/fleet/memberlist.cpp
@@ -68,6 +68,12 @@
     });
 }
 
+void Registration::withdraw(std::function<void()> onDone)
+{
+    m_store.append({.topic = membersTopic, .records = {{.key = m_self.identity.name}}}, registrationTimeout,
+                   [onDone = std::move(onDone)](const AppendAnswer &) { onDone(); });
+}
+
 MemberList::MemberList(StoreApi &store, IoContext &io, StructuredLog &log, Handlers handlers)
     : m_handlers(std::move(handlers))
     , m_store(store)
@@ -87,13 +93,23 @@
                   .onSynced = [this] { m_synced = true; }})
 { }
 
-void MemberList::remove(const std::string &name)
+void MemberList::write(const std::string &name, std::string value)
 {
-    m_store.append({.topic = membersTopic, .records = {{.key = name}}}, registrationTimeout,
-                   [this, name](const AppendAnswer &answer) {
+    m_store.append({.topic = membersTopic, .records = {{.key = name, .value = std::move(value)}}},
+                   registrationTimeout, [this, name](const AppendAnswer &answer) {
                        if (answer.status != StoreStatus::Done)
-                           m_log.always(Clock::now(), "registration_not_removed", {{"name", name}});
+                           m_log.always(Clock::now(), "registration_not_changed", {{"name", name}});
                    });
 }
 
+void MemberList::remove(const std::string &name)
+{
+    write(name, {});
+}
+
+void MemberList::restore(const Member &member)
+{
+    write(member.identity.name, encodeMember(member));
+}
+
 } // namespace turmericwell
--- a/src/fleet/memberlist.h
+++ b/src/fleet/memberlist.h
@@ -28,6 +28,8 @@
 public:
     Registration(Member self, StoreApi &store, IoContext &io, StructuredLog &log);
     void start();
+    // Takes the registration back, in one try.
+    void withdraw(std::function<void()> onDone);
 
 private:
     Member m_self;
@@ -49,12 +51,15 @@
 
     MemberList(StoreApi &store, IoContext &io, StructuredLog &log, Handlers handlers);
     void start() { m_follower.start(); }
-    // Deletes a registration; one try.
+    // Deletes a registration, or makes it again on behalf of a process that lives; one try each.
     void remove(const std::string &name);
+    void restore(const Member &member);
     // All registrations have been read at least once.
     bool isSynced() const { return m_synced; }
 
 private:
+    void write(const std::string &name, std::string value);
+
     const Handlers m_handlers;
     StoreApi &m_store;
     StructuredLog &m_log;
--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -181,7 +181,7 @@
     return {};
 }
 
-Millis JobBook::predictedWait(const JobSpec &spec) const
+Millis JobBook::predictedWait(const JobSpec &spec, Millis latestStart) const
 {
     const int64_t capacity = m_pool.capacityMilli(spec.service);
     if (capacity <= 0)
@@ -192,8 +192,16 @@
     // Work that waits beside free room waits for something else than room.
     if (m_pool.freeMilli(spec.service) - m_waitingCpuMilli >= needed)
         return {0};
-    const int64_t waiting = m_waitingCpuMs + m_peersWaitingCpuMs;
-    return {waiting * 1'000 / capacity};
+    int64_t first = 0;
+    for (const auto &[key, id] : m_punctual) {
+        if (key > latestStart)
+            break;
+        first += waitingCpuMs(m_jobs.at(id));
+    }
+    // The other entries' queues are taken to be composed like this one.
+    const int64_t peers =
+        m_waitingCpuMs > 0 ? m_peersWaitingCpuMs * first / m_waitingCpuMs : m_peersWaitingCpuMs;
+    return {(first + peers + m_pool.queuedCpuMs(spec.service)) * 1'000 / capacity};
 }
 
 std::optional<JobReply> JobBook::refusal(const JobSpec &spec, Millis now)
@@ -211,11 +219,11 @@
             return reply;
         }
     }
-    const Millis wait = predictedWait(spec);
     int64_t chain = 0;
     for (const auto &step : spec.steps)
         chain = std::max<int64_t>(chain, m_runTimes.estimateMs(spec.queue, step->estimate_ms));
     const Millis slack = objective(spec) - Millis{chain} - dispatchOverhead;
+    const Millis wait = predictedWait(spec, now + slack);
     if (wait <= slack)
         return std::nullopt;
     reply.reason = "the waiting work would make the job late";
@@ -458,8 +466,9 @@
     stopRuns(job);
     for (const UnstoredEnd &end : job.unstoredEnds)
         m_effects.endStored(end.agent, end.run);
-    const JobReply reply = job.givenUp ? JobReply{.status = fleet::CallStatus::Unknown, .reason = "not done in time"}
-                                       : JobReply{.status = fleet::CallStatus::Done, .phase = job.phase};
+    const JobReply reply = job.givenUp
+        ? JobReply{.status = fleet::CallStatus::Unknown, .reason = "not done in time"}
+        : JobReply{.status = fleet::CallStatus::Done, .phase = job.phase};
     if (job.givenUp) {
         // Until its runs have ended, a new submission of the job has to wait for them.
         for (const Task &task : job.tasks) {
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -253,7 +253,9 @@
 
     // --- jobbook.cpp: calls of clients ---
     std::optional<JobReply> refusal(const JobSpec &spec, Millis now);
-    Millis predictedWait(const JobSpec &spec) const;
+    // Time until the job's tasks would be started, given the work that goes first.
+    Millis predictedWait(const JobSpec &spec, Millis latestStart) const;
+    int64_t waitingCpuMs(const Job &job) const;
     Job &addJob(JobSpec spec, uint32_t partition, Millis now);
     void writeRecord(Job &job, Millis now);
     void recordStored(JobId id, uint32_t partition, uint64_t epoch, JobPhase phase,
--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -15,6 +15,8 @@
 constexpr Millis runCheckInterval = {30};
 // A run counts as slow beyond this multiple of its estimate. Estimates are off by tens of percent.
 constexpr double slowRunFactor = 2.5;
+// Beyond this multiple it is moved even from a worker that seems sound.
+constexpr double longRunFactor = 6;
 constexpr Millis leastSlowRun = {80};
 constexpr uint32_t mostMoves = 3;
 constexpr Millis purgeInterval = {1'000};
@@ -177,6 +179,18 @@
     return all;
 }
 
+int64_t JobBook::waitingCpuMs(const Job &job) const
+{
+    int64_t amount = 0;
+    for (const Task &task : job.tasks) {
+        const StepSpec &step = *job.spec.steps[task.step];
+        if (task.phase == TaskPhase::Waiting)
+            amount +=
+                int64_t{step.cpu_milli} * m_runTimes.estimateMs(job.spec.queue, step.estimate_ms) / 1'000;
+    }
+    return amount;
+}
+
 void JobBook::dispatch(Millis now)
 {
     uint32_t unplaced = 0;
@@ -198,34 +212,31 @@
     m_waitingCpuMilli = 0;
     for (const auto &[key, id] : m_punctual) {
         const Job &job = m_jobs.at(id);
+        m_waitingCpuMs += waitingCpuMs(job);
         for (const Task &task : job.tasks) {
-            const StepSpec &step = *job.spec.steps[task.step];
-            if (task.phase != TaskPhase::Waiting)
-                continue;
-            m_waitingCpuMilli += step.cpu_milli;
-            m_waitingCpuMs +=
-                int64_t{step.cpu_milli} * m_runTimes.estimateMs(job.spec.queue, step.estimate_ms) / 1'000;
+            if (task.phase == TaskPhase::Waiting)
+                m_waitingCpuMilli += job.spec.steps[task.step]->cpu_milli;
         }
     }
 }
 
-// Load pattern: workers that turn slow or stand still while they run tasks. A run that takes a multiple of its estimate
-// is stopped and started elsewhere, if a sound worker has room. The limit doubles with each move, so that a task that is
-// long by itself keeps its place.
+// Load pattern: workers that turn slow or stand still while they run tasks. A run that takes a multiple of
+// its estimate is stopped and started elsewhere, if a sound worker has room. The limit doubles with each
+// move, so that a task that is long by itself keeps its place.
 void JobBook::checkRun(Job &job, Task &task, Millis now)
 {
     const StepSpec &step = *job.spec.steps[task.step];
     const uint32_t estimate = std::max(1U, m_runTimes.estimateMs(job.spec.queue, step.estimate_ms));
     const Millis elapsed = now - task.startedAt;
     const double timesEstimate = static_cast<double>(elapsed.count) / estimate;
-    const double limit = slowRunFactor * static_cast<double>(1U << task.moves);
-    if (timesEstimate < limit || elapsed < leastSlowRun)
+    if (timesEstimate < slowRunFactor || elapsed < leastSlowRun)
         return;
     if (!task.slowReported) {
         task.slowReported = true;
         m_pool.runPace(task.agent, timesEstimate, now);
     }
-    if (task.moves >= mostMoves)
+    const double factor = m_pool.slowness(task.agent, now) > 1 ? slowRunFactor : longRunFactor;
+    if (task.moves >= mostMoves || timesEstimate < factor * static_cast<double>(1U << task.moves))
         return;
     const PlacementNeeds needs{.service = job.spec.service,
                                .size = {step.cpu_milli, step.memory_mb, step.accelerators},
@@ -265,7 +276,8 @@
 {
     std::vector<JobId> expired;
     for (const auto &[id, job] : m_jobs) {
-        if (job.spec.best_effort && job.phase == JobPhase::Active && now >= job.expiresAt && !job.recordInFlight)
+        if (job.spec.best_effort && job.phase == JobPhase::Active && now >= job.expiresAt
+            && !job.recordInFlight)
             expired.push_back(id);
     }
     for (const JobId id : expired) {
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -67,7 +67,8 @@
 
 double WorkerPool::slowness(const Worker &worker, Millis now)
 {
-    const double age = static_cast<double>((now - worker.paceAt).count) / static_cast<double>(paceHalfLife.count);
+    const double age =
+        static_cast<double>((now - worker.paceAt).count) / static_cast<double>(paceHalfLife.count);
     const double pace = 1 + (worker.pace - 1) * std::exp2(-age);
     return pace < leastSlowness ? 1 : pace;
 }
@@ -96,7 +97,8 @@
         }
         const double slow = slowness(worker, now);
         if (slow > 1 && needs.slack.count > 0
-            && static_cast<double>(needs.estimate.count) * (slow - 1) > static_cast<double>(needs.slack.count))
+            && static_cast<double>(needs.estimate.count) * (slow - 1)
+                > static_cast<double>(needs.slack.count))
             continue;
         // Jitter keeps entries with the same view from choosing the same worker.
         double score =
@@ -167,6 +169,16 @@
     return total;
 }
 
+int64_t WorkerPool::queuedCpuMs(std::string_view service) const
+{
+    int64_t total = 0;
+    for (const auto &[agent, worker] : m_workers) {
+        if (admissible(worker, {.service = service}))
+            total += worker.state.queuedCpuMs;
+    }
+    return total;
+}
+
 bool WorkerPool::canEverHold(const PlacementNeeds &needs) const
 {
     return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &item) {
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -75,8 +75,8 @@
     uint32_t workerLimit = 0;
     // Tasks of the same step by agent, for workerLimit. May be null.
     const std::map<AgentNumber, uint32_t> *siblings = nullptr;
-    // Expected run time, and how much longer it may take for the job to be in time. Workers that are known to be slower
-    // than that are left out; 0 for no limit.
+    // Expected run time, and how much longer it may take for the job to be in time. Workers that are known to
+    // be slower than that are left out; 0 for no limit.
     Millis estimate;
     Millis slack;
     // Agents that may be chosen; null for all.
@@ -105,6 +105,8 @@
     // Processor room of all usable workers of a service.
     int64_t capacityMilli(std::string_view service) const;
     int64_t freeMilli(std::string_view service) const;
+    // Work that waits at the agents, in core-milliseconds.
+    int64_t queuedCpuMs(std::string_view service) const;
     // Whether any usable worker could hold the task when empty.
     bool canEverHold(const PlacementNeeds &needs) const;
     const WorkerState *find(AgentNumber agent) const;
