Refuse earlier under overload and let a few orders wait at agents

Cause: estimates of a job's slack are off by tens of percent, so jobs admitted up to their whole slack ended late and took the room of others; and a slot that became free stayed empty until an entry had heard of it and its order arrived. Change: a job is refused when its predicted wait takes more than 30% of its slack; orders for 10% of a worker's processors may wait at its agent. Both are settings.

--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -32,7 +32,7 @@
              .zone = settings.zone}
     , m_log(log)
     , m_timers(io)
-    , m_book({.partitions = settings.partitions}, m_pool, *this, log)
+    , m_book({.partitions = settings.partitions, .admissionSlackPercent = settings.admissionSlackPercent}, m_pool, *this, log)
     , m_owner({.member = settings.name, .memberTtl = std::max(settings.leastMemberTtl, Millis{1'000})}, store,
               io, log, m_book,
               {.onLoaded = [this](uint32_t partition) { partitionLoaded(partition); },
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -34,6 +34,8 @@
     FleetSettings settings = readCommon(reader);
     settings.clientListen = readAddress(reader, "clientListen");
     settings.readyListen = readAddress(reader, "readyListen");
+    settings.admissionSlackPercent = static_cast<uint32_t>(
+        reader.integer("admissionSlackPercent", settings.admissionSlackPercent, {.least = 1, .most = 1'000}));
     reader.finish();
     return settings;
 }
@@ -47,6 +49,8 @@
     FleetSettings settings = readCommon(reader);
     settings.controlListen = readAddress(reader, "controlListen");
     settings.worker = readAddress(reader, "worker");
+    settings.queueAllowancePercent = static_cast<uint32_t>(
+        reader.integer("queueAllowancePercent", settings.queueAllowancePercent, {.least = 0, .most = 100}));
     reader.finish();
     return settings;
 }
--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -224,7 +224,7 @@
         chain = std::max<int64_t>(chain, m_runTimes.estimateMs(spec.queue, step->estimate_ms));
     const Millis slack = objective(spec) - Millis{chain} - dispatchOverhead;
     const Millis wait = predictedWait(spec, now + slack);
-    if (wait <= slack)
+    if (wait <= slack * m_options.admissionSlackPercent / 100)
         return std::nullopt;
     reply.reason = "the waiting work would make the job late";
     reply.retryAfter = std::max(leastRetryAfter, wait);
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -100,6 +100,9 @@
     Millis unlocatedBound = {2'900};
     // Ends of unfinished jobs are stored after this delay, so that most jobs need one record for all ends.
     Millis progressDelay = {1'000};
+    // Share of a job's slack that the predicted wait may take. Estimates of the slack are off by tens of percent, and a
+    // job that ends late takes the room of one that would not.
+    uint32_t admissionSlackPercent = 30;
     // Ended jobs are remembered for this long.
     Millis retention = {150'000};
 };
--- a/src/worker/workerkeeper.cpp
+++ b/src/worker/workerkeeper.cpp
@@ -506,6 +506,7 @@
     Room free = capacity;
     free -= usedRoom();
     free -= queuedRoom();
+    free.cpuMilli += capacity.cpuMilli * m_options.queueAllowancePercent / 100;
     report.free_cpu_milli = static_cast<int32_t>(free.cpuMilli);
     report.free_memory_mb = static_cast<int32_t>(free.memoryMb);
     report.free_accelerators = static_cast<int32_t>(free.accelerators);
--- a/src/worker/workerkeeper.h
+++ b/src/worker/workerkeeper.h
@@ -65,6 +65,9 @@
     Millis ownerFreshness = {1'500};
     // Runs are stopped when their owner has not answered for this long.
     Millis ownerSilence = {1'600};
+    // Orders beyond the worker's room that may wait here, in percent of its processors: a slot that becomes free is then
+    // filled at once, and not only after the entries have heard of it.
+    uint32_t queueAllowancePercent = 10;
     // Orders beyond this many waiting ones are rejected.
     size_t mostQueued = 8;
 };
