Reach the store through peers and give up superseded partitions at once

A run that was being moved was stopped again at each check. Change: calls to the store that fail or are not answered soon go through a peer too; agents and peers tell a former owner of a higher epoch; orders that have waited 40 ms at an agent go back to the owner; a run is moved once.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -26,8 +26,10 @@
     , m_worker(worker)
     , m_log(log)
     , m_timers(io)
-    , m_keeper({.partitions = settings.partitions, .lease = settings.workerLease, .queueAllowancePercent = settings.queueAllowancePercent}, incarnation, Clock::now(),
-               *this, log)
+    , m_keeper({.partitions = settings.partitions,
+                .lease = settings.workerLease,
+                .queueAllowancePercent = settings.queueAllowancePercent},
+               incarnation, Clock::now(), *this, log)
     , m_registration({.identity = m_self, .address = settings.peerListen}, store, io, log)
     , m_listener(io, settings.peerListen, [this](const FrameLinkPtr &link) {
         accepted(std::make_shared<NodeLink>(m_io, link, m_self));
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -23,16 +23,18 @@
 constexpr Millis agentForgottenAfter = {6'000};
 
 EntryNode::EntryNode(IoContext &io, const FleetSettings &settings, uint64_t incarnation, StoreApi &store,
-                     StructuredLog &log)
+                     StoreTransport &transport, StructuredLog &log)
     : m_io(io)
     , m_settings(settings)
     , m_self{.name = settings.name,
              .incarnation = incarnation,
              .role = fleet::ProcessRole::Entry,
              .zone = settings.zone}
+    , m_transport(transport)
     , m_log(log)
     , m_timers(io)
-    , m_book({.partitions = settings.partitions, .admissionSlackPercent = settings.admissionSlackPercent}, m_pool, *this, log)
+    , m_book({.partitions = settings.partitions, .admissionSlackPercent = settings.admissionSlackPercent},
+             m_pool, *this, log)
     , m_owner({.member = settings.name, .memberTtl = std::max(settings.leastMemberTtl, Millis{1'000})}, store,
               io, log, m_book,
               {.onLoaded = [this](uint32_t partition) { partitionLoaded(partition); },
@@ -45,7 +47,11 @@
           io, settings.peerListen,
           [this](const FrameLinkPtr &link) { connected(std::make_shared<NodeLink>(m_io, link, m_self), {}); })
     , m_lastTick(Clock::now())
-{ }
+{
+    m_transport.setRelay([this](const HttpRequest &request, Millis timeout, StoreTransport::Done onDone) {
+        return relayStoreCall(request, timeout, std::move(onDone));
+    });
+}
 
 EntryNode::~EntryNode() = default;
 
@@ -268,7 +274,7 @@
     }
     report.waiting_cpu_ms = m_book.waitingCpuMs();
     report.stopping = m_stopping;
-    report.store_reachable = m_owner.storeWorks();
+    report.store_reachable = !m_transport.isDirectFailing();
     fleet::EnvelopeT envelope;
     envelope.body.Set(std::move(report));
     for (const auto &[name, peer] : m_peers)
@@ -324,7 +330,7 @@
     } else if (const fleet::ClaimReportT *claim = envelope.body.AsClaimReport()) {
         if (!claim->accepted) {
             m_log.always(now, "claim_superseded", {{"partition", claim->partition}, {"epoch", claim->epoch}});
-            m_owner.joinSoon();
+            m_owner.superseded(claim->partition, claim->epoch);
             return;
         }
         std::vector<RunId> running;
@@ -353,10 +359,15 @@
                   .running = answer->running,
                   .retryAfter = {answer->retry_after_ms},
                   .reason = answer->reason});
+    } else if (fleet::StoreRelayT *relay = envelope.body.AsStoreRelay()) {
+        performStoreRelay(link, *relay);
+    } else if (fleet::StoreRelayAnswerT *relayed = envelope.body.AsStoreRelayAnswer()) {
+        storeRelayAnswered(*relayed);
     } else if (fleet::EntryReportT *report = envelope.body.AsEntryReport()) {
         const auto peer = m_peers.find(link->peer().node);
         if (peer == m_peers.end() || peer->second.link != link)
             return;
+        closeSuperseded(*report);
         const bool hasStopped =
             report->stopping && report->partitions.empty() && !peer->second.report.partitions.empty();
         peer->second.report = std::move(*report);
@@ -366,6 +377,15 @@
     }
 }
 
+void EntryNode::closeSuperseded(const fleet::EntryReportT &report)
+{
+    for (const auto &owned : report.partitions) {
+        const std::optional<uint64_t> own = m_book.epochOf(owned->partition);
+        if (own && *own < owned->epoch)
+            m_owner.superseded(owned->partition, *own);
+    }
+}
+
 void EntryNode::notePeersWaiting()
 {
     int64_t waiting = 0;
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -8,6 +8,7 @@
 #include "fleet/nodelink.h"
 #include "fleet/partitionowner.h"
 #include "jobs/jobbook.h"
+#include "store/storetransport.h"
 
 #include <map>
 #include <memory>
@@ -28,7 +29,7 @@
 {
 public:
     EntryNode(IoContext &io, const FleetSettings &settings, uint64_t incarnation, StoreApi &store,
-              StructuredLog &log);
+              StoreTransport &transport, StructuredLog &log);
     ~EntryNode() override;
 
     void start();
@@ -112,11 +113,18 @@
     void tick();
     void noteAgents(Millis now);
     void notePeersWaiting();
+    // Gives up partitions that a peer owns with a higher epoch.
+    void closeSuperseded(const fleet::EntryReportT &report);
     // Ends the membership of an entry that cannot be reached, so that its partitions find a new owner soon. A
     // mistake is harmless: the entry joins again, and epochs keep its writes apart.
     void checkLostEntry(const std::string &name);
     void expireMembers(Millis now);
 
+    // --- storerelay.cpp: calls to the store by way of another entry ---
+    bool relayStoreCall(const HttpRequest &request, Millis timeout, StoreTransport::Done onDone);
+    void performStoreRelay(const NodeLinkPtr &link, fleet::StoreRelayT &message);
+    void storeRelayAnswered(fleet::StoreRelayAnswerT &message);
+
     // --- entrycalls.cpp: calls of clients ---
     void route(uint64_t id);
     void perform(JobCall &call, JobReplyHandler onDone);
@@ -129,6 +137,7 @@
     IoContext &m_io;
     const FleetSettings m_settings;
     const NodeIdentity m_self;
+    StoreTransport &m_transport;
     StructuredLog &m_log;
     Timers m_timers;
     WorkerPool m_pool;
@@ -144,6 +153,9 @@
     std::map<std::string, Peer> m_peers;
     std::map<uint64_t, PendingCall> m_calls;
     uint64_t m_nextCall = 1;
+    // Calls to the store that a peer makes for this entry.
+    std::map<uint64_t, StoreTransport::Done> m_storeRelays;
+    uint64_t m_nextStoreRelay = 1;
     bool m_stopping = false;
     Millis m_lastTick;
     // After a pause of the process nothing is ordered until the store has confirmed the ownership again.
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -28,9 +28,11 @@
     Millis drainTime;
     Millis stopGrace;
     uint32_t logLinesPerSecond = 800;
-    // Entries: share of a job's slack, in percent, that the predicted wait may take before the job is refused.
+    // Entries: share of a job's slack, in percent, that the predicted wait may take before the job is
+    // refused.
     uint32_t admissionSlackPercent = 30;
-    // Agents: orders beyond the worker's room that may wait at the agent, in percent of the worker's processors.
+    // Agents: orders beyond the worker's room that may wait at the agent, in percent of the worker's
+    // processors.
     uint32_t queueAllowancePercent = 10;
 };
 
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -71,14 +71,7 @@
             .topic = jobsTopic, .partition = partition, .producer = producerName, .epoch = epoch},
         m_store, m_io, m_log);
     owned.queue->onFenced = [this, partition, epoch] {
-        m_timers.after({0}, [this, partition, epoch] {
-            const auto found = m_owned.find(partition);
-            if (found == m_owned.end() || found->second.epoch != epoch)
-                return;
-            m_fencedEpochs[partition] = epoch;
-            close(partition);
-            m_group.joinSoon();
-        });
+        m_timers.after({0}, [this, partition, epoch] { superseded(partition, epoch); });
     };
     m_book.openPartition(partition, epoch);
     owned.queue->open([this, partition, epoch](AppendOutcome outcome) {
@@ -153,10 +146,14 @@
                              });
 }
 
-bool PartitionOwner::storeWorks() const
+void PartitionOwner::superseded(uint32_t partition, uint64_t epoch)
 {
-    return std::none_of(m_owned.begin(), m_owned.end(),
-                        [](const auto &item) { return item.second.queue->isFailing(); });
+    const auto found = m_owned.find(partition);
+    if (found == m_owned.end() || found->second.epoch != epoch)
+        return;
+    m_fencedEpochs[partition] = epoch;
+    close(partition);
+    m_group.joinSoon();
 }
 
 void PartitionOwner::expel(const std::string &member)
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -35,6 +35,8 @@
     void start();
     // A peer has given up its partitions, or may have.
     void joinSoon() { m_group.joinSoon(); }
+    // Another entry owns the partition with a higher epoch.
+    void superseded(uint32_t partition, uint64_t epoch);
     // Ends the membership of another entry.
     void expel(const std::string &member);
     // Stores what is waiting, then gives up all partitions.
@@ -42,7 +44,6 @@
     void store(uint32_t partition, JobId job, std::string record, bool mayDrop,
                std::function<void(StoreOutcome, Millis)> onDone);
     Millis lastConfirmed() const { return m_group.lastConfirmed(); }
-    bool storeWorks() const;
 
 private:
     struct Owned
--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -139,6 +139,7 @@
     job.anyOrdered = true;
     task.phase = TaskPhase::Ordered;
     task.agent = *agent;
+    task.stopOrdered = false;
     task.run = std::max(task.run, job.runBase) + 1;
     m_pool.orderSent(*agent, size);
     const RunId run = runId(job, task);
@@ -233,10 +234,10 @@
         return;
     if (!task.slowReported) {
         task.slowReported = true;
-        m_pool.runPace(task.agent, timesEstimate, now);
+        m_pool.runPace(task.agent, slowRunFactor, now);
     }
     const double factor = m_pool.slowness(task.agent, now) > 1 ? slowRunFactor : longRunFactor;
-    if (task.moves >= mostMoves || timesEstimate < factor * static_cast<double>(1U << task.moves))
+    if (task.stopOrdered || task.moves >= mostMoves || timesEstimate < factor * static_cast<double>(1U << task.moves))
         return;
     const PlacementNeeds needs{.service = job.spec.service,
                                .size = {step.cpu_milli, step.memory_mb, step.accelerators},
@@ -246,6 +247,7 @@
     if (!other || *other == task.agent || m_pool.slowness(*other, now) > 1)
         return;
     ++task.moves;
+    task.stopOrdered = true;
     m_log.write(now, "run_moved",
                 {{"job", jobIdText(job.spec.id)},
                  {"task", taskIdText(runId(job, task).task)},
--- a/src/store/appendqueue.h
+++ b/src/store/appendqueue.h
@@ -50,8 +50,6 @@
     std::function<void()> onFenced;
 
     bool isIdle() const { return m_batch.empty() && m_waiting.empty(); }
-    // True while appends fail.
-    bool isFailing() const { return m_failures > 0; }
 
 private:
     struct Item
--- /dev/null
+++ b/src/store/storetransport.cpp
@@ -0,0 +1,128 @@
+// Direct and relayed tries of one call.
+#include "store/storetransport.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+constexpr size_t directConnections = 24;
+// A call that is not answered this long before its timeout is sent through a peer too.
+constexpr Millis relayTime = {400};
+constexpr Millis leastPatience = {150};
+// While direct calls fail, one is tried this often.
+constexpr Millis probeInterval = {300};
+constexpr int statusTooMany = 429;
+constexpr int statusUnavailable = 503;
+
+struct StoreTransport::Call
+{
+    HttpRequest request;
+    Millis timeout;
+    Done onDone;
+    uint32_t outstanding = 0;
+    bool relayed = false;
+    // A try may have been carried out although it was not answered.
+    bool uncertain = false;
+    HttpResult lastFailure;
+};
+
+static bool isUseful(const HttpResult &result)
+{
+    return result.response && result.response->status != statusUnavailable
+        && result.response->status != statusTooMany;
+}
+
+StoreTransport::StoreTransport(IoContext &io, const Address &store, StructuredLog &log)
+    : m_client(io, store, {.maxConnections = directConnections})
+    , m_timers(io)
+    , m_log(log)
+{ }
+
+void StoreTransport::direct(HttpRequest request, Millis timeout, Done onDone)
+{
+    m_client.request(std::move(request), timeout,
+                     [this, guard = m_timers.guard(), onDone = std::move(onDone)](const HttpResult &result) {
+                         if (!guard.expired())
+                             noteDirect(isUseful(result), result);
+                         onDone(result);
+                     });
+}
+
+void StoreTransport::noteDirect(bool works, const HttpResult &result)
+{
+    if (works != m_directFailing)
+        return;
+    m_directFailing = !works;
+    const int status = result.response ? result.response->status : 0;
+    m_log.always(Clock::now(), works ? "store_reached_directly" : "store_not_reached_directly",
+                 {{"status", status}, {"error", result.error}});
+}
+
+void StoreTransport::request(HttpRequest request, Millis timeout, Done onDone)
+{
+    auto call = std::make_shared<Call>();
+    call->request = std::move(request);
+    call->timeout = timeout;
+    call->onDone = std::move(onDone);
+    const Millis now = Clock::now();
+    if (m_directFailing) {
+        sendRelayed(call);
+        if (call->relayed && now < m_nextProbe)
+            return;
+        m_nextProbe = now + probeInterval;
+    }
+    sendDirect(call);
+    if (call->relayed)
+        return;
+    m_timers.after(std::max(leastPatience, timeout - relayTime), [this, call] {
+        if (call->onDone)
+            sendRelayed(call);
+    });
+}
+
+void StoreTransport::sendDirect(const std::shared_ptr<Call> &call)
+{
+    ++call->outstanding;
+    direct(call->request, call->timeout, [this, call, guard = m_timers.guard()](const HttpResult &result) {
+        if (!guard.expired())
+            finished(call, result);
+    });
+}
+
+void StoreTransport::sendRelayed(const std::shared_ptr<Call> &call)
+{
+    if (call->relayed || !m_relay)
+        return;
+    call->relayed = m_relay(call->request, call->timeout,
+                            [this, call, guard = m_timers.guard()](const HttpResult &result) {
+                                if (!guard.expired())
+                                    finished(call, result);
+                            });
+    if (call->relayed)
+        ++call->outstanding;
+}
+
+void StoreTransport::finished(const std::shared_ptr<Call> &call, const HttpResult &result)
+{
+    --call->outstanding;
+    if (!call->onDone)
+        return;
+    if (isUseful(result)) {
+        std::exchange(call->onDone, {})(result);
+        return;
+    }
+    call->uncertain = call->uncertain || (!result.response && result.sent);
+    call->lastFailure = result;
+    if (!call->relayed)
+        sendRelayed(call);
+    if (call->outstanding > 0)
+        return;
+    // A refusal of one try does not show that another one was not carried out.
+    if (call->uncertain) {
+        call->lastFailure.response.reset();
+        call->lastFailure.sent = true;
+    }
+    std::exchange(call->onDone, {})(call->lastFailure);
+}
+
+} // namespace turmericwell
--- a/src/worker/workerkeeper.cpp
+++ b/src/worker/workerkeeper.cpp
@@ -176,16 +176,16 @@
 {
     Owner &owner = m_owners[partition];
     if (epoch < owner.epoch) {
-        fleet::ClaimReportT report;
-        report.partition = partition;
-        report.epoch = epoch;
         m_log.always(now, "claim_rejected",
                      {{"partition", partition}, {"epoch", epoch}, {"known", owner.epoch}});
-        m_effects.tellClaim(entry, report);
+        rejectClaim(entry, partition, epoch);
         return;
     }
     m_log.always(now, "claim_accepted",
                  {{"partition", partition}, {"epoch", epoch}, {"before", owner.epoch}});
+    // A former owner that cannot reach the store does not know otherwise.
+    if (owner.entry && *owner.entry != entry && owner.epoch < epoch)
+        rejectClaim(*owner.entry, partition, owner.epoch);
     owner.epoch = epoch;
     owner.entry = entry;
     owner.lastContact = std::max(owner.lastContact, m_contacts[entry]);
@@ -198,6 +198,14 @@
     reportClaims(now);
 }
 
+void WorkerKeeper::rejectClaim(EntryNumber entry, uint32_t partition, uint64_t epoch)
+{
+    fleet::ClaimReportT report;
+    report.partition = partition;
+    report.epoch = epoch;
+    m_effects.tellClaim(entry, report);
+}
+
 void WorkerKeeper::reportClaims(Millis now)
 {
     if (!m_listsKnown)
@@ -467,6 +475,25 @@
     rejectQueued(RejectReason::Draining, now);
 }
 
+// Load pattern: long tasks keep one worker full while slots become free elsewhere. An order that has waited
+// goes back to its owner, which knows the room of all workers.
+void WorkerKeeper::returnWaiting(Millis now)
+{
+    for (auto item = m_runs.begin(); item != m_runs.end();) {
+        const Run &run = item->second;
+        if (run.phase != RunPhase::Queued || now - run.orderedAt < m_options.mostQueueTime) {
+            ++item;
+            continue;
+        }
+        const RunId id = item->first;
+        const Owner &owner = ownerOf(id);
+        if (owner.entry)
+            m_effects.tellRejected(*owner.entry, id, RejectReason::NoRoom);
+        item = m_runs.erase(item);
+        m_reportChanged = true;
+    }
+}
+
 void WorkerKeeper::advance(Millis now)
 {
     if (!m_listsKnown && now > m_leaseEnd) {
@@ -477,6 +504,7 @@
     if (now > m_leaseEnd && !m_runs.empty())
         loseRuns("lease lapsed", now);
     checkOwners(now);
+    returnWaiting(now);
     for (auto &[id, run] : m_runs) {
         if (run.phase == RunPhase::Stopping && now >= run.nextStop)
             sendStop(run, now);
--- a/src/worker/workerkeeper.h
+++ b/src/worker/workerkeeper.h
@@ -65,9 +65,11 @@
     Millis ownerFreshness = {1'500};
     // Runs are stopped when their owner has not answered for this long.
     Millis ownerSilence = {1'600};
-    // Orders beyond the worker's room that may wait here, in percent of its processors: a slot that becomes free is then
-    // filled at once, and not only after the entries have heard of it.
+    // Orders beyond the worker's room that may wait here, in percent of its processors: a slot that becomes
+    // free is then filled at once, and not only after the entries have heard of it.
     uint32_t queueAllowancePercent = 10;
+    // An order that has waited this long goes back to its owner.
+    Millis mostQueueTime = {40};
     // Orders beyond this many waiting ones are rejected.
     size_t mostQueued = 8;
 };
@@ -158,6 +160,8 @@
     void sendStop(Run &run, Millis now);
     void rejectQueued(RejectReason reason, Millis now);
     void checkOwners(Millis now);
+    void returnWaiting(Millis now);
+    void rejectClaim(EntryNumber entry, uint32_t partition, uint64_t epoch);
     void reportClaims(Millis now);
     Owner &ownerOf(const RunId &run);
 
--- a/tests/unit/jobbooktest.cpp
+++ b/tests/unit/jobbooktest.cpp
@@ -255,19 +255,62 @@
 }
 
 // Guards against jobs that stay on a worker that has turned slow while a sound one has room.
-BOOST_FIXTURE_TEST_CASE(slowRunIsMovedToASoundWorker, JobBookFixture)
+BOOST_FIXTURE_TEST_CASE(slowRunsAreMovedToASoundWorker, JobBookFixture)
 {
     load();
-    submit(job(1, 1, true));
+    pool.report(2, workerWith(0));
+    submit(job(1, 2, true));
     startAll();
-    const auto first = effects.starts[0];
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    pool.report(2, workerWith(4'000));
     now += Millis{260};
     book.advance(now);
-    BOOST_TEST_REQUIRE(effects.stops.size() == 1U);
-    BOOST_TEST(effects.starts.size() == 1U);
-    end(first, EndKind::Stopped);
-    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
-    BOOST_TEST(effects.starts[1].agent != first.agent);
+    now += Millis{40};
+    book.advance(now);
+    BOOST_TEST_REQUIRE(effects.stops.size() == 2U);
+    BOOST_TEST(effects.starts.size() == 2U);
+    end(effects.starts[0], EndKind::Stopped);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 3U);
+    BOOST_TEST(effects.starts[2].agent == 2U);
+}
+
+// Guards against work that is thrown away because one task takes longer than declared.
+BOOST_FIXTURE_TEST_CASE(longRunStaysOnASoundWorker, JobBookFixture)
+{
+    load();
+    submit(job(1, 1, true));
+    startAll();
+    now += Millis{500};
+    book.advance(now);
+    BOOST_TEST(effects.stops.empty());
+    now += Millis{110};
+    book.advance(now);
+    BOOST_TEST(effects.stops.size() == 1U);
+}
+
+// Guards against jobs that are admitted under overload and end late: 60 jobs ask for eight processors at once.
+BOOST_FIXTURE_TEST_CASE(overloadRefusesWhatWouldBeLate, JobBookFixture)
+{
+    load();
+    for (JobId id = 1; id <= 60; ++id)
+        submit(job(id, 4, true));
+    const auto refused = std::count_if(replies.begin(), replies.end(), [](const JobReply &reply) {
+        return reply.status == fleet::CallStatus::Refused;
+    });
+    // Two jobs run at once; 100 ms of work for each wave, and a slack of 100 ms of which 30% may be waited.
+    BOOST_TEST(refused >= 55);
+    BOOST_TEST(refused <= 57);
+    BOOST_TEST(replies[0].retryAfter.count >= 1'000);
+}
+
+// Guards against refusals while workers are free, because of work that waits for other reasons.
+BOOST_FIXTURE_TEST_CASE(freeRoomAdmitsWhateverWaits, JobBookFixture)
+{
+    load();
+    book.setPeersWaitingCpuMs(100'000);
+    submit(job(1, 4, true));
+    BOOST_TEST(replies.empty());
+    BOOST_TEST(effects.starts.size() == 4U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/workerkeepertest.cpp
+++ b/tests/unit/workerkeepertest.cpp
@@ -158,6 +158,28 @@
     BOOST_TEST(effects.starts.size() == 1U);
 }
 
+// Guards against an owner without the store that keeps jobs whose partition has another owner.
+BOOST_FIXTURE_TEST_CASE(formerOwnerIsToldOfTheNewClaim, WorkerKeeperFixture)
+{
+    keeper.entryConnected(2, now);
+    const size_t before = effects.claims.size();
+    keeper.claim(2, 0, 6, now);
+    BOOST_TEST_REQUIRE(effects.claims.size() == before + 2);
+    BOOST_TEST(!effects.claims[before]->accepted);
+    BOOST_TEST(effects.claims[before]->epoch == 5U);
+    BOOST_TEST(effects.claims[before + 1]->accepted);
+}
+
+// Guards against an order that waits behind long runs while other workers become free.
+BOOST_FIXTURE_TEST_CASE(waitingOrderGoesBackToItsOwner, WorkerKeeperFixture)
+{
+    for (JobId job = 1; job <= 5; ++job)
+        keeper.order(1, order(job), now);
+    pass({60});
+    BOOST_TEST_REQUIRE(effects.reasons.size() == 1U);
+    BOOST_TEST((effects.reasons[0] == RejectReason::NoRoom));
+}
+
 // Guards against a second run elsewhere while this one goes on: the owner counts on the stop.
 BOOST_FIXTURE_TEST_CASE(runsAreStoppedWhenTheirOwnerIsSilent, WorkerKeeperFixture)
 {
@@ -178,6 +200,7 @@
     for (JobId job = 1; job <= 5; ++job)
         keeper.order(1, order(job), now);
     keeper.startAnswered(order(1).run, OrderAnswer::Done, std::nullopt, now);
+    // The pause ends before any timer has run.
     now += Millis{5'000};
     answerHold({.ended = {{.number = 1, .run = order(1).run, .kind = EndKind::Done}}});
     BOOST_TEST(effects.starts.size() == 4U);
