--- a/src/cli/configlog.h
+++ b/src/cli/configlog.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "config/configstate.h"
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include <string>
 #include <vector>
--- a/src/cli/timelinecommand.cpp
+++ b/src/cli/timelinecommand.cpp
@@ -3,7 +3,7 @@
 #include "net/http.h"
 #include "observe/eventlog.h"
 #include "observe/timeline.h"
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 #include "turmericwell/fingerprint.h"
 
 #include <iostream>
--- a/src/entry/claimslog.h
+++ b/src/entry/claimslog.h
@@ -1,7 +1,7 @@
 // Fingerprints of accepted submissions in the claims stream: written in batches, read on a takeover.
 #pragma once
 
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 #include "turmericwell/fingerprint.h"
 #include "turmericwell/task.h"
 
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -118,8 +118,10 @@
         std::erase_if(m_accepted, [](const std::weak_ptr<FrameLink> &known) { return known.expired(); });
         m_accepted.push_back(link);
     }
+    // The link keeps its handlers until it is closed, so they must not keep the link.
     link->start({.onFrame =
-                     [this, link](std::span<const uint8_t> payload) {
+                     [this, weak = std::weak_ptr(link)](std::span<const uint8_t> payload) {
+                         const FrameLinkPtr link = weak.lock();
                          leaf::try_handle_all(
                              [&]() -> leaf::result<void> {
                                  BOOST_LEAF_AUTO(message, decodeMessage(payload));
@@ -130,7 +132,8 @@
                              [&] { link->close("bad message"); });
                      },
                  .onClosed =
-                     [this, link](const std::string &why) {
+                     [this, weak = std::weak_ptr(link)](const std::string &why) {
+                         const FrameLinkPtr link = weak.lock();
                          logger().debug("connection from " + link->remoteText() + " was closed: " + why);
                          m_agents.closed(link);
                          m_peers.closed(link);
--- a/src/entry/eventshipper.h
+++ b/src/entry/eventshipper.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "observe/eventlog.h"
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include <functional>
 #include <memory>
--- a/src/entry/logfollower.h
+++ b/src/entry/logfollower.h
@@ -1,7 +1,7 @@
 // Reads one stream of the log from an offset on, for ever.
 #pragma once
 
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
--- a/src/entry/peerhub.cpp
+++ b/src/entry/peerhub.cpp
@@ -70,8 +70,10 @@
         m_dialled[link] = address;
         m_heardAt[link] = Clock::now();
     }
+    // The link keeps its handlers until it is closed, so they must not keep the link.
     link->start({.onFrame =
-                     [this, link](std::span<const uint8_t> payload) {
+                     [this, weak = std::weak_ptr(link)](std::span<const uint8_t> payload) {
+                         const FrameLinkPtr link = weak.lock();
                          leaf::try_handle_all(
                              [&]() -> leaf::result<void> {
                                  BOOST_LEAF_AUTO(message, decodeMessage(payload));
@@ -81,7 +83,7 @@
                              [&](const CodecError &error) { link->close(error.detail); },
                              [&] { link->close("bad message"); });
                      },
-                 .onClosed = [this, link](const std::string &) { closed(link); }});
+                 .onClosed = [this, weak = std::weak_ptr(link)](const std::string &) { closed(weak.lock()); }});
     link->send(helloFrame());
 }
 
--- a/src/platform/logclient.cpp
+++ b/src/logservice/logclient.cpp
@@ -1,5 +1,5 @@
 // HTTP protocol of the log service.
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include <boost/json.hpp>
 
