Start new best-effort jobs before all agents have reported

Change: a submission that no entry has tried before starts at once, unless its run time comes near the delay after which clients submit again; agents stop runs 1.2 s after their owner's last sign (1.6 s before), the bound is 2.5 s (2.9 s).

--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -50,7 +50,8 @@
     const Millis now = Clock::now();
     switch (call.kind) {
     case fleet::CallKind::Submit:
-        m_book.submit(JobSpec(*call.spec), call.wait, now, std::move(onDone));
+        m_book.submit(JobSpec(*call.spec), {.wait = call.wait, .repeated = call.repeated}, now,
+                      std::move(onDone));
         return;
     case fleet::CallKind::Cancel:
         m_book.cancel(call.job, now, std::move(onDone));
@@ -69,6 +70,7 @@
     PendingCall &pending = found->second;
     const uint64_t attempt = ++pending.attempt;
     const uint32_t partition = partitionOf(pending.call.job, m_settings.partitions);
+    pending.call.repeated = pending.uncertain;
     if (m_book.isServing(partition)) {
         perform(pending.call,
                 [this, id, attempt](JobReply reply) { answered(id, attempt, std::move(reply)); });
@@ -94,6 +96,7 @@
     if (pending.call.spec)
         message.spec = std::make_unique<JobSpec>(*pending.call.spec);
     message.wait_ms = (pending.deadline - Clock::now()).count;
+    message.repeated = pending.uncertain;
     link->send(std::move(message));
 }
 
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -12,8 +12,8 @@
 // A process that was not scheduled for this long may have lost its ownership meanwhile.
 constexpr Millis pauseLimit = {700};
 // Runs on an agent without a connection end within this time after the last answer to its pings: the agent
-// stops the runs of a silent owner after 1.6 s, and a lease of 1 s on a slow clock may still be running.
-constexpr Millis agentGoneAfter = {2'900};
+// stops the runs of a silent owner after 1.2 s, and a lease of 1 s on a slow clock may still be running.
+constexpr Millis agentGoneAfter = {2'500};
 // Time that a lost entry gets to be reached again before its membership is ended on its behalf.
 constexpr Millis redialTimeout = {250};
 // An agent that was not reached for this long is taken out of the list of members; it registers again if it
@@ -33,7 +33,9 @@
     , m_transport(transport)
     , m_log(log)
     , m_timers(io)
-    , m_book({.partitions = settings.partitions, .admissionSlackPercent = settings.admissionSlackPercent},
+    , m_book({.partitions = settings.partitions,
+              .resubmitDelay = settings.resubmitDelay,
+              .admissionSlackPercent = settings.admissionSlackPercent},
              m_pool, *this, log)
     , m_owner({.member = settings.name, .memberTtl = std::max(settings.leastMemberTtl, Millis{1'000})}, store,
               io, log, m_book,
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -23,6 +23,8 @@
     std::unique_ptr<JobSpec> spec;
     // The caller gets an answer within this time.
     Millis wait;
+    // An earlier try of the call may have reached an owner.
+    bool repeated = false;
 };
 
 class EntryNode : public JobEffects
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -34,6 +34,8 @@
     FleetSettings settings = readCommon(reader);
     settings.clientListen = readAddress(reader, "clientListen");
     settings.readyListen = readAddress(reader, "readyListen");
+    settings.resubmitDelay =
+        reader.millis("resubmitDelayMs", settings.resubmitDelay, {.least = 0, .most = 600'000});
     settings.admissionSlackPercent = static_cast<uint32_t>(
         reader.integer("admissionSlackPercent", settings.admissionSlackPercent, {.least = 1, .most = 1'000}));
     reader.finish();
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -26,6 +26,8 @@
     Millis leastMemberTtl;
     Millis workerLease;
     Millis drainTime;
+    // Entries: a client submits a best-effort job again only this long after it got no answer.
+    Millis resubmitDelay = {1'300};
     Millis stopGrace;
     uint32_t logLinesPerSecond = 800;
     // Entries: share of a job's slack, in percent, that the predicted wait may take before the job is
--- a/src/fleet/nodelink.cpp
+++ b/src/fleet/nodelink.cpp
@@ -3,9 +3,9 @@
 
 namespace turmericwell {
 
-constexpr Millis pingInterval = {350};
+constexpr Millis pingInterval = {300};
 // Three pings; shorter than the time after which an agent stops the runs of a silent owner.
-constexpr Millis silenceLimit = {1'200};
+constexpr Millis silenceLimit = {1'050};
 
 NodeLink::NodeLink(IoContext &io, FrameLinkPtr link, const NodeIdentity &self)
     : m_timers(io)
--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -257,7 +257,7 @@
     return job;
 }
 
-void JobBook::submit(JobSpec spec, Millis wait, Millis now, JobReplyHandler onDone)
+void JobBook::submit(JobSpec spec, SubmitOptions options, Millis now, JobReplyHandler onDone)
 {
     const uint32_t partition = partitionOf(spec.id, m_options.partitions);
     if (!isServing(partition)) {
@@ -275,7 +275,7 @@
             onDone({.status = fleet::CallStatus::Done, .running = known->anyStarted});
         else
             known->submitters.push_back(std::move(onDone));
-        known->expiresAt = std::max(known->expiresAt, now + wait);
+        known->expiresAt = std::max(known->expiresAt, now + options.wait);
         return;
     }
     if (std::optional<JobReply> refused = refusal(spec, now)) {
@@ -283,7 +283,7 @@
         return;
     }
     if (spec.best_effort) {
-        acceptBestEffort(std::move(spec), partition, wait, now, std::move(onDone));
+        acceptBestEffort(std::move(spec), partition, options, now, std::move(onDone));
         return;
     }
     Job &job = addJob(std::move(spec), partition, now);
@@ -291,13 +291,27 @@
     writeRecord(job, now);
 }
 
-void JobBook::acceptBestEffort(JobSpec spec, uint32_t number, Millis wait, Millis now, JobReplyHandler onDone)
+bool JobBook::mayHaveRuns(const JobSpec &spec, bool repeated) const
+{
+    if (repeated)
+        return true;
+    // A run that a lost owner started has ended by the time at which the client submits the job again, unless
+    // the job is long. Estimates are off by tens of percent.
+    constexpr int64_t estimateMargin = 3;
+    return std::any_of(spec.steps.begin(), spec.steps.end(), [&](const auto &step) {
+        return m_runTimes.estimateMs(spec.queue, step->estimate_ms) * estimateMargin
+            > m_options.resubmitDelay.count;
+    });
+}
+
+void JobBook::acceptBestEffort(JobSpec spec, uint32_t number, SubmitOptions options, Millis now,
+                               JobReplyHandler onDone)
 {
     const JobId id = spec.id;
     Job &job = addJob(std::move(spec), number, now);
     job.submitters.push_back(std::move(onDone));
     job.accepted = true;
-    job.expiresAt = now + wait;
+    job.expiresAt = now + options.wait;
     const Partition &partition = m_partitions.at(number);
     job.runBase = static_cast<uint32_t>(partition.epoch) * runsPerEpoch;
     m_log.write(now, "job_accepted",
@@ -308,8 +322,7 @@
                  {"located", partition.located},
                  {"due_in_ms", job.dueAt - now}});
     openReadySteps(job);
-    // A former owner may have started the job.
-    if (!partition.located) {
+    if (!partition.located && mayHaveRuns(job.spec, options.repeated)) {
         for (Task &task : job.tasks) {
             if (task.phase == TaskPhase::Waiting)
                 task.phase = TaskPhase::Unlocated;
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -83,6 +83,13 @@
     std::string reason;
 };
 
+struct SubmitOptions
+{
+    // How long the caller waits.
+    Millis wait;
+    bool repeated = false;
+};
+
 using JobReplyHandler = std::function<void(JobReply)>;
 
 struct AgentEnd
@@ -95,13 +102,16 @@
 struct JobBookOptions
 {
     uint32_t partitions = 1;
-    // After this long without contact to its agent no run of a partition's former owner exists: the agent
-    // stops runs 1.6 s after the owner's last sign, and a lease of 1 s on a slow clock may still be running.
-    Millis unlocatedBound = {2'900};
+    // After this long without contact to its agent no run of a partition's former owner exists: the agent stops runs
+    // 1.2 s after the owner's last sign, and a lease of 1 s on a slow clock may still be running.
+    Millis unlocatedBound = {2'500};
+    // A client submits a best-effort job again only this long after it got no answer. By then the agents that were in
+    // touch with a lost owner have stopped its runs, and the leases of dead agents have lapsed.
+    Millis resubmitDelay = {1'300};
     // Ends of unfinished jobs are stored after this delay, so that most jobs need one record for all ends.
     Millis progressDelay = {1'000};
-    // Share of a job's slack that the predicted wait may take. Estimates of the slack are off by tens of percent, and a
-    // job that ends late takes the room of one that would not.
+    // Share of a job's slack that the predicted wait may take. Estimates of the slack are off by tens of
+    // percent, and a job that ends late takes the room of one that would not.
     uint32_t admissionSlackPercent = 30;
     // Ended jobs are remembered for this long.
     Millis retention = {150'000};
@@ -127,8 +137,9 @@
     std::vector<fleet::OwnedPartitionT> owned() const;
 
     // --- calls of clients ---
-    // A best-effort job is given up when all its callers have stopped waiting.
-    void submit(JobSpec spec, Millis wait, Millis now, JobReplyHandler onDone);
+    // A best-effort job is given up when all its callers have stopped waiting. A call is repeated if an
+    // earlier try of it may have reached an owner.
+    void submit(JobSpec spec, SubmitOptions options, Millis now, JobReplyHandler onDone);
     JobReply query(JobId job) const;
     void cancel(JobId job, Millis now, JobReplyHandler onDone);
     std::map<std::string, uint32_t> pendingByQueue() const;
@@ -266,7 +277,9 @@
     void recordStored(JobId id, uint32_t partition, uint64_t epoch, JobPhase phase,
                       std::vector<UnstoredEnd> ends, StoreOutcome outcome, Millis now);
     void finishAcceptance(Job &job, StoreOutcome outcome, Millis now);
-    void acceptBestEffort(JobSpec spec, uint32_t partition, Millis wait, Millis now, JobReplyHandler onDone);
+    void acceptBestEffort(JobSpec spec, uint32_t partition, SubmitOptions options, Millis now,
+                          JobReplyHandler onDone);
+    bool mayHaveRuns(const JobSpec &spec, bool repeated) const;
     void retire(JobId id, Millis now);
     void retireFinished(Millis now);
 
--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -237,7 +237,8 @@
         m_pool.runPace(task.agent, slowRunFactor, now);
     }
     const double factor = m_pool.slowness(task.agent, now) > 1 ? slowRunFactor : longRunFactor;
-    if (task.stopOrdered || task.moves >= mostMoves || timesEstimate < factor * static_cast<double>(1U << task.moves))
+    if (task.stopOrdered || task.moves >= mostMoves
+        || timesEstimate < factor * static_cast<double>(1U << task.moves))
         return;
     const PlacementNeeds needs{.service = job.spec.service,
                                .size = {step.cpu_milli, step.memory_mb, step.accelerators},
--- a/src/worker/workerkeeper.cpp
+++ b/src/worker/workerkeeper.cpp
@@ -553,7 +553,7 @@
 
 bool WorkerKeeper::isIdle() const
 {
-    return m_runs.empty()
+    return m_listsKnown && m_runs.empty()
         && std::all_of(m_ends.begin(), m_ends.end(), [](const auto &item) { return item.second.stored; });
 }
 
--- a/src/worker/workerkeeper.h
+++ b/src/worker/workerkeeper.h
@@ -62,9 +62,9 @@
     // Longest wait for an end in one call.
     Millis holdWait = {200};
     // Starts need an answer of the owner to a ping that is younger than this.
-    Millis ownerFreshness = {1'500};
+    Millis ownerFreshness = {1'100};
     // Runs are stopped when their owner has not answered for this long.
-    Millis ownerSilence = {1'600};
+    Millis ownerSilence = {1'200};
     // Orders beyond the worker's room that may wait here, in percent of its processors: a slot that becomes
     // free is then filled at once, and not only after the entries have heard of it.
     uint32_t queueAllowancePercent = 10;
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -182,8 +182,8 @@
     m_holdSentAt = now;
     // Before the first answer the worker's clock is not known; a deadline of zero renews nothing.
     const bool clockKnown = m_clockSampledAt.count != 0;
-    // Nor does a call after one that was not answered: if the worker is gone, its runs count as lost once the last lease
-    // that may have been granted has lapsed, and each renewal would put that off.
+    // Nor does a call after one that was not answered: if the worker is gone, its runs count as lost once the
+    // last lease that may have been granted has lapsed, and each renewal would put that off.
     const bool renews = clockKnown && m_holdFailures == 0;
     const Millis deadline = renews ? workerNow(now) + m_options.lease : Millis{0};
     if (renews)
