--- a/tests/unit/appendqueuetest.cpp
+++ b/tests/unit/appendqueuetest.cpp
@@ -55,10 +55,11 @@
     IoContext io;
     StructuredLog log;
     ScriptedStore store;
-    AppendQueue queue {{.topic = "keyed.jobs", .producer = "owner", .epoch = 3, .dropAfter = {0}, .spacing = {1}},
-                       store,
-                       io,
-                       log};
+    AppendQueue queue{
+        {.topic = "keyed.jobs", .producer = "owner", .epoch = 3, .dropAfter = {0}, .spacing = {1}},
+        store,
+        io,
+        log};
     std::vector<AppendOutcome> outcomes;
 };
 
--- a/tests/unit/jobbookfixture.h
+++ b/tests/unit/jobbookfixture.h
@@ -31,7 +31,10 @@
         records.push_back({job, std::move(value), mayDrop, std::move(onDone)});
     }
     void start(const StartRequest &request) override { starts.push_back({request.agent, request.run}); }
-    void stop(AgentNumber agent, uint32_t, uint64_t, const RunId &run) override { stops.push_back({agent, run}); }
+    void stop(AgentNumber agent, uint32_t, uint64_t, const RunId &run) override
+    {
+        stops.push_back({agent, run});
+    }
     void endStored(AgentNumber, const RunId &run) override { confirmed.push_back(run); }
     void tellSize(AgentNumber, const RunId &run, const StepSpec &) override { sized.push_back(run); }
 
@@ -94,7 +97,8 @@
 
     void submit(JobSpec spec, bool repeated = false)
     {
-        book.submit(std::move(spec), {.wait = {2'000}, .repeated = repeated}, now, [this](JobReply reply) { replies.push_back(std::move(reply)); });
+        book.submit(std::move(spec), {.wait = {2'000}, .repeated = repeated}, now,
+                    [this](JobReply reply) { replies.push_back(std::move(reply)); });
         book.advance(now);
     }
 
@@ -122,7 +126,7 @@
     StructuredLog log;
     WorkerPool pool;
     RecordedEffects effects;
-    JobBook book {{.partitions = 1}, pool, effects, log};
+    JobBook book{{.partitions = 1}, pool, effects, log};
     std::vector<JobReply> replies;
 };
 
--- a/tests/unit/jobbooktest.cpp
+++ b/tests/unit/jobbooktest.cpp
@@ -45,8 +45,8 @@
     BOOST_TEST(effects.starts.size() == 2U);
 }
 
-// Guards against an end that the worker forgets while no record of it is stored, and against a job that is shown as
-// completed before that.
+// Guards against an end that the worker forgets while no record of it is stored, and against a job that is
+// shown as completed before that.
 BOOST_FIXTURE_TEST_CASE(endIsConfirmedAndShownOnlyOnceStored, JobBookFixture)
 {
     load();
@@ -122,7 +122,8 @@
     BOOST_TEST(effects.stops.size() == 2U);
 }
 
-// Guards against a second run of a task whose run goes on at an agent that the new owner has not heard of yet.
+// Guards against a second run of a task whose run goes on at an agent that the new owner has not heard of
+// yet.
 BOOST_FIXTURE_TEST_CASE(loadedJobWaitsForTheReportsOfAllAgents, JobBookFixture)
 {
     JobRecord record;
@@ -189,8 +190,8 @@
     BOOST_TEST(effects.stops.empty());
 }
 
-// Guards against a stop of the whole service while one agent cannot be reached after a change of owner: a job that is
-// new to the client's entry cannot have a run that still goes on, unless it is long.
+// Guards against a stop of the whole service while one agent cannot be reached after a change of owner: a job
+// that is new to the client's entry cannot have a run that still goes on, unless it is long.
 BOOST_FIXTURE_TEST_CASE(newBestEffortJobsStartBeforeAllAgentsHaveReported, JobBookFixture)
 {
     book.loaded(0, now);
@@ -308,7 +309,8 @@
     BOOST_TEST(effects.stops.size() == 1U);
 }
 
-// Guards against jobs that are admitted under overload and end late: 60 jobs ask for eight processors at once.
+// Guards against jobs that are admitted under overload and end late: 60 jobs ask for eight processors at
+// once.
 BOOST_FIXTURE_TEST_CASE(overloadRefusesWhatWouldBeLate, JobBookFixture)
 {
     load();
--- /dev/null
+++ b/tests/unit/platformtest.cpp
@@ -0,0 +1,180 @@
+// Adapter of the users' platform: malformed input names nothing to use, and wire forms are translated both
+// ways.
+#include "platform/ingress.h"
+#include "platform/operatorrecords.h"
+#include "platform/storecalls.h"
+#include "platform/workercalls.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace turmericwell::platform {
+
+namespace {
+
+HttpResult answer(int status, std::string body)
+{
+    return {.response = HttpResponse{.status = status, .body = std::move(body)}, .sent = true};
+}
+
+QueueTable queues()
+{
+    return {3,
+            {{.name = "short", .host = "a.example", .pathPrefix = "/q/", .service = "kiosk"},
+             {.name = "long",
+              .host = "a.example",
+              .pathPrefix = "/q/deep/",
+              .service = "kiosk",
+              .timeout = {900}}}};
+}
+
+ClientCall request(const std::string &method, const std::string &path, const std::string &body = "")
+{
+    return decodeClientRequest({.method = method,
+                                .path = path,
+                                .headers = {{"host", "a.example:80"}, {"deadline-ms", "4000"}},
+                                .body = body},
+                               queues());
+}
+
+int statusOf(const ClientCall &call)
+{
+    const auto *response = std::get_if<HttpResponse>(&call);
+    return response ? response->status : 0;
+}
+
+constexpr std::string_view announcementText =
+    R"({"service":"s","zone":"z","state":"ready","seq":4,"born":7,"labels":["a"],)"
+    R"("capacity":{"cpu":16000,"memMb":32768}})";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PlatformTest)
+
+// Guards against a route that takes the requests of a more specific one.
+BOOST_AUTO_TEST_CASE(longestPrefixWins)
+{
+    const ClientCall call = request("GET", "/q/deep/0123456789abcdef");
+    BOOST_TEST_REQUIRE(std::holds_alternative<JobCall>(call));
+    BOOST_TEST(std::get<JobCall>(call).wait.count == 900);
+    BOOST_TEST(std::holds_alternative<CountCall>(request("GET", "/q/")));
+    BOOST_TEST(statusOf(request("GET", "/other/0123456789abcdef")) == 404);
+}
+
+// Guards against jobs that are made up from bodies that cannot be read.
+BOOST_AUTO_TEST_CASE(malformedJobsAreRejected)
+{
+    const std::string path = "/q/0123456789abcdef";
+    for (const std::string_view body :
+         {"", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})", R"({"steps":[{"count":-1}]})",
+          R"({"steps":[{"count":"2"}]})", R"({"steps":[{"count":1,"gang":1}]})",
+          R"({"steps":[{"count":1000000}]})", R"({"spec":7,"steps":[{"count":1}]})",
+          R"({"steps":[{"count":1,"after":[4294967296]}]})"}) {
+        BOOST_TEST_CONTEXT(body)
+        BOOST_TEST(statusOf(request("POST", path, std::string(body))) == 400);
+    }
+    BOOST_TEST(statusOf(request("POST", "/q/0123456789ABCDEF", "{}")) == 404);
+    BOOST_TEST(statusOf(request("PATCH", path)) == 405);
+}
+
+// Guards against fields that are lost on the way in.
+BOOST_AUTO_TEST_CASE(jobIsDecodedWhole)
+{
+    const ClientCall call =
+        request("POST", "/q/0123456789abcdef",
+                R"({"spec":"x","bestEffort":true,"steps":[{"count":2,"cpu":500,"memMb":64,)"
+                R"("estimateMs":90},{"count":1,"after":[0],"requires":"b","antiAffinity":3}]})");
+    BOOST_TEST_REQUIRE(std::holds_alternative<JobCall>(call));
+    const JobCall &job = std::get<JobCall>(call);
+    BOOST_TEST(job.job == 0x0123456789abcdefULL);
+    // A best-effort job is answered when it ends, so the client's own deadline counts.
+    BOOST_TEST(job.wait.count == 4'000);
+    BOOST_TEST(job.spec->best_effort);
+    BOOST_TEST(job.spec->steps[1]->after[0] == 0U);
+    BOOST_TEST(job.spec->steps[1]->required_label == "b");
+    BOOST_TEST(job.spec->steps[1]->worker_limit == 3U);
+}
+
+// Guards against a client that is told to come back at once, or that its job runs although it was refused.
+BOOST_AUTO_TEST_CASE(refusalsSayWhenToComeBack)
+{
+    const HttpResponse refused =
+        encodeJobReply(fleet::CallKind::Submit,
+                       {.status = fleet::CallStatus::Refused, .retryAfter = {1'200}, .reason = "full"});
+    BOOST_TEST(refused.status == 429);
+    BOOST_TEST(refused.headers.at("Retry-After") == "2");
+    BOOST_TEST(encodeJobReply(fleet::CallKind::Submit, {.status = fleet::CallStatus::Unknown}).status == 504);
+    BOOST_TEST(encodeJobReply(fleet::CallKind::Query, {.status = fleet::CallStatus::NotKnown}).status == 410);
+}
+
+// Guards against a worker that is used although its announcement is broken or from another writer.
+BOOST_AUTO_TEST_CASE(malformedAnnouncementsNameNoWorker)
+{
+    BOOST_TEST(decodeAnnouncement("w", announcementText).has_value());
+    BOOST_TEST(!decodeAnnouncement("", announcementText).has_value());
+    for (const std::string_view part :
+         {"\"seq\":4", "\"service\":\"s\"", "\"cpu\":16000", "\"state\":\"ready\""}) {
+        std::string text(announcementText);
+        text.replace(text.find(part), part.size(), "\"other\":[]");
+        BOOST_TEST_CONTEXT(text)
+        BOOST_TEST(!decodeAnnouncement("w", text).has_value());
+    }
+    BOOST_TEST(!decodeAnnouncement("w", "\xff\x00").has_value());
+}
+
+// Guards against runs that are taken for lost because a row of the list could not be read.
+BOOST_AUTO_TEST_CASE(listsAreReadWholeOrNotAtAll)
+{
+    const std::string good = R"({"clockMs":5,"born":9,"running":[["0123456789abcdef.0.1.17",2,"c",41]],)"
+                             R"("ended":[[58,"0123456789abcdef.0.1.9",1,"done",""]]})";
+    const std::optional<WorkerLists> lists = decodeLists(answer(200, good));
+    BOOST_TEST_REQUIRE(lists.has_value());
+    BOOST_TEST(lists->running[0].run.task.index == 17U);
+    BOOST_TEST(lists->ended[0].number == 58U);
+    std::string unknownWord = good;
+    unknownWord.replace(unknownWord.find("done"), 4, "gone");
+    BOOST_TEST(!decodeLists(answer(200, unknownWord)).has_value());
+    BOOST_TEST(!decodeLists(answer(200, R"({"clockMs":5,"running":[[1]],"ended":[]})")).has_value());
+}
+
+// Guards against an append that is taken as refused although it may have been carried out.
+BOOST_AUTO_TEST_CASE(storeAnswersKeepTheirMeaning)
+{
+    BOOST_TEST((decodeAppendAnswer(answer(200, R"({"offset":4,"end":5})")).status == StoreStatus::Done));
+    BOOST_TEST((decodeAppendAnswer(answer(409, R"({"reason":"fenced"})")).status == StoreStatus::Fenced));
+    const AppendAnswer sequence = decodeAppendAnswer(answer(409, R"({"reason":"seq","seq":7})"));
+    BOOST_TEST((sequence.status == StoreStatus::WrongSequence));
+    BOOST_TEST(sequence.expectedSequence == 7U);
+    BOOST_TEST((decodeAppendAnswer(answer(503, "")).status == StoreStatus::Refused));
+    BOOST_TEST((decodeAppendAnswer({.error = "timeout", .sent = true}).status == StoreStatus::NoAnswer));
+    BOOST_TEST((decodeAppendAnswer({.error = "refused", .sent = false}).status == StoreStatus::Refused));
+    BOOST_TEST((decodeAppendAnswer(answer(200, "not JSON")).status == StoreStatus::Invalid));
+}
+
+// Guards against records that change on the way to the store and back.
+BOOST_AUTO_TEST_CASE(keyedRecordsRoundTrip)
+{
+    const std::vector<StoreRecord> records = {{.key = "a", .value = std::string("\0\x01", 2)}, {.key = "bc"}};
+    const std::string bytes = encodeKeyedRecords(records);
+    const auto decoded = decodeKeyedRecords(bytes, 40);
+    BOOST_TEST_REQUIRE(decoded.has_value());
+    BOOST_TEST_REQUIRE(decoded->size() == 2U);
+    BOOST_TEST(decoded->at(0).value == records[0].value);
+    BOOST_TEST(decoded->at(1).offset == 41U);
+    for (size_t cut = 1; cut < bytes.size(); ++cut) {
+        const auto partial = decodeKeyedRecords(std::string_view(bytes).substr(0, cut), 0);
+        BOOST_TEST((!partial.has_value() || partial->size() == 1U));
+    }
+}
+
+// Guards against a configuration that is taken over in part.
+BOOST_AUTO_TEST_CASE(configurationIsReadWholeOrNotAtAll)
+{
+    BOOST_TEST(decodeConfiguration(R"({"version":7,"routes":[]})").has_value());
+    BOOST_TEST(!decodeConfiguration(R"({"routes":[]})").has_value());
+    BOOST_TEST(!decodeConfiguration(R"({"version":7,"routes":[{"name":"r"}]})").has_value());
+    BOOST_TEST(!decodeConfiguration("[]").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace turmericwell::platform
--- a/tests/unit/workerkeepertest.cpp
+++ b/tests/unit/workerkeepertest.cpp
@@ -111,7 +111,7 @@
     Millis now = {100'000};
     StructuredLog log;
     RecordedWorkerEffects effects;
-    WorkerKeeper keeper {{.partitions = 1}, 1, now, effects, log};
+    WorkerKeeper keeper{{.partitions = 1}, 1, now, effects, log};
 };
 
 } // namespace
@@ -292,8 +292,8 @@
     BOOST_TEST((effects.ended[0].kind == EndKind::Lost));
 }
 
-// Guards against runs that are reported lost while the worker, behind a cut, still works on them, and against a worker
-// that has crashed and whose runs are never found lost.
+// Guards against runs that are reported lost while the worker, behind a cut, still works on them, and against
+// a worker that has crashed and whose runs are never found lost.
 BOOST_FIXTURE_TEST_CASE(runsAreLostWhenTheLastLeaseHasLapsed, WorkerKeeperFixture)
 {
     startRun(1);
