--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -8,19 +8,11 @@
 constexpr Millis tickInterval = {15};
 constexpr Millis reportInterval = {250};
 constexpr Millis expiryInterval = {1'000};
-constexpr Millis dialTimeout = {700};
 // A process that was not scheduled for this long may have lost its ownership meanwhile.
 constexpr Millis pauseLimit = {700};
 // Runs on an agent without a connection end within this time after the last answer to its pings: the agent
 // stops the runs of a silent owner after 1.2 s, and a lease of 1 s on a slow clock may still be running.
 constexpr Millis agentGoneAfter = {2'500};
-// Time that a lost entry gets to be reached again before its membership is ended on its behalf.
-constexpr Millis redialTimeout = {250};
-// An agent that was not reached for this long is taken out of the list of members; it registers again if it
-// lives.
-constexpr Millis memberExpiry = {4'500};
-// An agent that could not be reached for this long since it was first heard of holds no runs.
-constexpr Millis agentForgottenAfter = {6'000};
 
 EntryNode::EntryNode(IoContext &io, const FleetSettings &settings, uint64_t incarnation, StoreApi &store,
                      StoreTransport &transport, StructuredLog &log)
@@ -101,59 +93,6 @@
     m_pool.setEvacuatedZones(std::move(zones));
 }
 
-void EntryNode::memberFound(const Member &member)
-{
-    if (member.identity.name == m_self.name)
-        return;
-    Contact &contact = m_contacts[member.identity.name];
-    contact.member = member;
-    const bool isAgent = member.identity.role == fleet::ProcessRole::Agent;
-    if (isAgent && !m_agentNumbers.contains(member.identity.name)) {
-        const auto number = static_cast<AgentNumber>(m_agentNumbers.size() + 1);
-        m_agentNumbers[member.identity.name] = number;
-        m_agents[number] = {.name = member.identity.name, .firstSeen = Clock::now()};
-    }
-    // Of two entries the one with the lower name dials; agents never dial.
-    if (isAgent || m_self.name < member.identity.name)
-        dial(member.identity.name);
-}
-
-void EntryNode::memberRemoved(const std::string &name)
-{
-    const auto contact = m_contacts.find(name);
-    if (contact == m_contacts.end())
-        return;
-    const auto number = m_agentNumbers.find(name);
-    const bool lives = number != m_agentNumbers.end() && m_agents.at(number->second).link
-        && !m_agents.at(number->second).leaving;
-    // Another entry has lost this agent and has taken it out of the list.
-    if (lives)
-        m_members.restore(contact->second.member);
-    else
-        m_contacts.erase(contact);
-}
-
-void EntryNode::dial(const std::string &name)
-{
-    const auto found = m_contacts.find(name);
-    if (found == m_contacts.end() || found->second.connected || found->second.dialling)
-        return;
-    found->second.dialling = true;
-    dialFrameLink(m_io, found->second.member.address, dialTimeout,
-                  [this, name, guard = m_timers.guard()](const FrameLinkPtr &link) {
-                      const auto contact = guard.expired() ? m_contacts.end() : m_contacts.find(name);
-                      if (guard.expired() || contact == m_contacts.end())
-                          return;
-                      contact->second.dialling = false;
-                      if (!link) {
-                          m_timers.after(contact->second.backoff.next(), [this, name] { dial(name); });
-                          return;
-                      }
-                      contact->second.connected = true;
-                      connected(std::make_shared<NodeLink>(m_io, link, m_self), name);
-                  });
-}
-
 void EntryNode::connected(const NodeLinkPtr &link, const std::string &dialledName)
 {
     link->start({.onHello = [this, link](const fleet::HelloT &hello) { introduce(link, hello); },
@@ -387,70 +326,6 @@
     }
 }
 
-void EntryNode::closeSuperseded(const fleet::EntryReportT &report)
-{
-    for (const auto &owned : report.partitions) {
-        const std::optional<uint64_t> own = m_book.epochOf(owned->partition);
-        if (own && *own < owned->epoch)
-            m_owner.superseded(owned->partition, *own);
-    }
-}
-
-void EntryNode::notePeersWaiting()
-{
-    int64_t waiting = 0;
-    for (const auto &[name, other] : m_peers)
-        waiting += other.report.waiting_cpu_ms;
-    m_book.setPeersWaitingCpuMs(waiting);
-}
-
-void EntryNode::checkLostEntry(const std::string &name)
-{
-    const auto contact = m_contacts.find(name);
-    if (contact == m_contacts.end())
-        return;
-    dialFrameLink(m_io, contact->second.member.address, redialTimeout,
-                  [this, name, guard = m_timers.guard()](const FrameLinkPtr &link) {
-                      if (guard.expired() || m_peers.contains(name))
-                          return;
-                      if (link) {
-                          link->close("only a check");
-                          return;
-                      }
-                      m_log.always(Clock::now(), "entry_lost", {{"entry", name}});
-                      m_owner.expel(name);
-                  });
-}
-
-void EntryNode::expireMembers(Millis now)
-{
-    for (auto &[number, agent] : m_agents) {
-        const auto contact = m_contacts.find(agent.name);
-        const Millis lastSign = std::max(agent.firstSeen, agent.lastConnected);
-        if (agent.link || contact == m_contacts.end() || now - lastSign < memberExpiry)
-            continue;
-        m_log.always(now, "member_expired", {{"agent", agent.name}, {"unreached_ms", now - lastSign}});
-        m_members.remove(agent.name);
-        m_contacts.erase(contact);
-    }
-}
-
-void EntryNode::noteAgents(Millis now)
-{
-    std::set<AgentNumber> expected;
-    for (auto &[number, agent] : m_agents) {
-        if (agent.goneAt && now >= *agent.goneAt) {
-            agent.goneAt.reset();
-            m_log.always(now, "agent_gone", {{"agent", agent.name}});
-            m_book.agentGone(number, now);
-        }
-        const Millis lastSign = std::max(agent.firstSeen, agent.lastConnected);
-        if (agent.link || now - lastSign < agentForgottenAfter)
-            expected.insert(number);
-    }
-    m_book.setExpectedAgents(std::move(expected), m_members.isSynced());
-}
-
 void EntryNode::tick()
 {
     const Millis now = Clock::now();
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -100,10 +100,10 @@
         NodeLinkPtr askedLink;
     };
 
+    // An agent that could not be reached for this long since it was first heard of holds no runs.
+    static constexpr Millis agentForgottenAfter = {6'000};
+
     // --- entrynode.cpp: connections ---
-    void memberFound(const Member &member);
-    void memberRemoved(const std::string &name);
-    void dial(const std::string &name);
     void connected(const NodeLinkPtr &link, const std::string &dialledName);
     void introduce(const NodeLinkPtr &link, const fleet::HelloT &hello);
     void closed(const NodeLinkPtr &link, const std::string &reason);
@@ -115,6 +115,11 @@
     void partitionLoaded(uint32_t partition);
     void sendReport();
     void tick();
+
+    // --- entrymembers.cpp: other processes of the system ---
+    void memberFound(const Member &member);
+    void memberRemoved(const std::string &name);
+    void dial(const std::string &name);
     void noteAgents(Millis now);
     void notePeersWaiting();
     // Gives up partitions that a peer owns with a higher epoch.
--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -1,4 +1,4 @@
-// Ownership of partitions and calls of clients.
+// Calls of clients, records and their outcomes.
 #include "jobs/jobbook.h"
 
 #include <algorithm>
@@ -8,13 +8,7 @@
 
 namespace turmericwell {
 
-// Time that an order, its answer and the record of the end take beside the task itself.
-constexpr Millis dispatchOverhead = {20};
-// Entries submit best-effort jobs of a former owner again within this time, if a caller still waits.
-constexpr Millis loadedJobPatience = {2'000};
 constexpr Millis leastRetryAfter = {1'000};
-// Run numbers of a loaded job start at its owner's epoch times this, above those of any former owner.
-constexpr uint32_t runsPerEpoch = 1'000;
 
 uint32_t partitionOf(JobId job, uint32_t partitions)
 {
@@ -28,140 +22,6 @@
     , m_log(log)
 { }
 
-void JobBook::openPartition(uint32_t partition, uint64_t epoch)
-{
-    m_partitions[partition] = {.epoch = epoch};
-}
-
-bool JobBook::isServing(uint32_t partition) const
-{
-    const auto found = m_partitions.find(partition);
-    return found != m_partitions.end() && found->second.loaded && !found->second.frozen;
-}
-
-std::optional<uint64_t> JobBook::epochOf(uint32_t partition) const
-{
-    const auto found = m_partitions.find(partition);
-    return found == m_partitions.end() ? std::nullopt : std::optional(found->second.epoch);
-}
-
-std::vector<fleet::OwnedPartitionT> JobBook::owned() const
-{
-    std::vector<fleet::OwnedPartitionT> result;
-    for (const auto &[number, partition] : m_partitions) {
-        fleet::OwnedPartitionT item;
-        item.partition = number;
-        item.epoch = partition.epoch;
-        item.ready = partition.loaded && !partition.frozen;
-        result.push_back(item);
-    }
-    return result;
-}
-
-void JobBook::loadRecord(uint32_t partition, JobId id, std::string_view bytes, Millis now)
-{
-    std::optional<JobRecord> record = decodeJobRecord(bytes);
-    if (!record) {
-        m_log.always(now, "record_unreadable", {{"job", jobIdText(id)}, {"bytes", bytes.size()}});
-        return;
-    }
-    if (record->phase != JobPhase::Active || !record->spec) {
-        m_ended[id] = {.phase = record->phase,
-                       .forgetAt = now + m_options.retention,
-                       .partition = partition,
-                       .recorded = true};
-        m_endedOrder.push_back(id);
-        return;
-    }
-    Job &job = addJob(std::move(*record->spec), partition, now);
-    job.accepted = true;
-    job.recorded = true;
-    job.expiresAt = now + loadedJobPatience;
-    job.runBase = static_cast<uint32_t>(m_partitions[partition].epoch) * runsPerEpoch;
-    job.failedRuns = record->failed_runs;
-    for (const uint32_t number : record->done_tasks) {
-        if (number >= job.tasks.size() || job.tasks[number].phase == TaskPhase::Done)
-            continue;
-        Task &task = job.tasks[number];
-        task.phase = TaskPhase::Done;
-        --job.stepRemaining[task.step];
-    }
-    for (const fleet::FailedRun &failed : job.failedRuns) {
-        if (failed.task() >= job.tasks.size())
-            continue;
-        Task &task = job.tasks[failed.task()];
-        ++task.failures;
-        task.run = std::max(task.run, failed.run());
-    }
-    openReadySteps(job);
-    for (Task &task : job.tasks) {
-        if (task.phase == TaskPhase::Waiting)
-            task.phase = TaskPhase::Unlocated;
-    }
-    dequeue(job);
-}
-
-void JobBook::loaded(uint32_t number, Millis now)
-{
-    const auto found = m_partitions.find(number);
-    if (found == m_partitions.end())
-        return;
-    found->second.loaded = true;
-    found->second.loadedAt = now;
-    const auto active = std::count_if(m_jobs.begin(), m_jobs.end(),
-                                      [&](const auto &item) { return item.second.partition == number; });
-    m_log.always(now, "partition_loaded",
-                 {{"partition", number}, {"epoch", found->second.epoch}, {"active_jobs", active}});
-}
-
-void JobBook::freezePartition(uint32_t number, Millis now)
-{
-    const auto found = m_partitions.find(number);
-    if (found == m_partitions.end() || found->second.frozen)
-        return;
-    found->second.frozen = true;
-    uint32_t stored = 0;
-    for (auto &[id, job] : m_jobs) {
-        if (job.partition != number || job.phase != JobPhase::Active)
-            continue;
-        dequeue(job);
-        if (job.spec.best_effort || !job.unstoredEnds.empty()) {
-            writeRecord(job, now);
-            ++stored;
-        }
-    }
-    m_log.always(now, "partition_frozen",
-                 {{"partition", number}, {"epoch", found->second.epoch}, {"stored", stored}});
-}
-
-void JobBook::closePartition(uint32_t number, Millis now)
-{
-    const auto found = m_partitions.find(number);
-    if (found == m_partitions.end())
-        return;
-    m_log.always(now, "partition_closed", {{"partition", number}, {"epoch", found->second.epoch}});
-    m_partitions.erase(found);
-    std::vector<JobReplyHandler> undecided;
-    for (auto item = m_jobs.begin(); item != m_jobs.end();) {
-        Job &job = item->second;
-        if (job.partition != number) {
-            ++item;
-            continue;
-        }
-        dequeue(job);
-        std::move(job.submitters.begin(), job.submitters.end(), std::back_inserter(undecided));
-        std::move(job.cancellers.begin(), job.cancellers.end(), std::back_inserter(undecided));
-        item = m_jobs.erase(item);
-    }
-    std::erase_if(m_ended, [&](const auto &item) { return item.second.partition == number; });
-    std::erase_if(m_orphans, [&](const auto &item) {
-        return partitionOf(item.first.task.job, m_options.partitions) == number;
-    });
-    std::erase_if(m_endedOrder, [&](JobId id) { return !m_ended.contains(id); });
-    for (const JobReplyHandler &handler : undecided)
-        handler({.status = fleet::CallStatus::Unknown, .reason = "ownership moved"});
-}
-
 static std::string_view unsupportedPart(const JobSpec &spec)
 {
     if (spec.long_running)
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -35,6 +35,9 @@
 // Partition of the job table that holds a job.
 uint32_t partitionOf(JobId job, uint32_t partitions);
 
+// Time that an order, its answer and the record of the end take beside the task itself.
+inline constexpr Millis dispatchOverhead = {20};
+
 // Longest wait before the first start that leaves the job in time, going by the declared run times.
 Millis declaredSlack(const JobSpec &spec);
 
@@ -102,11 +105,11 @@
 struct JobBookOptions
 {
     uint32_t partitions = 1;
-    // After this long without contact to its agent no run of a partition's former owner exists: the agent stops runs
-    // 1.2 s after the owner's last sign, and a lease of 1 s on a slow clock may still be running.
+    // After this long without contact to its agent no run of a partition's former owner exists: the agent
+    // stops runs 1.2 s after the owner's last sign, and a lease of 1 s on a slow clock may still be running.
     Millis unlocatedBound = {2'500};
-    // A client submits a best-effort job again only this long after it got no answer. By then the agents that were in
-    // touch with a lost owner have stopped its runs, and the leases of dead agents have lapsed.
+    // A client submits a best-effort job again only this long after it got no answer. By then the agents that
+    // were in touch with a lost owner have stopped its runs, and the leases of dead agents have lapsed.
     Millis resubmitDelay = {1'300};
     // Ends of unfinished jobs are stored after this delay, so that most jobs need one record for all ends.
     Millis progressDelay = {1'000};
@@ -122,7 +125,7 @@
 public:
     JobBook(JobBookOptions options, WorkerPool &pool, JobEffects &effects, StructuredLog &log);
 
-    // --- ownership ---
+    // --- ownership (jobbookpartitions.cpp) ---
     // Takes over a partition; its records follow, then loaded.
     void openPartition(uint32_t partition, uint64_t epoch);
     void loadRecord(uint32_t partition, JobId job, std::string_view record, Millis now);
@@ -267,7 +270,10 @@
         std::set<AgentNumber> reported;
     };
 
-    // --- jobbook.cpp: calls of clients ---
+    // Run numbers of a loaded job start at its owner's epoch times this, above those of any former owner.
+    static constexpr uint32_t runsPerEpoch = 1'000;
+
+    // --- jobbook.cpp: calls of clients, records ---
     std::optional<JobReply> refusal(const JobSpec &spec, Millis now);
     // Time until the job's tasks would be started, given the work that goes first.
     Millis predictedWait(const JobSpec &spec, Millis latestStart) const;
--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -9,7 +9,6 @@
 
 namespace turmericwell {
 
-constexpr Millis dispatchOverhead = {20};
 constexpr Millis refusalRetryAfter = {1'000};
 constexpr Millis progressInterval = {100};
 constexpr Millis runCheckInterval = {30};
--- a/src/worker/workerkeeper.cpp
+++ b/src/worker/workerkeeper.cpp
@@ -1,4 +1,4 @@
-// Orders, room, owners and leases.
+// Orders, room and leases.
 #include "worker/workerkeeper.h"
 
 #include "jobs/jobbook.h"
@@ -122,124 +122,6 @@
     m_leaseEnd = std::max(m_leaseEnd, end);
 }
 
-WorkerKeeper::Owner &WorkerKeeper::ownerOf(const RunId &run)
-{
-    const uint32_t partition = partitionOf(run.task.job, m_options.partitions);
-    const auto [owner, isNew] = m_owners.try_emplace(partition);
-    if (isNew)
-        owner->second.lastContact = m_startedAt;
-    return owner->second;
-}
-
-void WorkerKeeper::entryConnected(EntryNumber entry, Millis now)
-{
-    m_contacts[entry] = now;
-    m_ordersTaken[entry] = 0;
-}
-
-void WorkerKeeper::entryDisconnected(EntryNumber entry)
-{
-    m_contacts.erase(entry);
-    m_ordersTaken.erase(entry);
-    for (auto &[number, owner] : m_owners) {
-        if (owner.entry == entry)
-            owner.entry.reset();
-    }
-}
-
-void WorkerKeeper::entryAnswered(EntryNumber entry, Millis pingSentAt)
-{
-    const auto found = m_contacts.find(entry);
-    if (found == m_contacts.end())
-        return;
-    found->second = std::max(found->second, pingSentAt);
-    for (auto &[number, owner] : m_owners) {
-        if (owner.entry == entry)
-            owner.lastContact = std::max(owner.lastContact, found->second);
-    }
-}
-
-void WorkerKeeper::setEvacuatedZones(std::set<std::string> zones, Millis now)
-{
-    if (zones == m_evacuated)
-        return;
-    m_evacuated = std::move(zones);
-    m_reportChanged = true;
-    const bool isEvacuated = m_worker && m_evacuated.contains(m_worker->zone);
-    m_log.always(now, "evacuated_zones_changed", {{"zones", m_evacuated.size()}, {"own_zone", isEvacuated}});
-    if (isEvacuated)
-        rejectQueued(RejectReason::Evacuated, now);
-    startQueued(now);
-}
-
-void WorkerKeeper::claim(EntryNumber entry, uint32_t partition, uint64_t epoch, Millis now)
-{
-    Owner &owner = m_owners[partition];
-    if (epoch < owner.epoch) {
-        m_log.always(now, "claim_rejected",
-                     {{"partition", partition}, {"epoch", epoch}, {"known", owner.epoch}});
-        rejectClaim(entry, partition, epoch);
-        return;
-    }
-    m_log.always(now, "claim_accepted",
-                 {{"partition", partition}, {"epoch", epoch}, {"before", owner.epoch}});
-    // A former owner that cannot reach the store does not know otherwise.
-    if (owner.entry && *owner.entry != entry && owner.epoch < epoch)
-        rejectClaim(*owner.entry, partition, owner.epoch);
-    owner.epoch = epoch;
-    owner.entry = entry;
-    owner.lastContact = std::max(owner.lastContact, m_contacts[entry]);
-    owner.reportDue = true;
-    // The owner orders again what has not been started.
-    std::erase_if(m_runs, [&](const auto &item) {
-        return item.second.phase == RunPhase::Queued && item.second.order.partition == partition;
-    });
-    m_reportChanged = true;
-    reportClaims(now);
-}
-
-void WorkerKeeper::rejectClaim(EntryNumber entry, uint32_t partition, uint64_t epoch)
-{
-    fleet::ClaimReportT report;
-    report.partition = partition;
-    report.epoch = epoch;
-    m_effects.tellClaim(entry, report);
-}
-
-void WorkerKeeper::reportClaims(Millis now)
-{
-    if (!m_listsKnown)
-        return;
-    for (auto &[partition, owner] : m_owners) {
-        if (!owner.reportDue || !owner.entry)
-            continue;
-        owner.reportDue = false;
-        fleet::ClaimReportT report;
-        report.partition = partition;
-        report.epoch = owner.epoch;
-        report.accepted = true;
-        for (const auto &[id, run] : m_runs) {
-            if (run.order.partition == partition && run.phase != RunPhase::Queued)
-                report.running.push_back(toWire(id));
-        }
-        for (const auto &[number, end] : m_ends) {
-            if (end.stored || partitionOf(end.run.task.job, m_options.partitions) != partition)
-                continue;
-            auto item = std::make_unique<fleet::RunEndT>();
-            item->run = std::make_unique<fleet::RunRef>(toWire(end.run));
-            item->kind = end.kind;
-            item->checkpoint = end.checkpoint;
-            report.ended.push_back(std::move(item));
-        }
-        m_log.write(now, "claim_reported",
-                    {{"partition", partition},
-                     {"epoch", owner.epoch},
-                     {"running", report.running.size()},
-                     {"ended", report.ended.size()}});
-        m_effects.tellClaim(*owner.entry, report);
-    }
-}
-
 void WorkerKeeper::order(EntryNumber entry, RunOrder order, Millis now)
 {
     ++m_ordersTaken[entry];
@@ -428,46 +310,6 @@
     }
 }
 
-void WorkerKeeper::endStored(const RunId &run, Millis)
-{
-    for (auto &[number, end] : m_ends) {
-        if (end.run == run)
-            end.stored = true;
-    }
-}
-
-void WorkerKeeper::sizeTold(const RunId &id, const Room &size, Millis now)
-{
-    const auto found = m_runs.find(id);
-    if (found == m_runs.end() || found->second.sizeKnown)
-        return;
-    found->second.sizeKnown = true;
-    found->second.order.size = size;
-    m_reportChanged = true;
-    startQueued(now);
-}
-
-void WorkerKeeper::checkOwners(Millis now)
-{
-    for (auto &[id, run] : m_runs) {
-        const Owner &owner = ownerOf(id);
-        if (now - owner.lastContact <= m_options.ownerSilence)
-            continue;
-        if (run.phase != RunPhase::Starting && run.phase != RunPhase::Running)
-            continue;
-        m_log.write(now, "run_stopped_without_owner",
-                    {{"job", jobIdText(id.task.job)},
-                     {"task", taskIdText(id.task)},
-                     {"run", id.number},
-                     {"silent_ms", now - owner.lastContact}});
-        sendStop(run, now);
-    }
-    std::erase_if(m_runs, [&](const auto &item) {
-        return item.second.phase == RunPhase::Queued
-            && now - ownerOf(item.first).lastContact > m_options.ownerSilence;
-    });
-}
-
 void WorkerKeeper::drain(Millis now)
 {
     m_draining = true;
--- a/src/worker/workerkeeper.h
+++ b/src/worker/workerkeeper.h
@@ -159,11 +159,14 @@
     void sendStart(Run &run, Millis now);
     void sendStop(Run &run, Millis now);
     void rejectQueued(RejectReason reason, Millis now);
-    void checkOwners(Millis now);
     void returnWaiting(Millis now);
+
+    // --- workerowners.cpp ---
+    Owner &ownerOf(const RunId &run);
     void rejectClaim(EntryNumber entry, uint32_t partition, uint64_t epoch);
     void reportClaims(Millis now);
-    Owner &ownerOf(const RunId &run);
+    // Stops the runs of owners that are silent.
+    void checkOwners(Millis now);
 
     // --- workerlists.cpp ---
     void newWorkerLife(Millis now);
