--- a/src/cli/timelinecommand.cpp
+++ b/src/cli/timelinecommand.cpp
@@ -1,9 +1,9 @@
 // Subcommand timeline: merges the events of processes and of the log.
 #include "cli/options.h"
+#include "logservice/logclient.h"
 #include "net/http.h"
 #include "observe/eventlog.h"
 #include "observe/timeline.h"
-#include "logservice/logclient.h"
 #include "turmericwell/fingerprint.h"
 
 #include <iostream>
--- a/src/entry/eventshipper.h
+++ b/src/entry/eventshipper.h
@@ -1,8 +1,8 @@
 // Ships the events of an entry, and those that agents hand to it, to the events stream of the log.
 #pragma once
 
-#include "observe/eventlog.h"
 #include "logservice/logclient.h"
+#include "observe/eventlog.h"
 
 #include <functional>
 #include <memory>
--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -263,13 +263,13 @@
     std::vector<UnstoredEnd> ends = std::exchange(job.unstoredEnds, {});
     m_effects.store(partition, id, encodeJobRecord(record), !job.accepted,
                     [this, id, partition, epoch, phase = job.phase,
-                     ends = std::move(ends)](StoreOutcome outcome, Millis doneAt) mutable {
-                        recordStored(id, partition, epoch, phase, std::move(ends), outcome, doneAt);
+                     ends = std::move(ends)](StoreOutcome outcome, Millis doneAt) {
+                        recordStored(id, partition, epoch, phase, ends, outcome, doneAt);
                     });
 }
 
 void JobBook::recordStored(JobId id, uint32_t partition, uint64_t epoch, JobPhase phase,
-                           std::vector<UnstoredEnd> ends, StoreOutcome outcome, Millis now)
+                           const std::vector<UnstoredEnd> &ends, StoreOutcome outcome, Millis now)
 {
     // After a change of ownership the job has been forgotten and its callers have been told.
     if (epochOf(partition) != epoch || outcome == StoreOutcome::Superseded)
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -281,7 +281,7 @@
     Job &addJob(JobSpec spec, uint32_t partition, Millis now);
     void writeRecord(Job &job, Millis now);
     void recordStored(JobId id, uint32_t partition, uint64_t epoch, JobPhase phase,
-                      std::vector<UnstoredEnd> ends, StoreOutcome outcome, Millis now);
+                      const std::vector<UnstoredEnd> &ends, StoreOutcome outcome, Millis now);
     void finishAcceptance(Job &job, StoreOutcome outcome, Millis now);
     void acceptBestEffort(JobSpec spec, uint32_t partition, SubmitOptions options, Millis now,
                           JobReplyHandler onDone);
--- a/src/observe/structuredlog.cpp
+++ b/src/observe/structuredlog.cpp
@@ -115,7 +115,8 @@
 
 void StructuredLog::append(Millis now, std::string_view event, std::initializer_list<LogField> fields)
 {
-    std::string line = "{\"t\":" + std::to_string(now.count) + ",\"process\":";
+    std::string line = "{\"t\":" + std::to_string(now.count)
+        + ",\"wall\":" + std::to_string(Clock::wall().count) + ",\"process\":";
     appendText(line, m_process);
     line += ",\"event\":";
     appendText(line, event);
--- a/src/worker/workerkeeper.cpp
+++ b/src/worker/workerkeeper.cpp
@@ -215,7 +215,7 @@
                 {{"job", jobIdText(id.task.job)},
                  {"task", taskIdText(id.task)},
                  {"run", id.number},
-                 {"answer", static_cast<int>(answer)},
+                 {"answer", orderAnswerName(answer)},
                  {"waited_ms", now - run.orderedAt}});
     if (answer == OrderAnswer::Done) {
         run.listedFrom = now;
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -138,7 +138,7 @@
         m_reportChanged = true;
         m_holdNotBefore = now + pauseAfterFailure;
         if (m_holdFailures == 1)
-            m_log.always(now, "worker_call_failed", {{"answer", static_cast<int>(answer)}});
+            m_log.always(now, "worker_call_failed", {{"answer", orderAnswerName(answer)}});
         return;
     }
     const int64_t born = m_worker ? m_worker->born : 0;
--- a/src/worker/workerstate.h
+++ b/src/worker/workerstate.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace turmericwell {
@@ -68,6 +69,31 @@
     NoAnswer,
 };
 
+constexpr std::string_view orderAnswerName(OrderAnswer answer)
+{
+    switch (answer) {
+    case OrderAnswer::Done:
+        return "done";
+    case OrderAnswer::Fenced:
+        return "fenced";
+    case OrderAnswer::OldRun:
+        return "old run";
+    case OrderAnswer::TooLate:
+        return "too late";
+    case OrderAnswer::NoRoom:
+        return "no room";
+    case OrderAnswer::Unhealthy:
+        return "unhealthy";
+    case OrderAnswer::WrongWorker:
+        return "wrong worker";
+    case OrderAnswer::Invalid:
+        return "invalid";
+    case OrderAnswer::NoAnswer:
+        break;
+    }
+    return "no answer";
+}
+
 struct StartCall
 {
     RunId run;
