--- a/tests/unit/membershippeerstest.cpp
+++ b/tests/unit/membershippeerstest.cpp
@@ -50,12 +50,13 @@
     {
         lastAccepted = link;
         link->start({.onFrame =
-                         [this, link](std::span<const uint8_t> payload) {
+                         [this, weak = std::weak_ptr(link)](std::span<const uint8_t> payload) {
                              const auto message = decodeMessage(payload);
                              if (message)
-                                 hub.handle(link, **message);
+                                 hub.handle(weak.lock(), **message);
                          },
-                     .onClosed = [this, link](const std::string &) { hub.closed(link); }});
+                     .onClosed = [this, weak = std::weak_ptr(link)](
+                                     const std::string &) { hub.closed(weak.lock()); }});
     }
 
     Address address;
