Drop a time from the job record that nothing reads

Cause: changed_wall_ms held the steady clock's time, and no reader used it. Change: the field is gone, with the parameters that only served it.

--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -148,7 +148,7 @@
     }
     Job &job = addJob(std::move(spec), partition, now);
     job.submitters.push_back(std::move(onDone));
-    writeRecord(job, now);
+    writeRecord(job);
 }
 
 bool JobBook::mayHaveRuns(const JobSpec &spec, bool repeated) const
@@ -223,7 +223,7 @@
     }
     job->cancellers.push_back(std::move(onDone));
     if (job->phase == JobPhase::Active)
-        endJob(*job, JobPhase::Cancelled, now);
+        endJob(*job, JobPhase::Cancelled);
 }
 
 std::map<std::string, uint32_t> JobBook::pendingByQueue() const
@@ -236,7 +236,7 @@
     return result;
 }
 
-void JobBook::writeRecord(Job &job, Millis now)
+void JobBook::writeRecord(Job &job)
 {
     if (job.recordInFlight) {
         job.recordDirty = true;
@@ -248,7 +248,6 @@
     JobRecord record;
     record.phase = job.phase;
     record.queue = job.spec.queue;
-    record.changed_wall_ms = now.count;
     if (job.phase == JobPhase::Active) {
         record.spec = std::make_unique<JobSpec>(job.spec);
         record.failed_runs = job.failedRuns;
@@ -293,7 +292,7 @@
         return;
     }
     if (job->recordDirty)
-        writeRecord(*job, now);
+        writeRecord(*job);
 }
 
 void JobBook::finishAcceptance(Job &job, StoreOutcome outcome, Millis now)
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -279,7 +279,7 @@
     Millis predictedWait(const JobSpec &spec, Millis latestStart) const;
     int64_t waitingCpuMs(const Job &job) const;
     Job &addJob(JobSpec spec, uint32_t partition, Millis now);
-    void writeRecord(Job &job, Millis now);
+    void writeRecord(Job &job);
     void recordStored(JobId id, uint32_t partition, uint64_t epoch, JobPhase phase,
                       const std::vector<UnstoredEnd> &ends, StoreOutcome outcome, Millis now);
     void finishAcceptance(Job &job, StoreOutcome outcome, Millis now);
@@ -297,7 +297,7 @@
     void taskDone(Job &job, Task &task, Millis now);
     void taskFailed(Job &job, Task &task, AgentNumber agent, const RunId &run, Millis now);
     void makeWaiting(Job &job, Task &task, Millis now);
-    void endJob(Job &job, JobPhase phase, Millis now);
+    void endJob(Job &job, JobPhase phase);
     void stopRuns(Job &job);
     void noteUnstoredEnd(Job &job, AgentNumber agent, const RunId &run, Millis now);
     void adoptRun(AgentNumber agent, const RunId &run, Millis now);
--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -287,7 +287,7 @@
         m_log.write(now, "job_given_up",
                     {{"job", jobIdText(id)}, {"queue", job.spec.queue}, {"took_ms", now - job.acceptedAt}});
         job.givenUp = true;
-        endJob(job, JobPhase::Cancelled, now);
+        endJob(job, JobPhase::Cancelled);
     }
 }
 
@@ -299,7 +299,7 @@
     for (auto &[id, job] : m_jobs) {
         const bool due = !job.unstoredEnds.empty() && now - job.oldestUnstoredEnd >= m_options.progressDelay;
         if (due && !job.recordInFlight)
-            writeRecord(job, now);
+            writeRecord(job);
     }
 }
 
--- a/src/jobs/jobbookpartitions.cpp
+++ b/src/jobs/jobbookpartitions.cpp
@@ -106,7 +106,7 @@
             continue;
         dequeue(job);
         if (job.spec.best_effort || !job.unstoredEnds.empty()) {
-            writeRecord(job, now);
+            writeRecord(job);
             ++stored;
         }
     }
--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -45,7 +45,7 @@
     if (job.accepted && job.phase == JobPhase::Active
         && std::all_of(job.stepRemaining.begin(), job.stepRemaining.end(),
                        [](uint32_t left) { return left == 0; }))
-        endJob(job, JobPhase::Completed, job.acceptedAt);
+        endJob(job, JobPhase::Completed);
 }
 
 void JobBook::noteUnstoredEnd(Job &job, AgentNumber agent, const RunId &run, Millis now)
@@ -77,7 +77,7 @@
     }
 }
 
-void JobBook::endJob(Job &job, JobPhase phase, Millis now)
+void JobBook::endJob(Job &job, JobPhase phase)
 {
     job.phase = phase;
     dequeue(job);
@@ -85,7 +85,7 @@
     if (job.spec.best_effort)
         m_finished.push_back(job.spec.id);
     if (!job.spec.best_effort || job.recorded)
-        writeRecord(job, now);
+        writeRecord(job);
 }
 
 void JobBook::taskDone(Job &job, Task &task, Millis now)
@@ -107,7 +107,7 @@
     const bool allDone = std::all_of(job.stepRemaining.begin(), job.stepRemaining.end(),
                                      [](uint32_t left) { return left == 0; });
     if (allDone)
-        endJob(job, JobPhase::Completed, now);
+        endJob(job, JobPhase::Completed);
     else
         openReadySteps(job);
 }
@@ -127,7 +127,7 @@
         return;
     if (job.phase == JobPhase::Active && task.failures >= std::max(1U, job.spec.attempts)) {
         task.phase = TaskPhase::Waiting;
-        endJob(job, JobPhase::Failed, now);
+        endJob(job, JobPhase::Failed);
         return;
     }
     makeWaiting(job, task, now);
