Answer 504 when a call ends while its partition is handed over

Change: a call knows whether a try is under way. test_call_that_ends_during_a_handover_is_not_refused fails before and passes now.

--- a/src/entry/peerhub.cpp
+++ b/src/entry/peerhub.cpp
@@ -71,19 +71,20 @@
         m_heardAt[link] = Clock::now();
     }
     // The link keeps its handlers until it is closed, so they must not keep the link.
-    link->start({.onFrame =
-                     [this, weak = std::weak_ptr(link)](std::span<const uint8_t> payload) {
-                         const FrameLinkPtr link = weak.lock();
-                         leaf::try_handle_all(
-                             [&]() -> leaf::result<void> {
-                                 BOOST_LEAF_AUTO(message, decodeMessage(payload));
-                                 handle(link, *message);
-                                 return {};
-                             },
-                             [&](const CodecError &error) { link->close(error.detail); },
-                             [&] { link->close("bad message"); });
+    link->start(
+        {.onFrame =
+             [this, weak = std::weak_ptr(link)](std::span<const uint8_t> payload) {
+                 const FrameLinkPtr link = weak.lock();
+                 leaf::try_handle_all(
+                     [&]() -> leaf::result<void> {
+                         BOOST_LEAF_AUTO(message, decodeMessage(payload));
+                         handle(link, *message);
+                         return {};
                      },
-                 .onClosed = [this, weak = std::weak_ptr(link)](const std::string &) { closed(weak.lock()); }});
+                     [&](const CodecError &error) { link->close(error.detail); },
+                     [&] { link->close("bad message"); });
+             },
+         .onClosed = [this, weak = std::weak_ptr(link)](const std::string &) { closed(weak.lock()); }});
     link->send(helloFrame());
 }
 
--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -72,6 +72,7 @@
     const uint32_t partition = partitionOf(pending.call.job, m_settings.partitions);
     pending.call.repeated = pending.uncertain;
     if (m_book.isServing(partition)) {
+        pending.inProgress = true;
         perform(pending.call,
                 [this, id, attempt](JobReply reply) { answered(id, attempt, std::move(reply)); });
         return;
@@ -89,6 +90,7 @@
         return;
     }
     pending.askedLink = link;
+    pending.inProgress = true;
     fleet::JobCallT message;
     message.call = id | (attempt << attemptShift);
     message.kind = pending.call.kind;
@@ -107,6 +109,7 @@
         return;
     PendingCall &pending = found->second;
     pending.askedLink.reset();
+    pending.inProgress = false;
     const bool tryAgain =
         reply.status == fleet::CallStatus::NotReady || reply.status == fleet::CallStatus::Unknown;
     if (tryAgain) {
@@ -126,8 +129,7 @@
     if (found == m_calls.end())
         return;
     const PendingCall &pending = found->second;
-    const uint32_t partition = partitionOf(pending.call.job, m_settings.partitions);
-    const bool mayBeDone = pending.uncertain || pending.askedLink || m_book.isServing(partition);
+    const bool mayBeDone = pending.uncertain || pending.inProgress;
     finish(id,
            {.status = mayBeDone ? fleet::CallStatus::Unknown : fleet::CallStatus::NotReady,
             .retryAfter = leastRetryAfter,
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -95,6 +95,8 @@
         JobReplyHandler onDone;
         // A try was sent to an owner that has not answered it.
         bool uncertain = false;
+        // A try is under way, here or at the owner.
+        bool inProgress = false;
         // Number of the try under way; answers of earlier ones are ignored.
         uint64_t attempt = 0;
         NodeLinkPtr askedLink;
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -199,6 +199,27 @@
         # A job that may have run is never refused as if it had not.
         self.assertEqual([status for status in answers if status not in (200, 504)], [])
 
+    # Guards against an untrue refusal: a job has started, and its caller's time ends while its partition is handed over.
+    def test_call_that_ends_during_a_handover_is_not_refused(self):
+        fleet = self.fleet(entries=3, task_ms=lambda task: 2500)
+        fleet.entries[2].kill()
+        time.sleep(2)
+        answers = []
+
+        def submit(number):
+            answers.append(fleet.submit(f"{number:016x}", tasks=1, entry=number % 2, best_effort=True, timeout=1.2)[0])
+
+        threads = [threading.Thread(target=submit, args=(number,)) for number in range(1, 41)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.7)
+        # An entry joins and gets partitions; slow appends keep these in the handover while the deadlines pass.
+        fleet.store.append_s = 0.6
+        fleet.entries[2].start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([status for status in answers if status in (429, 503)], [])
+
     # Guards against starts in a zone that operators have withdrawn.
     def test_evacuated_zone_gets_no_starts(self):
         fleet = self.fleet()
