--- a/tests/fuzz/fuzzplatform.cpp
+++ b/tests/fuzz/fuzzplatform.cpp
@@ -24,7 +24,7 @@
                                   .path = "/q/0123456789abcdef",
                                   .headers = {{"host", "h"}, {"deadline-ms", body.substr(0, 8)}},
                                   .body = body};
-        const ClientCall call = platform::decodeClientRequest(request, queues);
+        const platform::ClientCall call = platform::decodeClientRequest(request, queues);
         if (const auto *job = std::get_if<JobCall>(&call); job && !job->spec)
             std::abort();
         break;
