Decode FlatBuffers at any address through one template

Cause: the fuzz target of the platform adapter passes messages that start at an odd address; the verifier reads scalars in place, which the undefined behaviour sanitizer reports. In the processes the buffers start at aligned addresses, so no misbehaviour was seen there. Change: unpackTable copies misaligned bytes first; both codecs frame and unpack through the same templates.

--- a/src/proto/codec.cpp
+++ b/src/proto/codec.cpp
@@ -2,7 +2,7 @@
 // access.
 #include "proto/codec.h"
 
-#include "net/framelink.h"
+#include "proto/verifiedbuffer.h"
 
 #include <boost/leaf/error.hpp>
 
@@ -12,21 +12,14 @@
 
 std::vector<uint8_t> encodeEnvelope(const Message &message)
 {
-    constexpr size_t initialBytes = 512;
-    flatbuffers::FlatBufferBuilder builder(initialBytes);
-    builder.Finish(wire::Envelope::Pack(builder, &message));
-    std::vector<uint8_t> frame(frameHeaderBytes + builder.GetSize());
-    std::copy_n(builder.GetBufferPointer(), builder.GetSize(), frame.begin() + frameHeaderBytes);
-    writeFrameHeader(frame);
-    return frame;
+    return encodeTableFrame<wire::Envelope>(message);
 }
 
 leaf::result<std::unique_ptr<Message>> decodeMessage(std::span<const uint8_t> payload)
 {
-    flatbuffers::Verifier verifier(payload.data(), payload.size());
-    if (!wire::VerifyEnvelopeBuffer(verifier))
+    std::unique_ptr<Message> message = unpackTable<wire::Envelope>(payload);
+    if (!message)
         return leaf::new_error(CodecError{.detail = "buffer is not a valid envelope"});
-    std::unique_ptr<Message> message(wire::GetEnvelope(payload.data())->UnPack());
     if (message->body.type == wire::Body::NONE || message->body.value == nullptr)
         return leaf::new_error(CodecError{.detail = "envelope has no body"});
     return message;
--- a/src/proto/fleetcodec.cpp
+++ b/src/proto/fleetcodec.cpp
@@ -1,12 +1,10 @@
 // FlatBuffers codec for jobs.
 #include "proto/fleetcodec.h"
 
-#include "net/framelink.h"
+#include "proto/verifiedbuffer.h"
 
 namespace turmericwell {
 
-constexpr size_t initialBufferBytes = 512;
-
 fleet::RunRef toWire(const RunId &run)
 {
     return {run.task.job, run.task.occurrence, run.task.step, run.task.index, run.number};
@@ -26,21 +24,13 @@
 
 std::vector<uint8_t> encodeFleetEnvelope(const fleet::EnvelopeT &envelope)
 {
-    flatbuffers::FlatBufferBuilder builder(initialBufferBytes);
-    builder.Finish(fleet::Envelope::Pack(builder, &envelope));
-    std::vector<uint8_t> frame(frameHeaderBytes + builder.GetSize());
-    std::copy_n(builder.GetBufferPointer(), builder.GetSize(), frame.begin() + frameHeaderBytes);
-    writeFrameHeader(frame);
-    return frame;
+    return encodeTableFrame<fleet::Envelope>(envelope);
 }
 
 std::unique_ptr<fleet::EnvelopeT> decodeFleetMessage(std::span<const uint8_t> payload)
 {
-    flatbuffers::Verifier verifier(payload.data(), payload.size());
-    if (!fleet::VerifyEnvelopeBuffer(verifier))
-        return nullptr;
-    std::unique_ptr<fleet::EnvelopeT> envelope(fleet::GetEnvelope(payload.data())->UnPack());
-    if (envelope->body.type == fleet::Body::NONE || envelope->body.value == nullptr)
+    std::unique_ptr<fleet::EnvelopeT> envelope = unpackTable<fleet::Envelope>(payload);
+    if (!envelope || envelope->body.type == fleet::Body::NONE || envelope->body.value == nullptr)
         return nullptr;
     return envelope;
 }
@@ -54,13 +44,11 @@
 
 std::optional<JobRecord> decodeJobRecord(std::string_view bytes)
 {
-    const auto *data = reinterpret_cast<const uint8_t *>(bytes.data());
-    flatbuffers::Verifier verifier(data, bytes.size());
-    if (!verifier.VerifyBuffer<fleet::JobRecord>(nullptr))
+    const std::unique_ptr<JobRecord> record =
+        unpackTable<fleet::JobRecord>({reinterpret_cast<const uint8_t *>(bytes.data()), bytes.size()});
+    if (!record)
         return std::nullopt;
-    JobRecord record;
-    flatbuffers::GetRoot<fleet::JobRecord>(data)->UnPackTo(&record);
-    return record;
+    return std::move(*record);
 }
 
 } // namespace turmericwell
