Send fewer and larger groups of messages between agents and entries

Each worker reported its room to all entries up to 100 times a second, each frame took two reads, and each message caused a pass over the queue that searched all workers for every waiting job. Change: frames are read in bulk; messages that can wait leave with the next other one or after 10 to 15 ms; a worker whose room is ample reports every 50 ms (ReportPolicy); an end frees the room in the owner's view at once; one placement pass follows all messages that have arrived; a search stops at an upper bound of the free room. Calls for an own partition are placed at once and not at the next tick.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -199,13 +199,20 @@
 
 void AgentNode::sendReports()
 {
-    if (!m_keeper.takeReportChange())
-        return;
-    fleet::WorkerReportT report = m_keeper.report(Clock::now());
+    m_reportPending = m_keeper.takeReportChange() || m_reportPending;
+    const Millis now = Clock::now();
+    fleet::WorkerReportT report;
+    if (m_reportPending)
+        report = m_keeper.report(now);
+    const bool isDue = m_reportPending && m_reportPolicy.isDue(report, now);
     for (const auto &[number, entry] : m_entries) {
-        report.orders = m_keeper.ordersTaken(number);
-        entry.link->send(fleet::WorkerReportT(report));
+        if (isDue) {
+            report.orders = m_keeper.ordersTaken(number);
+            entry.link->send(fleet::WorkerReportT(report));
+        }
+        entry.link->flush();
     }
+    m_reportPending = m_reportPending && !isDue;
 }
 
 void AgentNode::callStart(const StartCall &call)
@@ -243,7 +250,7 @@
         return;
     fleet::RunStartedT message;
     message.run = std::make_unique<fleet::RunRef>(toWire(run));
-    link->send(std::move(message));
+    link->sendLater(std::move(message));
 }
 
 void AgentNode::tellRejected(EntryNumber entry, const RunId &run, RejectReason reason)
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -4,6 +4,7 @@
 #include "fleet/fleetsettings.h"
 #include "fleet/memberlist.h"
 #include "fleet/nodelink.h"
+#include "worker/reportpolicy.h"
 #include "worker/workerkeeper.h"
 
 #include <map>
@@ -75,6 +76,9 @@
     StructuredLog &m_log;
     Timers m_timers;
     WorkerKeeper m_keeper;
+    ReportPolicy m_reportPolicy;
+    // The worker's state has changed since the last report.
+    bool m_reportPending = false;
     Registration m_registration;
     FrameListener m_listener;
     std::map<EntryNumber, Entry> m_entries;
--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -75,6 +75,7 @@
         pending.inProgress = true;
         perform(pending.call,
                 [this, id, attempt](JobReply reply) { answered(id, attempt, std::move(reply)); });
+        advanceSoon();
         return;
     }
     const NodeLinkPtr link = ownerLink(partition);
@@ -176,8 +177,7 @@
         answer.reason = reply.reason;
         peer->send(std::move(answer));
     });
-    if (!m_confirmAfter)
-        m_book.advance(Clock::now());
+    advanceSoon();
 }
 
 uint32_t EntryNode::pendingCount(const std::string &queue) const
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -2,6 +2,7 @@
 #include "fleet/entrynode.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 namespace turmericwell {
 
@@ -290,8 +291,21 @@
             ended.push_back(toAgentEnd(*item));
         m_book.claimReport(agent, claim->partition, claim->epoch, running, ended, now);
     }
-    if (roomChanged && !m_confirmAfter)
-        m_book.advance(now);
+    if (roomChanged)
+        advanceSoon();
+}
+
+void EntryNode::advanceSoon()
+{
+    if (std::exchange(m_advancePending, true))
+        return;
+    boost::asio::post(m_io, [this, guard = m_timers.guard()] {
+        if (guard.expired())
+            return;
+        m_advancePending = false;
+        if (!m_confirmAfter)
+            m_book.advance(Clock::now());
+    });
 }
 
 void EntryNode::receivedFromEntry(const NodeLinkPtr &link, fleet::EnvelopeT &envelope)
@@ -340,6 +354,10 @@
         m_confirmAfter.reset();
     if (!m_confirmAfter)
         m_book.advance(now);
+    for (const auto &[number, agent] : m_agents) {
+        if (agent.link)
+            agent.link->flush();
+    }
 }
 
 void EntryNode::store(uint32_t partition, JobId job, std::string record, bool mayDrop,
@@ -388,7 +406,7 @@
         return;
     fleet::EndStoredT message;
     message.run = std::make_unique<fleet::RunRef>(toWire(run));
-    agent->second.link->send(std::move(message));
+    agent->second.link->sendLater(std::move(message));
 }
 
 void EntryNode::tellSize(AgentNumber number, const RunId &run, const StepSpec &step)
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -117,6 +117,9 @@
     void partitionLoaded(uint32_t partition);
     void sendReport();
     void tick();
+    // Places waiting tasks once all messages that have arrived are handled: under load one pass over the
+    // queue serves many of them.
+    void advanceSoon();
 
     // --- entrymembers.cpp: other processes of the system ---
     void memberFound(const Member &member);
@@ -168,6 +171,7 @@
     std::map<uint64_t, StoreTransport::Done> m_storeRelays;
     uint64_t m_nextStoreRelay = 1;
     bool m_stopping = false;
+    bool m_advancePending = false;
     Millis m_lastTick;
     // After a pause of the process nothing is ordered until the store has confirmed the ownership again.
     std::optional<Millis> m_confirmAfter;
--- a/src/fleet/nodelink.h
+++ b/src/fleet/nodelink.h
@@ -48,6 +48,13 @@
     {
         m_link->send(encodeFleetMessage(std::move(body)));
     }
+    // The message waits for the next other one, or for flush.
+    template <typename Body>
+    void sendLater(Body body)
+    {
+        m_link->sendLater(encodeFleetMessage(std::move(body)));
+    }
+    void flush() { m_link->flush(); }
     const fleet::HelloT &peer() const { return m_peer; }
     // When this side last answered a ping of the peer.
     Millis lastPongSent() const { return m_lastPongSent; }
--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -172,6 +172,10 @@
         return;
     }
     const bool isCurrent = run.number == task->run;
+    if (isCurrent && task->agent == agent) {
+        const StepSpec &step = *job->spec.steps[task->step];
+        m_pool.runEnded(agent, {step.cpu_milli, step.memory_mb, step.accelerators});
+    }
     if (!end.checkpoint.empty())
         task->checkpoint = end.checkpoint;
     if (end.kind == EndKind::Done) {
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -31,6 +31,22 @@
         worker.pace = 1;
     }
     worker.state = std::move(state);
+    noteFree(worker);
+}
+
+void WorkerPool::noteFree(const Worker &worker)
+{
+    int64_t &most = m_mostFreeMilli[worker.state.service];
+    most = std::max(most, freeRoom(worker).cpuMilli);
+}
+
+void WorkerPool::runEnded(AgentNumber agent, const Room &size)
+{
+    const auto found = m_workers.find(agent);
+    if (found == m_workers.end())
+        return;
+    found->second.state.free += size;
+    noteFree(found->second);
 }
 
 void WorkerPool::remove(AgentNumber agent)
@@ -81,13 +97,19 @@
 
 std::optional<AgentNumber> WorkerPool::choose(const PlacementNeeds &needs, Millis now)
 {
+    const auto bound = m_mostFreeMilli.find(needs.service);
+    if (bound == m_mostFreeMilli.end() || bound->second < needs.size.cpuMilli)
+        return std::nullopt;
     std::optional<AgentNumber> best;
     double bestScore = 0;
+    int64_t mostFree = 0;
     std::uniform_real_distribution<double> jitter(0, 0.05);
     for (const auto &[agent, worker] : m_workers) {
+        const Room room = freeRoom(worker);
+        if (worker.state.service == needs.service)
+            mostFree = std::max(mostFree, room.cpuMilli);
         if (!admissible(worker, needs) || (needs.eligible && !needs.eligible->contains(agent)))
             continue;
-        const Room room = freeRoom(worker);
         if (!room.holds(needs.size))
             continue;
         if (needs.workerLimit > 0 && needs.siblings) {
@@ -116,6 +138,8 @@
             bestScore = score;
         }
     }
+    if (!best)
+        bound->second = mostFree;
     return best;
 }
 
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -94,6 +94,8 @@
     // A worker that has room now; nothing if none has.
     std::optional<AgentNumber> choose(const PlacementNeeds &needs, Millis now);
     void orderSent(AgentNumber agent, const Room &size);
+    // The run's room is free again, before the agent's next report says so.
+    void runEnded(AgentNumber agent, const Room &size);
     // A worker that fails what it starts gets no new work for some time, unless all others are worse.
     void runFailed(AgentNumber agent, Millis now);
     void runSucceeded(AgentNumber agent);
@@ -131,7 +133,12 @@
     bool admissible(const Worker &worker, const PlacementNeeds &needs) const;
     Room freeRoom(const Worker &worker) const;
 
+    void noteFree(const Worker &worker);
+
     std::map<AgentNumber, Worker> m_workers;
+    // No worker of the service has more free processors than this. Room that is given away does not lower the
+    // bound, a search without success does.
+    std::map<std::string, int64_t, std::less<>> m_mostFreeMilli;
     std::set<std::string> m_evacuated;
     std::minstd_rand m_random{1};
 };
--- a/src/net/framelink.cpp
+++ b/src/net/framelink.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -13,6 +12,8 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+constexpr size_t readBufferBytes = 8'192;
+
 FrameHeader decodeFrameHeader(std::span<const uint8_t, frameHeaderBytes> bytes)
 {
     FrameHeader header;
@@ -42,6 +43,7 @@
 
 FrameLink::FrameLink(TcpSocket socket)
     : m_socket(std::move(socket))
+    , m_buffer(readBufferBytes)
 {
     boost::system::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
@@ -52,20 +54,43 @@
 void FrameLink::start(Handlers handlers)
 {
     m_handlers = std::move(handlers);
-    asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->readHeader(); });
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->readSome(); });
+}
+
+void FrameLink::enqueue(std::vector<uint8_t> frame)
+{
+    if (m_closed)
+        return;
+    m_queuedBytes += frame.size();
+    if (m_queuedBytes > maxQueuedBytes) {
+        finish("peer does not read: send queue is full");
+        return;
+    }
+    m_queue.push_back(std::move(frame));
 }
 
 void FrameLink::send(std::vector<uint8_t> frame)
 {
     asio::post(m_socket.get_executor(), [self = shared_from_this(), frame = std::move(frame)]() mutable {
-        if (self->m_closed)
-            return;
-        self->m_queuedBytes += frame.size();
-        if (self->m_queuedBytes > maxQueuedBytes) {
-            self->finish("peer does not read: send queue is full");
-            return;
-        }
-        self->m_queue.push_back(std::move(frame));
+        self->enqueue(std::move(frame));
+        if (self->m_writing.empty())
+            self->writeQueued();
+    });
+}
+
+void FrameLink::sendLater(std::vector<uint8_t> frame)
+{
+    m_unflushed = true;
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), frame = std::move(frame)]() mutable {
+        self->enqueue(std::move(frame));
+    });
+}
+
+void FrameLink::flush()
+{
+    if (!m_unflushed.exchange(false))
+        return;
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
         if (self->m_writing.empty())
             self->writeQueued();
     });
@@ -75,8 +100,12 @@
 {
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
         self->m_closeAfterWrites = true;
-        if (self->m_writing.empty() && self->m_queue.empty())
+        if (!self->m_writing.empty())
+            return;
+        if (self->m_queue.empty())
             self->finish("closed by this process");
+        else
+            self->writeQueued();
     });
 }
 
@@ -85,44 +114,55 @@
     asio::post(m_socket.get_executor(), [self = shared_from_this(), reason] { self->finish(reason); });
 }
 
-void FrameLink::readHeader()
+// Load pattern: thousands of small frames a second from many peers. One read takes all that has arrived.
+void FrameLink::readSome()
 {
     if (m_closed)
         return;
-    asio::async_read(m_socket, asio::buffer(m_header),
-                     [self = shared_from_this()](const boost::system::error_code &error, size_t) {
-                         if (error) {
-                             self->finish(error.message());
-                             return;
-                         }
-                         const FrameHeader header = decodeFrameHeader(self->m_header);
-                         const std::string problem = frameHeaderProblem(header);
-                         if (!problem.empty()) {
-                             self->finish(problem);
-                             return;
-                         }
-                         self->m_payload.resize(header.payloadBytes);
-                         self->readPayload();
-                     });
-}
-
-void FrameLink::readPayload()
-{
-    asio::async_read(m_socket, asio::buffer(m_payload),
-                     [self = shared_from_this()](const boost::system::error_code &error, size_t bytes) {
-                         if (error) {
-                             self->finish(error.message());
-                             return;
-                         }
-                         self->m_bytesReceived += bytes + frameHeaderBytes;
-                         if (!self->m_closed)
-                             self->m_handlers.onFrame(self->m_payload);
-                         self->readHeader();
-                     });
+    m_socket.async_read_some(
+        asio::buffer(m_buffer.data() + m_received, m_buffer.size() - m_received),
+        [self = shared_from_this()](const boost::system::error_code &error, size_t bytes) {
+            if (error) {
+                self->finish(error.message());
+                return;
+            }
+            self->m_received += bytes;
+            self->m_bytesReceived += bytes;
+            if (self->takeFrames())
+                self->readSome();
+        });
+}
+
+bool FrameLink::takeFrames()
+{
+    std::span<const uint8_t> rest(m_buffer.data(), m_received);
+    size_t wanted = frameHeaderBytes;
+    while (rest.size() >= frameHeaderBytes) {
+        const FrameHeader header = decodeFrameHeader(rest.first<frameHeaderBytes>());
+        const std::string problem = frameHeaderProblem(header);
+        if (!problem.empty()) {
+            finish(problem);
+            return false;
+        }
+        wanted = frameHeaderBytes + header.payloadBytes;
+        if (rest.size() < wanted)
+            break;
+        m_handlers.onFrame(rest.subspan(frameHeaderBytes, header.payloadBytes));
+        if (m_closed)
+            return false;
+        rest = rest.subspan(wanted);
+        wanted = frameHeaderBytes;
+    }
+    std::copy(rest.begin(), rest.end(), m_buffer.begin());
+    m_received = rest.size();
+    m_buffer.resize(std::max(wanted, readBufferBytes));
+    return true;
 }
 
 void FrameLink::writeQueued()
 {
+    if (m_closed || m_queue.empty())
+        return;
     m_writing.assign(std::make_move_iterator(m_queue.begin()), std::make_move_iterator(m_queue.end()));
     m_queue.clear();
     std::vector<asio::const_buffer> buffers;
--- a/src/net/framelink.h
+++ b/src/net/framelink.h
@@ -56,6 +56,9 @@
     void start(Handlers handlers);
     // Takes a whole frame with its header. Thread-safe; frames leave in the order of the calls of one thread.
     void send(std::vector<uint8_t> frame);
+    // Like send, but the frame waits until the next send or flush, so that several frames leave in one write.
+    void sendLater(std::vector<uint8_t> frame);
+    void flush();
     // Closes after the queued frames have been written.
     void closeAfterWrites();
     void close(const std::string &reason);
@@ -65,20 +68,25 @@
     std::string remoteText() const { return m_remoteText; }
 
 private:
-    void readHeader();
-    void readPayload();
+    void readSome();
+    // Hands over the whole frames in the buffer and keeps the rest; false if the connection was closed.
+    bool takeFrames();
+    void enqueue(std::vector<uint8_t> frame);
     void writeQueued();
     void finish(const std::string &reason);
 
     TcpSocket m_socket;
     Handlers m_handlers;
     std::string m_remoteText;
-    std::array<uint8_t, frameHeaderBytes> m_header{};
-    std::vector<uint8_t> m_payload;
+    // Received bytes that are not handed over yet are the first m_received of the buffer.
+    std::vector<uint8_t> m_buffer;
+    size_t m_received = 0;
     // Only used on the socket's strand. m_writing holds the frames of the write in progress.
     std::deque<std::vector<uint8_t>> m_queue;
     std::vector<std::vector<uint8_t>> m_writing;
     size_t m_queuedBytes = 0;
+    // Frames of sendLater wait in the queue.
+    std::atomic<bool> m_unflushed = false;
     bool m_closed = false;
     bool m_closeAfterWrites = false;
     std::atomic<uint64_t> m_bytesSent = 0;
--- /dev/null
+++ b/src/worker/reportpolicy.cpp
@@ -0,0 +1,44 @@
+// Compares the present state of a worker with the one that was reported last.
+#include "worker/reportpolicy.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <tuple>
+
+namespace turmericwell {
+
+constexpr int64_t wholePercent = 100;
+
+ReportPolicy::ReportPolicy(ReportPolicyOptions options)
+    : m_options(options)
+{ }
+
+// What changes rarely, and at once rules a worker out or in.
+static auto identity(const fleet::WorkerReportT &report)
+{
+    return std::tie(report.usable, report.draining, report.worker, report.born, report.service, report.zone,
+                    report.labels, report.cpu_milli, report.memory_mb, report.accelerators);
+}
+
+bool ReportPolicy::isUrgent(const fleet::WorkerReportT &report) const
+{
+    if (identity(report) != identity(m_sent))
+        return true;
+    const int64_t change = std::abs(int64_t{report.free_cpu_milli} - m_sent.free_cpu_milli);
+    const int64_t leastFree = std::min(report.free_cpu_milli, m_sent.free_cpu_milli);
+    const int64_t capacity = report.cpu_milli;
+    const bool isScarce = leastFree * wholePercent < capacity * m_options.scarcePercent;
+    return isScarce && change * wholePercent >= capacity * m_options.leastChangePercent;
+}
+
+bool ReportPolicy::isDue(const fleet::WorkerReportT &report, Millis now)
+{
+    if (m_hasSent && now - m_sentAt < m_options.longestDelay && !isUrgent(report))
+        return false;
+    m_hasSent = true;
+    m_sent = report;
+    m_sentAt = now;
+    return true;
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/tests/unit/reportpolicytest.cpp
@@ -0,0 +1,56 @@
+// When agents report the state of their workers.
+#include "worker/reportpolicy.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace turmericwell {
+
+static fleet::WorkerReportT reportWithFree(int32_t freeMilli)
+{
+    fleet::WorkerReportT report;
+    report.usable = true;
+    report.worker = "w";
+    report.cpu_milli = 32'000;
+    report.free_cpu_milli = freeMilli;
+    return report;
+}
+
+BOOST_AUTO_TEST_SUITE(ReportPolicyTest)
+
+// Guards against a report to all entries for each start and end while most of the worker is free.
+BOOST_AUTO_TEST_CASE(changesOfAmpleRoomWait)
+{
+    ReportPolicy policy;
+    BOOST_TEST(policy.isDue(reportWithFree(32'000), {1'000}));
+    BOOST_TEST(!policy.isDue(reportWithFree(20'000), {1'010}));
+    BOOST_TEST(!policy.isDue(reportWithFree(20'000), {1'049}));
+    BOOST_TEST(policy.isDue(reportWithFree(20'000), {1'050}));
+}
+
+// Guards against room of a full worker that stays unused because the entries hear of it late, and against
+// work for a worker that has just become full.
+BOOST_AUTO_TEST_CASE(scarceRoomIsReportedAtOnce)
+{
+    ReportPolicy policy;
+    BOOST_TEST(policy.isDue(reportWithFree(1'000), {1'000}));
+    BOOST_TEST(policy.isDue(reportWithFree(4'000), {1'010}));
+    BOOST_TEST(policy.isDue(reportWithFree(20'000), {1'020}));
+    BOOST_TEST(policy.isDue(reportWithFree(2'000), {1'030}));
+    BOOST_TEST(!policy.isDue(reportWithFree(1'500), {1'040}));
+}
+
+// Guards against orders to a worker that drains or has restarted.
+BOOST_AUTO_TEST_CASE(anotherStateIsReportedAtOnce)
+{
+    ReportPolicy policy;
+    BOOST_TEST(policy.isDue(reportWithFree(32'000), {1'000}));
+    fleet::WorkerReportT draining = reportWithFree(32'000);
+    draining.draining = true;
+    BOOST_TEST(policy.isDue(draining, {1'001}));
+    draining.born = 7;
+    BOOST_TEST(policy.isDue(draining, {1'002}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace turmericwell
--- /dev/null
+++ b/tests/unit/workerpooltest.cpp
@@ -0,0 +1,65 @@
+// An entry's view of the workers' room.
+#include "jobs/workerpool.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace turmericwell {
+
+namespace {
+
+struct WorkerPoolFixture
+{
+    WorkerPoolFixture() { report(4'000, 0); }
+
+    void report(int64_t freeMilli, uint64_t ordersTaken)
+    {
+        pool.report(1,
+                    {.usable = true,
+                     .worker = "w",
+                     .service = "kiosk",
+                     .capacity = {4'000, 1'000, 0},
+                     .free = {freeMilli, 1'000, 0},
+                     .ordersTaken = ordersTaken});
+    }
+    std::optional<AgentNumber> choose(int64_t cpuMilli)
+    {
+        return pool.choose({.service = "kiosk", .size = {cpuMilli, 10, 0}}, now);
+    }
+
+    const Millis now = {1'000};
+    WorkerPool pool;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WorkerPoolTest)
+
+// Guards against room that is given away twice before the agent has reported the first order.
+BOOST_FIXTURE_TEST_CASE(ordersTakeRoomUntilAReportCoversThem, WorkerPoolFixture)
+{
+    BOOST_TEST(choose(3'000).has_value());
+    pool.orderSent(1, {3'000, 10, 0});
+    BOOST_TEST(!choose(3'000).has_value());
+    report(4'000, 0);
+    BOOST_TEST(!choose(3'000).has_value());
+    report(4'000, 1);
+    BOOST_TEST(choose(3'000).has_value());
+}
+
+// Guards against free room that stays hidden after a search without success has lowered the bound.
+BOOST_FIXTURE_TEST_CASE(freedRoomIsFoundAgain, WorkerPoolFixture)
+{
+    pool.orderSent(1, {3'000, 10, 0});
+    BOOST_TEST(!choose(2'000).has_value());
+    BOOST_TEST(choose(1'000).has_value());
+    pool.runEnded(1, {3'000, 10, 0});
+    BOOST_TEST(choose(2'000).has_value());
+    report(500, 1);
+    BOOST_TEST(!choose(2'000).has_value());
+    report(3'000, 1);
+    BOOST_TEST(choose(2'000).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace turmericwell
