--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -31,7 +31,7 @@
                 .lease = settings.workerLease,
                 .queueAllowancePercent = settings.queueAllowancePercent},
                incarnation, Clock::now(), *this, log)
-    , m_registration({.identity = m_self, .address = settings.peerListen}, store, io, log)
+    , m_registration({.identity = m_self, .address = settings.peerAddress}, store, io, log)
     , m_listener(io, settings.peerListen, [this](const FrameLinkPtr &link) {
         accepted(std::make_shared<NodeLink>(m_io, link, m_self));
     })
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -37,7 +37,7 @@
     , m_members(store, io, log,
                 {.onMember = [this](const Member &member) { memberFound(member); },
                  .onRemoved = [this](const std::string &name) { memberRemoved(name); }})
-    , m_registration({.identity = m_self, .address = settings.peerListen}, store, io, log)
+    , m_registration({.identity = m_self, .address = settings.peerAddress}, store, io, log)
     , m_listener(
           io, settings.peerListen,
           [this](const FrameLinkPtr &link) { connected(std::make_shared<NodeLink>(m_io, link, m_self), {}); })
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -13,12 +13,13 @@
     settings.zone = reader.requiredText("zone");
     settings.store = readAddress(reader, "store");
     settings.peerListen = readAddress(reader, "peerListen");
+    settings.peerAddress =
+        reader.has("peerAddress") ? readAddress(reader, "peerAddress") : settings.peerListen;
     settings.metricsListen = readAddress(reader, "metricsListen");
     settings.partitions =
         static_cast<uint32_t>(reader.integer("partitions", 8, {.least = 1, .most = mostPartitions}));
     settings.leastMemberTtl = reader.millis("leastMemberTtlMs", {1'000}, {.least = 100, .most = 60'000});
     settings.workerLease = reader.millis("workerLeaseMs", {1'000}, {.least = 100, .most = 60'000});
-    settings.drainTime = reader.millis("drainMs", {2'000}, {.least = 100, .most = 60'000});
     settings.stopGrace = reader.millis("stopGraceMs", {6'000}, {.least = 500, .most = 600'000});
     settings.logLinesPerSecond =
         static_cast<uint32_t>(reader.integer("logLinesPerSecond", 800, {.least = 10, .most = 1'000'000}));
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -15,6 +15,8 @@
     Address store;
     // Connections of other processes of the system arrive here.
     Address peerListen;
+    // Where they reach that address; the same one unless a proxy or an address translation is between.
+    Address peerAddress;
     // Entries only.
     Address clientListen;
     Address readyListen;
@@ -25,7 +27,6 @@
     uint32_t partitions = 8;
     Millis leastMemberTtl;
     Millis workerLease;
-    Millis drainTime;
     // Entries: a client submits a best-effort job again only this long after it got no answer.
     Millis resubmitDelay = {1'300};
     Millis stopGrace;
--- a/src/worker/workerkeeper.cpp
+++ b/src/worker/workerkeeper.cpp
@@ -345,8 +345,8 @@
         m_listsKnown = true;
         m_reportChanged = true;
     }
-    if (now > m_leaseEnd && !m_runs.empty())
-        loseRuns("lease lapsed", now);
+    if (now > m_leaseEnd)
+        leaseLapsed(now);
     checkOwners(now);
     returnWaiting(now);
     for (auto &[id, run] : m_runs) {
--- a/src/worker/workerkeeper.h
+++ b/src/worker/workerkeeper.h
@@ -180,6 +180,7 @@
 
     // --- workerlists.cpp ---
     void newWorkerLife(Millis now);
+    void leaseLapsed(Millis now);
     void loseRuns(std::string_view cause, Millis now);
     void loseRun(const RunId &id, std::string_view cause, Millis now);
     void mergeRunning(const WorkerLists &lists, Millis now);
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -51,6 +51,22 @@
         loseRun(id, cause, now);
 }
 
+void WorkerKeeper::leaseLapsed(Millis now)
+{
+    if (m_holdFailures >= failuresUntilUnusable) {
+        loseRuns("lease lapsed", now);
+        return;
+    }
+    // This process was paused. The worker may have finished the runs before the lease lapsed; lists that are
+    // asked for from now on show it.
+    for (auto &[id, run] : m_runs) {
+        if (run.phase == RunPhase::Queued || run.listedFromHold)
+            continue;
+        run.listedFromHold = m_lastHold + 1;
+        m_listsWanted = true;
+    }
+}
+
 void WorkerKeeper::mergeRunning(const WorkerLists &lists, Millis now)
 {
     for (const ListedRun &listed : lists.running) {
--- a/tests/unit/workerkeepertest.cpp
+++ b/tests/unit/workerkeepertest.cpp
@@ -413,6 +413,25 @@
     BOOST_TEST((fromWire(effects.claims.back()->ended[0]->run) == order(1).run));
 }
 
+// Guards against a second run of a task that was done while its agent was paused for longer than the lease.
+BOOST_FIXTURE_TEST_CASE(runsAreNotLostAfterAPauseBeforeTheWorkerHasAnswered, WorkerKeeperFixture)
+{
+    startRun(1);
+    startRun(2);
+    pass({100});
+    now += Millis{1'500};
+    keeper.advance(now);
+    BOOST_TEST(effects.ended.empty());
+    pass({20});
+    answerHolds({.ended = {{.number = 1, .run = order(1).run, .kind = EndKind::Done}}});
+    pass({20});
+    answerHolds({.ended = {{.number = 1, .run = order(1).run, .kind = EndKind::Done}}});
+    BOOST_TEST_REQUIRE(effects.ended.size() == 2U);
+    BOOST_TEST((effects.ended[0].kind == EndKind::Done));
+    BOOST_TEST((effects.ended[1].run == order(2).run));
+    BOOST_TEST((effects.ended[1].kind == EndKind::Lost));
+}
+
 // Guards against an overfull worker after a restart of its agent, which does not know the sizes of what runs.
 BOOST_AUTO_TEST_CASE(nothingStartsBesideRunsOfUnknownSize)
 {
