Confirm an end that is listed again only once it is stored

While the store refused appends, agent-2 was disconnected and connected again. It listed ends that its owner knew and had not stored; the owner confirmed them at once, because their tasks were done. Change: such an end waits for the next record like any other. Ruled out: the agent reported in time (claim_reported with no ends, 1 ms before partition_located).

--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -167,10 +167,15 @@
                  {"run", run.number},
                  {"how", fleet::EnumNameEndKind(end.kind)},
                  {"known", task != nullptr}});
-    if (!task || task->phase == TaskPhase::Done) {
+    if (!task) {
         m_effects.endStored(agent, run);
         return;
     }
+    if (task->phase == TaskPhase::Done) {
+        // An agent that has connected again lists the end that made the task done, which may not be stored yet.
+        noteUnstoredEnd(*job, agent, run, now);
+        return;
+    }
     const bool isCurrent = run.number == task->run;
     if (isCurrent && task->agent == agent) {
         const StepSpec &step = *job->spec.steps[task->step];
--- a/tests/unit/jobbooktest.cpp
+++ b/tests/unit/jobbooktest.cpp
@@ -61,6 +61,27 @@
     BOOST_TEST((book.query(1).phase == JobPhase::Completed));
 }
 
+// Guards against a task that runs again under a new owner: an agent that connects again lists an end that its owner
+// knows and has not stored yet, and must not take it for stored.
+BOOST_FIXTURE_TEST_CASE(endThatIsListedAgainIsNotConfirmedBeforeItIsStored, JobBookFixture)
+{
+    load();
+    submit(job(1, 2, false));
+    storeAll();
+    startAll();
+    const RecordedEffects::Start first = effects.starts[0];
+    end(first, EndKind::Done);
+    book.agentDisconnected(first.agent);
+    const std::vector<AgentEnd> listed = {{.run = first.run, .kind = EndKind::Done}};
+    book.claimReport(first.agent, 0, *book.epochOf(0), {}, listed, now);
+    BOOST_TEST(effects.confirmed.empty());
+    now += Millis{1'100};
+    book.advance(now);
+    storeAll();
+    BOOST_TEST_REQUIRE(!effects.confirmed.empty());
+    BOOST_TEST((effects.confirmed[0] == first.run));
+}
+
 // Guards against ends of unfinished jobs that stay unconfirmed.
 BOOST_FIXTURE_TEST_CASE(progressOfAnUnfinishedJobIsStoredAfterTheDelay, JobBookFixture)
 {
