--- a/src/net/framelink.cpp
+++ b/src/net/framelink.cpp
@@ -126,6 +126,9 @@
                 self->finish(error.message());
                 return;
             }
+            // The link can have been closed between the read and this call.
+            if (self->m_closed)
+                return;
             self->m_received += bytes;
             self->m_bytesReceived += bytes;
             if (self->takeFrames())
--- a/tests/unit/framelinktest.cpp
+++ b/tests/unit/framelinktest.cpp
@@ -31,6 +31,8 @@
         link->start({.onFrame =
                          [this](std::span<const uint8_t> payload) {
                              received.emplace_back(payload.begin(), payload.end());
+                             if (closesOnFrame)
+                                 link->close("closed by the handler");
                          },
                      .onClosed = [this](const std::string &reason) { closed = reason; }});
     }
@@ -46,6 +48,7 @@
     FrameLinkPtr link;
     std::vector<std::vector<uint8_t>> received;
     std::string closed;
+    bool closesOnFrame = false;
 };
 
 } // namespace
@@ -84,6 +87,20 @@
     BOOST_TEST(!closed.empty());
 }
 
+// Guards against a call of a handler that is gone: bytes were read before the link was closed, and their
+// completion follows.
+BOOST_FIXTURE_TEST_CASE(bytesThatWereReadBeforeTheCloseAreDropped, FrameLinkFixture)
+{
+    closesOnFrame = true;
+    std::vector<uint8_t> bytes = frameOf({1});
+    const std::vector<uint8_t> large = frameOf(std::vector<uint8_t>(30'000, 2));
+    bytes.insert(bytes.end(), large.begin(), large.end());
+    asio::write(socket, asio::buffer(bytes));
+    run();
+    BOOST_TEST(received.size() == 1U);
+    BOOST_TEST(closed == "closed by the handler");
+}
+
 // Guards against frames that wait for ever, or overtake each other, when they are sent later.
 BOOST_FIXTURE_TEST_CASE(laterFramesLeaveInOrder, FrameLinkFixture)
 {
--- a/tests/unit/jobbooktest.cpp
+++ b/tests/unit/jobbooktest.cpp
@@ -61,8 +61,8 @@
     BOOST_TEST((book.query(1).phase == JobPhase::Completed));
 }
 
-// Guards against a task that runs again under a new owner: an agent that connects again lists an end that its owner
-// knows and has not stored yet, and must not take it for stored.
+// Guards against a task that runs again under a new owner: an agent that connects again lists an end that its
+// owner knows and has not stored yet, and must not take it for stored.
 BOOST_FIXTURE_TEST_CASE(endThatIsListedAgainIsNotConfirmedBeforeItIsStored, JobBookFixture)
 {
     load();
