--- a/tools/lab/fleet.py
+++ b/tools/lab/fleet.py
@@ -44,6 +44,9 @@
     def wait(self, timeout=20):
         return self._process.wait(timeout)
 
+    def has_ended(self):
+        return self._process.poll() is not None
+
     def kill(self):
         if self._process and self._process.poll() is None:
             self._process.kill()
--- a/tools/lab/soak.py
+++ b/tools/lab/soak.py
@@ -87,6 +87,8 @@
             load.join()
             for thread in self._threads:
                 thread.join()
+            for process in [*fleet.entries, *fleet.agents]:
+                self._check_alive(process)
             self._check_recovery()
             self._check_jobs()
             self._check_runs()
@@ -175,6 +177,7 @@
     def _disturb_process(self, fault):
         process = self._fleet.process(fault.target)
         with process.lock:
+            self._check_alive(process)
             if fault.kind == "pause":
                 process.signal(STOP)
                 time.sleep(fault.length)
@@ -182,7 +185,9 @@
                 return
             if fault.kind == "term":
                 process.signal(TERM)
-                process.wait()
+                code = process.wait()
+                if code != 0:
+                    self.problems.append(f"{process.name} ended with code {code} after SIGTERM")
             else:
                 process.kill()
             time.sleep(min(fault.length, 1))
@@ -193,6 +198,7 @@
         for process in processes:
             process.lock.acquire()
         for process in processes:
+            self._check_alive(process)
             process.kill()
         time.sleep(min(length, 1))
         for process in processes:
@@ -207,6 +213,11 @@
 
     # --- promises ---
 
+    def _check_alive(self, process):
+        if process.has_ended():
+            self.problems.append(f"{process.name} ended by itself")
+            process.start()
+
     def _check_recovery(self):
         begin = time.monotonic()
         try:
