--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -172,7 +172,8 @@
         return;
     }
     if (task->phase == TaskPhase::Done) {
-        // An agent that has connected again lists the end that made the task done, which may not be stored yet.
+        // An agent that has connected again lists the end that made the task done, which may not be stored
+        // yet.
         noteUnstoredEnd(*job, agent, run, now);
         return;
     }
