--- a/tools/lab/fleet.py
+++ b/tools/lab/fleet.py
@@ -32,8 +32,10 @@
         self._settings = settings
         self._log = log
         self._process = None
+        self._started_at = 0
 
     def start(self):
+        self._started_at = time.monotonic()
         with open(self._log, "ab") as log:
             self._process = subprocess.Popen([*self._command, "--settings", str(self._settings)], stdout=log,
                                              stderr=subprocess.STDOUT)
@@ -44,6 +46,10 @@
     def wait(self, timeout=20):
         return self._process.wait(timeout)
 
+    def age(self):
+        """Seconds since the start."""
+        return time.monotonic() - self._started_at
+
     def has_ended(self):
         return self._process.poll() is not None
 
