Keep disputed ends at the worker until its lease has lapsed

The owner gave the run up after 2.5 s and ordered the task again; then the agent connected and listed the first end, which the owner stored and the agent confirmed. The task counted as done by a run after which it was started again. Ruled out: a late report of the agent (it listed the end 24 ms after it happened) and a lapse of the lease (other entries kept the worker busy).

Change: an end of a run after which its task was ordered again is marked as disputed in EndStored, also when the job has ended meanwhile. The agent confirms it only after a lapse of the worker's lease, which makes the end void. It lets the lease lapse while nothing runs, or gives it up once 64 ends are kept back.

It does not hold when the second run is lost with its owner before the first end is known, which needs two faults within the same seconds.

--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -399,13 +399,14 @@
     agent->second.link->send(std::move(order));
 }
 
-void EntryNode::endStored(AgentNumber number, const RunId &run)
+void EntryNode::endStored(AgentNumber number, const RunId &run, bool isDisputed)
 {
     const auto agent = m_agents.find(number);
     if (agent == m_agents.end() || !agent->second.link)
         return;
     fleet::EndStoredT message;
     message.run = std::make_unique<fleet::RunRef>(toWire(run));
+    message.disputed = isDisputed;
     agent->second.link->sendLater(std::move(message));
 }
 
--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -279,7 +279,7 @@
     job->recordInFlight = false;
     if (outcome == StoreOutcome::Stored) {
         for (const UnstoredEnd &end : ends)
-            m_effects.endStored(end.agent, end.run);
+            m_effects.endStored(end.agent, end.run, end.isDisputed);
     }
     if (!job->accepted) {
         finishAcceptance(*job, outcome, now);
@@ -338,7 +338,7 @@
     m_log.observe("job_ms", now - job.acceptedAt);
     stopRuns(job);
     for (const UnstoredEnd &end : job.unstoredEnds)
-        m_effects.endStored(end.agent, end.run);
+        m_effects.endStored(end.agent, end.run, end.isDisputed);
     const JobReply reply = job.givenUp
         ? JobReply{.status = fleet::CallStatus::Unknown, .reason = "not done in time"}
         : JobReply{.status = fleet::CallStatus::Done, .phase = job.phase};
@@ -352,7 +352,8 @@
         m_ended[id] = {.phase = job.phase,
                        .forgetAt = now + m_options.retention,
                        .partition = job.partition,
-                       .recorded = job.recorded};
+                       .recorded = job.recorded,
+                       .hasRepeatedRuns = job.hasRepeatedRuns};
         m_endedOrder.push_back(id);
     }
     std::vector<JobReplyHandler> handlers = std::move(job.cancellers);
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -73,7 +73,8 @@
                        std::function<void(StoreOutcome, Millis)> onDone) = 0;
     virtual void start(const StartRequest &request) = 0;
     virtual void stop(AgentNumber agent, uint32_t partition, uint64_t epoch, const RunId &run) = 0;
-    virtual void endStored(AgentNumber agent, const RunId &run) = 0;
+    // A disputed end is one of a task that was ordered again before its end was known.
+    virtual void endStored(AgentNumber agent, const RunId &run, bool isDisputed) = 0;
     virtual void tellSize(AgentNumber agent, const RunId &run, const StepSpec &step) = 0;
 };
 
@@ -204,6 +205,7 @@
     {
         AgentNumber agent = 0;
         RunId run;
+        bool isDisputed = false;
     };
 
     struct Job
@@ -227,6 +229,8 @@
         bool accepted = false;
         // The store has a record of the job, or may have.
         bool recorded = false;
+        // A task has been ordered more than once.
+        bool hasRepeatedRuns = false;
         bool anyStarted = false;
         bool anyOrdered = false;
         // All callers have stopped waiting. The job is not remembered, so that it can be submitted again.
@@ -249,6 +253,8 @@
         Millis forgetAt;
         uint32_t partition = 0;
         bool recorded = false;
+        // A task of the job has been ordered more than once, so an end that is reported now may be disputed.
+        bool hasRepeatedRuns = false;
     };
 
     // A run of a job that this owner does not know. Its job may be submitted again, and then takes the run
@@ -299,7 +305,8 @@
     void makeWaiting(Job &job, Task &task, Millis now);
     void endJob(Job &job, JobPhase phase);
     void stopRuns(Job &job);
-    void noteUnstoredEnd(Job &job, AgentNumber agent, const RunId &run, Millis now);
+    void noteUnstoredEnd(Job &job, const UnstoredEnd &end, Millis now);
+    bool isDisputed(const AgentEnd &end);
     void adoptRun(AgentNumber agent, const RunId &run, Millis now);
     void adoptOrphans(Job &job, Millis now);
     void stopOrphans(Millis now);
--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -139,6 +139,7 @@
     task.phase = TaskPhase::Ordered;
     task.agent = *agent;
     task.stopOrdered = false;
+    job.hasRepeatedRuns = job.hasRepeatedRuns || task.run > 0;
     task.run = std::max(task.run, job.runBase) + 1;
     m_pool.orderSent(*agent, size);
     const RunId run = runId(job, task);
--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -48,15 +48,26 @@
         endJob(job, JobPhase::Completed);
 }
 
-void JobBook::noteUnstoredEnd(Job &job, AgentNumber agent, const RunId &run, Millis now)
+void JobBook::noteUnstoredEnd(Job &job, const UnstoredEnd &end, Millis now)
 {
     if (job.spec.best_effort) {
-        m_effects.endStored(agent, run);
+        m_effects.endStored(end.agent, end.run, false);
         return;
     }
     if (job.unstoredEnds.empty())
         job.oldestUnstoredEnd = now;
-    job.unstoredEnds.push_back({.agent = agent, .run = run});
+    job.unstoredEnds.push_back(end);
+}
+
+bool JobBook::isDisputed(const AgentEnd &end)
+{
+    if (end.kind != EndKind::Done)
+        return false;
+    if (const auto ended = m_ended.find(end.run.task.job); ended != m_ended.end())
+        return ended->second.hasRepeatedRuns;
+    Job *job = findJob(end.run.task.job);
+    const Task *task = job ? findTask(*job, end.run.task) : nullptr;
+    return task && !job->spec.best_effort && end.run.number < task->run;
 }
 
 void JobBook::makeWaiting(Job &job, Task &task, Millis)
@@ -167,14 +178,15 @@
                  {"run", run.number},
                  {"how", fleet::EnumNameEndKind(end.kind)},
                  {"known", task != nullptr}});
+    const UnstoredEnd stored{.agent = agent, .run = run, .isDisputed = isDisputed(end)};
     if (!task) {
-        m_effects.endStored(agent, run);
+        m_effects.endStored(agent, run, stored.isDisputed);
         return;
     }
     if (task->phase == TaskPhase::Done) {
         // An agent that has connected again lists the end that made the task done, which may not be stored
         // yet.
-        noteUnstoredEnd(*job, agent, run, now);
+        noteUnstoredEnd(*job, stored, now);
         return;
     }
     const bool isCurrent = run.number == task->run;
@@ -189,16 +201,16 @@
             m_effects.stop(task->agent, job->partition, m_partitions.at(job->partition).epoch,
                            runId(*job, *task));
         m_pool.runSucceeded(agent);
-        noteUnstoredEnd(*job, agent, run, now);
+        noteUnstoredEnd(*job, stored, now);
         taskDone(*job, *task, now);
         return;
     }
     if (end.kind == EndKind::Failed) {
-        noteUnstoredEnd(*job, agent, run, now);
+        noteUnstoredEnd(*job, stored, now);
         taskFailed(*job, *task, agent, run, now);
         return;
     }
-    m_effects.endStored(agent, run);
+    m_effects.endStored(agent, run, false);
     if (isCurrent && (task->phase == TaskPhase::Ordered || task->phase == TaskPhase::Running))
         makeWaiting(*job, *task, now);
 }
@@ -354,6 +366,7 @@
             if (task.phase != TaskPhase::Unlocated)
                 continue;
             ++restarted;
+            job.hasRepeatedRuns = true;
             makeWaiting(job, task, now);
         }
     }
--- a/src/worker/workerkeeper.cpp
+++ b/src/worker/workerkeeper.cpp
@@ -65,7 +65,7 @@
 
 std::optional<RejectReason> WorkerKeeper::obstacle() const
 {
-    if (!m_worker || !m_listsKnown || m_holdFailures >= failuresUntilUnusable)
+    if (!m_worker || !m_listsKnown || m_holdFailures >= failuresUntilUnusable || m_lapseForced)
         return RejectReason::NoWorker;
     if (m_worker->draining || m_draining)
         return RejectReason::Draining;
@@ -347,6 +347,7 @@
     }
     if (now > m_leaseEnd)
         leaseLapsed(now);
+    forceLapse(now);
     checkOwners(now);
     returnWaiting(now);
     for (auto &[id, run] : m_runs) {
--- a/src/worker/workerkeeper.h
+++ b/src/worker/workerkeeper.h
@@ -77,6 +77,9 @@
     Millis mostQueueTime = {40};
     // Orders beyond this many waiting ones are rejected.
     size_t mostQueued = 8;
+    // A worker lists all ends that it may not forget in each answer; with more of them than this, disputed
+    // ones are settled at the cost of what runs.
+    size_t mostKeptBackEnds = 64;
 };
 
 class WorkerKeeper
@@ -102,7 +105,7 @@
     void claim(EntryNumber entry, uint32_t partition, uint64_t epoch, Millis now);
     void order(EntryNumber entry, RunOrder order, Millis now);
     void stop(EntryNumber entry, uint32_t partition, uint64_t epoch, const RunId &run, Millis now);
-    void endStored(const RunId &run, Millis now);
+    void endStored(const RunId &run, bool isDisputed, Millis now);
     void sizeTold(const RunId &run, const Room &size, Millis now);
 
     // Takes no more orders; what runs goes on.
@@ -154,6 +157,9 @@
         // The worker need not keep the end: its job is not kept either, and this agent still holds it for the
         // owner.
         bool bestEffort = false;
+        // The owner had ordered the task again before it knew this end. An end that the worker was told to
+        // forget counts for good, unless the lease has lapsed in between; so this one waits for a lapse.
+        bool isDisputed = false;
     };
 
     // --- workerkeeper.cpp ---
@@ -191,7 +197,11 @@
     void sendHold(Millis wait, Millis now);
     void rememberEnd(const RunId &run);
     void noteEnd(const ListedEnd &listed, Millis now);
+    bool mayForget(uint64_t number, const End &end) const;
     uint64_t endsStoredThrough() const;
+    bool hasDisputedEnds() const;
+    // Gives up the lease once too many ends are kept back behind a disputed one.
+    void forceLapse(Millis now);
     void nextHolds(Millis now);
 
     const WorkerKeeperOptions m_options;
@@ -234,6 +244,10 @@
     // Ends that the worker still lists, by its number.
     std::map<uint64_t, End> m_ends;
     uint64_t m_lastEnd = 0;
+    // The lease has lapsed after the ends up to this number.
+    uint64_t m_lapsedAfterEnd = 0;
+    // Nothing is started or renewed until the lease has lapsed.
+    bool m_lapseForced = false;
     std::map<EntryNumber, Millis> m_contacts;
     std::map<EntryNumber, uint64_t> m_ordersTaken;
     std::set<std::string> m_evacuated;
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -20,6 +20,8 @@
     rejectQueued(RejectReason::NoWorker, now);
     m_ends.clear();
     m_lastEnd = 0;
+    m_lapsedAfterEnd = 0;
+    m_lapseForced = false;
     m_newestLists = {};
     m_listsKnown = false;
     m_leaseEnd = now;
@@ -53,6 +55,8 @@
 
 void WorkerKeeper::leaseLapsed(Millis now)
 {
+    m_lapsedAfterEnd = m_lastEnd;
+    m_lapseForced = false;
     if (m_holdFailures >= failuresUntilUnusable) {
         loseRuns("lease lapsed", now);
         return;
@@ -140,11 +144,33 @@
         loseRun(id, "not listed", now);
 }
 
+bool WorkerKeeper::mayForget(uint64_t number, const End &end) const
+{
+    if (end.isDisputed && number > m_lapsedAfterEnd)
+        return false;
+    return end.stored || end.bestEffort;
+}
+
+bool WorkerKeeper::hasDisputedEnds() const
+{
+    return std::any_of(m_ends.upper_bound(m_lapsedAfterEnd), m_ends.end(),
+                       [](const auto &item) { return item.second.isDisputed; });
+}
+
+void WorkerKeeper::forceLapse(Millis now)
+{
+    if (m_lapseForced || m_ends.size() <= m_options.mostKeptBackEnds || !hasDisputedEnds())
+        return;
+    m_lapseForced = true;
+    m_reportChanged = true;
+    m_log.always(now, "lease_given_up", {{"ends", m_ends.size()}, {"runs", m_runs.size()}});
+}
+
 uint64_t WorkerKeeper::endsStoredThrough() const
 {
     uint64_t through = m_lastEnd;
     for (const auto &[number, end] : m_ends) {
-        if (!end.stored && !end.bestEffort) {
+        if (!mayForget(number, end)) {
             through = number - 1;
             break;
         }
@@ -238,7 +264,9 @@
     const bool clockKnown = m_clockSampledAt.count != 0;
     // Nor does a call after one that was not answered: if the worker is gone, its runs count as lost once the
     // last lease that may have been granted has lapsed, and each renewal would put that off.
-    const bool renews = clockKnown && m_holdFailures == 0;
+    // Without a run the lease may lapse at no cost, which settles disputed ends.
+    const bool letsLapse = m_lapseForced || (m_runs.empty() && hasDisputedEnds());
+    const bool renews = clockKnown && m_holdFailures == 0 && !letsLapse;
     const Millis deadline = renews ? workerNow(now) + m_options.lease : Millis{0};
     if (renews)
         noteLease(deadline, now);
--- a/src/worker/workerowners.cpp
+++ b/src/worker/workerowners.cpp
@@ -124,11 +124,19 @@
     }
 }
 
-void WorkerKeeper::endStored(const RunId &run, Millis)
+void WorkerKeeper::endStored(const RunId &run, bool isDisputed, Millis now)
 {
     for (auto &[number, end] : m_ends) {
-        if (end.run == run)
-            end.stored = true;
+        if (end.run != run)
+            continue;
+        end.stored = true;
+        if (isDisputed && !end.isDisputed && number > m_lapsedAfterEnd)
+            m_log.write(now, "run_end_disputed",
+                        {{"job", jobIdText(run.task.job)},
+                         {"task", taskIdText(run.task)},
+                         {"run", run.number},
+                         {"end", number}});
+        end.isDisputed = end.isDisputed || isDisputed;
     }
 }
 
--- a/tests/unit/jobbookfixture.h
+++ b/tests/unit/jobbookfixture.h
@@ -35,13 +35,19 @@
     {
         stops.push_back({agent, run});
     }
-    void endStored(AgentNumber, const RunId &run) override { confirmed.push_back(run); }
+    void endStored(AgentNumber, const RunId &run, bool isDisputed) override
+    {
+        confirmed.push_back(run);
+        if (isDisputed)
+            disputed.push_back(run);
+    }
     void tellSize(AgentNumber, const RunId &run, const StepSpec &) override { sized.push_back(run); }
 
     std::vector<StoredRecord> records;
     std::vector<Start> starts;
     std::vector<Start> stops;
     std::vector<RunId> confirmed;
+    std::vector<RunId> disputed;
     std::vector<RunId> sized;
 };
 
--- a/tests/unit/jobbooktest.cpp
+++ b/tests/unit/jobbooktest.cpp
@@ -61,6 +61,43 @@
     BOOST_TEST((book.query(1).phase == JobPhase::Completed));
 }
 
+// Guards against a task that counts as done by a run after which it was started again (soak seed 1): the end
+// was not known to the owner, which was cut off from the agent and ordered the task elsewhere.
+BOOST_FIXTURE_TEST_CASE(endOfARunThatWasOrderedAgainIsDisputed, JobBookFixture)
+{
+    load();
+    submit(job(1, 1, false));
+    storeAll();
+    startAll();
+    const RecordedEffects::Start first = effects.starts[0];
+    book.agentGone(first.agent, now);
+    book.advance(now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    const std::vector<AgentEnd> listed = {{.run = first.run, .kind = EndKind::Done}};
+    book.claimReport(first.agent, 0, *book.epochOf(0), {}, listed, now);
+    storeAll();
+    BOOST_TEST_REQUIRE(effects.disputed.size() == 1U);
+    BOOST_TEST((effects.disputed[0] == first.run));
+}
+
+// Guards against the same when the second run has completed the job before the first end becomes known.
+BOOST_FIXTURE_TEST_CASE(endOfARunThatWasOrderedAgainIsDisputedAfterTheJob, JobBookFixture)
+{
+    load();
+    submit(job(1, 1, false));
+    storeAll();
+    startAll();
+    const RecordedEffects::Start first = effects.starts[0];
+    book.agentGone(first.agent, now);
+    book.advance(now);
+    startAll();
+    end(effects.starts.back(), EndKind::Done);
+    storeAll();
+    BOOST_TEST(effects.disputed.empty());
+    end(first, EndKind::Done);
+    BOOST_TEST(effects.disputed.size() == 1U);
+}
+
 // Guards against a task that runs again under a new owner: an agent that connects again lists an end that its
 // owner knows and has not stored yet, and must not take it for stored.
 BOOST_FIXTURE_TEST_CASE(endThatIsListedAgainIsNotConfirmedBeforeItIsStored, JobBookFixture)
--- a/tests/unit/workerkeepertest.cpp
+++ b/tests/unit/workerkeepertest.cpp
@@ -240,15 +240,56 @@
     startRun(1);
     startRun(2);
     answerHold({.ended = {{.number = 1, .run = order(1).run}, {.number = 2, .run = order(2).run}}});
-    keeper.endStored(order(2).run, now);
+    keeper.endStored(order(2).run, false, now);
     pass({100});
     BOOST_TEST(effects.lastHold.endsStored == 0U);
-    keeper.endStored(order(1).run, now);
+    keeper.endStored(order(1).run, false, now);
     answerHold({.ended = {{.number = 1, .run = order(1).run}, {.number = 2, .run = order(2).run}}});
     pass({100});
     BOOST_TEST(effects.lastHold.endsStored == 2U);
 }
 
+// Guards against a task that counts as done by a run after which it was started again (soak seed 1).
+BOOST_FIXTURE_TEST_CASE(disputedEndIsConfirmedAfterALapse, WorkerKeeperFixture)
+{
+    startRun(1);
+    startRun(2);
+    answerHold({.running = {{.run = order(2).run}}, .ended = {{.number = 1, .run = order(1).run}}});
+    keeper.endStored(order(1).run, true, now);
+    pass({100});
+    // A renewal that would put the lapse off is due as long as something runs.
+    BOOST_TEST((effects.lastHold.deadline > Millis{0}));
+    BOOST_TEST(effects.lastHold.endsStored == 0U);
+    answerHolds({.ended = {{.number = 1, .run = order(1).run}, {.number = 2, .run = order(2).run}}});
+    keeper.endStored(order(2).run, false, now);
+    for (Millis waited; waited < Millis{1'600}; waited += Millis{200}) {
+        pass({200});
+        answerHolds({.ended = {{.number = 1, .run = order(1).run}, {.number = 2, .run = order(2).run}}});
+        if (waited < Millis{800})
+            BOOST_TEST(effects.lastHold.endsStored == 0U);
+    }
+    BOOST_TEST(effects.lastHold.endsStored == 2U);
+}
+
+// Guards against lists that grow without bound on a worker that is never idle.
+BOOST_FIXTURE_TEST_CASE(lapseIsForcedWhenManyEndsAreKeptBack, WorkerKeeperFixture)
+{
+    startRun(1);
+    startRun(200);
+    WorkerLists lists{.running = {{.run = order(200).run}}};
+    for (uint64_t number = 1; number <= 65; ++number)
+        lists.ended.push_back({.number = number, .run = order(number).run});
+    answerHolds(lists);
+    keeper.endStored(order(1).run, true, now);
+    pass({20});
+    keeper.order(1, order(300), now);
+    BOOST_TEST_REQUIRE(effects.reasons.size() == 1U);
+    BOOST_TEST((effects.reasons[0] == RejectReason::NoWorker));
+    answerHolds(lists);
+    pass({40});
+    BOOST_TEST((effects.lastHold.deadline == Millis{0}));
+}
+
 // Guards against a run that is taken for lost because a list that was made before its start lacks it.
 BOOST_FIXTURE_TEST_CASE(listThatWasAskedForBeforeTheStartDoesNotLoseTheRun, WorkerKeeperFixture)
 {
