Announce a target as taking no work until the agent has evidence

An agent that had connected before its entries were current had no evidence yet. The announcement of its target sent a Hello without the leaving mark, although the ping before had carried it; the entries sent four tasks, which were refused as stale. Ruled out: evidence that ages after a configuration change (the refusing agent had none since its start).

Change: Hello says whether the agent takes work, as the ping does. The unit test plays an entry that gives no evidence; it failed first.

--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -68,7 +68,9 @@
     hello.agent = m_settings.name;
     hello.incarnation = m_incarnation;
     hello.target = toWire(m_core.target());
-    hello.leaving = m_core.isLeaving();
+    // Without evidence the agent would refuse all tasks; the ping that follows the evidence says that it
+    // takes work.
+    hello.leaving = !m_core.takesWork(Clock::now());
     hello.credit_epoch = m_core.creditEpoch();
     return encodeMessage(std::move(hello));
 }
