Let the handlers of an agent's connections not keep them

Change: the handlers hold a weak pointer; the initializer stands beside the logger.

Thread sanitizer: not run.

--- a/src/agentd/entrylink.cpp
+++ b/src/agentd/entrylink.cpp
@@ -86,9 +86,17 @@
 {
     m_link = std::move(link);
     m_unanswered = 0;
-    m_link->start({.onFrame = [self = shared_from_this()](
-                                  std::span<const uint8_t> payload) { self->received(payload); },
-                   .onClosed = [self = shared_from_this()](const std::string &why) { self->lost(why); }});
+    // The link keeps its handlers until it is closed, so they must not keep this object, which keeps the
+    // link.
+    const auto onFrame = [weak = weak_from_this()](std::span<const uint8_t> payload) {
+        if (const auto self = weak.lock())
+            self->received(payload);
+    };
+    const auto onClosed = [weak = weak_from_this()](const std::string &why) {
+        if (const auto self = weak.lock())
+            self->lost(why);
+    };
+    m_link->start({.onFrame = onFrame, .onClosed = onClosed});
     m_link->send(m_handlers.hello());
 }
 
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -10,11 +10,14 @@
 
 static log4cplus::Logger &rootLogger()
 {
+    struct Root
+    {
+        log4cplus::Initializer initializer;
+        log4cplus::Logger logger = log4cplus::Logger::getRoot();
+    };
     // Never destroyed: threads may log until the process ends.
-    static auto *const initializer = new log4cplus::Initializer;
-    (void)initializer;
-    static auto *const logger = new log4cplus::Logger(log4cplus::Logger::getRoot());
-    return *logger;
+    static auto *const root = new Root;
+    return root->logger;
 }
 
 static log4cplus::LogLevel toLog4cplus(LogLevel level)
