Own partitions in proportion to processor time

A profile of all entries shows no dominant part: placement 19%, reading of messages 25%, the rest is in the event loop and in system calls.

Change: an entry joins the group as several members, one for each eighth of a processor, at most four. A partition that moves between memberships of one entry stays open. The settings say the processor share and speed.

--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -30,8 +30,10 @@
               .resubmitDelay = settings.resubmitDelay,
               .admissionSlackPercent = settings.admissionSlackPercent},
              m_pool, *this, log)
-    , m_owner({.member = settings.name, .memberTtl = std::max(settings.leastMemberTtl, Millis{1'000})}, store,
-              io, log, m_book,
+    , m_owner({.member = settings.name,
+               .memberTtl = std::max(settings.leastMemberTtl, Millis{1'000}),
+               .memberships = membershipsFor(settings.processorShare * settings.processorSpeed)},
+              store, io, log, m_book,
               {.onLoaded = [this](uint32_t partition) { partitionLoaded(partition); },
                .onClosed = [this](uint32_t) { sendReport(); }})
     , m_members(store, io, log,
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -37,6 +37,8 @@
     settings.readyListen = readAddress(reader, "readyListen");
     settings.resubmitDelay =
         reader.millis("resubmitDelayMs", settings.resubmitDelay, {.least = 0, .most = 600'000});
+    settings.processorShare = reader.number("processorShare", settings.processorShare, 0.001, 1'024);
+    settings.processorSpeed = reader.number("processorSpeed", settings.processorSpeed, 0.01, 1'024);
     settings.admissionSlackPercent = static_cast<uint32_t>(
         reader.integer("admissionSlackPercent", settings.admissionSlackPercent, {.least = 1, .most = 1'000}));
     reader.finish();
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -31,6 +31,10 @@
     Millis resubmitDelay = {1'300};
     Millis stopGrace;
     uint32_t logLinesPerSecond = 800;
+    // Entries: part of a processor that the instance gets, and how many times as fast as a usual one it is.
+    // Partitions are owned in proportion to the product.
+    double processorShare = 0.125;
+    double processorSpeed = 1;
     // Entries: share of a job's slack, in percent, that the predicted wait may take before the job is
     // refused.
     uint32_t admissionSlackPercent = 30;
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -2,6 +2,7 @@
 #include "fleet/partitionowner.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace turmericwell {
 
@@ -13,6 +14,20 @@
 constexpr Millis handOverCheckInterval = {5};
 // Records that wait for the store when a partition is handed over get this long.
 constexpr Millis mostHandOverTime = {500};
+constexpr double shareOfMembership = 0.125;
+constexpr uint32_t mostMemberships = 4;
+
+uint32_t membershipsFor(double processorShare)
+{
+    const double wanted = std::round(processorShare / shareOfMembership);
+    return static_cast<uint32_t>(std::clamp(wanted, 1.0, double{mostMemberships}));
+}
+
+// The first membership has the name of the entry.
+static std::string membershipName(const std::string &member, uint32_t number)
+{
+    return number == 0 ? member : member + "." + std::to_string(number + 1);
+}
 
 PartitionOwner::PartitionOwner(PartitionOwnerOptions options, StoreApi &store, IoContext &io,
                                StructuredLog &log, JobBook &book, Handlers handlers)
@@ -23,48 +38,88 @@
     , m_log(log)
     , m_book(book)
     , m_handlers(std::move(handlers))
-    , m_group(
-          {.group = ownersGroup, .member = m_options.member, .topic = jobsTopic, .ttl = m_options.memberTtl},
-          store, io, log, [this](uint64_t generation, const std::set<uint32_t> &partitions) {
-              joined(generation, partitions);
-          })
-{ }
+{
+    const uint32_t count = std::clamp(m_options.memberships, 1U, mostMemberships);
+    for (uint32_t number = 0; number < count; ++number) {
+        m_memberships.push_back(std::make_unique<GroupMember>(
+            GroupMemberOptions{.group = ownersGroup,
+                               .member = membershipName(m_options.member, number),
+                               .topic = jobsTopic,
+                               .ttl = m_options.memberTtl},
+            store, io, log, [this, number](uint64_t generation, const std::set<uint32_t> &partitions) {
+                joined(number, generation, partitions);
+            }));
+    }
+}
 
 void PartitionOwner::start()
 {
     // A former process of the same name may still be a member. Its partitions are dealt anew at once, and the
     // new generation gives this process an epoch of its own.
-    m_store.leave({.group = ownersGroup, .member = m_options.member}, pageTimeout,
-                  [this, guard = m_timers.guard()](StoreStatus) {
-                      if (!guard.expired())
-                          m_group.start();
-                  });
+    leaveAll(m_options.member, static_cast<uint32_t>(m_memberships.size()), [this] {
+        for (const auto &membership : m_memberships)
+            membership->start();
+    });
 }
 
-void PartitionOwner::joined(uint64_t generation, const std::set<uint32_t> &partitions)
+void PartitionOwner::leaveAll(const std::string &member, uint32_t memberships, std::function<void()> onDone)
+{
+    const auto left = std::make_shared<uint32_t>(memberships);
+    for (uint32_t number = 0; number < memberships; ++number) {
+        m_store.leave({.group = ownersGroup, .member = membershipName(member, number)}, pageTimeout,
+                      [left, onDone, guard = m_timers.guard()](StoreStatus) {
+                          if (--*left == 0 && !guard.expired())
+                              onDone();
+                      });
+    }
+}
+
+void PartitionOwner::joinSoon()
+{
+    for (const auto &membership : m_memberships)
+        membership->joinSoon();
+}
+
+Millis PartitionOwner::lastConfirmed() const
+{
+    Millis oldest = {INT64_MAX};
+    for (const auto &membership : m_memberships)
+        oldest = std::min(oldest, membership->lastConfirmed());
+    return oldest;
+}
+
+void PartitionOwner::joined(uint32_t membership, uint64_t generation, const std::set<uint32_t> &partitions)
 {
     if (m_releasing)
         return;
     std::vector<uint32_t> revoked;
     for (const auto &[partition, owned] : m_owned) {
-        if (!partitions.contains(partition))
+        if (owned.membership == membership && !partitions.contains(partition))
             revoked.push_back(partition);
     }
     for (const uint32_t partition : revoked)
         handOver(partition);
     for (const uint32_t partition : partitions) {
+        // Dealt from one membership of this entry to another; it stays open.
+        if (const auto owned = m_owned.find(partition);
+            owned != m_owned.end() && generation >= owned->second.dealtGeneration) {
+            owned->second.membership = membership;
+            owned->second.dealtGeneration = generation;
+        }
         const auto fenced = m_fencedEpochs.find(partition);
         const bool mayOpen = fenced == m_fencedEpochs.end() || fenced->second < generation;
         if (!m_owned.contains(partition) && mayOpen)
-            open(partition, generation);
+            open(partition, membership, generation);
     }
 }
 
-void PartitionOwner::open(uint32_t partition, uint64_t epoch)
+void PartitionOwner::open(uint32_t partition, uint32_t membership, uint64_t epoch)
 {
     m_log.always(Clock::now(), "partition_opening", {{"partition", partition}, {"epoch", epoch}});
     Owned &owned = m_owned[partition];
     owned.epoch = epoch;
+    owned.membership = membership;
+    owned.dealtGeneration = epoch;
     owned.openedAt = Clock::now();
     owned.queue = std::make_unique<AppendQueue>(
         AppendQueueOptions{
@@ -152,17 +207,14 @@
     if (found == m_owned.end() || found->second.epoch != epoch)
         return;
     m_fencedEpochs[partition] = epoch;
+    const uint32_t membership = found->second.membership;
     close(partition);
-    m_group.joinSoon();
+    m_memberships[membership]->joinSoon();
 }
 
 void PartitionOwner::expel(const std::string &member)
 {
-    m_store.leave({.group = ownersGroup, .member = member}, pageTimeout,
-                  [this, guard = m_timers.guard()](StoreStatus) {
-                      if (!guard.expired())
-                          m_group.joinSoon();
-                  });
+    leaveAll(member, mostMemberships, [this] { joinSoon(); });
 }
 
 void PartitionOwner::handOver(uint32_t partition)
@@ -174,7 +226,7 @@
     owned.closeBy = now + mostHandOverTime;
     m_book.freezePartition(partition, now);
     // The next join lets the store deal the partition to another member.
-    m_group.setPaused(true);
+    m_memberships[owned.membership]->setPaused(true);
     finishHandOvers();
 }
 
@@ -182,24 +234,38 @@
 {
     const Millis now = Clock::now();
     std::vector<uint32_t> ready;
-    bool waiting = false;
+    std::set<uint32_t> waiting;
     for (const auto &[partition, owned] : m_owned) {
         if (!owned.closeBy)
             continue;
         if (owned.queue->isIdle() || now >= *owned.closeBy)
             ready.push_back(partition);
         else
-            waiting = true;
+            waiting.insert(owned.membership);
     }
     for (const uint32_t partition : ready)
         close(partition);
-    if (waiting) {
+    for (uint32_t number = 0; number < m_memberships.size(); ++number) {
+        if (!waiting.contains(number))
+            m_memberships[number]->setPaused(false);
+    }
+    if (!waiting.empty()) {
         m_timers.after(handOverCheckInterval, [this] { finishHandOvers(); });
         return;
     }
-    m_group.setPaused(false);
     if (m_releasing && m_onReleased)
-        m_group.leave(std::exchange(m_onReleased, {}));
+        leaveForGood(std::exchange(m_onReleased, {}));
+}
+
+void PartitionOwner::leaveForGood(const std::function<void()> &onDone)
+{
+    const auto left = std::make_shared<size_t>(m_memberships.size());
+    for (const auto &membership : m_memberships) {
+        membership->leave([left, onDone] {
+            if (--*left == 0)
+                onDone();
+        });
+    }
 }
 
 void PartitionOwner::release(std::function<void()> onDone)
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -2,6 +2,9 @@
 //
 // The store deals the partitions to the entries. A new owner first sets its epoch on the partition, which
 // fences the former one, and then reads the records, so that it has seen everything that was ever stored.
+//
+// Load pattern: entries whose processors differ several times over. The store deals evenly among members, so
+// an entry with more processor time is several members.
 #pragma once
 
 #include "jobs/jobbook.h"
@@ -17,8 +20,13 @@
 {
     std::string member;
     Millis memberTtl = {1'500};
+    // Memberships of this entry, at most mostMemberships.
+    uint32_t memberships = 1;
 };
 
+// Memberships in proportion to the processor time, at least one.
+uint32_t membershipsFor(double processorShare);
+
 class PartitionOwner
 {
 public:
@@ -34,21 +42,25 @@
 
     void start();
     // A peer has given up its partitions, or may have.
-    void joinSoon() { m_group.joinSoon(); }
+    void joinSoon();
     // Another entry owns the partition with a higher epoch.
     void superseded(uint32_t partition, uint64_t epoch);
-    // Ends the membership of another entry.
+    // Ends the memberships of another entry.
     void expel(const std::string &member);
     // Stores what is waiting, then gives up all partitions.
     void release(std::function<void()> onDone);
     void store(uint32_t partition, JobId job, std::string record, bool mayDrop,
                std::function<void(StoreOutcome, Millis)> onDone);
-    Millis lastConfirmed() const { return m_group.lastConfirmed(); }
+    // When the oldest of the last joins that the store has answered was sent.
+    Millis lastConfirmed() const;
 
 private:
     struct Owned
     {
         uint64_t epoch = 0;
+        // Membership that the partition was dealt to, and the generation of the group that said so.
+        uint32_t membership = 0;
+        uint64_t dealtGeneration = 0;
         std::unique_ptr<AppendQueue> queue;
         Millis openedAt;
         // Set once the partition is being handed over.
@@ -56,14 +68,16 @@
         uint32_t records = 0;
     };
 
-    void joined(uint64_t generation, const std::set<uint32_t> &partitions);
-    void open(uint32_t partition, uint64_t epoch);
+    void joined(uint32_t membership, uint64_t generation, const std::set<uint32_t> &partitions);
+    void open(uint32_t partition, uint32_t membership, uint64_t epoch);
+    void leaveAll(const std::string &member, uint32_t memberships, std::function<void()> onDone);
     void close(uint32_t partition);
     void loadPage(uint32_t partition, uint64_t epoch, const std::string &after);
     void pageLoaded(uint32_t partition, uint64_t epoch, const std::string &after, const NewestAnswer &answer);
     // Stores what the next owner needs; the partition is closed when that is done or the time is over.
     void handOver(uint32_t partition);
     void finishHandOvers();
+    void leaveForGood(const std::function<void()> &onDone);
 
     const PartitionOwnerOptions m_options;
     StoreApi &m_store;
@@ -78,7 +92,7 @@
     // Called when the last partition has been handed over on the way to a stop.
     std::function<void()> m_onReleased;
     bool m_releasing = false;
-    GroupMember m_group;
+    std::vector<std::unique_ptr<GroupMember>> m_memberships;
 };
 
 } // namespace turmericwell
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -46,6 +46,24 @@
         self.assertEqual(fleet.state("00000000000000ff")[0], 410)
         self.assert_sound(fleet)
 
+    # Guards against an entry with little processor time that owns as much as one with four times more, and against
+    # partitions that stay with the additional memberships of an entry that is gone.
+    def test_partitions_follow_the_processor_time(self):
+        fleet = self.fleet(entries=2, processor_shares=(0.5, 0.125))
+
+        def owned(entry):
+            events = [event for event in fleet.entries[entry].log_events() if event["event"] == "partition_owned"]
+            return {event["partition"] for event in events}
+
+        self.assertGreaterEqual(len(owned(0)), 6)
+        accepted = self.submit_all(fleet, 20)
+        self.assertEqual(len(accepted), 20)
+        fleet.entries[0].kill()
+        for job in accepted:
+            fleet.wait_for_state(job, "completed", entry=1)
+        self.assertEqual(len(owned(1)), 8)
+        self.assert_sound(fleet)
+
     # Guards against a second job from one identifier, at whatever entry it is submitted again.
     def test_resubmission_at_another_entry_runs_nothing_twice(self):
         fleet = self.fleet()
--- a/tools/lab/fleet.py
+++ b/tools/lab/fleet.py
@@ -72,7 +72,7 @@
 class Fleet:
     """With `proxied` the fault-injecting proxy stands on the links store/NAME, peer/NAME and worker/NAME."""
 
-    def __init__(self, build, entries=2, agents=3, cpu=16000, task_ms=lambda task: 50, proxied=False):
+    def __init__(self, build, entries=2, agents=3, cpu=16000, task_ms=lambda task: 50, proxied=False, processor_shares=()):
         self._ports = PortBlocks()
         self._folder = tempfile.TemporaryDirectory()
         self.history = []
@@ -92,6 +92,8 @@
             self.client_ports.append(client)
             settings = {**common, **self._addresses(f"entry-{index}", doors[index]),
                         "clientListen": f"127.0.0.1:{client}", "readyListen": self._address()}
+            if index < len(processor_shares):
+                settings["processorShare"] = processor_shares[index]
             self.entries.append(self._process(binary, "fleet-entry", settings))
         for index in range(agents):
             worker, control = self._ports.next(), self._ports.next()
