Predict the wait by processors, and offer scarce room to one entry at a time

Refusals rested on a predicted wait of 77 to 100 ms with an own queue of 0 to 4,000 core-ms: the work that waits at the agents, one task of 0.9 s each, was divided by the capacity, although a task before a waiting one only has to start.

Change: the wait is the processors that wait before, times the mean time that processors stay taken (RunTimes::turnover), over the capacity. An agent shows room below 15% of the worker's processors to one entry: the owner of the run that ended last, then the owners of the partitions by turns of 20 ms; once all have passed it on, to all. ReportPolicy is one object for each entry and owns the pending change.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -121,10 +121,13 @@
             entry.link->close("replaced by a newer connection");
     }
     const EntryNumber number = m_nextEntry++;
-    m_entries[number] = {.link = link, .name = hello.node};
+    Entry &entry = m_entries[number];
+    entry.link = link;
+    entry.name = hello.node;
+    entry.reportPolicy.noteChange();
     m_log.always(now, "peer_connected", {{"peer", hello.node}, {"incarnation", hello.incarnation}});
     m_keeper.entryConnected(number, now);
-    link->send(m_keeper.report(now));
+    sendReport(number, entry, now);
 }
 
 std::optional<EntryNumber> AgentNode::numberOf(const NodeLinkPtr &link) const
@@ -199,20 +202,22 @@
 
 void AgentNode::sendReports()
 {
-    m_reportPending = m_keeper.takeReportChange() || m_reportPending;
+    const bool changed = m_keeper.takeReportChange();
     const Millis now = Clock::now();
-    fleet::WorkerReportT report;
-    if (m_reportPending)
-        report = m_keeper.report(now);
-    const bool isDue = m_reportPending && m_reportPolicy.isDue(report, now);
-    for (const auto &[number, entry] : m_entries) {
-        if (isDue) {
-            report.orders = m_keeper.ordersTaken(number);
-            entry.link->send(fleet::WorkerReportT(report));
-        }
+    for (auto &[number, entry] : m_entries) {
+        if (changed)
+            entry.reportPolicy.noteChange();
+        if (entry.reportPolicy.isPending())
+            sendReport(number, entry, now);
         entry.link->flush();
     }
-    m_reportPending = m_reportPending && !isDue;
+}
+
+void AgentNode::sendReport(EntryNumber number, Entry &entry, Millis now)
+{
+    fleet::WorkerReportT report = m_keeper.report(number);
+    if (entry.reportPolicy.isDue(report, now))
+        entry.link->send(std::move(report));
 }
 
 void AgentNode::callStart(const StartCall &call)
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -54,6 +54,7 @@
         NodeLinkPtr link;
         std::string name;
         std::set<std::string> evacuatedZones;
+        ReportPolicy reportPolicy;
     };
 
     void accepted(const NodeLinkPtr &link);
@@ -64,6 +65,7 @@
     std::optional<EntryNumber> numberOf(const NodeLinkPtr &link) const;
     NodeLinkPtr linkOf(EntryNumber entry) const;
     void sendReports();
+    void sendReport(EntryNumber number, Entry &entry, Millis now);
     // An entry may have taken a registration out of the list, and a dead store may have kept it from being
     // made.
     void registerIfAlone();
@@ -76,9 +78,6 @@
     StructuredLog &m_log;
     Timers m_timers;
     WorkerKeeper m_keeper;
-    ReportPolicy m_reportPolicy;
-    // The worker's state has changed since the last report.
-    bool m_reportPending = false;
     Registration m_registration;
     FrameListener m_listener;
     std::map<EntryNumber, Entry> m_entries;
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -78,8 +78,8 @@
 {
     int64_t waiting = 0;
     for (const auto &[name, other] : m_peers)
-        waiting += other.report.waiting_cpu_ms;
-    m_book.setPeersWaitingCpuMs(waiting);
+        waiting += other.report.waiting_cpu_milli;
+    m_book.setPeersWaitingCpuMilli(waiting);
 }
 
 void EntryNode::checkLostEntry(const std::string &name)
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -74,7 +74,7 @@
 void EntryNode::measure(Metrics &metrics) const
 {
     metrics.set("jobs_active", static_cast<double>(m_book.activeJobs()));
-    metrics.set("waiting_cpu_ms", static_cast<double>(m_book.waitingCpuMs()));
+    metrics.set("waiting_cpu_milli", static_cast<double>(m_book.waitingCpuMilli()));
     metrics.set("partitions_owned", static_cast<double>(m_book.owned().size()));
     metrics.set("configuration_version", static_cast<double>(m_queues.version()));
 }
@@ -224,7 +224,7 @@
         item->count = count;
         report.pending.push_back(std::move(item));
     }
-    report.waiting_cpu_ms = m_book.waitingCpuMs();
+    report.waiting_cpu_milli = m_book.waitingCpuMilli();
     report.stopping = m_stopping;
     report.store_reachable = !m_transport.isDirectFailing();
     fleet::EnvelopeT envelope;
@@ -260,7 +260,7 @@
             .labels = std::move(report.labels),
             .capacity = {report.cpu_milli, report.memory_mb, report.accelerators},
             .free = {report.free_cpu_milli, report.free_memory_mb, report.free_accelerators},
-            .queuedCpuMs = report.queued_cpu_ms,
+            .queuedCpuMilli = report.queued_cpu_milli,
             .ordersTaken = report.orders};
 }
 
--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -41,7 +41,7 @@
     return {};
 }
 
-Millis JobBook::predictedWait(const JobSpec &spec, Millis latestStart) const
+Millis JobBook::predictedWait(const JobSpec &spec, Millis latestStart, Millis estimate) const
 {
     const int64_t capacity = m_pool.capacityMilli(spec.service);
     if (capacity <= 0)
@@ -56,12 +56,13 @@
     for (const auto &[key, id] : m_punctual) {
         if (key > latestStart)
             break;
-        first += waitingCpuMs(m_jobs.at(id));
+        first += waitingCpuMilli(m_jobs.at(id));
     }
     // The other entries' queues are taken to be composed like this one.
     const int64_t peers =
-        m_waitingCpuMs > 0 ? m_peersWaitingCpuMs * first / m_waitingCpuMs : m_peersWaitingCpuMs;
-    return {(first + peers + m_pool.queuedCpuMs(spec.service)) * 1'000 / capacity};
+        m_waitingCpuMilli > 0 ? m_peersWaitingCpuMilli * first / m_waitingCpuMilli : m_peersWaitingCpuMilli;
+    const int64_t waiting = first + peers + m_pool.queuedCpuMilli(spec.service);
+    return m_runTimes.turnover(spec.service, estimate) * waiting / capacity;
 }
 
 std::optional<JobReply> JobBook::refusal(const JobSpec &spec, Millis now)
@@ -83,7 +84,7 @@
     for (const auto &step : spec.steps)
         chain = std::max<int64_t>(chain, m_runTimes.estimateMs(spec.queue, step->estimate_ms));
     const Millis slack = objective(spec) - Millis{chain} - dispatchOverhead;
-    const Millis wait = predictedWait(spec, now + slack);
+    const Millis wait = predictedWait(spec, now + slack, Millis{chain});
     if (wait <= slack * m_options.admissionSlackPercent / 100)
         return std::nullopt;
     reply.reason = "the waiting work would make the job late";
@@ -94,8 +95,9 @@
                  {"reason", reply.reason},
                  {"wait_ms", wait},
                  {"slack_ms", slack},
-                 {"waiting_cpu_ms", m_waitingCpuMs},
-                 {"peers_waiting_cpu_ms", m_peersWaitingCpuMs}});
+                 {"waiting_cpu_milli", m_waitingCpuMilli},
+                 {"peers_waiting_cpu_milli", m_peersWaitingCpuMilli},
+                 {"turnover_ms", m_runTimes.turnover(spec.service, Millis{chain})}});
     return reply;
 }
 
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -164,9 +164,9 @@
     // Places waiting tasks, stores progress, locates runs; call after events and every few milliseconds.
     void advance(Millis now);
     // Work of the waiting tasks, in core-milliseconds.
-    int64_t waitingCpuMs() const { return m_waitingCpuMs; }
+    int64_t waitingCpuMilli() const { return m_waitingCpuMilli; }
     // Waiting work that the other entries report.
-    void setPeersWaitingCpuMs(int64_t amount) { m_peersWaitingCpuMs = amount; }
+    void setPeersWaitingCpuMilli(int64_t amount) { m_peersWaitingCpuMilli = amount; }
     size_t activeJobs() const { return m_jobs.size(); }
 
 private:
@@ -282,8 +282,8 @@
     // --- jobbook.cpp: calls of clients, records ---
     std::optional<JobReply> refusal(const JobSpec &spec, Millis now);
     // Time until the job's tasks would be started, given the work that goes first.
-    Millis predictedWait(const JobSpec &spec, Millis latestStart) const;
-    int64_t waitingCpuMs(const Job &job) const;
+    Millis predictedWait(const JobSpec &spec, Millis latestStart, Millis estimate) const;
+    static int64_t waitingCpuMilli(const Job &job);
     Job &addJob(JobSpec spec, uint32_t partition, Millis now);
     void writeRecord(Job &job);
     void recordStored(JobId id, uint32_t partition, uint64_t epoch, JobPhase phase,
@@ -346,10 +346,9 @@
     std::map<RunId, Orphan> m_orphans;
     std::set<AgentNumber> m_expectedAgents;
     bool m_allAgentsKnown = false;
-    int64_t m_waitingCpuMs = 0;
     // Processors that the waiting tasks ask for.
     int64_t m_waitingCpuMilli = 0;
-    int64_t m_peersWaitingCpuMs = 0;
+    int64_t m_peersWaitingCpuMilli = 0;
     Millis m_nextProgress;
     Millis m_nextRunCheck;
     Millis m_nextPurge;
--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -180,14 +180,12 @@
     return all;
 }
 
-int64_t JobBook::waitingCpuMs(const Job &job) const
+int64_t JobBook::waitingCpuMilli(const Job &job)
 {
     int64_t amount = 0;
     for (const Task &task : job.tasks) {
-        const StepSpec &step = *job.spec.steps[task.step];
         if (task.phase == TaskPhase::Waiting)
-            amount +=
-                int64_t{step.cpu_milli} * m_runTimes.estimateMs(job.spec.queue, step.estimate_ms) / 1'000;
+            amount += job.spec.steps[task.step]->cpu_milli;
     }
     return amount;
 }
@@ -209,16 +207,9 @@
     };
     pass(m_punctual);
     pass(m_late);
-    m_waitingCpuMs = 0;
     m_waitingCpuMilli = 0;
-    for (const auto &[key, id] : m_punctual) {
-        const Job &job = m_jobs.at(id);
-        m_waitingCpuMs += waitingCpuMs(job);
-        for (const Task &task : job.tasks) {
-            if (task.phase == TaskPhase::Waiting)
-                m_waitingCpuMilli += job.spec.steps[task.step]->cpu_milli;
-        }
-    }
+    for (const auto &[key, id] : m_punctual)
+        m_waitingCpuMilli += waitingCpuMilli(m_jobs.at(id));
 }
 
 // Load pattern: workers that turn slow or stand still while they run tasks. A run that takes a multiple of
--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -105,6 +105,7 @@
         const StepSpec &step = *job.spec.steps[task.step];
         const Millis took = now - task.startedAt;
         m_log.observe("run_ms", took);
+        m_runTimes.observeTurnover(job.spec.service, step.cpu_milli, took);
         const uint32_t estimate = std::max(1U, m_runTimes.estimateMs(job.spec.queue, step.estimate_ms));
         m_pool.runPace(task.agent, static_cast<double>(took.count) / estimate, now);
         // What a slow worker takes says nothing about the queue.
--- a/src/jobs/runtimes.cpp
+++ b/src/jobs/runtimes.cpp
@@ -2,6 +2,7 @@
 #include "jobs/runtimes.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace turmericwell {
 
@@ -27,6 +28,25 @@
     average.ratio += weight * (ratio - average.ratio);
 }
 
+void RunTimes::observeTurnover(std::string_view service, uint32_t cpuMilli, Millis actual)
+{
+    auto found = m_turnovers.find(service);
+    if (found == m_turnovers.end())
+        found = m_turnovers.emplace(std::string(service), Turnover{}).first;
+    Turnover &turnover = found->second;
+    ++turnover.samples;
+    turnover.cpuMilli += cpuMilli - turnover.cpuMilli * newestWeight;
+    turnover.cpuMs += static_cast<double>(cpuMilli * actual.count) - turnover.cpuMs * newestWeight;
+}
+
+Millis RunTimes::turnover(std::string_view service, Millis defaultValue) const
+{
+    const auto found = m_turnovers.find(service);
+    if (found == m_turnovers.end() || found->second.samples < leastSamples || found->second.cpuMilli <= 0)
+        return defaultValue;
+    return {std::llround(found->second.cpuMs / found->second.cpuMilli)};
+}
+
 uint32_t RunTimes::estimateMs(std::string_view queue, uint32_t declaredMs) const
 {
     const auto found = m_averages.find(queue);
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -193,12 +193,12 @@
     return total;
 }
 
-int64_t WorkerPool::queuedCpuMs(std::string_view service) const
+int64_t WorkerPool::queuedCpuMilli(std::string_view service) const
 {
     int64_t total = 0;
     for (const auto &[agent, worker] : m_workers) {
         if (admissible(worker, {.service = service}))
-            total += worker.state.queuedCpuMs;
+            total += worker.state.queuedCpuMilli;
     }
     return total;
 }
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -57,8 +57,8 @@
     std::vector<std::string> labels;
     Room capacity;
     Room free;
-    // Core-milliseconds of the tasks that wait at the agent.
-    int64_t queuedCpuMs = 0;
+    // Processors of the tasks that wait at the agent.
+    int64_t queuedCpuMilli = 0;
     // Start orders that the agent had taken from this entry when it reported.
     uint64_t ordersTaken = 0;
 };
@@ -107,8 +107,8 @@
     // Processor room of all usable workers of a service.
     int64_t capacityMilli(std::string_view service) const;
     int64_t freeMilli(std::string_view service) const;
-    // Work that waits at the agents, in core-milliseconds.
-    int64_t queuedCpuMs(std::string_view service) const;
+    // Processors of the tasks that wait at the agents.
+    int64_t queuedCpuMilli(std::string_view service) const;
     // Whether any usable worker could hold the task when empty.
     bool canEverHold(const PlacementNeeds &needs) const;
     const WorkerState *find(AgentNumber agent) const;
--- a/src/worker/reportpolicy.cpp
+++ b/src/worker/reportpolicy.cpp
@@ -33,8 +33,11 @@
 
 bool ReportPolicy::isDue(const fleet::WorkerReportT &report, Millis now)
 {
+    if (!m_isPending)
+        return false;
     if (m_hasSent && now - m_sentAt < m_options.longestDelay && !isUrgent(report))
         return false;
+    m_isPending = false;
     m_hasSent = true;
     m_sent = report;
     m_sentAt = now;
--- a/src/worker/reportpolicy.h
+++ b/src/worker/reportpolicy.h
@@ -1,4 +1,4 @@
-// Decides when an agent tells the entries the state of its worker.
+// Decides when an agent tells one entry the state of its worker.
 //
 // Load pattern: each start and each end changes the room of a worker, and each report goes to all entries;
 // with dozens of workers the reports outnumber all other messages. An entry needs to know soon what happens
@@ -25,6 +25,9 @@
 public:
     explicit ReportPolicy(ReportPolicyOptions options = {});
 
+    // What the report says may have changed.
+    void noteChange() { m_isPending = true; }
+    bool isPending() const { return m_isPending; }
     // Whether the report has to be sent now; a report that is due counts as sent.
     bool isDue(const fleet::WorkerReportT &report, Millis now);
 
@@ -32,6 +35,7 @@
     bool isUrgent(const fleet::WorkerReportT &report) const;
 
     const ReportPolicyOptions m_options;
+    bool m_isPending = false;
     bool m_hasSent = false;
     fleet::WorkerReportT m_sent;
     Millis m_sentAt;
--- a/src/worker/workerkeeper.cpp
+++ b/src/worker/workerkeeper.cpp
@@ -99,6 +99,15 @@
     return queued;
 }
 
+Room WorkerKeeper::freeRoom() const
+{
+    Room free = m_worker->capacity;
+    free -= usedRoom();
+    free -= queuedRoom();
+    free.cpuMilli += m_worker->capacity.cpuMilli * m_options.queueAllowancePercent / 100;
+    return free;
+}
+
 bool WorkerKeeper::allSizesKnown() const
 {
     return std::all_of(m_runs.begin(), m_runs.end(), [](const auto &item) { return item.second.sizeKnown; });
@@ -357,11 +366,15 @@
     startQueued(now);
     reportClaims(now);
     nextHolds(now);
+    if (m_worker)
+        m_offer.advance(connectedOwners(), freeRoom().cpuMilli, m_worker->capacity.cpuMilli, now);
+    m_reportChanged = m_offer.takeChange() || m_reportChanged;
 }
 
-fleet::WorkerReportT WorkerKeeper::report(Millis) const
+fleet::WorkerReportT WorkerKeeper::report(EntryNumber entry) const
 {
     fleet::WorkerReportT report;
+    report.orders = ordersTaken(entry);
     report.usable = isUsable() && allSizesKnown();
     if (!m_worker)
         return report;
@@ -376,16 +389,13 @@
     report.cpu_milli = static_cast<uint32_t>(capacity.cpuMilli);
     report.memory_mb = static_cast<uint32_t>(capacity.memoryMb);
     report.accelerators = static_cast<uint32_t>(capacity.accelerators);
-    Room free = capacity;
-    free -= usedRoom();
-    free -= queuedRoom();
-    free.cpuMilli += capacity.cpuMilli * m_options.queueAllowancePercent / 100;
-    report.free_cpu_milli = static_cast<int32_t>(free.cpuMilli);
+    const Room free = freeRoom();
+    report.free_cpu_milli = static_cast<int32_t>(m_offer.shownTo(entry, free.cpuMilli, capacity.cpuMilli));
     report.free_memory_mb = static_cast<int32_t>(free.memoryMb);
     report.free_accelerators = static_cast<int32_t>(free.accelerators);
     for (const auto &[id, run] : m_runs) {
         if (run.phase == RunPhase::Queued)
-            report.queued_cpu_ms += run.order.size.cpuMilli * run.order.estimateMs / 1'000;
+            report.queued_cpu_milli += run.order.size.cpuMilli;
     }
     return report;
 }
--- a/src/worker/workerkeeper.h
+++ b/src/worker/workerkeeper.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "observe/structuredlog.h"
+#include "worker/roomoffer.h"
 #include "worker/workerstate.h"
 
 #include <deque>
@@ -23,9 +24,6 @@
 
 namespace turmericwell {
 
-// Names one connected entry within an agent process; a new connection gets a new number.
-using EntryNumber = uint32_t;
-
 class WorkerEffects
 {
 public:
@@ -112,7 +110,8 @@
     void drain(Millis now);
     void advance(Millis now);
 
-    fleet::WorkerReportT report(Millis now) const;
+    // The state of the worker, with the room that this entry may count on.
+    fleet::WorkerReportT report(EntryNumber entry) const;
     // True if the report has changed since the last call.
     bool takeReportChange();
     size_t runCount() const { return m_runs.size(); }
@@ -167,6 +166,8 @@
     std::optional<RejectReason> obstacle() const;
     Room usedRoom() const;
     Room queuedRoom() const;
+    // What orders may still take, with the queue allowance; needs a known worker.
+    Room freeRoom() const;
     bool allSizesKnown() const;
     Millis workerNow(Millis now) const;
     void noteClock(Millis workerClock, Millis now);
@@ -183,6 +184,7 @@
     void reportClaims(Millis now);
     // Stops the runs of owners that are silent.
     void checkOwners(Millis now);
+    std::map<uint32_t, EntryNumber> connectedOwners() const;
 
     // --- workerlists.cpp ---
     void newWorkerLife(Millis now);
@@ -251,6 +253,7 @@
     std::map<EntryNumber, Millis> m_contacts;
     std::map<EntryNumber, uint64_t> m_ordersTaken;
     std::set<std::string> m_evacuated;
+    RoomOffer m_offer;
     bool m_reportChanged = true;
     bool m_draining = false;
 
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -118,7 +118,10 @@
                  {"run", listed.run.number},
                  {"how", fleet::EnumNameEndKind(listed.kind)},
                  {"end", listed.number}});
-    if (owner.entry && !owner.reportDue)
+    if (!owner.entry)
+        return;
+    m_offer.runEnded(*owner.entry, now);
+    if (!owner.reportDue)
         m_effects.tellEnded(*owner.entry, listed.run, listed.kind, listed.checkpoint);
 }
 
--- a/src/worker/workerowners.cpp
+++ b/src/worker/workerowners.cpp
@@ -151,6 +151,16 @@
     startQueued(now);
 }
 
+std::map<uint32_t, EntryNumber> WorkerKeeper::connectedOwners() const
+{
+    std::map<uint32_t, EntryNumber> owners;
+    for (const auto &[partition, owner] : m_owners) {
+        if (owner.entry)
+            owners[partition] = *owner.entry;
+    }
+    return owners;
+}
+
 void WorkerKeeper::checkOwners(Millis now)
 {
     for (auto &[id, run] : m_runs) {
--- a/tests/unit/jobbooktest.cpp
+++ b/tests/unit/jobbooktest.cpp
@@ -387,7 +387,7 @@
 BOOST_FIXTURE_TEST_CASE(freeRoomAdmitsWhateverWaits, JobBookFixture)
 {
     load();
-    book.setPeersWaitingCpuMs(100'000);
+    book.setPeersWaitingCpuMilli(100'000);
     submit(job(1, 4, true));
     BOOST_TEST(replies.empty());
     BOOST_TEST(effects.starts.size() == 4U);
--- a/tests/unit/reportpolicytest.cpp
+++ b/tests/unit/reportpolicytest.cpp
@@ -21,9 +21,13 @@
 BOOST_AUTO_TEST_CASE(changesOfAmpleRoomWait)
 {
     ReportPolicy policy;
+    policy.noteChange();
     BOOST_TEST(policy.isDue(reportWithFree(32'000), {1'000}));
+    policy.noteChange();
     BOOST_TEST(!policy.isDue(reportWithFree(20'000), {1'010}));
+    policy.noteChange();
     BOOST_TEST(!policy.isDue(reportWithFree(20'000), {1'049}));
+    policy.noteChange();
     BOOST_TEST(policy.isDue(reportWithFree(20'000), {1'050}));
 }
 
@@ -32,10 +36,15 @@
 BOOST_AUTO_TEST_CASE(scarceRoomIsReportedAtOnce)
 {
     ReportPolicy policy;
+    policy.noteChange();
     BOOST_TEST(policy.isDue(reportWithFree(1'000), {1'000}));
+    policy.noteChange();
     BOOST_TEST(policy.isDue(reportWithFree(4'000), {1'010}));
+    policy.noteChange();
     BOOST_TEST(policy.isDue(reportWithFree(20'000), {1'020}));
+    policy.noteChange();
     BOOST_TEST(policy.isDue(reportWithFree(2'000), {1'030}));
+    policy.noteChange();
     BOOST_TEST(!policy.isDue(reportWithFree(1'500), {1'040}));
 }
 
@@ -43,11 +52,14 @@
 BOOST_AUTO_TEST_CASE(anotherStateIsReportedAtOnce)
 {
     ReportPolicy policy;
+    policy.noteChange();
     BOOST_TEST(policy.isDue(reportWithFree(32'000), {1'000}));
     fleet::WorkerReportT draining = reportWithFree(32'000);
     draining.draining = true;
+    policy.noteChange();
     BOOST_TEST(policy.isDue(draining, {1'001}));
     draining.born = 7;
+    policy.noteChange();
     BOOST_TEST(policy.isDue(draining, {1'002}));
 }
 
--- /dev/null
+++ b/tests/unit/roomoffertest.cpp
@@ -0,0 +1,56 @@
+// Turns of the entries at the last room of a worker.
+#include "worker/roomoffer.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace turmericwell {
+
+BOOST_AUTO_TEST_SUITE(RoomOfferTest)
+
+// Guards against orders of several entries for the same freed room, all but one of which come back.
+BOOST_AUTO_TEST_CASE(scarceRoomIsShownToOneEntry)
+{
+    RoomOffer offer;
+    offer.runEnded(2, {1'000});
+    BOOST_TEST(offer.shownTo(2, 1'000, 10'000) == 1'000);
+    BOOST_TEST(offer.shownTo(1, 1'000, 10'000) == 0);
+    BOOST_TEST(offer.shownTo(1, -500, 10'000) == -500);
+    BOOST_TEST(offer.shownTo(1, 1'500, 10'000) == 1'500);
+}
+
+// Guards against room that stays with an entry that has nothing to start, and against equal turns for unequal
+// shares.
+BOOST_AUTO_TEST_CASE(turnsFollowThePartitions)
+{
+    RoomOffer offer;
+    const std::map<uint32_t, EntryNumber> owners = {{0, 1}, {1, 1}, {2, 1}, {3, 2}};
+    Millis now = {1'000};
+    offer.runEnded(2, now);
+    offer.advance(owners, 1'000, 10'000, now + Millis{10});
+    BOOST_TEST(offer.shownTo(2, 1'000, 10'000) == 1'000);
+    int turnsOfFirst = 0;
+    for (int turn = 0; turn < 4; ++turn) {
+        now += RoomOffer::turnLength;
+        offer.advance(owners, 1'000, 10'000, now);
+        if (offer.shownTo(1, 1'000, 10'000) > 0)
+            ++turnsOfFirst;
+    }
+    BOOST_TEST(turnsOfFirst == 3);
+    // Nobody has used the room.
+    offer.advance(owners, 1'000, 10'000, now + RoomOffer::turnLength);
+    BOOST_TEST(offer.shownTo(1, 1'000, 10'000) == 1'000);
+    BOOST_TEST(offer.shownTo(2, 1'000, 10'000) == 1'000);
+}
+
+// Guards against room that nobody may use after the connection of the entry whose turn it is has ended.
+BOOST_AUTO_TEST_CASE(roomWithoutOwnersIsShownToAll)
+{
+    RoomOffer offer;
+    offer.runEnded(2, {1'000});
+    offer.advance({}, 1'000, 10'000, {1'020});
+    BOOST_TEST(offer.shownTo(1, 1'000, 10'000) == 1'000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace turmericwell
