Remove unused state of topics and workers, and name the number of a forwarded call once

TopicFollower::lastAnswer and the cold start time of a worker were written and never read. The split of a call's number into identifier and attempt stood in two files. The decision logger is reachable like the other one.

--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -12,7 +12,6 @@
 // Time to get the answer to the client.
 constexpr Millis answerMargin = {60};
 constexpr Millis leastRetryAfter = {1'000};
-constexpr unsigned attemptShift = 48;
 
 void EntryNode::call(JobCall call, JobReplyHandler onDone)
 {
@@ -93,7 +92,7 @@
     pending.askedLink = link;
     pending.inProgress = true;
     fleet::JobCallT message;
-    message.call = id | (attempt << attemptShift);
+    message.call = CallNumber{.id = id, .attempt = attempt}.packed();
     message.kind = pending.call.kind;
     message.job = pending.call.job;
     if (pending.call.spec)
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -315,10 +315,8 @@
     if (fleet::JobCallT *call = envelope.body.AsJobCall()) {
         performForPeer(link, *call);
     } else if (const fleet::JobAnswerT *answer = envelope.body.AsJobAnswer()) {
-        // The call's number carries the attempt in its upper half.
-        constexpr unsigned attemptShift = 48;
-        const uint64_t id = answer->call & ((uint64_t{1} << attemptShift) - 1);
-        answered(id, answer->call >> attemptShift,
+        const CallNumber number = CallNumber::unpack(answer->call);
+        answered(number.id, number.attempt,
                  {.status = answer->status,
                   .phase = answer->phase,
                   .running = answer->running,
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -27,6 +27,20 @@
     bool repeated = false;
 };
 
+// Names one attempt of a forwarded call in a single number on the wire.
+struct CallNumber
+{
+    uint64_t id = 0;
+    uint64_t attempt = 0;
+
+    static constexpr unsigned attemptShift = 48;
+    uint64_t packed() const { return id | (attempt << attemptShift); }
+    static CallNumber unpack(uint64_t number)
+    {
+        return {.id = number & ((uint64_t{1} << attemptShift) - 1), .attempt = number >> attemptShift};
+    }
+};
+
 class EntryNode : public JobEffects
 {
 public:
--- a/src/observe/structuredlog.cpp
+++ b/src/observe/structuredlog.cpp
@@ -63,12 +63,14 @@
 
 static log4cplus::Logger &decisionLogger()
 {
+    struct Decisions
+    {
+        log4cplus::Initializer initializer;
+        log4cplus::Logger logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("decisions"));
+    };
     // Never destroyed: lines may be written until the process ends.
-    static auto *const initializer = new log4cplus::Initializer;
-    (void)initializer;
-    static auto *const logger =
-        new log4cplus::Logger(log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("decisions")));
-    return *logger;
+    static auto *const decisions = new Decisions;
+    return decisions->logger;
 }
 
 StructuredLog::StructuredLog(std::string process, StructuredLogOptions options)
--- a/src/store/topicfollower.cpp
+++ b/src/store/topicfollower.cpp
@@ -100,10 +100,9 @@
 
 void TopicFollower::works()
 {
-    m_lastAnswer = Clock::now();
     m_backoff.reset();
     if (m_failures > 0)
-        m_log.always(m_lastAnswer, "topic_reachable", {{"topic", m_options.topic}, {"failures", m_failures}});
+        m_log.always(Clock::now(), "topic_reachable", {{"topic", m_options.topic}, {"failures", m_failures}});
     m_failures = 0;
 }
 
--- a/src/store/topicfollower.h
+++ b/src/store/topicfollower.h
@@ -37,7 +37,6 @@
 
     void start();
     // Time of the last answer of the store.
-    Millis lastAnswer() const { return m_lastAnswer; }
 
 private:
     void loadPage(const std::string &after);
@@ -58,7 +57,6 @@
     std::optional<uint64_t> m_loadEnd;
     uint64_t m_next = 0;
     uint32_t m_failures = 0;
-    Millis m_lastAnswer;
     Backoff m_backoff{{50}, {400}};
 };
 
--- a/src/worker/workerkeeper.cpp
+++ b/src/worker/workerkeeper.cpp
@@ -384,7 +384,6 @@
     report.zone = m_worker->zone;
     report.labels = m_worker->labels;
     report.draining = m_worker->draining;
-    report.cold_ms = m_worker->cold.count;
     const Room &capacity = m_worker->capacity;
     report.cpu_milli = static_cast<uint32_t>(capacity.cpuMilli);
     report.memory_mb = static_cast<uint32_t>(capacity.memoryMb);
--- a/src/worker/workerstate.h
+++ b/src/worker/workerstate.h
@@ -21,7 +21,6 @@
     Room capacity;
     bool draining = false;
     // How much longer the worker is slow after its start.
-    Millis cold;
     // Start of this life of the worker, in Unix milliseconds; higher values replace lower ones.
     int64_t born = 0;
     // Rises with each announcement of one life.
--- a/tools/lab/fleet.py
+++ b/tools/lab/fleet.py
@@ -33,21 +33,29 @@
         self._log = log
         self._process = None
         self._started_at = 0
+        self._paused_at = None
 
     def start(self):
         self._started_at = time.monotonic()
+        self._paused_at = None
         with open(self._log, "ab") as log:
             self._process = subprocess.Popen([*self._command, "--settings", str(self._settings)], stdout=log,
                                              stderr=subprocess.STDOUT)
 
     def signal(self, number):
+        if number == STOP:
+            self._paused_at = time.monotonic()
+        elif number == CONTINUE and self._paused_at:
+            # A process that was paused while it started has not come further.
+            self._started_at += time.monotonic() - self._paused_at
+            self._paused_at = None
         self._process.send_signal(number)
 
     def wait(self, timeout=20):
         return self._process.wait(timeout)
 
     def age(self):
-        """Seconds since the start."""
+        """Seconds since the start, without those in which the process was paused."""
         return time.monotonic() - self._started_at
 
     def has_ended(self):
