Put the report of a worker together once for all entries

Read-through: since room is offered to one entry at a time, each entry's report was built from scratch, with three scans of the runs, and the map of connected owners was built every 20 ms although a turn is rarely over. The processors of queued runs were summed beside queuedRoom, which gives the same figure. RunOrder::estimateMs and its field in StartOrder were only needed for the former figure in core-milliseconds. A comment of a removed member was left in workerstate.h.

Change: WorkerKeeper::report is the same for all entries, addressed() sets what differs; RoomOffer::isTurnOver is asked before the owners are collected. Behaviour is the same.

No figure was measured for this change.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -127,7 +127,7 @@
     entry.reportPolicy.noteChange();
     m_log.always(now, "peer_connected", {{"peer", hello.node}, {"incarnation", hello.incarnation}});
     m_keeper.entryConnected(number, now);
-    sendReport(number, entry, now);
+    sendReport(number, entry, m_keeper.report(), now);
 }
 
 std::optional<EntryNumber> AgentNode::numberOf(const NodeLinkPtr &link) const
@@ -178,7 +178,6 @@
             .payload = std::move(message.payload),
             .checkpoint = std::move(message.checkpoint),
             .size = {message.cpu_milli, message.memory_mb, message.accelerators},
-            .estimateMs = message.estimate_ms,
             .priority = message.priority,
             .slack = {message.slack_ms},
             .bestEffort = message.best_effort};
@@ -206,18 +205,22 @@
 {
     const bool changed = m_keeper.takeReportChange();
     const Millis now = Clock::now();
+    std::optional<fleet::WorkerReportT> state;
     for (auto &[number, entry] : m_entries) {
         if (changed)
             entry.reportPolicy.noteChange();
-        if (entry.reportPolicy.isPending())
-            sendReport(number, entry, now);
+        if (entry.reportPolicy.isPending()) {
+            if (!state)
+                state = m_keeper.report();
+            sendReport(number, entry, *state, now);
+        }
         entry.link->flush();
     }
 }
 
-void AgentNode::sendReport(EntryNumber number, Entry &entry, Millis now)
+void AgentNode::sendReport(EntryNumber number, Entry &entry, const fleet::WorkerReportT &state, Millis now)
 {
-    fleet::WorkerReportT report = m_keeper.report(number);
+    fleet::WorkerReportT report = m_keeper.addressed(state, number);
     if (entry.reportPolicy.isDue(report, now))
         entry.link->send(std::move(report));
 }
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -65,7 +65,7 @@
     std::optional<EntryNumber> numberOf(const NodeLinkPtr &link) const;
     NodeLinkPtr linkOf(EntryNumber entry) const;
     void sendReports();
-    void sendReport(EntryNumber number, Entry &entry, Millis now);
+    void sendReport(EntryNumber number, Entry &entry, const fleet::WorkerReportT &state, Millis now);
     // An entry may have taken a registration out of the list, and a dead store may have kept it from being
     // made.
     void registerIfAlone();
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -380,7 +380,6 @@
     order.cpu_milli = request.step->cpu_milli;
     order.memory_mb = request.step->memory_mb;
     order.accelerators = request.step->accelerators;
-    order.estimate_ms = request.estimateMs;
     order.priority = request.spec->priority;
     order.slack_ms = request.slack.count;
     order.best_effort = request.spec->best_effort;
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -58,7 +58,6 @@
     const JobSpec *spec = nullptr;
     const StepSpec *step = nullptr;
     std::string_view checkpoint;
-    uint32_t estimateMs = 0;
     Millis slack;
 };
 
--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -156,7 +156,6 @@
                      .spec = &job.spec,
                      .step = &step,
                      .checkpoint = task.checkpoint,
-                     .estimateMs = estimate,
                      .slack = job.latestStart - now});
     return true;
 }
--- a/src/worker/roomoffer.cpp
+++ b/src/worker/roomoffer.cpp
@@ -19,12 +19,14 @@
     return freeCpuMilli * wholePercent < capacityMilli * scarcePercent;
 }
 
-void RoomOffer::advance(const std::map<uint32_t, EntryNumber> &owners, int64_t freeCpuMilli,
-                        int64_t capacityMilli, Millis now)
+bool RoomOffer::isTurnOver(int64_t freeCpuMilli, int64_t capacityMilli, Millis now) const
+{
+    return m_holder && now - m_since >= turnLength && freeCpuMilli > 0
+        && isScarce(freeCpuMilli, capacityMilli);
+}
+
+void RoomOffer::passOn(const std::map<uint32_t, EntryNumber> &owners, Millis now)
 {
-    const bool hasRoomToOffer = freeCpuMilli > 0 && isScarce(freeCpuMilli, capacityMilli);
-    if (!m_holder || !hasRoomToOffer || now - m_since < turnLength)
-        return;
     if (m_turns >= owners.size()) {
         m_holder.reset();
         m_changed = true;
--- a/src/worker/roomoffer.h
+++ b/src/worker/roomoffer.h
@@ -27,10 +27,11 @@
 
     // A run of this entry has ended.
     void runEnded(EntryNumber owner, Millis now);
-    // Passes scarce room on when the turn is over. Owners are the connected entries by partition. When all
-    // have had a turn and none has used it, nothing waits, and the room is shown to all.
-    void advance(const std::map<uint32_t, EntryNumber> &owners, int64_t freeCpuMilli, int64_t capacityMilli,
-                 Millis now);
+    // True if room is scarce and the entry whose turn it is has had it for the whole turn.
+    bool isTurnOver(int64_t freeCpuMilli, int64_t capacityMilli, Millis now) const;
+    // Gives the turn to the next owner. Owners are the connected entries by partition. When all have had a
+    // turn and none has used it, nothing waits, and the room is shown to all.
+    void passOn(const std::map<uint32_t, EntryNumber> &owners, Millis now);
     // Processors that this entry may count on.
     int64_t shownTo(EntryNumber entry, int64_t freeCpuMilli, int64_t capacityMilli) const;
     // True if another entry has got the turn since the last call.
--- a/src/worker/workerkeeper.cpp
+++ b/src/worker/workerkeeper.cpp
@@ -366,15 +366,14 @@
     startQueued(now);
     reportClaims(now);
     nextHolds(now);
-    if (m_worker)
-        m_offer.advance(connectedOwners(), freeRoom().cpuMilli, m_worker->capacity.cpuMilli, now);
+    if (m_worker && m_offer.isTurnOver(freeRoom().cpuMilli, m_worker->capacity.cpuMilli, now))
+        m_offer.passOn(connectedOwners(), now);
     m_reportChanged = m_offer.takeChange() || m_reportChanged;
 }
 
-fleet::WorkerReportT WorkerKeeper::report(EntryNumber entry) const
+fleet::WorkerReportT WorkerKeeper::report() const
 {
     fleet::WorkerReportT report;
-    report.orders = ordersTaken(entry);
     report.usable = isUsable() && allSizesKnown();
     if (!m_worker)
         return report;
@@ -389,13 +388,18 @@
     report.memory_mb = static_cast<uint32_t>(capacity.memoryMb);
     report.accelerators = static_cast<uint32_t>(capacity.accelerators);
     const Room free = freeRoom();
-    report.free_cpu_milli = static_cast<int32_t>(m_offer.shownTo(entry, free.cpuMilli, capacity.cpuMilli));
+    report.free_cpu_milli = static_cast<int32_t>(free.cpuMilli);
     report.free_memory_mb = static_cast<int32_t>(free.memoryMb);
     report.free_accelerators = static_cast<int32_t>(free.accelerators);
-    for (const auto &[id, run] : m_runs) {
-        if (run.phase == RunPhase::Queued)
-            report.queued_cpu_milli += run.order.size.cpuMilli;
-    }
+    report.queued_cpu_milli = queuedRoom().cpuMilli;
+    return report;
+}
+
+fleet::WorkerReportT WorkerKeeper::addressed(fleet::WorkerReportT report, EntryNumber entry) const
+{
+    report.orders = ordersTaken(entry);
+    report.free_cpu_milli =
+        static_cast<int32_t>(m_offer.shownTo(entry, report.free_cpu_milli, report.cpu_milli));
     return report;
 }
 
--- a/src/worker/workerkeeper.h
+++ b/src/worker/workerkeeper.h
@@ -46,7 +46,6 @@
     std::string payload;
     std::string checkpoint;
     Room size;
-    uint32_t estimateMs = 0;
     uint32_t priority = 0;
     Millis slack;
     bool bestEffort = false;
@@ -111,8 +110,10 @@
     void drain(Millis now);
     void advance(Millis now);
 
-    // The state of the worker, with the room that this entry may count on.
-    fleet::WorkerReportT report(EntryNumber entry) const;
+    // The state of the worker, the same for all entries until it is addressed to one.
+    fleet::WorkerReportT report() const;
+    // With the orders taken from this entry, and the part of the free room that it may count on.
+    fleet::WorkerReportT addressed(fleet::WorkerReportT report, EntryNumber entry) const;
     // True if the report has changed since the last call.
     bool takeReportChange();
     size_t runCount() const { return m_runs.size(); }
--- a/src/worker/workerstate.h
+++ b/src/worker/workerstate.h
@@ -20,7 +20,6 @@
     std::vector<std::string> labels;
     Room capacity;
     bool draining = false;
-    // How much longer the worker is slow after its start.
     // Start of this life of the worker, in Unix milliseconds; higher values replace lower ones.
     int64_t born = 0;
     // Rises with each announcement of one life.
--- a/tests/unit/roomoffertest.cpp
+++ b/tests/unit/roomoffertest.cpp
@@ -5,6 +5,17 @@
 
 namespace turmericwell {
 
+namespace {
+
+// A worker with 10 processors, one of them free.
+void advance(RoomOffer &offer, const std::map<uint32_t, EntryNumber> &owners, Millis now)
+{
+    if (offer.isTurnOver(1'000, 10'000, now))
+        offer.passOn(owners, now);
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(RoomOfferTest)
 
 // Guards against orders of several entries for the same freed room, all but one of which come back.
@@ -26,18 +37,18 @@
     const std::map<uint32_t, EntryNumber> owners = {{0, 1}, {1, 1}, {2, 1}, {3, 2}};
     Millis now = {1'000};
     offer.runEnded(2, now);
-    offer.advance(owners, 1'000, 10'000, now + Millis{10});
+    advance(offer, owners, now + Millis{10});
     BOOST_TEST(offer.shownTo(2, 1'000, 10'000) == 1'000);
     int turnsOfFirst = 0;
     for (int turn = 0; turn < 4; ++turn) {
         now += RoomOffer::turnLength;
-        offer.advance(owners, 1'000, 10'000, now);
+        advance(offer, owners, now);
         if (offer.shownTo(1, 1'000, 10'000) > 0)
             ++turnsOfFirst;
     }
     BOOST_TEST(turnsOfFirst == 3);
     // Nobody has used the room.
-    offer.advance(owners, 1'000, 10'000, now + RoomOffer::turnLength);
+    advance(offer, owners, now + RoomOffer::turnLength);
     BOOST_TEST(offer.shownTo(1, 1'000, 10'000) == 1'000);
     BOOST_TEST(offer.shownTo(2, 1'000, 10'000) == 1'000);
 }
@@ -47,7 +58,7 @@
 {
     RoomOffer offer;
     offer.runEnded(2, {1'000});
-    offer.advance({}, 1'000, 10'000, {1'020});
+    advance(offer, {}, {1'020});
     BOOST_TEST(offer.shownTo(1, 1'000, 10'000) == 1'000);
 }
 
--- a/tests/unit/workerkeepertest.cpp
+++ b/tests/unit/workerkeepertest.cpp
@@ -81,7 +81,6 @@
         return {.epoch = epoch,
                 .run = {.task = {.job = job}, .number = run},
                 .size = {cpu, 64, 0},
-                .estimateMs = 100,
                 .slack = {100}};
     }
 
@@ -353,7 +352,7 @@
 {
     BOOST_TEST(keeper.announced(announcement(11), now));
     BOOST_TEST(!keeper.announced(announcement(10, true, 9), now));
-    BOOST_TEST(!keeper.report(1).draining);
+    BOOST_TEST(!keeper.report().draining);
 }
 
 // Guards against runs that are thought to go on after a restart of the worker under its name.
@@ -376,7 +375,7 @@
     const Millis renewedAt = now;
     loseHolds();
     loseHolds();
-    BOOST_TEST(!keeper.report(1).usable);
+    BOOST_TEST(!keeper.report().usable);
     while (effects.ended.empty() && now < renewedAt + Millis{5'000}) {
         const uint32_t before = effects.holds;
         pass({20});
@@ -403,7 +402,7 @@
                 .ended = {{.number = 1, .run = order(1).run, .kind = EndKind::Done}}});
     BOOST_TEST(effects.ended.size() == 1U);
     loseHolds();
-    BOOST_TEST(keeper.report(1).usable);
+    BOOST_TEST(keeper.report().usable);
     keeper.order(1, order(5), now);
     BOOST_TEST(effects.starts.size() == 5U);
 }
@@ -420,7 +419,7 @@
     answerHold({.ended = {{.number = 1, .run = order(1).run, .kind = EndKind::Done}}});
     keeper.holdAnswered(overtaken, OrderAnswer::Done, before, now);
     BOOST_TEST(keeper.runCount() == 0U);
-    BOOST_TEST(keeper.report(1).usable);
+    BOOST_TEST(keeper.report().usable);
 }
 
 // Guards against a stopped run whose room and whose task wait until some other run ends.
@@ -483,7 +482,7 @@
     fixture.answerHold({.running = {{.run = found}}});
     fixture.keeper.order(1, WorkerKeeperFixture::order(1), fixture.now);
     BOOST_TEST(fixture.effects.starts.empty());
-    BOOST_TEST(!fixture.keeper.report(1).usable);
+    BOOST_TEST(!fixture.keeper.report().usable);
     fixture.keeper.sizeTold(found, {3'500, 64, 0}, fixture.now);
     BOOST_TEST(fixture.effects.starts.empty());
     fixture.answerHold({.ended = {{.number = 1, .run = found}}});
