Name the start of a kept job in the tests of the job book

Eight tests repeated three lines to submit a kept job, store its record and start its runs; submitAndStart of the fixture does that. The assertions are untouched.

--- a/tests/unit/jobbookfixture.h
+++ b/tests/unit/jobbookfixture.h
@@ -112,6 +112,14 @@
         book.advance(now);
     }
 
+    // A kept job that is stored and runs as far as there is room.
+    void submitAndStart(JobId id, uint32_t tasks)
+    {
+        submit(job(id, tasks, false));
+        storeAll();
+        startAll();
+    }
+
     void end(const RecordedEffects::Start &start, EndKind kind)
     {
         book.runEnded(start.agent, {.run = start.run, .kind = kind}, now);
--- a/tests/unit/jobbooktest.cpp
+++ b/tests/unit/jobbooktest.cpp
@@ -50,9 +50,7 @@
 BOOST_FIXTURE_TEST_CASE(endIsConfirmedAndShownOnlyOnceStored, JobBookFixture)
 {
     load();
-    submit(job(1, 1, false));
-    storeAll();
-    startAll();
+    submitAndStart(1, 1);
     end(effects.starts[0], EndKind::Done);
     BOOST_TEST(effects.confirmed.empty());
     BOOST_TEST((book.query(1).phase == JobPhase::Active));
@@ -66,9 +64,7 @@
 BOOST_FIXTURE_TEST_CASE(endOfARunThatWasOrderedAgainIsDisputed, JobBookFixture)
 {
     load();
-    submit(job(1, 1, false));
-    storeAll();
-    startAll();
+    submitAndStart(1, 1);
     const RecordedEffects::Start first = effects.starts[0];
     book.agentGone(first.agent, now);
     book.advance(now);
@@ -84,9 +80,7 @@
 BOOST_FIXTURE_TEST_CASE(endOfARunThatWasOrderedAgainIsDisputedAfterTheJob, JobBookFixture)
 {
     load();
-    submit(job(1, 1, false));
-    storeAll();
-    startAll();
+    submitAndStart(1, 1);
     const RecordedEffects::Start first = effects.starts[0];
     book.agentGone(first.agent, now);
     book.advance(now);
@@ -103,9 +97,7 @@
 BOOST_FIXTURE_TEST_CASE(endThatIsListedAgainIsNotConfirmedBeforeItIsStored, JobBookFixture)
 {
     load();
-    submit(job(1, 2, false));
-    storeAll();
-    startAll();
+    submitAndStart(1, 2);
     const RecordedEffects::Start first = effects.starts[0];
     end(first, EndKind::Done);
     book.agentDisconnected(first.agent);
@@ -123,9 +115,7 @@
 BOOST_FIXTURE_TEST_CASE(progressOfAnUnfinishedJobIsStoredAfterTheDelay, JobBookFixture)
 {
     load();
-    submit(job(1, 2, false));
-    storeAll();
-    startAll();
+    submitAndStart(1, 2);
     end(effects.starts[0], EndKind::Done);
     BOOST_TEST(effects.records.empty());
     now += Millis{1'100};
@@ -138,9 +128,7 @@
 BOOST_FIXTURE_TEST_CASE(jobFailsAfterTheAllowedAttempts, JobBookFixture)
 {
     load();
-    submit(job(1, 1, false));
-    storeAll();
-    startAll();
+    submitAndStart(1, 1);
     end(effects.starts[0], EndKind::Failed);
     BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
     BOOST_TEST(effects.starts[1].run.number == 2U);
@@ -154,9 +142,7 @@
 BOOST_FIXTURE_TEST_CASE(failureThatIsReportedAgainCountsOnce, JobBookFixture)
 {
     load();
-    submit(job(1, 1, false));
-    storeAll();
-    startAll();
+    submitAndStart(1, 1);
     const auto first = effects.starts[0];
     end(first, EndKind::Failed);
     end(first, EndKind::Failed);
@@ -168,9 +154,7 @@
 BOOST_FIXTURE_TEST_CASE(cancelIsStoredThenStopsTheRuns, JobBookFixture)
 {
     load();
-    submit(job(1, 2, false));
-    storeAll();
-    startAll();
+    submitAndStart(1, 2);
     replies.clear();
     book.cancel(1, now, [this](JobReply reply) { replies.push_back(std::move(reply)); });
     BOOST_TEST(replies.empty());
