Look up the link of an agent, and count calls down, in one place

Read-through: five functions of EntryNode looked up the link of an agent alike; linkOf does it, as in AgentNode. PartitionOwner counted answers down in leaveAll and again in leaveForGood; afterCalls serves both. JobBook::isDisputed looked up the job and the task that runEnded, on the path of each run, already had, and asked the table of ended jobs first.

--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -366,10 +366,16 @@
     m_owner.store(partition, job, std::move(record), mayDrop, std::move(onDone));
 }
 
+NodeLinkPtr EntryNode::linkOf(AgentNumber number) const
+{
+    const auto agent = m_agents.find(number);
+    return agent == m_agents.end() ? nullptr : agent->second.link;
+}
+
 void EntryNode::start(const StartRequest &request)
 {
-    const Agent &agent = m_agents.at(request.agent);
-    if (!agent.link)
+    const NodeLinkPtr link = linkOf(request.agent);
+    if (!link)
         return;
     fleet::StartOrderT order;
     order.partition = request.partition;
@@ -383,52 +389,52 @@
     order.priority = request.spec->priority;
     order.slack_ms = request.slack.count;
     order.best_effort = request.spec->best_effort;
-    agent.link->send(std::move(order));
+    link->send(std::move(order));
 }
 
 void EntryNode::stop(AgentNumber number, uint32_t partition, uint64_t epoch, const RunId &run)
 {
-    const auto agent = m_agents.find(number);
-    if (agent == m_agents.end() || !agent->second.link)
+    const NodeLinkPtr link = linkOf(number);
+    if (!link)
         return;
     fleet::StopOrderT order;
     order.partition = partition;
     order.epoch = epoch;
     order.run = std::make_unique<fleet::RunRef>(toWire(run));
-    agent->second.link->send(std::move(order));
+    link->send(std::move(order));
 }
 
 void EntryNode::endStored(AgentNumber number, const RunId &run)
 {
-    const auto agent = m_agents.find(number);
-    if (agent == m_agents.end() || !agent->second.link)
+    const NodeLinkPtr link = linkOf(number);
+    if (!link)
         return;
     fleet::EndStoredT message;
     message.run = std::make_unique<fleet::RunRef>(toWire(run));
-    agent->second.link->sendLater(std::move(message));
+    link->sendLater(std::move(message));
 }
 
 void EntryNode::endDisputed(AgentNumber number, const RunId &run)
 {
-    const auto agent = m_agents.find(number);
-    if (agent == m_agents.end() || !agent->second.link)
+    const NodeLinkPtr link = linkOf(number);
+    if (!link)
         return;
     fleet::EndDisputedT message;
     message.run = std::make_unique<fleet::RunRef>(toWire(run));
-    agent->second.link->send(std::move(message));
+    link->send(std::move(message));
 }
 
 void EntryNode::tellSize(AgentNumber number, const RunId &run, const StepSpec &step)
 {
-    const auto agent = m_agents.find(number);
-    if (agent == m_agents.end() || !agent->second.link)
+    const NodeLinkPtr link = linkOf(number);
+    if (!link)
         return;
     fleet::RunSizeT message;
     message.run = std::make_unique<fleet::RunRef>(toWire(run));
     message.cpu_milli = step.cpu_milli;
     message.memory_mb = step.memory_mb;
     message.accelerators = step.accelerators;
-    agent->second.link->send(std::move(message));
+    link->send(std::move(message));
 }
 
 } // namespace turmericwell
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -132,6 +132,8 @@
     void partitionLoaded(uint32_t partition);
     void sendReport();
     void tick();
+    // Null if the agent is not connected.
+    NodeLinkPtr linkOf(AgentNumber number) const;
     // Places waiting tasks once all messages that have arrived are handled: under load one pass over the
     // queue serves many of them.
     void advanceSoon();
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -29,6 +29,15 @@
     return number == 0 ? member : member + "." + std::to_string(number + 1);
 }
 
+// Calls onDone with the last of this many calls.
+static std::function<void()> afterCalls(size_t calls, std::function<void()> onDone)
+{
+    return [left = std::make_shared<size_t>(calls), onDone = std::move(onDone)] {
+        if (--*left == 0)
+            onDone();
+    };
+}
+
 PartitionOwner::PartitionOwner(PartitionOwnerOptions options, StoreApi &store, IoContext &io,
                                StructuredLog &log, JobBook &book, Handlers handlers)
     : m_options(std::move(options))
@@ -62,15 +71,14 @@
     });
 }
 
-void PartitionOwner::leaveAll(const std::string &member, uint32_t memberships,
-                              const std::function<void()> &onDone)
+void PartitionOwner::leaveAll(const std::string &member, uint32_t memberships, std::function<void()> onDone)
 {
-    const auto left = std::make_shared<uint32_t>(memberships);
+    const auto left = afterCalls(memberships, std::move(onDone));
     for (uint32_t number = 0; number < memberships; ++number) {
         m_store.leave({.group = ownersGroup, .member = membershipName(member, number)}, pageTimeout,
-                      [left, onDone, guard = m_timers.guard()](StoreStatus) {
-                          if (--*left == 0 && !guard.expired())
-                              onDone();
+                      [left, guard = m_timers.guard()](StoreStatus) {
+                          if (!guard.expired())
+                              left();
                       });
     }
 }
@@ -254,19 +262,11 @@
         m_timers.after(handOverCheckInterval, [this] { finishHandOvers(); });
         return;
     }
-    if (m_releasing && m_onReleased)
-        leaveForGood(std::exchange(m_onReleased, {}));
-}
-
-void PartitionOwner::leaveForGood(const std::function<void()> &onDone)
-{
-    const auto left = std::make_shared<size_t>(m_memberships.size());
-    for (const auto &membership : m_memberships) {
-        membership->leave([left, onDone] {
-            if (--*left == 0)
-                onDone();
-        });
-    }
+    if (!m_releasing || !m_onReleased)
+        return;
+    const auto left = afterCalls(m_memberships.size(), std::exchange(m_onReleased, {}));
+    for (const auto &membership : m_memberships)
+        membership->leave(left);
 }
 
 void PartitionOwner::release(std::function<void()> onDone)
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -70,14 +70,13 @@
 
     void joined(uint32_t membership, uint64_t generation, const std::set<uint32_t> &partitions);
     void open(uint32_t partition, uint32_t membership, uint64_t epoch);
-    void leaveAll(const std::string &member, uint32_t memberships, const std::function<void()> &onDone);
+    void leaveAll(const std::string &member, uint32_t memberships, std::function<void()> onDone);
     void close(uint32_t partition);
     void loadPage(uint32_t partition, uint64_t epoch, const std::string &after);
     void pageLoaded(uint32_t partition, uint64_t epoch, const std::string &after, const NewestAnswer &answer);
     // Stores what the next owner needs; the partition is closed when that is done or the time is over.
     void handOver(uint32_t partition);
     void finishHandOvers();
-    void leaveForGood(const std::function<void()> &onDone);
 
     const PartitionOwnerOptions m_options;
     StoreApi &m_store;
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -305,7 +305,8 @@
     void endJob(Job &job, JobPhase phase);
     void stopRuns(Job &job);
     void noteUnstoredEnd(Job &job, AgentNumber agent, const RunId &run, Millis now);
-    bool isDisputed(const AgentEnd &end);
+    // Job and task are those of the end, null if the book does not hold them.
+    bool isDisputed(const AgentEnd &end, const Job *job, const Task *task) const;
     void adoptRun(AgentNumber agent, const RunId &run, Millis now);
     void adoptOrphans(Job &job, Millis now);
     void stopOrphans(Millis now);
--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -59,15 +59,14 @@
     job.unstoredEnds.push_back({.agent = agent, .run = run});
 }
 
-bool JobBook::isDisputed(const AgentEnd &end)
+bool JobBook::isDisputed(const AgentEnd &end, const Job *job, const Task *task) const
 {
     if (end.kind != EndKind::Done)
         return false;
-    if (const auto ended = m_ended.find(end.run.task.job); ended != m_ended.end())
-        return ended->second.hasRepeatedRuns;
-    Job *job = findJob(end.run.task.job);
-    const Task *task = job ? findTask(*job, end.run.task) : nullptr;
-    return task && !job->spec.best_effort && end.run.number < task->run;
+    if (task)
+        return !job->spec.best_effort && end.run.number < task->run;
+    const auto ended = m_ended.find(end.run.task.job);
+    return ended != m_ended.end() && ended->second.hasRepeatedRuns;
 }
 
 void JobBook::makeWaiting(Job &job, Task &task, Millis)
@@ -179,7 +178,7 @@
                  {"run", run.number},
                  {"how", fleet::EnumNameEndKind(end.kind)},
                  {"known", task != nullptr}});
-    if (isDisputed(end))
+    if (isDisputed(end, job, task))
         m_effects.endDisputed(agent, run);
     if (!task) {
         m_effects.endStored(agent, run);
