Expect the report of an agent that has registered again

An agent that had drained registered again and took runs from one entry; the entry that got the partition next did not count the registration as a sign of life, so it located the partition at once and ordered tasks that were running. The same applies to an agent whose registration had expired.

Change: signs of life move from EntryNode to AgentPresence, without sockets or clock reads, and each registration counts as one.

--- /dev/null
+++ b/src/fleet/agentpresence.cpp
@@ -0,0 +1,91 @@
+// Signs of life of agents, and the bounds on the runs of those without one.
+#include "fleet/agentpresence.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+AgentNumber AgentPresence::registered(const std::string &name, Millis now)
+{
+    const auto [item, isNew] = m_numbers.try_emplace(name, static_cast<AgentNumber>(m_numbers.size() + 1));
+    const AgentNumber number = item->second;
+    if (isNew)
+        m_agents[number].name = name;
+    // A process that has registered again may take runs from another entry before this one reaches it.
+    m_agents.at(number).lastSign = now;
+    return number;
+}
+
+void AgentPresence::connected(AgentNumber number, Millis now)
+{
+    Agent &agent = m_agents.at(number);
+    agent.connected = true;
+    agent.leaving = false;
+    agent.goneAt.reset();
+    agent.lastSign = now;
+}
+
+void AgentPresence::disconnected(AgentNumber number, Millis lastAnswer, Millis now)
+{
+    Agent &agent = m_agents.at(number);
+    agent.connected = false;
+    agent.goneAt = std::max(lastAnswer, now - goneAfter) + goneAfter;
+    agent.lastSign = now;
+    // An agent that has drained leaves nothing behind.
+    if (agent.leaving) {
+        agent.goneAt = now;
+        agent.lastSign = now - forgottenAfter;
+    }
+}
+
+void AgentPresence::setLeaving(AgentNumber number)
+{
+    m_agents.at(number).leaving = true;
+}
+
+std::optional<AgentNumber> AgentPresence::find(std::string_view name) const
+{
+    const auto found = m_numbers.find(name);
+    return found == m_numbers.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool AgentPresence::isStaying(AgentNumber number) const
+{
+    const Agent &agent = m_agents.at(number);
+    return agent.connected && !agent.leaving;
+}
+
+std::vector<AgentNumber> AgentPresence::takeGone(Millis now)
+{
+    std::vector<AgentNumber> gone;
+    for (auto &[number, agent] : m_agents) {
+        if (!agent.goneAt || now < *agent.goneAt)
+            continue;
+        agent.goneAt.reset();
+        gone.push_back(number);
+    }
+    return gone;
+}
+
+std::set<AgentNumber> AgentPresence::mayHoldRuns(Millis now) const
+{
+    std::set<AgentNumber> result;
+    for (const auto &[number, agent] : m_agents) {
+        if (agent.connected || now - agent.lastSign < forgottenAfter)
+            result.insert(number);
+    }
+    return result;
+}
+
+std::vector<std::pair<AgentNumber, Millis>> AgentPresence::unreached(Millis now) const
+{
+    std::vector<std::pair<AgentNumber, Millis>> result;
+    for (const auto &[number, agent] : m_agents) {
+        const Millis silent = now - agent.lastSign;
+        if (!agent.connected && silent >= memberExpiry)
+            result.emplace_back(number, silent);
+    }
+    return result;
+}
+
+} // namespace turmericwell
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -8,9 +8,6 @@
 constexpr Millis dialTimeout = {700};
 // Time that a lost entry gets to be reached again before its membership is ended on its behalf.
 constexpr Millis redialTimeout = {250};
-// An agent that was not reached for this long is taken out of the list of members; it registers again if it
-// lives.
-constexpr Millis memberExpiry = {4'500};
 
 void EntryNode::memberFound(const Member &member)
 {
@@ -19,11 +16,8 @@
     Contact &contact = m_contacts[member.identity.name];
     contact.member = member;
     const bool isAgent = member.identity.role == fleet::ProcessRole::Agent;
-    if (isAgent && !m_agentNumbers.contains(member.identity.name)) {
-        const auto number = static_cast<AgentNumber>(m_agentNumbers.size() + 1);
-        m_agentNumbers[member.identity.name] = number;
-        m_agents[number] = {.name = member.identity.name, .firstSeen = Clock::now()};
-    }
+    if (isAgent)
+        m_presence.registered(member.identity.name, Clock::now());
     // Of two entries the one with the lower name dials; agents never dial.
     if (isAgent || m_self.name < member.identity.name)
         dial(member.identity.name);
@@ -34,11 +28,9 @@
     const auto contact = m_contacts.find(name);
     if (contact == m_contacts.end())
         return;
-    const auto number = m_agentNumbers.find(name);
-    const bool lives = number != m_agentNumbers.end() && m_agents.at(number->second).link
-        && !m_agents.at(number->second).leaving;
+    const std::optional<AgentNumber> number = m_presence.find(name);
     // Another entry has lost this agent and has taken it out of the list.
-    if (lives)
+    if (number && m_presence.isStaying(*number))
         m_members.restore(contact->second.member);
     else
         m_contacts.erase(contact);
@@ -102,31 +94,22 @@
 
 void EntryNode::expireMembers(Millis now)
 {
-    for (auto &[number, agent] : m_agents) {
-        const auto contact = m_contacts.find(agent.name);
-        const Millis lastSign = std::max(agent.firstSeen, agent.lastConnected);
-        if (agent.link || contact == m_contacts.end() || now - lastSign < memberExpiry)
+    for (const auto &[number, silence] : m_presence.unreached(now)) {
+        const std::string &name = m_presence.name(number);
+        if (m_contacts.erase(name) == 0)
             continue;
-        m_log.always(now, "member_expired", {{"agent", agent.name}, {"unreached_ms", now - lastSign}});
-        m_members.remove(agent.name);
-        m_contacts.erase(contact);
+        m_log.always(now, "member_expired", {{"agent", name}, {"unreached_ms", silence}});
+        m_members.remove(name);
     }
 }
 
 void EntryNode::noteAgents(Millis now)
 {
-    std::set<AgentNumber> expected;
-    for (auto &[number, agent] : m_agents) {
-        if (agent.goneAt && now >= *agent.goneAt) {
-            agent.goneAt.reset();
-            m_log.always(now, "agent_gone", {{"agent", agent.name}});
-            m_book.agentGone(number, now);
-        }
-        const Millis lastSign = std::max(agent.firstSeen, agent.lastConnected);
-        if (agent.link || now - lastSign < agentForgottenAfter)
-            expected.insert(number);
+    for (const AgentNumber number : m_presence.takeGone(now)) {
+        m_log.always(now, "agent_gone", {{"agent", m_presence.name(number)}});
+        m_book.agentGone(number, now);
     }
-    m_book.setExpectedAgents(std::move(expected), m_members.isSynced());
+    m_book.setExpectedAgents(m_presence.mayHoldRuns(now), m_members.isSynced());
 }
 
 } // namespace turmericwell
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -11,9 +11,6 @@
 constexpr Millis expiryInterval = {1'000};
 // A process that was not scheduled for this long may have lost its ownership meanwhile.
 constexpr Millis pauseLimit = {700};
-// Runs on an agent without a connection end within this time after the last answer to its pings: the agent
-// stops the runs of a silent owner after 1.2 s, and a lease of 1 s on a slow clock may still be running.
-constexpr Millis agentGoneAfter = {2'500};
 
 EntryNode::EntryNode(IoContext &io, const FleetSettings &settings, uint64_t incarnation, StoreApi &store,
                      StoreTransport &transport, StructuredLog &log)
@@ -140,22 +137,18 @@
 
 void EntryNode::agentConnected(const NodeLinkPtr &link, const fleet::HelloT &hello)
 {
-    const auto number = m_agentNumbers.find(hello.node);
-    if (number == m_agentNumbers.end())
+    const std::optional<AgentNumber> number = m_presence.find(hello.node);
+    if (!number)
         return;
-    Agent &agent = m_agents.at(number->second);
-    if (agent.link && agent.link != link)
-        agent.link->close("replaced by a newer connection");
-    m_book.agentDisconnected(number->second);
-    m_pool.remove(number->second);
-    agent.link = link;
-    agent.incarnation = hello.incarnation;
-    agent.goneAt.reset();
-    agent.leaving = false;
-    agent.lastConnected = Clock::now();
+    if (const NodeLinkPtr former = linkOf(*number); former && former != link)
+        former->close("replaced by a newer connection");
+    m_book.agentDisconnected(*number);
+    m_pool.remove(*number);
+    m_agentLinks[*number] = link;
+    m_presence.connected(*number, Clock::now());
     for (const fleet::OwnedPartitionT &owned : m_book.owned()) {
         if (owned.ready)
-            claim(agent, owned.partition, owned.epoch);
+            claim(link, owned.partition, owned.epoch);
     }
 }
 
@@ -165,21 +158,13 @@
     const std::string &name = link->peer().node;
     if (!name.empty())
         m_log.always(now, "peer_disconnected", {{"peer", name}, {"reason", reason}});
-    if (const auto number = m_agentNumbers.find(name); number != m_agentNumbers.end()) {
-        Agent &agent = m_agents.at(number->second);
-        if (agent.link != link)
+    if (const std::optional<AgentNumber> number = m_presence.find(name)) {
+        if (linkOf(*number) != link)
             return;
-        agent.link.reset();
-        agent.goneAt = std::max(link->lastPongSent(), now - agentGoneAfter) + agentGoneAfter;
-        agent.lastConnected = now;
-        // An agent that has drained leaves nothing behind.
-        if (agent.leaving) {
-            agent.goneAt = now;
-            agent.lastConnected = now - agentForgottenAfter;
-            agent.firstSeen = agent.lastConnected;
-        }
-        m_book.agentDisconnected(number->second);
-        m_pool.remove(number->second);
+        m_agentLinks.erase(*number);
+        m_presence.disconnected(*number, link->lastPongSent(), now);
+        m_book.agentDisconnected(*number);
+        m_pool.remove(*number);
     } else if (const auto peer = m_peers.find(name); peer != m_peers.end() && peer->second.link == link) {
         m_peers.erase(peer);
         notePeersWaiting();
@@ -195,21 +180,19 @@
                  {.status = fleet::CallStatus::Unknown, .reason = "owner disconnected"});
 }
 
-void EntryNode::claim(const Agent &agent, uint32_t partition, uint64_t epoch)
+void EntryNode::claim(const NodeLinkPtr &agent, uint32_t partition, uint64_t epoch)
 {
-    if (!agent.link)
-        return;
     fleet::ClaimT message;
     message.partition = partition;
     message.epoch = epoch;
-    agent.link->send(message);
+    agent->send(message);
 }
 
 void EntryNode::partitionLoaded(uint32_t partition)
 {
     const std::optional<uint64_t> epoch = m_book.epochOf(partition);
-    for (const auto &[number, agent] : m_agents)
-        claim(agent, partition, epoch.value_or(0));
+    for (const auto &[number, link] : m_agentLinks)
+        claim(link, partition, epoch.value_or(0));
     sendReport();
 }
 
@@ -240,9 +223,9 @@
         receivedFromEntry(link, envelope);
         return;
     }
-    const auto number = m_agentNumbers.find(name);
-    if (number != m_agentNumbers.end() && m_agents.at(number->second).link == link)
-        receivedFromAgent(number->second, envelope);
+    const std::optional<AgentNumber> number = m_presence.find(name);
+    if (number && linkOf(*number) == link)
+        receivedFromAgent(*number, envelope);
 }
 
 static AgentEnd toAgentEnd(const fleet::RunEndT &end)
@@ -269,7 +252,7 @@
     const Millis now = Clock::now();
     bool roomChanged = true;
     if (envelope.body.AsLeaving()) {
-        m_agents.at(agent).leaving = true;
+        m_presence.setLeaving(agent);
     } else if (fleet::WorkerReportT *report = envelope.body.AsWorkerReport()) {
         m_pool.report(agent, toWorkerState(*report));
     } else if (const fleet::RunEndT *end = envelope.body.AsRunEnd()) {
@@ -354,10 +337,8 @@
         m_confirmAfter.reset();
     if (!m_confirmAfter)
         m_book.advance(now);
-    for (const auto &[number, agent] : m_agents) {
-        if (agent.link)
-            agent.link->flush();
-    }
+    for (const auto &[number, link] : m_agentLinks)
+        link->flush();
 }
 
 void EntryNode::store(uint32_t partition, JobId job, std::string record, bool mayDrop,
@@ -368,8 +349,8 @@
 
 NodeLinkPtr EntryNode::linkOf(AgentNumber number) const
 {
-    const auto agent = m_agents.find(number);
-    return agent == m_agents.end() ? nullptr : agent->second.link;
+    const auto link = m_agentLinks.find(number);
+    return link == m_agentLinks.end() ? nullptr : link->second;
 }
 
 void EntryNode::start(const StartRequest &request)
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "config/queuetable.h"
+#include "fleet/agentpresence.h"
 #include "fleet/fleetsettings.h"
 #include "fleet/memberlist.h"
 #include "fleet/nodelink.h"
@@ -74,19 +75,6 @@
     void tellSize(AgentNumber agent, const RunId &run, const StepSpec &step) override;
 
 private:
-    struct Agent
-    {
-        std::string name;
-        NodeLinkPtr link;
-        uint64_t incarnation = 0;
-        // Set while there is no connection: runs on the agent end by then.
-        std::optional<Millis> goneAt;
-        Millis firstSeen;
-        Millis lastConnected;
-        // The agent has said that it ends and that nothing runs on its worker.
-        bool leaving = false;
-    };
-
     struct Peer
     {
         NodeLinkPtr link;
@@ -117,9 +105,6 @@
         NodeLinkPtr askedLink;
     };
 
-    // An agent that could not be reached for this long since it was first heard of holds no runs.
-    static constexpr Millis agentForgottenAfter = {6'000};
-
     // --- entrynode.cpp: connections ---
     void connected(const NodeLinkPtr &link, const std::string &dialledName);
     void introduce(const NodeLinkPtr &link, const fleet::HelloT &hello);
@@ -128,7 +113,7 @@
     void received(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
     void receivedFromAgent(AgentNumber agent, fleet::EnvelopeT &envelope);
     void receivedFromEntry(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
-    void claim(const Agent &agent, uint32_t partition, uint64_t epoch);
+    void claim(const NodeLinkPtr &agent, uint32_t partition, uint64_t epoch);
     void partitionLoaded(uint32_t partition);
     void sendReport();
     void tick();
@@ -179,8 +164,9 @@
     FrameListener m_listener;
     QueueTable m_queues;
     std::map<std::string, Contact> m_contacts;
-    std::map<AgentNumber, Agent> m_agents;
-    std::map<std::string, AgentNumber> m_agentNumbers;
+    AgentPresence m_presence;
+    // Agents that are connected.
+    std::map<AgentNumber, NodeLinkPtr> m_agentLinks;
     std::map<std::string, Peer> m_peers;
     std::map<uint64_t, PendingCall> m_calls;
     uint64_t m_nextCall = 1;
--- /dev/null
+++ b/tests/unit/agentpresencetest.cpp
@@ -0,0 +1,68 @@
+// Agent presence: which agents a new owner waits for.
+#include "fleet/agentpresence.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace turmericwell {
+
+BOOST_AUTO_TEST_SUITE(AgentPresenceTests)
+
+constexpr Millis start = {50'000};
+
+// Guards against waiting for an agent that has drained: every planned stop would delay recovery.
+BOOST_AUTO_TEST_CASE(drainedAgentHoldsNoRuns)
+{
+    AgentPresence presence;
+    const AgentNumber agent = presence.registered("agent-1", start);
+    presence.connected(agent, start);
+    presence.setLeaving(agent);
+    presence.disconnected(agent, start, start + Millis{100});
+    BOOST_TEST(presence.mayHoldRuns(start + Millis{100}).empty());
+    BOOST_TEST(presence.takeGone(start + Millis{100}).size() == 1);
+}
+
+// Guards against a second run of a task: an agent that drained, started again and registered took runs from
+// the former owner, and the next owner did not wait for its report.
+BOOST_AUTO_TEST_CASE(agentThatRegistersAgainMayHoldRuns)
+{
+    AgentPresence presence;
+    const AgentNumber agent = presence.registered("agent-1", start);
+    presence.connected(agent, start);
+    presence.setLeaving(agent);
+    presence.disconnected(agent, start, start + Millis{100});
+    const Millis again = start + Millis{5'000};
+    BOOST_TEST(presence.registered("agent-1", again) == agent);
+    BOOST_TEST(presence.mayHoldRuns(again).contains(agent));
+    BOOST_TEST(!presence.mayHoldRuns(again + AgentPresence::forgottenAfter).contains(agent));
+}
+
+// Guards against ending the registration of an agent that has just registered again and is still dialled.
+BOOST_AUTO_TEST_CASE(registrationPutsOffExpiry)
+{
+    AgentPresence presence;
+    const AgentNumber agent = presence.registered("agent-1", start);
+    const Millis expired = start + AgentPresence::memberExpiry;
+    BOOST_TEST(presence.unreached(expired).size() == 1);
+    presence.registered("agent-1", expired);
+    BOOST_TEST(presence.unreached(expired).empty());
+    BOOST_TEST(presence.mayHoldRuns(expired).contains(agent));
+}
+
+// Guards against taking runs on an unreachable agent as ended while a lease may still be running.
+BOOST_AUTO_TEST_CASE(runsOfALostAgentEndAfterTheBound)
+{
+    AgentPresence presence;
+    const AgentNumber agent = presence.registered("agent-1", start);
+    presence.connected(agent, start);
+    const Millis lost = start + Millis{2'000};
+    presence.disconnected(agent, lost - Millis{500}, lost);
+    const Millis gone = lost - Millis{500} + AgentPresence::goneAfter;
+    BOOST_TEST(presence.takeGone(gone - Millis{1}).empty());
+    BOOST_TEST(presence.takeGone(gone).size() == 1);
+    BOOST_TEST(presence.takeGone(gone).empty());
+    BOOST_TEST(presence.mayHoldRuns(gone).contains(agent));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace turmericwell
