Let agents stop keeping the runs of an entry that gave up their partition

Cause: an agent keeps the runs of a partition as long as the entry that claimed it answers pings. An entry that gives up a partition but stays connected kept them alive for good, while the next owner, if its own link to that agent is cut, takes them as ended 2.5 s after it has loaded the partition and orders the tasks again.

Change: message Release, sent by PartitionOwner's entry to all agents when it closes a partition. The agent drops the orders that wait and counts no later pong of that entry for the partition; a claim of the next owner within 1.2 s keeps the runs.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -196,6 +196,8 @@
         m_keeper.endDisputed(fromWire(disputed->run), now);
     } else if (const fleet::ClaimT *claim = envelope.body.AsClaim()) {
         m_keeper.claim(entry, claim->partition, claim->epoch, now);
+    } else if (const fleet::ReleaseT *release = envelope.body.AsRelease()) {
+        m_keeper.release(entry, release->partition, release->epoch, now);
     } else if (const fleet::RunSizeT *size = envelope.body.AsRunSize()) {
         m_keeper.sizeTold(fromWire(size->run), {size->cpu_milli, size->memory_mb, size->accelerators}, now);
     }
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -32,7 +32,7 @@
                .memberships = membershipsFor(settings.processorShare * settings.processorSpeed)},
               store, io, log, m_book,
               {.onLoaded = [this](uint32_t partition) { partitionLoaded(partition); },
-               .onClosed = [this](uint32_t) { sendReport(); }})
+               .onClosed = [this](uint32_t partition, uint64_t epoch) { partitionClosed(partition, epoch); }})
     , m_members(store, io, log,
                 {.onMember = [this](const Member &member) { memberFound(member); },
                  .onRemoved = [this](const std::string &name) { memberRemoved(name); }})
@@ -196,6 +196,16 @@
     sendReport();
 }
 
+void EntryNode::partitionClosed(uint32_t partition, uint64_t epoch)
+{
+    fleet::ReleaseT message;
+    message.partition = partition;
+    message.epoch = epoch;
+    for (const auto &[number, link] : m_agentLinks)
+        link->send(message);
+    sendReport();
+}
+
 void EntryNode::sendReport()
 {
     fleet::EntryReportT report;
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -115,6 +115,7 @@
     void receivedFromEntry(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
     void claim(const NodeLinkPtr &agent, uint32_t partition, uint64_t epoch);
     void partitionLoaded(uint32_t partition);
+    void partitionClosed(uint32_t partition, uint64_t epoch);
     void sendReport();
     void tick();
     // Null if the agent is not connected.
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -146,9 +146,10 @@
 
 void PartitionOwner::close(uint32_t partition)
 {
+    const uint64_t epoch = m_owned.at(partition).epoch;
     m_book.closePartition(partition, Clock::now());
     m_owned.erase(partition);
-    m_handlers.onClosed(partition);
+    m_handlers.onClosed(partition, epoch);
 }
 
 void PartitionOwner::loadPage(uint32_t partition, uint64_t epoch, const std::string &after)
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -34,7 +34,7 @@
     struct Handlers
     {
         std::function<void(uint32_t partition)> onLoaded;
-        std::function<void(uint32_t partition)> onClosed;
+        std::function<void(uint32_t partition, uint64_t epoch)> onClosed;
     };
 
     PartitionOwner(PartitionOwnerOptions options, StoreApi &store, IoContext &io, StructuredLog &log,
--- a/src/worker/workerkeeper.h
+++ b/src/worker/workerkeeper.h
@@ -100,6 +100,8 @@
     void entryAnswered(EntryNumber entry, Millis pingSentAt);
     void setEvacuatedZones(std::set<std::string> zones, Millis now);
     void claim(EntryNumber entry, uint32_t partition, uint64_t epoch, Millis now);
+    // The entry owns the partition no longer: its answers do not keep the partition's runs any more.
+    void release(EntryNumber entry, uint32_t partition, uint64_t epoch, Millis now);
     void order(EntryNumber entry, RunOrder order, Millis now);
     void stop(EntryNumber entry, uint32_t partition, uint64_t epoch, const RunId &run, Millis now);
     void endStored(const RunId &run);
@@ -183,6 +185,7 @@
     // --- workerowners.cpp ---
     Owner &ownerOf(const RunId &run);
     void rejectClaim(EntryNumber entry, uint32_t partition, uint64_t epoch);
+    void dropQueued(uint32_t partition);
     void reportClaims(Millis now);
     // Stops the runs of owners that are silent.
     void checkOwners(Millis now);
--- a/src/worker/workerowners.cpp
+++ b/src/worker/workerowners.cpp
@@ -75,11 +75,26 @@
     owner.lastContact = std::max(owner.lastContact, m_contacts[entry]);
     owner.reportDue = true;
     // The owner orders again what has not been started.
+    dropQueued(partition);
+    reportClaims(now);
+}
+
+void WorkerKeeper::release(EntryNumber entry, uint32_t partition, uint64_t epoch, Millis now)
+{
+    Owner &owner = m_owners[partition];
+    if (owner.entry != entry || owner.epoch != epoch)
+        return;
+    m_log.always(now, "partition_released", {{"partition", partition}, {"epoch", epoch}});
+    owner.entry.reset();
+    dropQueued(partition);
+}
+
+void WorkerKeeper::dropQueued(uint32_t partition)
+{
     std::erase_if(m_runs, [&](const auto &item) {
         return item.second.phase == RunPhase::Queued && item.second.order.partition == partition;
     });
     m_reportChanged = true;
-    reportClaims(now);
 }
 
 void WorkerKeeper::rejectClaim(EntryNumber entry, uint32_t partition, uint64_t epoch)
--- a/tests/unit/workerkeepertest.cpp
+++ b/tests/unit/workerkeepertest.cpp
@@ -198,6 +198,47 @@
 }
 
 // Guards against an order that waits behind long runs while other workers become free.
+// Guards against a second run of a task: the next owner cannot reach this agent and takes its runs as ended
+// after a bound, while the former owner goes on answering the agent's pings.
+BOOST_FIXTURE_TEST_CASE(runsOfAReleasedPartitionAreStoppedUnlessClaimed, WorkerKeeperFixture)
+{
+    startRun(1);
+    keeper.release(1, 0, 4, now);
+    pass({1'500});
+    BOOST_TEST(effects.stops.empty());
+    keeper.release(1, 0, 5, now);
+    pass({1'000});
+    BOOST_TEST(effects.stops.empty());
+    pass({400});
+    BOOST_TEST(effects.stops.size() >= 1);
+}
+
+// Guards against the loss of work in a planned handover.
+BOOST_FIXTURE_TEST_CASE(runsOfAReleasedPartitionGoOnUnderTheNextOwner, WorkerKeeperFixture)
+{
+    startRun(1);
+    keeper.entryConnected(2, now);
+    keeper.release(1, 0, 5, now);
+    pass({500});
+    keeper.claim(2, 0, 6, now);
+    for (uint32_t round = 0; round < 100; ++round) {
+        keeper.entryAnswered(2, now);
+        pass({20});
+    }
+    BOOST_TEST(effects.stops.empty());
+}
+
+// Guards against starting what the next owner is about to order again.
+BOOST_FIXTURE_TEST_CASE(releaseDropsOrdersThatWait, WorkerKeeperFixture)
+{
+    keeper.order(1, order(1, 1, 4'000), now);
+    keeper.order(1, order(2, 1, 400), now);
+    BOOST_TEST(effects.starts.size() == 1);
+    keeper.release(1, 0, 5, now);
+    keeper.startAnswered(order(1).run, OrderAnswer::NoRoom, now - workerStart, now);
+    BOOST_TEST(effects.starts.size() == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(waitingOrderGoesBackToItsOwner, WorkerKeeperFixture)
 {
     for (JobId job = 1; job <= 5; ++job)
