Let links and timers of a fleet process run in virtual time

Change: FrameLink is an interface with TcpFrameLink behind it; entries and agents listen and dial through LinkNetwork; VirtualClock replaces the clocks of a thread, and Timers follow it. Nothing changes for a process that sets up neither.

--- a/include/turmericwell/millis.h
+++ b/include/turmericwell/millis.h
@@ -54,4 +54,23 @@
     static Millis wall();
 };
 
+// Replaces the clocks of the calling thread while it exists: an emulation runs many processes on one thread,
+// in time that it moves on itself. Timers of the thread follow it as well.
+class VirtualClock
+{
+public:
+    explicit VirtualClock(Millis start);
+    ~VirtualClock();
+    VirtualClock(const VirtualClock &) = delete;
+    VirtualClock &operator=(const VirtualClock &) = delete;
+
+    Millis now() const { return m_now; }
+    void moveTo(Millis time) { m_now = time; }
+    // The one of the calling thread, null if the thread uses the machine's clocks.
+    static const VirtualClock *current();
+
+private:
+    Millis m_now;
+};
+
 } // namespace turmericwell
--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -16,8 +16,8 @@
 // Beyond the wait of the call.
 constexpr Millis holdTimeout = {60};
 
-AgentNode::AgentNode(IoContext &io, const FleetSettings &settings, uint64_t incarnation, StoreApi &store,
-                     WorkerApi &worker, StructuredLog &log)
+AgentNode::AgentNode(IoContext &io, LinkNetwork &network, const FleetSettings &settings, uint64_t incarnation,
+                     StoreApi &store, WorkerApi &worker, StructuredLog &log)
     : m_io(io)
     , m_settings(settings)
     , m_self{.name = settings.name,
@@ -32,9 +32,9 @@
                 .queueAllowancePercent = settings.queueAllowancePercent},
                incarnation, Clock::now(), *this, log)
     , m_registration({.identity = m_self, .address = settings.peerAddress}, store, io, log)
-    , m_listener(io, settings.peerListen, [this](const FrameLinkPtr &link) {
+    , m_listener(network.listen(settings.peerListen, [this](const FrameLinkPtr &link) {
         accepted(std::make_shared<NodeLink>(m_io, link, m_self));
-    })
+    }))
 { }
 
 void AgentNode::start()
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -26,8 +26,8 @@
 class AgentNode : public WorkerEffects
 {
 public:
-    AgentNode(IoContext &io, const FleetSettings &settings, uint64_t incarnation, StoreApi &store,
-              WorkerApi &worker, StructuredLog &log);
+    AgentNode(IoContext &io, LinkNetwork &network, const FleetSettings &settings, uint64_t incarnation,
+              StoreApi &store, WorkerApi &worker, StructuredLog &log);
 
     void start();
     // Nothing new is started; the callback runs when no connection to an entry needs this process any longer.
@@ -79,7 +79,7 @@
     Timers m_timers;
     WorkerKeeper m_keeper;
     Registration m_registration;
-    FrameListener m_listener;
+    std::unique_ptr<LinkListener> m_listener;
     std::map<EntryNumber, Entry> m_entries;
     EntryNumber m_nextEntry = 1;
     Millis m_lastEntry;
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -42,19 +42,19 @@
     if (found == m_contacts.end() || found->second.connected || found->second.dialling)
         return;
     found->second.dialling = true;
-    dialFrameLink(m_io, found->second.member.address, dialTimeout,
-                  [this, name, guard = m_timers.guard()](const FrameLinkPtr &link) {
-                      const auto contact = guard.expired() ? m_contacts.end() : m_contacts.find(name);
-                      if (guard.expired() || contact == m_contacts.end())
-                          return;
-                      contact->second.dialling = false;
-                      if (!link) {
-                          m_timers.after(contact->second.backoff.next(), [this, name] { dial(name); });
-                          return;
-                      }
-                      contact->second.connected = true;
-                      connected(std::make_shared<NodeLink>(m_io, link, m_self), name);
-                  });
+    m_network.dial(found->second.member.address, dialTimeout,
+                   [this, name, guard = m_timers.guard()](const FrameLinkPtr &link) {
+                       const auto contact = guard.expired() ? m_contacts.end() : m_contacts.find(name);
+                       if (guard.expired() || contact == m_contacts.end())
+                           return;
+                       contact->second.dialling = false;
+                       if (!link) {
+                           m_timers.after(contact->second.backoff.next(), [this, name] { dial(name); });
+                           return;
+                       }
+                       contact->second.connected = true;
+                       connected(std::make_shared<NodeLink>(m_io, link, m_self), name);
+                   });
 }
 
 void EntryNode::closeSuperseded(const fleet::EntryReportT &report)
@@ -79,17 +79,17 @@
     const auto contact = m_contacts.find(name);
     if (contact == m_contacts.end())
         return;
-    dialFrameLink(m_io, contact->second.member.address, redialTimeout,
-                  [this, name, guard = m_timers.guard()](const FrameLinkPtr &link) {
-                      if (guard.expired() || m_peers.contains(name))
-                          return;
-                      if (link) {
-                          link->close("only a check");
-                          return;
-                      }
-                      m_log.always(Clock::now(), "entry_lost", {{"entry", name}});
-                      m_owner.expel(name);
-                  });
+    m_network.dial(contact->second.member.address, redialTimeout,
+                   [this, name, guard = m_timers.guard()](const FrameLinkPtr &link) {
+                       if (guard.expired() || m_peers.contains(name))
+                           return;
+                       if (link) {
+                           link->close("only a check");
+                           return;
+                       }
+                       m_log.always(Clock::now(), "entry_lost", {{"entry", name}});
+                       m_owner.expel(name);
+                   });
 }
 
 void EntryNode::expireMembers(Millis now)
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -12,9 +12,10 @@
 // A process that was not scheduled for this long may have lost its ownership meanwhile.
 constexpr Millis pauseLimit = {700};
 
-EntryNode::EntryNode(IoContext &io, const FleetSettings &settings, uint64_t incarnation, StoreApi &store,
-                     StoreTransport &transport, StructuredLog &log)
+EntryNode::EntryNode(IoContext &io, LinkNetwork &network, const FleetSettings &settings, uint64_t incarnation,
+                     StoreApi &store, StoreTransport &transport, StructuredLog &log)
     : m_io(io)
+    , m_network(network)
     , m_settings(settings)
     , m_self{.name = settings.name,
              .incarnation = incarnation,
@@ -37,9 +38,10 @@
                 {.onMember = [this](const Member &member) { memberFound(member); },
                  .onRemoved = [this](const std::string &name) { memberRemoved(name); }})
     , m_registration({.identity = m_self, .address = settings.peerAddress}, store, io, log)
-    , m_listener(
-          io, settings.peerListen,
-          [this](const FrameLinkPtr &link) { connected(std::make_shared<NodeLink>(m_io, link, m_self), {}); })
+    , m_listener(network.listen(settings.peerListen,
+                                [this](const FrameLinkPtr &link) {
+                                    connected(std::make_shared<NodeLink>(m_io, link, m_self), {});
+                                }))
     , m_lastTick(Clock::now())
 {
     m_transport.setRelay([this](const HttpRequest &request, Millis timeout, StoreTransport::Done onDone) {
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -45,8 +45,8 @@
 class EntryNode : public JobEffects
 {
 public:
-    EntryNode(IoContext &io, const FleetSettings &settings, uint64_t incarnation, StoreApi &store,
-              StoreTransport &transport, StructuredLog &log);
+    EntryNode(IoContext &io, LinkNetwork &network, const FleetSettings &settings, uint64_t incarnation,
+              StoreApi &store, StoreTransport &transport, StructuredLog &log);
     ~EntryNode() override;
 
     void start();
@@ -152,6 +152,7 @@
     void performForPeer(const NodeLinkPtr &link, fleet::JobCallT &message);
 
     IoContext &m_io;
+    LinkNetwork &m_network;
     const FleetSettings m_settings;
     const NodeIdentity m_self;
     StoreTransport &m_transport;
@@ -162,7 +163,7 @@
     PartitionOwner m_owner;
     MemberList m_members;
     Registration m_registration;
-    FrameListener m_listener;
+    std::unique_ptr<LinkListener> m_listener;
     QueueTable m_queues;
     std::map<std::string, Contact> m_contacts;
     AgentPresence m_presence;
--- a/src/net/framelink.cpp
+++ b/src/net/framelink.cpp
@@ -41,7 +41,7 @@
     frame[5] = protocolVersion >> 8U;
 }
 
-FrameLink::FrameLink(TcpSocket socket)
+TcpFrameLink::TcpFrameLink(TcpSocket socket)
     : m_socket(std::move(socket))
     , m_buffer(readBufferBytes)
 {
@@ -51,13 +51,13 @@
     m_remoteText = remote.address().to_string() + ":" + std::to_string(remote.port());
 }
 
-void FrameLink::start(Handlers handlers)
+void TcpFrameLink::start(Handlers handlers)
 {
     m_handlers = std::move(handlers);
     asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->readSome(); });
 }
 
-void FrameLink::enqueue(std::vector<uint8_t> frame)
+void TcpFrameLink::enqueue(std::vector<uint8_t> frame)
 {
     if (m_closed)
         return;
@@ -69,7 +69,7 @@
     m_queue.push_back(std::move(frame));
 }
 
-void FrameLink::send(std::vector<uint8_t> frame)
+void TcpFrameLink::send(std::vector<uint8_t> frame)
 {
     asio::post(m_socket.get_executor(), [self = shared_from_this(), frame = std::move(frame)]() mutable {
         self->enqueue(std::move(frame));
@@ -78,7 +78,7 @@
     });
 }
 
-void FrameLink::sendLater(std::vector<uint8_t> frame)
+void TcpFrameLink::sendLater(std::vector<uint8_t> frame)
 {
     m_unflushed = true;
     asio::post(m_socket.get_executor(), [self = shared_from_this(), frame = std::move(frame)]() mutable {
@@ -86,7 +86,7 @@
     });
 }
 
-void FrameLink::flush()
+void TcpFrameLink::flush()
 {
     if (!m_unflushed.exchange(false))
         return;
@@ -96,7 +96,7 @@
     });
 }
 
-void FrameLink::closeAfterWrites()
+void TcpFrameLink::closeAfterWrites()
 {
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
         self->m_closeAfterWrites = true;
@@ -109,13 +109,13 @@
     });
 }
 
-void FrameLink::close(const std::string &reason)
+void TcpFrameLink::close(const std::string &reason)
 {
     asio::post(m_socket.get_executor(), [self = shared_from_this(), reason] { self->finish(reason); });
 }
 
 // Load pattern: thousands of small frames a second from many peers. One read takes all that has arrived.
-void FrameLink::readSome()
+void TcpFrameLink::readSome()
 {
     if (m_closed)
         return;
@@ -136,7 +136,7 @@
         });
 }
 
-bool FrameLink::takeFrames()
+bool TcpFrameLink::takeFrames()
 {
     std::span<const uint8_t> rest(m_buffer.data(), m_received);
     size_t wanted = frameHeaderBytes;
@@ -162,7 +162,7 @@
     return true;
 }
 
-void FrameLink::writeQueued()
+void TcpFrameLink::writeQueued()
 {
     if (m_closed || m_queue.empty())
         return;
@@ -186,7 +186,7 @@
                       });
 }
 
-void FrameLink::finish(const std::string &reason)
+void TcpFrameLink::finish(const std::string &reason)
 {
     if (m_closed)
         return;
@@ -218,7 +218,7 @@
                 if (error == asio::error::operation_aborted)
                     return;
                 if (!error)
-                    self->onAccept(std::make_shared<FrameLink>(std::move(socket)));
+                    self->onAccept(std::make_shared<TcpFrameLink>(std::move(socket)));
                 self->accept();
             });
     }
@@ -267,8 +267,18 @@
             if (error || !attempt->socket.is_open())
                 onDone(nullptr);
             else
-                onDone(std::make_shared<FrameLink>(std::move(attempt->socket)));
+                onDone(std::make_shared<TcpFrameLink>(std::move(attempt->socket)));
         });
 }
 
+std::unique_ptr<LinkListener> TcpNetwork::listen(const Address &address, OnLink onAccept)
+{
+    return std::make_unique<FrameListener>(m_io, address, std::move(onAccept));
+}
+
+void TcpNetwork::dial(const Address &address, Millis timeout, OnLink onDone)
+{
+    dialFrameLink(m_io, address, timeout, std::move(onDone));
+}
+
 } // namespace turmericwell
--- a/src/net/framelink.h
+++ b/src/net/framelink.h
@@ -1,4 +1,5 @@
-// One TCP connection that carries length-framed, versioned messages between processes of the system.
+// Connections that carry length-framed, versioned messages between processes of the system: over TCP, or in
+// an emulation.
 #pragma once
 
 #include "net/address.h"
@@ -40,7 +41,8 @@
 // Writes the header for a payload that starts at frameHeaderBytes in the frame.
 void writeFrameHeader(std::span<uint8_t> frame);
 
-class FrameLink : public std::enable_shared_from_this<FrameLink>
+// A connection that carries whole frames in order, until one side closes it.
+class FrameLink
 {
 public:
     struct Handlers
@@ -51,21 +53,39 @@
         std::function<void(const std::string &reason)> onClosed;
     };
 
-    explicit FrameLink(TcpSocket socket);
-
-    void start(Handlers handlers);
+    virtual ~FrameLink() = default;
+    virtual void start(Handlers handlers) = 0;
     // Takes a whole frame with its header. Thread-safe; frames leave in the order of the calls of one thread.
-    void send(std::vector<uint8_t> frame);
+    virtual void send(std::vector<uint8_t> frame) = 0;
     // Like send, but the frame waits until the next send or flush, so that several frames leave in one write.
-    void sendLater(std::vector<uint8_t> frame);
-    void flush();
+    virtual void sendLater(std::vector<uint8_t> frame) = 0;
+    virtual void flush() = 0;
     // Closes after the queued frames have been written.
-    void closeAfterWrites();
-    void close(const std::string &reason);
+    virtual void closeAfterWrites() = 0;
+    virtual void close(const std::string &reason) = 0;
+
+    virtual uint64_t bytesSent() const = 0;
+    virtual uint64_t bytesReceived() const = 0;
+    virtual std::string remoteText() const = 0;
+};
+
+using FrameLinkPtr = std::shared_ptr<FrameLink>;
+
+class TcpFrameLink : public FrameLink, public std::enable_shared_from_this<TcpFrameLink>
+{
+public:
+    explicit TcpFrameLink(TcpSocket socket);
+
+    void start(Handlers handlers) override;
+    void send(std::vector<uint8_t> frame) override;
+    void sendLater(std::vector<uint8_t> frame) override;
+    void flush() override;
+    void closeAfterWrites() override;
+    void close(const std::string &reason) override;
 
-    uint64_t bytesSent() const { return m_bytesSent; }
-    uint64_t bytesReceived() const { return m_bytesReceived; }
-    std::string remoteText() const { return m_remoteText; }
+    uint64_t bytesSent() const override { return m_bytesSent; }
+    uint64_t bytesReceived() const override { return m_bytesReceived; }
+    std::string remoteText() const override { return m_remoteText; }
 
 private:
     void readSome();
@@ -93,14 +113,30 @@
     std::atomic<uint64_t> m_bytesReceived = 0;
 };
 
-using FrameLinkPtr = std::shared_ptr<FrameLink>;
+// Accepts connections until it is destroyed.
+class LinkListener
+{
+public:
+    virtual ~LinkListener() = default;
+};
+
+// Where a process listens for other processes and dials them.
+class LinkNetwork
+{
+public:
+    using OnLink = std::function<void(FrameLinkPtr)>;
+
+    virtual ~LinkNetwork() = default;
+    virtual std::unique_ptr<LinkListener> listen(const Address &address, OnLink onAccept) = 0;
+    // Connects once; the callback gets null if the connection failed or took longer than the timeout.
+    virtual void dial(const Address &address, Millis timeout, OnLink onDone) = 0;
+};
 
-// Accepts frame connections until it is destroyed.
-class FrameListener
+class FrameListener : public LinkListener
 {
 public:
     FrameListener(IoContext &io, const Address &address, std::function<void(FrameLinkPtr)> onAccept);
-    ~FrameListener();
+    ~FrameListener() override;
 
 private:
     struct State;
@@ -111,4 +147,17 @@
 void dialFrameLink(IoContext &io, const Address &address, Millis timeout,
                    std::function<void(FrameLinkPtr)> onDone);
 
+class TcpNetwork : public LinkNetwork
+{
+public:
+    explicit TcpNetwork(IoContext &io)
+        : m_io(io)
+    { }
+    std::unique_ptr<LinkListener> listen(const Address &address, OnLink onAccept) override;
+    void dial(const Address &address, Millis timeout, OnLink onDone) override;
+
+private:
+    IoContext &m_io;
+};
+
 } // namespace turmericwell
--- a/tests/unit/framelinktest.cpp
+++ b/tests/unit/framelinktest.cpp
@@ -27,7 +27,7 @@
     {
         asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
         socket.connect(acceptor.local_endpoint());
-        link = std::make_shared<FrameLink>(acceptor.accept());
+        link = std::make_shared<TcpFrameLink>(acceptor.accept());
         link->start({.onFrame =
                          [this](std::span<const uint8_t> payload) {
                              received.emplace_back(payload.begin(), payload.end());
