--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -9,6 +9,7 @@
 constexpr Millis tickInterval = {15};
 constexpr Millis reportInterval = {250};
 constexpr Millis expiryInterval = {1'000};
+constexpr Millis stopCheckInterval = {50};
 // A process that was not scheduled for this long may have lost its ownership meanwhile.
 constexpr Millis pauseLimit = {700};
 
@@ -61,13 +62,48 @@
     m_timers.every(expiryInterval, [this] { expireMembers(Clock::now()); });
 }
 
-void EntryNode::beginStop(std::function<void()> onReleased)
+void EntryNode::beginStop(StopHandlers handlers)
 {
-    m_stopping = true;
-    m_owner.release([this, onReleased = std::move(onReleased)] {
-        sendReport();
-        onReleased();
-    });
+    m_stop.emplace(Clock::now(), m_settings.stopGrace);
+    m_stopHandlers = std::move(handlers);
+    sendReport();
+    advanceStop();
+}
+
+bool EntryNode::isReady() const
+{
+    return m_queues.version() != 0 && !m_stop;
+}
+
+bool EntryNode::hasSuccessor() const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(),
+                       [](const auto &item) { return !item.second.report.stopping; });
+}
+
+void EntryNode::advanceStop()
+{
+    const Millis now = Clock::now();
+    const StopPhase before = m_stop->phase();
+    const StopState state{.hasSuccessor = hasSuccessor(),
+                          .ownsPartitions = !m_book.owned().empty(),
+                          .openRequests = m_stopHandlers.openRequests()};
+    const StopPhase phase = m_stop->advance(state, now);
+    if (phase != before)
+        m_log.always(now, "stop_phase",
+                     {{"phase", stopPhaseName(phase)},
+                      {"has_successor", state.hasSuccessor},
+                      {"partitions", m_book.owned().size()},
+                      {"open_requests", state.openRequests}});
+    if (m_stop->releasesPartitions() && !std::exchange(m_releasing, true)) {
+        m_owner.release([this] {
+            m_log.always(Clock::now(), "partitions_released", {});
+            sendReport();
+        });
+    }
+    m_stopHandlers.onPhase(phase);
+    if (phase != StopPhase::Ended)
+        m_timers.after(stopCheckInterval, [this] { advanceStop(); });
 }
 
 void EntryNode::measure(Metrics &metrics) const
@@ -220,7 +256,7 @@
         report.pending.push_back(std::move(item));
     }
     report.waiting_cpu_milli = m_book.waitingCpuMilli();
-    report.stopping = m_stopping;
+    report.stopping = isStopping();
     report.store_reachable = !m_transport.isDirectFailing();
     fleet::EnvelopeT envelope;
     envelope.body.Set(std::move(report));
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -8,6 +8,7 @@
 #include "fleet/memberlist.h"
 #include "fleet/nodelink.h"
 #include "fleet/partitionowner.h"
+#include "fleet/stopschedule.h"
 #include "jobs/jobbook.h"
 #include "store/storetransport.h"
 
@@ -42,6 +43,14 @@
     }
 };
 
+// The client interface of an entry, as far as a planned stop concerns it.
+struct StopHandlers
+{
+    std::function<size_t()> openRequests;
+    // Called regularly from the beginning of the stop.
+    std::function<void(StopPhase phase)> onPhase;
+};
+
 class EntryNode : public JobEffects
 {
 public:
@@ -50,13 +59,15 @@
     ~EntryNode() override;
 
     void start();
-    // Gives up the partitions and calls back; calls of clients are forwarded until the process ends.
-    void beginStop(std::function<void()> onReleased);
+    // Gives up the partitions as StopSchedule says; calls of clients are forwarded until the process ends.
+    void beginStop(StopHandlers handlers);
 
     void setQueues(QueueTable queues);
     void setEvacuatedZones(std::set<std::string> zones);
     const QueueTable &queues() const { return m_queues; }
-    bool isStopping() const { return m_stopping; }
+    bool isStopping() const { return m_stop.has_value(); }
+    // New connections of clients are welcome.
+    bool isReady() const;
     // Sets the gauges.
     void measure(Metrics &metrics) const;
 
@@ -118,6 +129,8 @@
     void partitionClosed(uint32_t partition, uint64_t epoch);
     void sendReport();
     void tick();
+    bool hasSuccessor() const;
+    void advanceStop();
     // Null if the agent is not connected.
     NodeLinkPtr linkOf(AgentNumber number) const;
     // Places waiting tasks once all messages that have arrived are handled: under load one pass over the
@@ -175,7 +188,9 @@
     // Calls to the store that a peer makes for this entry.
     std::map<uint64_t, StoreTransport::Done> m_storeRelays;
     uint64_t m_nextStoreRelay = 1;
-    bool m_stopping = false;
+    std::optional<StopSchedule> m_stop;
+    StopHandlers m_stopHandlers;
+    bool m_releasing = false;
     bool m_advancePending = false;
     Millis m_lastTick;
     // After a pause of the process nothing is ordered until the store has confirmed the ownership again.
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -126,6 +126,21 @@
         self.assertEqual(fleet.entries[0].wait(), 0)
         self.assert_sound(fleet)
 
+    # Guards against seconds without an owner while entries are restarted in turn.
+    def test_last_entry_serves_until_another_one_is_back(self):
+        fleet = self.fleet()
+        fleet.entries[0].signal(TERM)
+        self.assertEqual(fleet.entries[0].wait(), 0)
+        fleet.entries[1].signal(TERM)
+        time.sleep(0.3)
+        statuses = [fleet.submit(f"{number:016x}", entry=1, best_effort=True)[0] for number in range(1, 11)]
+        self.assertEqual(statuses, [200] * 10)
+        fleet.entries[0].start()
+        self.assertEqual(fleet.entries[1].wait(), 0)
+        statuses = [fleet.submit(f"{number:016x}", entry=0, best_effort=True)[0] for number in range(11, 21)]
+        self.assertEqual(statuses, [200] * 10)
+        self.assert_sound(fleet)
+
     # Guards against refusals that are not true and accepted jobs that are lost while the store loses answers.
     def test_lost_answers_of_the_store_make_no_answer_untrue(self):
         fleet = self.fleet()
