--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -25,5 +25,6 @@
 ExitCode showCommand(std::span<const std::string> arguments);
 ExitCode timelineCommand(std::span<const std::string> arguments);
 ExitCode benchCommand(std::span<const std::string> arguments);
+ExitCode emulateCommand(std::span<const std::string> arguments);
 
 } // namespace turmericwell
--- /dev/null
+++ b/src/cli/emulatecommand.cpp
@@ -0,0 +1,191 @@
+// Subcommand emulate: days of the whole system in virtual time, with drawn troubles.
+#include "cli/options.h"
+#include "emulator/emulationcheck.h"
+#include "emulator/emulationsites.h"
+#include "observe/log.h"
+
+#include <atomic>
+#include <boost/json.hpp>
+#include <iomanip>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+namespace turmericwell {
+
+namespace json = boost::json;
+namespace options = boost::program_options;
+
+namespace {
+
+struct EmulateSettings
+{
+    std::string site = "himal";
+    uint64_t firstSeed = 1;
+    uint32_t days = 1;
+    uint32_t threads = 1;
+    uint32_t lengthSeconds = 20;
+    double load = 1;
+    double keptShare = 0.3;
+    uint32_t mostTroubles = 8;
+    uint32_t admissionSlackPercent = 30;
+    uint32_t queueAllowancePercent = 10;
+};
+
+struct DayResult
+{
+    uint64_t seed = 0;
+    EmulationPlan plan;
+    EmulationService service;
+    std::vector<BrokenPromise> broken;
+    double storeCalls = 0;
+};
+
+constexpr int64_t msPerSecond = 1'000;
+// Troubles begin in the first part of the day, so that the rest shows the recovery.
+constexpr int64_t troubledPercent = 60;
+constexpr Millis firstTrouble = {1'000};
+
+EmulationOptions dayOptions(const EmulateSettings &settings, uint64_t seed, bool writesLogs)
+{
+    EmulationOptions day = *emulatedSite(settings.site);
+    day.seed = seed;
+    day.length = {settings.lengthSeconds * msPerSecond};
+    day.traffic.load = settings.load;
+    day.traffic.keptShare = settings.keptShare;
+    day.admissionSlackPercent = settings.admissionSlackPercent;
+    day.queueAllowancePercent = settings.queueAllowancePercent;
+    day.writesLogs = writesLogs;
+    if (settings.mostTroubles > 0)
+        day.plan = drawPlan({.seed = seed,
+                             .size = day.size,
+                             .begin = firstTrouble,
+                             .end = day.length * troubledPercent / 100,
+                             .most = settings.mostTroubles});
+    return day;
+}
+
+DayResult playDay(const EmulateSettings &settings, uint64_t seed, bool writesLogs)
+{
+    const EmulationOptions day = dayOptions(settings, seed, writesLogs);
+    const EmulationRecord record = Emulation(day).run();
+    return {.seed = seed,
+            .plan = day.plan,
+            .service = measureService(record, day),
+            .broken = checkPromises(record, day),
+            .storeCalls = record.storeCalls};
+}
+
+json::object toJson(const DayResult &day)
+{
+    const KindService total = day.service.total();
+    json::array broken;
+    for (const BrokenPromise &promise : day.broken)
+        broken.push_back(json::object{{"promise", promiseName(promise.promise)}, {"what", promise.what}});
+    json::array plan;
+    for (const PlannedTrouble &planned : day.plan)
+        plan.push_back(json::object{{"at_ms", planned.at.count},
+                                    {"for_ms", planned.length.count},
+                                    {"trouble", troubleText(planned.trouble)}});
+    return {{"seed", day.seed},
+            {"asked", total.asked},
+            {"in_time", total.inTime},
+            {"late", total.late},
+            {"refused", total.refused},
+            {"not_served", total.notServed},
+            {"work_in_time", day.service.workInTime},
+            {"p50_ratio", day.service.medianRatio},
+            {"p99_ratio", day.service.p99Ratio},
+            {"wasted", day.service.wasted},
+            {"store_calls", day.storeCalls},
+            {"broken", std::move(broken)},
+            {"plan", std::move(plan)}};
+}
+
+void printDay(const DayResult &day)
+{
+    const KindService total = day.service.total();
+    std::cout << "seed " << day.seed << ": " << total.asked << " jobs, " << total.inTime << " in time, "
+              << total.late << " late, " << total.refused << " refused, " << total.notServed - total.refused
+              << " not served otherwise; work in time " << std::fixed << std::setprecision(3)
+              << day.service.workInTime << ", median " << day.service.medianRatio << " and p99 "
+              << day.service.p99Ratio << " times the longest task; " << day.service.wasted << " wasted\n";
+    if (day.broken.empty())
+        return;
+    for (const PlannedTrouble &planned : day.plan)
+        std::cout << "  " << planned.at.count << " ms, for " << planned.length.count
+                  << " ms: " << troubleText(planned.trouble) << '\n';
+    for (const BrokenPromise &promise : day.broken)
+        std::cout << "  broken " << promiseName(promise.promise) << ": " << promise.what << '\n';
+}
+
+// Days are independent of each other, so each thread plays whole days.
+std::vector<DayResult> playDays(const EmulateSettings &settings, bool writesLogs, bool printsDays)
+{
+    std::vector<DayResult> results(settings.days);
+    std::atomic<uint32_t> next = 0;
+    std::mutex output;
+    const auto play = [&] {
+        for (uint32_t number = next++; number < settings.days; number = next++) {
+            results[number] = playDay(settings, settings.firstSeed + number, writesLogs);
+            const std::lock_guard lock(output);
+            if (printsDays)
+                printDay(results[number]);
+        }
+    };
+    std::vector<std::jthread> threads;
+    for (uint32_t number = 0; number < std::max(1U, settings.threads); ++number)
+        threads.emplace_back(play);
+    threads.clear();
+    return results;
+}
+
+} // namespace
+
+ExitCode emulateCommand(std::span<const std::string> arguments)
+{
+    EmulateSettings settings;
+    bool asJson = false;
+    bool writesLogs = false;
+    options::options_description description("options");
+    description.add_options()("site", options::value(&settings.site), "himal (default) or qalhat")(
+        "first-seed", options::value(&settings.firstSeed), "seed of the first day")(
+        "days", options::value(&settings.days), "number of days, each with the next seed")(
+        "threads", options::value(&settings.threads), "days that are played at the same time")(
+        "length-s", options::value(&settings.lengthSeconds), "seconds of traffic in a day")(
+        "load", options::value(&settings.load), "multiplies the rates of the site")(
+        "kept-share", options::value(&settings.keptShare), "share of the jobs that have to be kept")(
+        "troubles", options::value(&settings.mostTroubles), "most troubles in a day; 0 for none")(
+        "slack-percent", options::value(&settings.admissionSlackPercent),
+        "share of a job's slack that the predicted wait may take")(
+        "queue-allowance-percent", options::value(&settings.queueAllowancePercent),
+        "orders that may wait at an agent, in percent of its worker's processors")(
+        "json", options::bool_switch(&asJson), "prints one JSON object a day")(
+        "log", options::bool_switch(&writesLogs), "writes the decision logs of all processes");
+    const CommandLine line =
+        parseCommandLine(arguments, "emulate", description, "",
+                         "Equal options and seeds give equal days. Exit code 1: a promise was broken.\n");
+    if (line.exit)
+        return *line.exit;
+    if (!emulatedSite(settings.site)) {
+        std::cerr << "turmericwell emulate: --site: \"" << settings.site << "\" is not known\n";
+        return ExitCode::BadUsage;
+    }
+    if (writesLogs && settings.days > 1) {
+        std::cerr << "turmericwell emulate: --log needs a single day\n";
+        return ExitCode::BadUsage;
+    }
+    initLogging(LogLevel::Error);
+    const std::vector<DayResult> results = playDays(settings, writesLogs, !asJson);
+    size_t broken = 0;
+    for (const DayResult &day : results) {
+        if (asJson)
+            std::cout << json::serialize(toJson(day)) << '\n';
+        broken += day.broken.empty() ? 0 : 1;
+    }
+    if (!asJson)
+        std::cout << results.size() << " days, " << broken << " with a broken promise\n";
+    return broken == 0 ? ExitCode::Done : ExitCode::Failure;
+}
+
+} // namespace turmericwell
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -28,6 +28,7 @@
     Command{"show", "show the configuration in force and the instances", turmericwell::showCommand},
     Command{"timeline", "merge the events of all processes", turmericwell::timelineCommand},
     Command{"bench", "drive entries with load and measure it", turmericwell::benchCommand},
+    Command{"emulate", "play days with faults in virtual time", turmericwell::emulateCommand},
 };
 
 void printUsage(std::ostream &out)
--- /dev/null
+++ b/src/emulator/emulatedclients.h
@@ -0,0 +1,127 @@
+// Clients of an emulation: arrivals of jobs, tries at the entries, and what the clients see.
+//
+// A client gives up after its deadline. A try without an answer is repeated at another entry; one that was
+// refused is not.
+#pragma once
+
+#include "emulator/emulatedworker.h"
+#include "fleet/entrynode.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace turmericwell {
+
+// Failed runs of one task after which its job fails.
+inline constexpr uint32_t failedRunsAllowed = 3;
+
+// One kind of job. Tasks of a job are alike but for their run times.
+struct JobKind
+{
+    std::string queue;
+    double perSecond = 0;
+    uint32_t tasks = 1;
+    Millis meanRunTime;
+    int64_t cpuMilli = 1'000;
+};
+
+struct EmulatedTraffic
+{
+    std::string service = "service";
+    std::vector<JobKind> kinds;
+    // Multiplies the rates.
+    double load = 1;
+    // Share of the jobs that the clients want to be kept, and of these that they cancel.
+    double keptShare = 0.3;
+    double cancelledShare = 0.05;
+    // Standard deviations of the logarithms: run times around the mean, declared run times around the real
+    // ones.
+    double runTimeSpread = 0.4;
+    double estimateSpread = 0.3;
+    // A job is in time within this many times its longest task plus the target latency.
+    double stretch = 1.6;
+    Millis targetLatency = {60};
+    Millis deadline = {6'000};
+    Millis resendDelay = {1'300};
+};
+
+// What became of a job, as its client knows.
+struct JobOutcome
+{
+    JobId job = 0;
+    uint32_t kind = 0;
+    bool isKept = false;
+    Millis sentAt;
+    Millis longestTask;
+    uint32_t tries = 0;
+    // Every try was refused; the job must not have run.
+    bool onlyRefused = true;
+    // Kept jobs only: the answer that it is stored.
+    std::optional<Millis> acceptedAt;
+    // Best-effort jobs only: the answer that it is completed.
+    std::optional<Millis> completedAt;
+    bool cancelSent = false;
+    std::optional<Millis> cancelledAt;
+};
+
+class EmulatedClients
+{
+public:
+    struct Handlers
+    {
+        // Entries that take connections now.
+        std::function<std::vector<HostNumber>()> openEntries;
+        // The entry that runs on the host; null if there is none.
+        std::function<EntryNode *(HostNumber host)> entryOn;
+    };
+
+    EmulatedClients(EmulatedTraffic traffic, uint64_t seed, EventQueue &events, EmulatedNetwork &network,
+                    Handlers handlers);
+
+    void start(Millis until);
+    // Multiplies the rates until the given time.
+    void burst(double factor, Millis until);
+    TaskWork workOf(const TaskId &task) const;
+    const std::unordered_map<JobId, JobOutcome> &outcomes() const { return m_outcomes; }
+    const EmulatedTraffic &traffic() const { return m_traffic; }
+    // What the clients of a queue would declare.
+    QueueTable queues() const;
+
+private:
+    struct Work
+    {
+        std::vector<Millis> runTimes;
+        int64_t cpuMilli = 0;
+        uint32_t estimateMs = 1;
+    };
+
+    void scheduleArrival(uint32_t kind);
+    void arrive(uint32_t kind);
+    void submit(JobId job);
+    void cancel(JobId job);
+    void answered(JobId job, uint32_t attempt, const JobReply &reply);
+    void unanswered(JobId job, uint32_t attempt);
+    // Looks again and again whether the entry that has the call still lives.
+    void watch(JobId job, uint32_t attempt, HostNumber entry, uint64_t life);
+    std::unique_ptr<JobSpec> specOf(const JobOutcome &outcome) const;
+    HostNumber drawEntry();
+    double draw() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+    double drawFactor(double spread);
+
+    const EmulatedTraffic m_traffic;
+    EventQueue &m_events;
+    EmulatedNetwork &m_network;
+    const Handlers m_handlers;
+    std::mt19937_64 m_random;
+    Millis m_until;
+    double m_burst = 1;
+    Millis m_burstUntil;
+    std::unordered_map<JobId, JobOutcome> m_outcomes;
+    std::unordered_map<JobId, Work> m_work;
+    JobId m_nextJob = 1;
+};
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/emulator/emulation.cpp
@@ -0,0 +1,304 @@
+// Processes, troubles and the order of events.
+#include "emulator/emulation.h"
+
+#include "core/overloaded.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+constexpr Millis emulationStart = {1'000'000};
+// Agents find out that nothing runs on a new worker after a lease.
+constexpr Millis settleTime = {4'000};
+constexpr Millis leaseCheckInterval = {5};
+constexpr Millis restartDelay = {300};
+constexpr Millis stopGrace = {6'000};
+constexpr uint32_t mostLogLinesPerSecond = 1'000'000;
+
+// One life of a process.
+class EmulatedProcess
+{
+public:
+    EmulatedProcess(const FleetSettings &settings, HostNumber host, EmulatedNetwork &network, bool writesLogs)
+        : m_network(network.networkOf(host))
+        , m_host(host)
+    {
+        if (writesLogs)
+            m_log = StructuredLog(settings.name, {.linesPerSecond = mostLogLinesPerSecond});
+        network.up(host, m_io);
+    }
+
+    void becomeEntry(const FleetSettings &settings, uint64_t incarnation, StoreApi &store, QueueTable queues)
+    {
+        m_transport = std::make_unique<StoreTransport>(m_io, settings.store, m_log);
+        m_entry =
+            std::make_unique<EntryNode>(m_io, *m_network, settings, incarnation, store, *m_transport, m_log);
+        m_entry->setQueues(std::move(queues));
+        m_entry->start();
+    }
+    void becomeAgent(const FleetSettings &settings, uint64_t incarnation, StoreApi &store, WorkerApi &worker)
+    {
+        m_agent = std::make_unique<AgentNode>(m_io, *m_network, settings, incarnation, store, worker, m_log);
+        m_agent->start();
+    }
+
+    EntryNode *entry() const { return m_entry.get(); }
+    AgentNode *agent() const { return m_agent.get(); }
+    HostNumber host() const { return m_host; }
+    bool isStopping() const { return m_stopping; }
+    void setStopping() { m_stopping = true; }
+    bool accepts() const { return m_entry && m_accepts; }
+    void setAccepts(bool accepts) { m_accepts = accepts; }
+
+    void poll(Millis now)
+    {
+        m_io.restart();
+        m_io.poll();
+        m_log.flush(now);
+    }
+
+private:
+    IoContext m_io{1};
+    std::unique_ptr<LinkNetwork> m_network;
+    StructuredLog m_log;
+    std::unique_ptr<StoreTransport> m_transport;
+    std::unique_ptr<EntryNode> m_entry;
+    std::unique_ptr<AgentNode> m_agent;
+    const HostNumber m_host;
+    bool m_stopping = false;
+    bool m_accepts = true;
+};
+
+Emulation::Emulation(EmulationOptions options)
+    : m_options(std::move(options))
+    , m_events(emulationStart, static_cast<uint32_t>(m_options.seed))
+    , m_network({.seed = m_options.seed}, m_events)
+    , m_store({.seed = m_options.seed + 1, .partitions = m_options.partitions}, m_events, m_network)
+    , m_clients(m_options.traffic, m_options.seed + 2, m_events, m_network,
+                {.openEntries = [this] { return openEntries(); },
+                 .entryOn = [this](HostNumber host) { return entryOn(host); }})
+{
+    for (uint32_t number = 0; number < m_options.size.agents; ++number) {
+        const HostNumber host = hostOf({fleet::ProcessRole::Agent, number});
+        m_workers.push_back(std::make_unique<EmulatedWorker>(
+            EmulatedWorkerOptions{.number = number,
+                                  .seed = m_options.seed + host,
+                                  .host = host,
+                                  .service = m_options.traffic.service,
+                                  .zone = "zone",
+                                  .capacity = m_options.workerCapacity},
+            [this](const TaskId &task) { return m_clients.workOf(task); }, m_events, m_network, m_history));
+    }
+}
+
+Emulation::~Emulation() = default;
+
+HostNumber Emulation::hostOf(const ProcessName &name) const
+{
+    // 0 names no host.
+    const HostNumber first = name.role == fleet::ProcessRole::Entry ? 1 : 1 + m_options.size.entries;
+    return first + name.index;
+}
+
+FleetSettings Emulation::settingsOf(const ProcessName &name) const
+{
+    const bool isEntry = name.role == fleet::ProcessRole::Entry;
+    const Address address = EmulatedNetwork::addressOf(hostOf(name));
+    return {.name = (isEntry ? "entry-" : "agent-") + std::to_string(name.index),
+            .zone = "zone",
+            .store = address,
+            .peerListen = address,
+            .peerAddress = address,
+            .partitions = m_options.partitions,
+            .leastMemberTtl = {1'000},
+            .workerLease = {1'000},
+            .stopGrace = stopGrace,
+            .admissionSlackPercent = m_options.admissionSlackPercent,
+            .queueAllowancePercent = m_options.queueAllowancePercent};
+}
+
+std::vector<ProcessName> Emulation::allProcesses() const
+{
+    std::vector<ProcessName> names;
+    for (uint32_t index = 0; index < m_options.size.entries; ++index)
+        names.push_back({fleet::ProcessRole::Entry, index});
+    for (uint32_t index = 0; index < m_options.size.agents; ++index)
+        names.push_back({fleet::ProcessRole::Agent, index});
+    return names;
+}
+
+void Emulation::startProcess(const ProcessName &name)
+{
+    const HostNumber host = hostOf(name);
+    if (m_processes.contains(host))
+        return;
+    const FleetSettings settings = settingsOf(name);
+    auto process = std::make_unique<EmulatedProcess>(settings, host, m_network, m_options.writesLogs);
+    const auto incarnation = static_cast<uint64_t>(m_events.now().count);
+    if (name.role == fleet::ProcessRole::Entry)
+        process->becomeEntry(settings, incarnation, m_store.doorOf(host), m_clients.queues());
+    else
+        process->becomeAgent(settings, incarnation, m_store.doorOf(host), *m_workers[name.index]);
+    m_processes[host] = std::move(process);
+}
+
+void Emulation::endProcess(HostNumber host, bool resetsConnections)
+{
+    m_network.down(host, resetsConnections);
+    m_processes.erase(host);
+    m_paused.erase(host);
+}
+
+void Emulation::killFor(const ProcessName &name, Millis length, bool losesPower)
+{
+    endProcess(hostOf(name), !losesPower);
+    m_events.after(length, [this, name] { startProcess(name); });
+}
+
+void Emulation::stopProcess(const ProcessName &name)
+{
+    const HostNumber host = hostOf(name);
+    const auto found = m_processes.find(host);
+    if (found == m_processes.end() || found->second->isStopping())
+        return;
+    EmulatedProcess &process = *found->second;
+    process.setStopping();
+    const uint64_t life = m_network.lifeOf(host);
+    const auto end = [this, host, life, name] {
+        if (m_network.lifeOf(host) != life)
+            return;
+        endProcess(host, true);
+        m_events.after(restartDelay, [this, name] { startProcess(name); });
+    };
+    m_events.after(stopGrace, end);
+    m_network.postTo(host, life, [this, &process, end] {
+        const auto endSoon = [this, end] { m_events.after({0}, end); };
+        if (process.agent()) {
+            process.agent()->beginStop(endSoon);
+            return;
+        }
+        process.entry()->beginStop({.openRequests = [] { return size_t{0}; },
+                                    .onPhase =
+                                        [&process, endSoon](StopPhase phase) {
+                                            process.setAccepts(phase == StopPhase::Draining);
+                                            if (phase == StopPhase::Ended)
+                                                endSoon();
+                                        }});
+    });
+}
+
+std::vector<HostNumber> Emulation::openEntries() const
+{
+    std::vector<HostNumber> open;
+    std::vector<HostNumber> stopping;
+    for (const auto &[host, process] : m_processes) {
+        if (process->accepts())
+            (process->isStopping() ? stopping : open).push_back(host);
+    }
+    // A stopping entry gets new connections only if there is no other.
+    return open.empty() ? stopping : open;
+}
+
+EntryNode *Emulation::entryOn(HostNumber host) const
+{
+    const auto found = m_processes.find(host);
+    return found == m_processes.end() ? nullptr : found->second->entry();
+}
+
+void Emulation::pollProcesses()
+{
+    for (const auto &[host, process] : m_processes) {
+        if (!m_paused.contains(host))
+            process->poll(m_events.now());
+    }
+}
+
+void Emulation::superviseWorkers()
+{
+    for (const auto &worker : m_workers)
+        worker->checkLeases();
+    m_events.after(leaseCheckInterval, [this] { superviseWorkers(); });
+}
+
+void Emulation::announceWorker(uint32_t number)
+{
+    EmulatedWorker &worker = *m_workers[number];
+    const HostNumber host = hostOf({fleet::ProcessRole::Agent, number});
+    m_network.postTo(host, m_network.lifeOf(host), [this, host, &worker] {
+        const auto found = m_processes.find(host);
+        if (found != m_processes.end())
+            worker.announceTo(*found->second->agent());
+    });
+    m_events.after(worker.heartbeatInterval(), [this, number] { announceWorker(number); });
+}
+
+void Emulation::begin(const PlannedTrouble &planned)
+{
+    const Millis until = m_events.now() + planned.length;
+    std::visit(Overloaded{
+                   [&](const KillProcess &kill) { killFor(kill.process, planned.length, kill.losesPower); },
+                   [&](const PauseProcess &pause) {
+                       const HostNumber host = hostOf(pause.process);
+                       m_paused.insert(host);
+                       m_events.at(until, [this, host] { m_paused.erase(host); });
+                   },
+                   [&](const StopProcess &stop) { stopProcess(stop.process); },
+                   [&](const RestartEntriesInTurn &restart) {
+                       for (uint32_t index = 0; index < m_options.size.entries; ++index)
+                           m_events.after(restart.gap * index, [this, index] {
+                               stopProcess({fleet::ProcessRole::Entry, index});
+                           });
+                   },
+                   [&](const KillAll &kill) {
+                       for (const ProcessName &name : allProcesses())
+                           killFor(name, planned.length, kill.losesPower);
+                   },
+                   [&](const CutLink &cut) {
+                       m_network.cut(hostOf(cut.from), hostOf(cut.to), until);
+                       if (cut.bothWays)
+                           m_network.cut(hostOf(cut.to), hostOf(cut.from), until);
+                   },
+                   [&](const TroubleStore &store) {
+                       if (store.process)
+                           m_store.setTroubleFor(hostOf(*store.process), store.trouble, until);
+                       else
+                           m_store.setTrouble(store.trouble, until);
+                   },
+                   [&](const TroubleWorker &trouble) {
+                       m_workers[trouble.worker]->setTrouble(trouble.trouble, until);
+                   },
+                   [&](const CrashWorker &crash) { m_workers[crash.worker]->crash(); },
+                   [&](const DealAnew &) { m_store.dealAnew(); },
+                   [&](const Burst &burst) { m_clients.burst(burst.factor, until); },
+               },
+               planned.trouble);
+}
+
+EmulationRecord Emulation::run()
+{
+    for (const ProcessName &name : allProcesses())
+        startProcess(name);
+    for (uint32_t number = 0; number < m_workers.size(); ++number)
+        announceWorker(number);
+    superviseWorkers();
+    const Millis traffic = m_events.now() + settleTime;
+    const Millis end = traffic + m_options.length + m_options.finish;
+    m_events.at(traffic, [this, traffic] { m_clients.start(traffic + m_options.length); });
+    for (const PlannedTrouble &planned : m_options.plan)
+        m_events.at(traffic + planned.at, [this, &planned] { begin(planned); });
+    while (m_events.now() < end) {
+        m_events.runNext(end);
+        pollProcesses();
+    }
+    EmulationRecord record{
+        .runs = std::move(m_history), .storeCalls = m_store.calls(), .begin = traffic, .end = end};
+    for (const auto &[job, outcome] : m_clients.outcomes())
+        record.jobs.push_back(outcome);
+    std::sort(record.jobs.begin(), record.jobs.end(),
+              [](const auto &a, const auto &b) { return a.job < b.job; });
+    for (const auto &worker : m_workers)
+        record.mostOverfullMilli = std::max(record.mostOverfullMilli, worker->mostOverfullMilli());
+    return record;
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/emulator/emulation.h
@@ -0,0 +1,81 @@
+// A day of the whole system in virtual time: real entries and agents on an emulated network, store, workers
+// and clients. Equal options give equal days.
+#pragma once
+
+#include "emulator/emulatedclients.h"
+#include "emulator/emulationplan.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace turmericwell {
+
+struct EmulationOptions
+{
+    uint64_t seed = 1;
+    EmulatedSize size;
+    uint32_t partitions = 8;
+    Room workerCapacity = {16'000, 32'000, 0};
+    EmulatedTraffic traffic;
+    // Clients submit from the moment at which the processes have settled until this one.
+    Millis length = {20'000};
+    // After that the system gets this long to finish what it has accepted.
+    Millis finish = {14'000};
+    EmulationPlan plan;
+    uint32_t admissionSlackPercent = 30;
+    uint32_t queueAllowancePercent = 10;
+    // Writes the decision logs to standard output.
+    bool writesLogs = false;
+};
+
+// All that was seen from outside.
+struct EmulationRecord
+{
+    std::vector<JobOutcome> jobs;
+    std::vector<RunEvent> runs;
+    int64_t mostOverfullMilli = 0;
+    double storeCalls = 0;
+    Millis begin;
+    Millis end;
+};
+
+class EmulatedProcess;
+
+class Emulation
+{
+public:
+    explicit Emulation(EmulationOptions options);
+    ~Emulation();
+
+    EmulationRecord run();
+
+private:
+    HostNumber hostOf(const ProcessName &name) const;
+    FleetSettings settingsOf(const ProcessName &name) const;
+    void startProcess(const ProcessName &name);
+    void endProcess(HostNumber host, bool resetsConnections);
+    void killFor(const ProcessName &name, Millis length, bool losesPower);
+    void stopProcess(const ProcessName &name);
+    void pollProcesses();
+    void superviseWorkers();
+    void announceWorker(uint32_t worker);
+    void begin(const PlannedTrouble &planned);
+    std::vector<ProcessName> allProcesses() const;
+    std::vector<HostNumber> openEntries() const;
+    EntryNode *entryOn(HostNumber host) const;
+
+    const EmulationOptions m_options;
+    EventQueue m_events;
+    EmulatedNetwork m_network;
+    EmulatedStore m_store;
+    EmulatedClients m_clients;
+    std::vector<RunEvent> m_history;
+    std::vector<std::unique_ptr<EmulatedWorker>> m_workers;
+    std::map<HostNumber, std::unique_ptr<EmulatedProcess>> m_processes;
+    std::set<HostNumber> m_paused;
+    // Processes that have ended in this turn; they are destroyed after it.
+    std::vector<HostNumber> m_ended;
+};
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/emulator/emulationcheck.h
@@ -0,0 +1,62 @@
+// Checks the promises of the system against what clients and workers have seen, and measures how clients were
+// served. Uses nothing of the decisions that it checks.
+#pragma once
+
+#include "emulator/emulation.h"
+
+#include <span>
+
+namespace turmericwell {
+
+enum class Promise : uint8_t {
+    // No two runs of a task at the same time, and no start after a confirmed end.
+    NotTwice,
+    // No worker runs more than it has room for.
+    Room,
+    // A job of which all tries were refused never runs.
+    RefusedNeverRuns,
+    // An accepted job is completed.
+    AcceptedCompletes,
+    // A cancelled job starts nothing more.
+    CancelledStops,
+    // Clients are served again soon after the last trouble.
+    Recovers,
+};
+
+std::string_view promiseName(Promise promise);
+
+struct BrokenPromise
+{
+    Promise promise = Promise::NotTwice;
+    std::string what;
+};
+
+std::vector<BrokenPromise> checkPromises(const EmulationRecord &record, const EmulationOptions &options);
+
+struct KindService
+{
+    uint32_t asked = 0;
+    uint32_t inTime = 0;
+    uint32_t late = 0;
+    // Not completed, among them those of which all tries were refused.
+    uint32_t notServed = 0;
+    uint32_t refused = 0;
+};
+
+struct EmulationService
+{
+    std::vector<KindService> kinds;
+    // Processor time of the jobs in time, over that of all jobs.
+    double workInTime = 0;
+    // Time over that of the longest task, of the completed jobs.
+    double medianRatio = 0;
+    double p99Ratio = 0;
+    // Processor time of runs that did not end as done, over all.
+    double wasted = 0;
+
+    KindService total() const;
+};
+
+EmulationService measureService(const EmulationRecord &record, const EmulationOptions &options);
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/emulator/emulationplan.cpp
@@ -0,0 +1,186 @@
+// Draws troubles and names them.
+#include "emulator/emulationplan.h"
+
+#include "core/overloaded.h"
+
+#include <algorithm>
+#include <random>
+
+namespace turmericwell {
+
+constexpr Millis leastLength = {200};
+constexpr Millis mostLength = {4'000};
+
+namespace {
+
+class PlanDraw
+{
+public:
+    explicit PlanDraw(const PlanOptions &options)
+        : m_options(options)
+        , m_random(options.seed)
+    { }
+
+    EmulationPlan plan()
+    {
+        EmulationPlan result;
+        const auto count = whole(1, static_cast<int64_t>(m_options.most));
+        for (int64_t number = 0; number < count; ++number) {
+            result.push_back({.at = {whole(m_options.begin.count, m_options.end.count)},
+                              .length = {whole(leastLength.count, mostLength.count)},
+                              .trouble = trouble()});
+        }
+        std::sort(result.begin(), result.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
+        return result;
+    }
+
+private:
+    int64_t whole(int64_t least, int64_t most)
+    {
+        return std::uniform_int_distribution<int64_t>(least, most)(m_random);
+    }
+    double part(double least, double most)
+    {
+        return std::uniform_real_distribution<double>(least, most)(m_random);
+    }
+    bool chance(double share) { return part(0, 1) < share; }
+    uint32_t worker() { return static_cast<uint32_t>(whole(0, m_options.size.agents - 1)); }
+    ProcessName entry()
+    {
+        return {fleet::ProcessRole::Entry, static_cast<uint32_t>(whole(0, m_options.size.entries - 1))};
+    }
+    ProcessName process() { return chance(0.5) ? entry() : ProcessName{fleet::ProcessRole::Agent, worker()}; }
+
+    StoreTrouble storeTrouble()
+    {
+        switch (whole(0, 4)) {
+        case 0:
+            return StoreRefuses{};
+        case 1:
+            return StoreIsSilent{};
+        case 2:
+            return StoreLosesAnswers{.share = part(0.1, 0.6)};
+        case 3:
+            return StoreIsLate{.share = part(0.1, 0.6)};
+        default:
+            return StoreIsSlow{.factor = whole(10, 100)};
+        }
+    }
+
+    WorkerTrouble workerTrouble()
+    {
+        switch (whole(0, 4)) {
+        case 0:
+            return {.slowness = part(2, 8)};
+        case 1:
+            return {.failing = part(0.3, 1)};
+        case 2:
+            return {.losesAnswers = part(0.05, 0.5)};
+        case 3:
+            return {.late = part(0.02, 0.2)};
+        default:
+            return {.hangs = true};
+        }
+    }
+
+    Trouble trouble()
+    {
+        switch (whole(0, 11)) {
+        case 0:
+        case 1:
+            return KillProcess{.process = process(), .losesPower = chance(0.5)};
+        case 2:
+            return PauseProcess{.process = process()};
+        case 3:
+            return StopProcess{.process = process()};
+        case 4:
+            return RestartEntriesInTurn{.gap = {whole(300, 3'000)}};
+        case 5:
+            return KillAll{.losesPower = chance(0.5)};
+        case 6:
+            return CutLink{.from = entry(), .to = process(), .bothWays = chance(0.6)};
+        case 7:
+            return TroubleStore{.trouble = storeTrouble(),
+                                .process = chance(0.5) ? std::optional(process()) : std::nullopt};
+        case 8:
+            return TroubleWorker{.worker = worker(), .trouble = workerTrouble()};
+        case 9:
+            return CrashWorker{.worker = worker()};
+        case 10:
+            return DealAnew{};
+        default:
+            return Burst{.factor = part(1.3, 2.2)};
+        }
+    }
+
+    const PlanOptions &m_options;
+    std::mt19937_64 m_random;
+};
+
+} // namespace
+
+EmulationPlan drawPlan(const PlanOptions &options)
+{
+    return PlanDraw(options).plan();
+}
+
+static std::string text(const ProcessName &process)
+{
+    return (process.role == fleet::ProcessRole::Entry ? "entry-" : "agent-") + std::to_string(process.index);
+}
+
+static std::string text(const StoreTrouble &trouble)
+{
+    return std::visit(Overloaded{[](std::monostate) { return "works"; },
+                                 [](const StoreRefuses &) { return "refuses"; },
+                                 [](const StoreIsSilent &) { return "is silent"; },
+                                 [](const StoreLosesAnswers &) { return "loses answers"; },
+                                 [](const StoreIsLate &) { return "carries appends out late"; },
+                                 [](const StoreIsSlow &) { return "is slow"; }},
+                      trouble);
+}
+
+static std::string text(const WorkerTrouble &trouble)
+{
+    if (trouble.hangs)
+        return "hangs";
+    if (trouble.failing > 0)
+        return "fails runs";
+    if (trouble.losesAnswers > 0)
+        return "loses answers";
+    return trouble.late > 0 ? "carries orders out late" : "is slow";
+}
+
+std::string troubleText(const Trouble &trouble)
+{
+    return std::visit(
+        Overloaded{
+            [](const KillProcess &kill) {
+                return text(kill.process) + (kill.losesPower ? " loses power" : " is killed");
+            },
+            [](const PauseProcess &pause) { return text(pause.process) + " is paused"; },
+            [](const StopProcess &stop) { return text(stop.process) + " is stopped"; },
+            [](const RestartEntriesInTurn &restart) {
+                return "entries are restarted in turn, every " + std::to_string(restart.gap.count) + " ms";
+            },
+            [](const KillAll &kill) {
+                return std::string(kill.losesPower ? "all lose power" : "all are killed");
+            },
+            [](const CutLink &cut) {
+                return text(cut.from) + (cut.bothWays ? " and " : " cannot send to ") + text(cut.to)
+                    + (cut.bothWays ? " are cut off from each other" : "");
+            },
+            [](const TroubleStore &store) {
+                return "store " + text(store.trouble) + (store.process ? " for " + text(*store.process) : "");
+            },
+            [](const TroubleWorker &worker) {
+                return "worker-" + std::to_string(worker.worker) + " " + text(worker.trouble);
+            },
+            [](const CrashWorker &crash) { return "worker-" + std::to_string(crash.worker) + " crashes"; },
+            [](const DealAnew &) { return std::string("partitions are dealt anew"); },
+            [](const Burst &burst) { return "burst of " + std::to_string(burst.factor) + " times the load"; },
+        },
+        trouble);
+}
+
+} // namespace turmericwell
--- /dev/null
+++ b/src/emulator/emulationplan.h
@@ -0,0 +1,107 @@
+// The troubles of an emulated day.
+#pragma once
+
+#include "emulator/emulatedstore.h"
+#include "emulator/emulatedworker.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace turmericwell {
+
+struct EmulatedSize
+{
+    uint32_t entries = 3;
+    uint32_t agents = 11;
+};
+
+struct ProcessName
+{
+    fleet::ProcessRole role = fleet::ProcessRole::Entry;
+    uint32_t index = 0;
+};
+
+// Ends the process without notice; it starts again at the end of the trouble. Without power its connections
+// are not reset.
+struct KillProcess
+{
+    ProcessName process;
+    bool losesPower = false;
+};
+struct PauseProcess
+{
+    ProcessName process;
+};
+// A planned stop; the process starts again when it has ended.
+struct StopProcess
+{
+    ProcessName process;
+};
+// Planned stops of all entries, one after the other.
+struct RestartEntriesInTurn
+{
+    Millis gap;
+};
+struct KillAll
+{
+    bool losesPower = false;
+};
+// One way only, or both.
+struct CutLink
+{
+    ProcessName from;
+    ProcessName to;
+    bool bothWays = true;
+};
+struct TroubleStore
+{
+    StoreTrouble trouble;
+    // All processes if empty.
+    std::optional<ProcessName> process;
+};
+struct TroubleWorker
+{
+    uint32_t worker = 0;
+    WorkerTrouble trouble;
+};
+struct CrashWorker
+{
+    uint32_t worker = 0;
+};
+struct DealAnew
+{
+};
+struct Burst
+{
+    double factor = 1.9;
+};
+
+using Trouble = std::variant<KillProcess, PauseProcess, StopProcess, RestartEntriesInTurn, KillAll, CutLink,
+                             TroubleStore, TroubleWorker, CrashWorker, DealAnew, Burst>;
+
+struct PlannedTrouble
+{
+    Millis at;
+    Millis length;
+    Trouble trouble;
+};
+
+using EmulationPlan = std::vector<PlannedTrouble>;
+
+struct PlanOptions
+{
+    uint64_t seed = 1;
+    EmulatedSize size;
+    // Troubles begin in this span, and all of them have ended a little after it.
+    Millis begin = {2'000};
+    Millis end = {14'000};
+    uint32_t most = 8;
+};
+
+// Equal options give equal plans.
+EmulationPlan drawPlan(const PlanOptions &options);
+// For logs and reports.
+std::string troubleText(const Trouble &trouble);
+
+} // namespace turmericwell
--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -98,17 +98,18 @@
 void AgentNode::accepted(const NodeLinkPtr &link)
 {
     link->start(
-        {.onHello = [this, link](const fleet::HelloT &hello) { introduce(link, hello); },
+        {.onHello = [this](const NodeLinkPtr &from, const fleet::HelloT &hello) { introduce(from, hello); },
          .onMessage =
-             [this, link](fleet::EnvelopeT &envelope) {
-                 if (const std::optional<EntryNumber> entry = numberOf(link))
+             [this](const NodeLinkPtr &from, fleet::EnvelopeT &envelope) {
+                 if (const std::optional<EntryNumber> entry = numberOf(from))
                      received(*entry, envelope);
              },
-         .onPong = [this, link](Millis sentAt, const fleet::PongT &answer) { pong(link, sentAt, answer); },
+         .onPong = [this](const NodeLinkPtr &from, Millis sentAt,
+                          const fleet::PongT &answer) { pong(from, sentAt, answer); },
          .onClosed =
-             [this, link, guard = m_timers.guard()](const std::string &reason) {
+             [this, guard = m_timers.guard()](const NodeLinkPtr &from, const std::string &reason) {
                  if (!guard.expired())
-                     closed(link, reason);
+                     closed(from, reason);
              },
          .makePong = [] { return fleet::PongT(); }});
 }
--- a/src/fleet/nodelink.cpp
+++ b/src/fleet/nodelink.cpp
@@ -25,7 +25,7 @@
                                return;
                            const Handlers last = std::exchange(self->m_handlers, {});
                            if (last.onClosed)
-                               last.onClosed(reason);
+                               last.onClosed(self, reason);
                        }});
     fleet::HelloT hello;
     hello.node = m_self.name;
@@ -71,7 +71,7 @@
     if (const fleet::HelloT *hello = envelope->body.AsHello()) {
         if (!std::exchange(m_introduced, true)) {
             m_peer = *hello;
-            m_handlers.onHello(m_peer);
+            m_handlers.onHello(shared_from_this(), m_peer);
         }
     } else if (const fleet::PingT *ping = envelope->body.AsPing()) {
         fleet::PongT pong = m_handlers.makePong();
@@ -83,9 +83,9 @@
         // have waited while this process was paused.
         m_lastHeard = std::max(m_lastHeard, Millis{pong->sent_ms});
         if (m_introduced)
-            m_handlers.onPong({pong->sent_ms}, *pong);
+            m_handlers.onPong(shared_from_this(), {pong->sent_ms}, *pong);
     } else if (m_introduced) {
-        m_handlers.onMessage(*envelope);
+        m_handlers.onMessage(shared_from_this(), *envelope);
     }
 }
 
--- a/src/fleet/nodelink.h
+++ b/src/fleet/nodelink.h
@@ -24,17 +24,21 @@
     std::string zone;
 };
 
+class NodeLink;
+using NodeLinkPtr = std::shared_ptr<NodeLink>;
+
 class NodeLink : public std::enable_shared_from_this<NodeLink>
 {
 public:
+    // Each gets the link, so that no handler has to hold it.
     struct Handlers
     {
         // The peer has introduced itself. Called once, before any message.
-        std::function<void(const fleet::HelloT &hello)> onHello;
-        std::function<void(fleet::EnvelopeT &envelope)> onMessage;
+        std::function<void(const NodeLinkPtr &link, const fleet::HelloT &hello)> onHello;
+        std::function<void(const NodeLinkPtr &link, fleet::EnvelopeT &envelope)> onMessage;
         // The peer has answered a ping that was sent at the given time.
-        std::function<void(Millis pingSentAt, const fleet::PongT &pong)> onPong;
-        std::function<void(const std::string &reason)> onClosed;
+        std::function<void(const NodeLinkPtr &link, Millis pingSentAt, const fleet::PongT &pong)> onPong;
+        std::function<void(const NodeLinkPtr &link, const std::string &reason)> onClosed;
         // Content of the answers to the peer's pings.
         std::function<fleet::PongT()> makePong;
     };
@@ -74,6 +78,4 @@
     Millis m_lastPongSent;
 };
 
-using NodeLinkPtr = std::shared_ptr<NodeLink>;
-
 } // namespace turmericwell
--- a/src/net/timers.cpp
+++ b/src/net/timers.cpp
@@ -1,36 +1,28 @@
-// Timers of Asio on the steady clock, or on the thread's virtual clock.
+// Steady timers of Asio, or events of an emulation.
 #include "net/timers.h"
 
-#include <boost/asio/basic_waitable_timer.hpp>
-#include <chrono>
+#include "net/eventqueue.h"
 
-namespace turmericwell {
-
-namespace {
-
-struct TimerClock
-{
-    using duration = std::chrono::steady_clock::duration;
-    using rep = duration::rep;
-    using period = duration::period;
-    using time_point = std::chrono::time_point<TimerClock>;
-    static constexpr bool is_steady = true;
-
-    static time_point now()
-    {
-        if (const VirtualClock *clock = VirtualClock::current())
-            return time_point(std::chrono::milliseconds(clock->now().count));
-        return time_point(std::chrono::steady_clock::now().time_since_epoch());
-    }
-};
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
-using Timer = boost::asio::basic_waitable_timer<TimerClock>;
-
-} // namespace
+namespace turmericwell {
 
 void Timers::after(Millis delay, std::function<void()> call)
 {
-    auto timer = std::make_shared<Timer>(m_io, std::chrono::milliseconds(delay.count));
+    if (EventQueue *events = EventQueue::current()) {
+        const auto guarded = [call = std::move(call), alive = std::weak_ptr(m_alive)] {
+            if (!alive.expired())
+                call();
+        };
+        // The process runs the call in its turn; one that is paused runs it later.
+        events->after(delay, [&io = m_io, guarded, alive = std::weak_ptr(m_alive)] {
+            if (!alive.expired())
+                boost::asio::post(io, guarded);
+        });
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, std::chrono::milliseconds(delay.count));
     timer->async_wait(
         [timer, call = std::move(call), alive = std::weak_ptr(m_alive)](boost::system::error_code error) {
             if (!error && !alive.expired())
--- a/src/observe/structuredlog.cpp
+++ b/src/observe/structuredlog.cpp
@@ -55,22 +55,42 @@
     std::string m_lines;
 };
 
+namespace {
+
+// The logger of all decision logs of the program; an emulation has several.
+struct Decisions
+{
+    Decisions()
+    {
+        logger.removeAllAppenders();
+        logger.addAppender(log4cplus::SharedAppenderPtr(appender));
+        logger.setAdditivity(false);
+        logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+    }
+
+    log4cplus::Initializer initializer;
+    // Owned by the logger.
+    BufferedAppender *appender = new BufferedAppender;
+    log4cplus::Logger logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("decisions"));
+};
+
+} // namespace
+
+static Decisions &decisions()
+{
+    // Never destroyed: lines may be written until the process ends.
+    static auto *const instance = new Decisions;
+    return *instance;
+}
+
 static BufferedAppender &decisionAppender()
 {
-    static auto *const appender = new BufferedAppender;
-    return *appender;
+    return *decisions().appender;
 }
 
 static log4cplus::Logger &decisionLogger()
 {
-    struct Decisions
-    {
-        log4cplus::Initializer initializer;
-        log4cplus::Logger logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("decisions"));
-    };
-    // Never destroyed: lines may be written until the process ends.
-    static auto *const decisions = new Decisions;
-    return decisions->logger;
+    return decisions().logger;
 }
 
 StructuredLog::StructuredLog(std::string process, StructuredLogOptions options)
@@ -81,11 +101,6 @@
     const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0)
         ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
-    log4cplus::Logger &logger = decisionLogger();
-    logger.removeAllAppenders();
-    logger.addAppender(log4cplus::SharedAppenderPtr(&decisionAppender()));
-    logger.setAdditivity(false);
-    logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
 }
 
 static void appendText(std::string &line, std::string_view text)
--- a/src/store/backoff.cpp
+++ b/src/store/backoff.cpp
@@ -1,4 +1,5 @@
 // Exponential delays with jitter.
+#include "net/eventqueue.h"
 #include "store/storeapi.h"
 
 #include <algorithm>
@@ -8,7 +9,9 @@
 
 Millis Backoff::next()
 {
-    static thread_local std::minstd_rand random(std::random_device{}());
+    static thread_local std::minstd_rand ownRandom(std::random_device{}());
+    EventQueue *emulation = EventQueue::current();
+    std::minstd_rand &random = emulation ? emulation->random() : ownRandom;
     std::uniform_int_distribution<int64_t> part(m_next.count / 2, m_next.count);
     m_next = std::min(m_next * 2, m_most);
     return {part(random)};
--- /dev/null
+++ b/tests/unit/emulationtest.cpp
@@ -0,0 +1,137 @@
+// Emulated days: the promises hold, seeds repeat, and the check sees what it has to see.
+#include "emulator/emulationcheck.h"
+#include "emulator/emulationsites.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace turmericwell {
+
+BOOST_AUTO_TEST_SUITE(EmulationTest)
+
+static EmulationOptions shortDay(uint64_t seed)
+{
+    EmulationOptions day = *emulatedSite("himal");
+    day.seed = seed;
+    day.length = {4'000};
+    day.finish = {3'000};
+    return day;
+}
+
+static std::string firstBroken(const std::vector<BrokenPromise> &broken)
+{
+    return broken.empty() ? std::string() : broken.front().what;
+}
+
+// Guards against an emulation that serves nothing and therefore breaks nothing.
+BOOST_AUTO_TEST_CASE(quietDayIsServed)
+{
+    const EmulationOptions day = shortDay(1);
+    const EmulationRecord record = Emulation(day).run();
+    BOOST_TEST(firstBroken(checkPromises(record, day)) == "");
+    const KindService total = measureService(record, day).total();
+    BOOST_TEST(total.asked > 400U);
+    BOOST_TEST(total.inTime * 10 > total.asked * 9);
+}
+
+// Guards against a day that cannot be played again to trace what it has shown.
+BOOST_AUTO_TEST_CASE(equalSeedsGiveEqualDays)
+{
+    EmulationOptions day = shortDay(5);
+    day.plan = drawPlan({.seed = 5, .size = day.size, .begin = {200}, .end = {2'500}});
+    const EmulationRecord first = Emulation(day).run();
+    const EmulationRecord second = Emulation(day).run();
+    BOOST_TEST_REQUIRE(first.runs.size() == second.runs.size());
+    for (size_t index = 0; index < first.runs.size(); ++index) {
+        BOOST_TEST_REQUIRE((first.runs[index].at == second.runs[index].at));
+        BOOST_TEST_REQUIRE((first.runs[index].run == second.runs[index].run));
+    }
+}
+
+// A record of one kept job with one task, for the check of the check.
+struct CheckFixture
+{
+    CheckFixture()
+    {
+        options.traffic.kinds = {{.queue = "q", .tasks = 1, .meanRunTime = {100}}};
+        record.jobs = {{.job = 1, .isKept = true, .onlyRefused = false, .acceptedAt = Millis{100}}};
+        run(RunEventKind::Started, 200, 1, 0);
+        run(RunEventKind::Done, 300, 1, 0);
+        run(RunEventKind::Confirmed, 310, 1, 0);
+    }
+
+    void run(RunEventKind kind, int64_t at, uint32_t number, uint32_t worker)
+    {
+        record.runs.push_back(
+            {.at = {at}, .kind = kind, .run = {.task = {.job = 1}, .number = number}, .worker = worker});
+    }
+
+    std::vector<Promise> broken()
+    {
+        std::vector<Promise> promises;
+        for (const BrokenPromise &item : checkPromises(record, options))
+            promises.push_back(item.promise);
+        return promises;
+    }
+
+    EmulationOptions options;
+    EmulationRecord record;
+};
+
+BOOST_FIXTURE_TEST_CASE(checkAcceptsACompletedJob, CheckFixture)
+{
+    BOOST_TEST(broken().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(checkSeesTwoRunsAtOnce, CheckFixture)
+{
+    record.runs.insert(record.runs.begin() + 1,
+                       {.at = {250}, .run = {.task = {.job = 1}, .number = 2}, .worker = 1});
+    BOOST_TEST((broken() == std::vector{Promise::NotTwice}));
+}
+
+BOOST_FIXTURE_TEST_CASE(checkSeesARunAfterAConfirmedEnd, CheckFixture)
+{
+    run(RunEventKind::Started, 400, 2, 1);
+    BOOST_TEST((broken() == std::vector{Promise::NotTwice}));
+}
+
+BOOST_FIXTURE_TEST_CASE(checkAllowsARunAfterAnEndThatWasNotConfirmed, CheckFixture)
+{
+    record.runs.pop_back();
+    run(RunEventKind::Started, 400, 2, 1);
+    run(RunEventKind::Done, 500, 2, 1);
+    BOOST_TEST(broken().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(checkSeesARefusedJobThatRuns, CheckFixture)
+{
+    record.jobs[0].onlyRefused = true;
+    record.jobs[0].acceptedAt.reset();
+    BOOST_TEST((broken() == std::vector{Promise::RefusedNeverRuns}));
+}
+
+BOOST_FIXTURE_TEST_CASE(checkSeesAnAcceptedJobThatIsLost, CheckFixture)
+{
+    record.runs.resize(1);
+    BOOST_TEST((broken() == std::vector{Promise::AcceptedCompletes}));
+}
+
+BOOST_FIXTURE_TEST_CASE(checkSeesAStartAfterACancel, CheckFixture)
+{
+    record.jobs[0].cancelSent = true;
+    record.jobs[0].cancelledAt = Millis{400};
+    record.runs.resize(1);
+    run(RunEventKind::Stopped, 410, 1, 0);
+    run(RunEventKind::Started, 3'500, 2, 0);
+    BOOST_TEST((broken() == std::vector{Promise::CancelledStops}));
+}
+
+BOOST_FIXTURE_TEST_CASE(checkSeesAnOverfullWorker, CheckFixture)
+{
+    record.mostOverfullMilli = 100;
+    BOOST_TEST((broken() == std::vector{Promise::Room}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace turmericwell
