Keep a run that a restarted worker has already started

Cause: a worker that crashes and starts again under its name takes orders before its agent knows of the new life. The agent then reported all its runs as lost, with those that the new life had started; their tasks were ordered again elsewhere, and the worker's room was taken as free.

Change: on a new life only the runs that lists of the former life have shown are lost. For the others the lists of the new life decide. newLifeOfTheWorkerLosesItsRuns assumed that an order without a list belongs to the former life; it now shows the run in a list first, and the other case has a test of its own (runThatTheNewLifeHasStartedIsNotLost, which failed before).

--- a/src/worker/workerkeeper.h
+++ b/src/worker/workerkeeper.h
@@ -130,6 +130,8 @@
         RunPhase phase = RunPhase::Queued;
         RunOrder order;
         bool sizeKnown = true;
+        // The worker's lists have shown the run, so it belongs to the life of the worker that is known.
+        bool isListed = false;
         // The answers to list calls from this number on contain the run as long as it exists.
         std::optional<uint64_t> listedFromHold;
         Millis latestStart;
@@ -195,6 +197,9 @@
     void newWorkerLife(Millis now);
     void leaseLapsed(Millis now);
     void loseRuns(std::string_view cause, Millis now);
+    // Loses what the former life of the worker ran.
+    void loseListedRuns(Millis now);
+    void loseAll(std::span<const RunId> runs, std::string_view cause, Millis now);
     void loseRun(const RunId &id, std::string_view cause, Millis now);
     void mergeRunning(const WorkerLists &lists, Millis now);
     void mergeEnded(const WorkerLists &lists, Millis now);
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -16,7 +16,7 @@
 
 void WorkerKeeper::newWorkerLife(Millis now)
 {
-    loseRuns("worker restarted", now);
+    loseListedRuns(now);
     rejectQueued(RejectReason::NoWorker, now);
     m_ends.clear();
     m_lastEnd = 0;
@@ -49,7 +49,28 @@
         if (run.phase != RunPhase::Queued)
             lost.push_back(id);
     }
-    for (const RunId &id : lost)
+    loseAll(lost, cause, now);
+}
+
+// An order that was sent before the new life was known can have reached the former life or the new one, which
+// has the same name. The lists of the new life tell.
+void WorkerKeeper::loseListedRuns(Millis now)
+{
+    std::vector<RunId> lost;
+    for (auto &[id, run] : m_runs) {
+        if (run.phase == RunPhase::Queued)
+            continue;
+        if (run.isListed)
+            lost.push_back(id);
+        else if (run.listedFromHold)
+            run.listedFromHold = m_lastHold + 1;
+    }
+    loseAll(lost, "worker restarted", now);
+}
+
+void WorkerKeeper::loseAll(std::span<const RunId> runs, std::string_view cause, Millis now)
+{
+    for (const RunId &id : runs)
         loseRun(id, cause, now);
 }
 
@@ -79,6 +100,7 @@
         const auto [item, isNew] = m_runs.try_emplace(listed.run);
         Run &run = item->second;
         run.listedFromHold = m_lastHold + 1;
+        run.isListed = true;
         if (!isNew) {
             if (run.phase != RunPhase::Starting)
                 continue;
@@ -143,8 +165,7 @@
         if (run.listedFromHold && *run.listedFromHold <= hold && !running.contains(id))
             lost.push_back(id);
     }
-    for (const RunId &id : lost)
-        loseRun(id, "not listed", now);
+    loseAll(lost, "not listed", now);
 }
 
 bool WorkerKeeper::mayForget(uint64_t number, const End &end) const
--- a/tests/unit/workerkeepertest.cpp
+++ b/tests/unit/workerkeepertest.cpp
@@ -400,11 +400,29 @@
 BOOST_FIXTURE_TEST_CASE(newLifeOfTheWorkerLosesItsRuns, WorkerKeeperFixture)
 {
     startRun(1);
+    answerHold({.running = {{.run = order(1).run}}});
     keeper.announced(announcement(11), now);
     BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
     BOOST_TEST((effects.ended[0].kind == EndKind::Lost));
 }
 
+// Guards against a second run of a task: a worker that had just started again under its name took the order,
+// and its runs were taken for those of its former life.
+BOOST_FIXTURE_TEST_CASE(runThatTheNewLifeHasStartedIsNotLost, WorkerKeeperFixture)
+{
+    startRun(1);
+    startRun(2);
+    keeper.announced(announcement(11), now);
+    BOOST_TEST(effects.ended.empty());
+    pass({40});
+    WorkerLists lists{.workerClock = {50}, .born = 11, .running = {{.run = order(1).run}}};
+    keeper.holdAnswered(effects.lastHold.number, OrderAnswer::Done, lists, now);
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    BOOST_TEST((effects.ended[0].run == order(2).run));
+    BOOST_TEST((effects.ended[0].kind == EndKind::Lost));
+    BOOST_TEST(keeper.runCount() == 1U);
+}
+
 // Guards against runs that are reported lost while the worker, behind a cut, still works on them, and against
 // a worker that has crashed and whose runs are never found lost.
 BOOST_FIXTURE_TEST_CASE(runsAreLostWhenTheLastLeaseHasLapsed, WorkerKeeperFixture)
