Try a failed task on another worker

Change: a task keeps the agents on whose workers a run failed or had to be moved. They are chosen again only if no other worker can ever hold the task, or once the job is late.

Conclusion: jobs survive a bad worker as long as another one has room in time.

--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -195,6 +195,8 @@
         std::string checkpoint;
         // Runs that were stopped because they took too long.
         uint32_t moves = 0;
+        // Agents on whose workers a run failed or took too long.
+        std::set<AgentNumber> avoided;
         // The present run is being stopped, to be started elsewhere.
         bool stopOrdered = false;
         // The present run has been reported as slow.
--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -123,6 +123,7 @@
     }
     const uint32_t estimate = m_runTimes.estimateMs(job.spec.queue, step.estimate_ms);
     const Room size{step.cpu_milli, step.memory_mb, step.accelerators};
+    const bool isLate = job.latestStart < now;
     const std::optional<AgentNumber> agent = m_pool.choose({.service = job.spec.service,
                                                             .size = size,
                                                             .requiredLabel = step.required_label,
@@ -131,7 +132,8 @@
                                                             .siblings = &siblings,
                                                             .estimate = {estimate},
                                                             .slack = job.latestStart - now,
-                                                            .eligible = &partition.reported},
+                                                            .eligible = &partition.reported,
+                                                            .avoided = isLate ? nullptr : &task.avoided},
                                                            now);
     if (!agent)
         return false;
@@ -238,6 +240,7 @@
     if (!other || *other == task.agent || m_pool.slowness(*other, now) > 1)
         return;
     ++task.moves;
+    task.avoided.insert(task.agent);
     task.stopOrdered = true;
     m_log.write(now, "run_moved",
                 {{"job", jobIdText(job.spec.id)},
--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -132,6 +132,7 @@
     if (std::none_of(job.failedRuns.begin(), job.failedRuns.end(), counted)) {
         job.failedRuns.emplace_back(number, run.number);
         ++task.failures;
+        task.avoided.insert(agent);
         m_pool.runFailed(agent, now);
     }
     if (run.number != task.run && task.phase != TaskPhase::Unlocated)
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -104,13 +104,14 @@
     double bestScore = 0;
     int64_t mostFree = 0;
     std::uniform_real_distribution<double> jitter(0, 0.05);
+    const bool mayAvoid = needs.avoided && !needs.avoided->empty() && canEverHold(needs);
     for (const auto &[agent, worker] : m_workers) {
         const Room room = freeRoom(worker);
         if (worker.state.service == needs.service)
             mostFree = std::max(mostFree, room.cpuMilli);
         if (!admissible(worker, needs) || (needs.eligible && !needs.eligible->contains(agent)))
             continue;
-        if (!room.holds(needs.size))
+        if (!room.holds(needs.size) || (mayAvoid && isAvoided(agent, needs)))
             continue;
         if (needs.workerLimit > 0 && needs.siblings) {
             const auto placed = needs.siblings->find(agent);
@@ -203,10 +204,17 @@
     return total;
 }
 
+bool WorkerPool::isAvoided(AgentNumber agent, const PlacementNeeds &needs) const
+{
+    return needs.avoided && needs.avoided->contains(agent);
+}
+
 bool WorkerPool::canEverHold(const PlacementNeeds &needs) const
 {
     return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &item) {
-        return admissible(item.second, needs) && item.second.state.capacity.holds(needs.size);
+        const bool isEligible = !needs.eligible || needs.eligible->contains(item.first);
+        return isEligible && !isAvoided(item.first, needs) && admissible(item.second, needs)
+            && item.second.state.capacity.holds(needs.size);
     });
 }
 
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -81,6 +81,8 @@
     Millis slack;
     // Agents that may be chosen; null for all.
     const std::set<AgentNumber> *eligible = nullptr;
+    // Agents that are chosen only if no other worker can ever hold the task; null for none.
+    const std::set<AgentNumber> *avoided = nullptr;
 };
 
 class WorkerPool
@@ -109,7 +111,7 @@
     int64_t freeMilli(std::string_view service) const;
     // Processors of the tasks that wait at the agents.
     int64_t queuedCpuMilli(std::string_view service) const;
-    // Whether any usable worker could hold the task when empty.
+    // Whether any usable worker that need not be avoided could hold the task when empty.
     bool canEverHold(const PlacementNeeds &needs) const;
     const WorkerState *find(AgentNumber agent) const;
 
@@ -132,6 +134,7 @@
 
     bool admissible(const Worker &worker, const PlacementNeeds &needs) const;
     Room freeRoom(const Worker &worker) const;
+    bool isAvoided(AgentNumber agent, const PlacementNeeds &needs) const;
 
     void noteFree(const Worker &worker);
 
--- a/tests/unit/jobbooktest.cpp
+++ b/tests/unit/jobbooktest.cpp
@@ -138,6 +138,48 @@
     BOOST_TEST((book.query(1).phase == JobPhase::Failed));
 }
 
+// Guards against a job that fails for good on one bad worker: the room that its fast failures leave attracts
+// the next try.
+BOOST_FIXTURE_TEST_CASE(failedTaskIsTriedOnAnotherWorker, JobBookFixture)
+{
+    load();
+    // The other worker is full until later.
+    pool.report(2, workerWith(0));
+    submitAndStart(1, 1);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
+    BOOST_TEST(effects.starts[0].agent == 1U);
+    end(effects.starts[0], EndKind::Failed);
+    BOOST_TEST(effects.starts.size() == 1U);
+    pool.report(2, workerWith(4'000));
+    now += Millis{10};
+    book.advance(now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    BOOST_TEST(effects.starts[1].agent == 2U);
+}
+
+// Guards against a task that waits for ever, or too long, for a worker that is not there.
+BOOST_FIXTURE_TEST_CASE(failedTaskIsTriedOnTheSameWorkerIfThereIsNoOther, JobBookFixture)
+{
+    load();
+    pool.remove(2);
+    submitAndStart(1, 1);
+    end(effects.starts[0], EndKind::Failed);
+    BOOST_TEST(effects.starts.size() == 2U);
+}
+
+// Guards against a late task that waits for a worker that stays full.
+BOOST_FIXTURE_TEST_CASE(lateTaskIsTriedWhereverThereIsRoom, JobBookFixture)
+{
+    load();
+    pool.report(2, workerWith(0));
+    submitAndStart(1, 1);
+    end(effects.starts[0], EndKind::Failed);
+    BOOST_TEST(effects.starts.size() == 1U);
+    now += Millis{1'000};
+    book.advance(now);
+    BOOST_TEST(effects.starts.size() == 2U);
+}
+
 // Guards against an end that is listed again, as after a restart of its agent, and counts twice.
 BOOST_FIXTURE_TEST_CASE(failureThatIsReportedAgainCountsOnce, JobBookFixture)
 {
