Keep what is known of a worker's life apart before its first announcement

Cause: an agent that had just started read the lists of its worker before it knew the worker, and the worker then started again under its name. The runs, the number of the last end and the clock of the former life were kept: lists of the new life were ignored as overtaken for as long as the former life had lasted, and its ends were confirmed unseen because they count from 1 again.

Change: the life that the lists belong to is remembered whether the worker has announced itself or not. After a call to the worker that was not answered the next one confirms no end, since it may reach a new life.

Conclusion: one cause of a second run after a confirmed end is gone.

--- a/src/emulator/emulatedworker.cpp
+++ b/src/emulator/emulatedworker.cpp
@@ -144,14 +144,16 @@
                            item = m_ends.erase(item);
                        }
                        renew(deadline);
-                       m_waiting.push_back(
-                           {.answerBy = m_events.now() + wait, .answer = [this, answer, isLost] {
-                                if (isLost)
-                                    return;
-                                m_events.after(callTime, [answer, content = lists()] {
-                                    answer(OrderAnswer::Done, content);
-                                });
-                            }});
+                       m_waiting.push_back({.answerBy = m_events.now() + wait,
+                                            .cut = [answer] { answer(OrderAnswer::NoAnswer, {}); },
+                                            .answer =
+                                                [this, answer, isLost] {
+                                                    if (isLost)
+                                                        return;
+                                                    m_events.after(callTime, [answer, content = lists()] {
+                                                        answer(OrderAnswer::Done, content);
+                                                    });
+                                                }});
                        m_events.after(wait, [this] { answerHolds(); });
                        if (!m_ends.empty())
                            answerHolds();
@@ -284,7 +286,9 @@
     m_lastEnd = 0;
     m_lapsedAfterEnd = 0;
     m_endedRuns.clear();
-    m_waiting.clear();
+    // The connections are reset.
+    for (const WaitingHold &hold : std::exchange(m_waiting, {}))
+        hold.cut();
     m_draining = false;
 }
 
--- a/src/emulator/emulatedworker.h
+++ b/src/emulator/emulatedworker.h
@@ -95,6 +95,7 @@
     struct WaitingHold
     {
         Millis answerBy;
+        std::function<void()> cut;
         std::function<void()> answer;
     };
 
--- a/src/worker/workerkeeper.cpp
+++ b/src/worker/workerkeeper.cpp
@@ -33,8 +33,10 @@
         m_worker && m_worker->worker == announcement.worker && m_worker->born == announcement.born;
     if (isSameLife && announcement.sequence < m_worker->sequence)
         return false;
-    if (m_worker && !isSameLife)
+    const bool isFirst = !m_worker && (m_listsBorn == 0 || m_listsBorn == announcement.born);
+    if (!isSameLife && !isFirst)
         newWorkerLife(now);
+    m_listsBorn = announcement.born;
     const bool changed = !isSameLife || m_worker->draining != announcement.draining;
     if (changed) {
         m_log.always(now, "worker_announced",
--- a/src/worker/workerkeeper.h
+++ b/src/worker/workerkeeper.h
@@ -225,6 +225,9 @@
     std::optional<WorkerAnnouncement> m_worker;
     // A life of the worker below this one is over.
     int64_t m_leastBorn = 0;
+    // Life that the runs, ends and lists below belong to; 0 before the first. It can be known from lists
+    // before the worker has announced itself.
+    int64_t m_listsBorn = 0;
     // The lists of this life have been received, or nothing can run.
     bool m_listsKnown = false;
     // A single answer can be lost; after this many failures in a row the worker itself is in doubt.
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -247,12 +247,12 @@
         nextHolds(now);
         return;
     }
-    const int64_t born = m_worker ? m_worker->born : 0;
-    if (born != 0 && lists.born != 0 && lists.born != born) {
+    if (m_listsBorn != 0 && lists.born != 0 && lists.born != m_listsBorn) {
         // A new life answers before it has announced itself; its announcement follows.
-        if (lists.born > born) {
+        if (lists.born > m_listsBorn) {
             newWorkerLife(now);
             m_leastBorn = lists.born;
+            m_listsBorn = lists.born;
             m_worker.reset();
         }
         m_holdNotBefore = now + pauseAfterFailure;
@@ -264,6 +264,7 @@
     }
     m_holdFailures = 0;
     noteClock(lists.workerClock, now);
+    m_listsBorn = std::max(m_listsBorn, lists.born);
     if (!m_listsKnown) {
         m_listsKnown = true;
         m_reportChanged = true;
@@ -286,9 +287,10 @@
     m_holds[number] = {.sentAt = now, .wait = wait};
     // Before the first answer the worker's clock is not known; a deadline of zero renews nothing.
     const bool clockKnown = m_clockSampledAt.count != 0;
-    // Nor does a call after one that was not answered: if the worker is gone, its runs count as lost once the
-    // last lease that may have been granted has lapsed, and each renewal would put that off.
-    // Without a run the lease may lapse at no cost, which settles disputed ends.
+    // After a call that was not answered the worker may live anew, with ends that count from 1 again: the
+    // next call confirms none. Nor does it renew the lease: if the worker is gone, its runs count as lost
+    // once the last lease that may have been granted has lapsed, and each renewal would put that off. Without
+    // a run the lease may lapse at no cost, which settles disputed ends.
     const bool letsLapse = m_lapseForced || (m_runs.empty() && hasDisputedEnds());
     const bool renews = clockKnown && m_holdFailures == 0 && !letsLapse;
     const Millis deadline = renews ? workerNow(now) + m_options.lease : Millis{0};
@@ -297,7 +299,7 @@
     m_effects.callHold({.number = number,
                         .deadline = deadline,
                         .fence = m_fence,
-                        .endsStored = endsStoredThrough(),
+                        .endsStored = m_holdFailures == 0 ? endsStoredThrough() : 0,
                         .wait = wait,
                         .worker = m_worker ? std::string_view(m_worker->worker) : std::string_view()});
 }
--- a/tests/unit/workerkeepertest.cpp
+++ b/tests/unit/workerkeepertest.cpp
@@ -406,6 +406,42 @@
     BOOST_TEST((effects.ended[0].kind == EndKind::Lost));
 }
 
+// Guards against ends that are confirmed unseen: an agent that had just started read the lists of one life of
+// its worker and was told of the next one, whose ends count from 1 again.
+BOOST_AUTO_TEST_CASE(listsBeforeTheFirstAnnouncementBelongToTheirLife)
+{
+    const Millis now{100'000};
+    StructuredLog log;
+    RecordedWorkerEffects effects;
+    WorkerKeeper keeper({.partitions = 1}, 1, now, effects, log);
+    keeper.entryConnected(1, now);
+    keeper.claim(1, 0, 5, now);
+    keeper.advance(now);
+    const RunId former{.task = {.job = 1}, .number = 1};
+    keeper.holdAnswered(effects.lastHold.number, OrderAnswer::Done,
+                        {.workerClock = {90'000}, .born = 10, .ended = {{.number = 7, .run = former}}}, now);
+    // The worker crashes: the call under way is cut, and the next one may reach the new life.
+    keeper.holdAnswered(effects.lastHold.number, OrderAnswer::NoAnswer, {}, now);
+    BOOST_TEST(effects.lastHold.endsStored == 0U);
+    keeper.announced(WorkerKeeperFixture::announcement(11), now);
+    keeper.advance(now + Millis{100});
+    BOOST_TEST(effects.lastHold.endsStored == 0U);
+    const RunId latter{.task = {.job = 2}, .number = 1};
+    keeper.holdAnswered(effects.lastHold.number, OrderAnswer::Done,
+                        {.workerClock = {50}, .born = 11, .ended = {{.number = 1, .run = latter}}},
+                        now + Millis{100});
+    keeper.advance(now + Millis{200});
+    BOOST_TEST(effects.lastHold.endsStored == 0U);
+    BOOST_TEST(std::any_of(effects.claims.begin(), effects.claims.end(),
+                           [&](const auto &claim) {
+                               return std::any_of(
+                                   claim->ended.begin(), claim->ended.end(),
+                                   [&](const auto &end) { return fromWire(end->run) == latter; });
+                           })
+               != std::any_of(effects.ended.begin(), effects.ended.end(),
+                              [&](const auto &told) { return told.run == latter; }));
+}
+
 // Guards against a second run of a task: a worker that had just started again under its name took the order,
 // and its runs were taken for those of its former life.
 BOOST_FIXTURE_TEST_CASE(runThatTheNewLifeHasStartedIsNotLost, WorkerKeeperFixture)
