Hand several partitions over without losing track of one that is closed

Cause: a planned stop, or a new generation, handed partitions over one by one, and each step closed all that were ready. A partition whose handover had begun earlier was closed before its turn came, and the process ended with an exception in the middle of its planned stop.

Change: the partitions are frozen first and closed afterwards; one timer serves all handovers.

--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -106,8 +106,7 @@
         if (owned.membership == membership && !partitions.contains(partition))
             revoked.push_back(partition);
     }
-    for (const uint32_t partition : revoked)
-        handOver(partition);
+    handOver(revoked);
     for (const uint32_t partition : partitions) {
         // Dealt from one membership of this entry to another; it stays open.
         if (const auto owned = m_owned.find(partition);
@@ -227,16 +226,18 @@
     leaveAll(member, mostMemberships, [this] { joinSoon(); });
 }
 
-void PartitionOwner::handOver(uint32_t partition)
+void PartitionOwner::handOver(std::span<const uint32_t> partitions)
 {
-    Owned &owned = m_owned.at(partition);
-    if (owned.closeBy)
-        return;
     const Millis now = Clock::now();
-    owned.closeBy = now + mostHandOverTime;
-    m_book.freezePartition(partition, now);
-    // The next join lets the store deal the partition to another member.
-    m_memberships[owned.membership]->setPaused(true);
+    for (const uint32_t partition : partitions) {
+        Owned &owned = m_owned.at(partition);
+        if (owned.closeBy)
+            continue;
+        owned.closeBy = now + mostHandOverTime;
+        m_book.freezePartition(partition, now);
+        // The next join lets the store deal the partition to another member.
+        m_memberships[owned.membership]->setPaused(true);
+    }
     finishHandOvers();
 }
 
@@ -260,7 +261,11 @@
             m_memberships[number]->setPaused(false);
     }
     if (!waiting.empty()) {
-        m_timers.after(handOverCheckInterval, [this] { finishHandOvers(); });
+        if (!std::exchange(m_handOverScheduled, true))
+            m_timers.after(handOverCheckInterval, [this] {
+                m_handOverScheduled = false;
+                finishHandOvers();
+            });
         return;
     }
     if (!m_releasing || !m_onReleased)
@@ -276,10 +281,8 @@
     std::vector<uint32_t> partitions;
     for (const auto &[partition, owned] : m_owned)
         partitions.push_back(partition);
-    for (const uint32_t partition : partitions)
-        handOver(partition);
     m_onReleased = std::move(onDone);
-    finishHandOvers();
+    handOver(partitions);
 }
 
 } // namespace turmericwell
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -74,8 +74,8 @@
     void close(uint32_t partition);
     void loadPage(uint32_t partition, uint64_t epoch, const std::string &after);
     void pageLoaded(uint32_t partition, uint64_t epoch, const std::string &after, const NewestAnswer &answer);
-    // Stores what the next owner needs; the partition is closed when that is done or the time is over.
-    void handOver(uint32_t partition);
+    // Stores what the next owners need; a partition is closed when that is done or the time is over.
+    void handOver(std::span<const uint32_t> partitions);
     void finishHandOvers();
 
     const PartitionOwnerOptions m_options;
@@ -91,6 +91,7 @@
     // Called when the last partition has been handed over on the way to a stop.
     std::function<void()> m_onReleased;
     bool m_releasing = false;
+    bool m_handOverScheduled = false;
     std::vector<std::unique_ptr<GroupMember>> m_memberships;
 };
 
