Let the next owner dispute the end of a task that was ordered again

Cause: only the owner that ordered a task again knew it. If a partition went to another entry before a former run's end was heard of, the new owner confirmed that end, though the task had been started after it.

Change: the record of a job says whether a task was ordered again without a known end of its former run; it is written when that happens (not awaited) and with each later record. A new owner disputes ends of runs below its own numbers then.

Before and after: jobbooktest nextOwnerDisputesAnEndAfterTheJob and nextOwnerDisputesAnEndOfAnUnfinishedJob fail without the field in the record.

Conclusion: left is an owner that dies within the few milliseconds of that append.

--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -250,6 +250,7 @@
     JobRecord record;
     record.phase = job.phase;
     record.queue = job.spec.queue;
+    record.repeated_runs = job.hasRepeatedRuns;
     if (job.phase == JobPhase::Active) {
         record.spec = std::make_unique<JobSpec>(job.spec);
         record.failed_runs = job.failedRuns;
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -230,7 +230,7 @@
         bool accepted = false;
         // The store has a record of the job, or may have.
         bool recorded = false;
-        // A task has been ordered more than once.
+        // A task has been ordered more than once, so an end of its former run may be disputed.
         bool hasRepeatedRuns = false;
         bool anyStarted = false;
         bool anyOrdered = false;
@@ -304,6 +304,8 @@
     void taskDone(Job &job, Task &task, Millis now);
     void taskFailed(Job &job, Task &task, AgentNumber agent, const RunId &run, Millis now);
     void makeWaiting(Job &job, Task &task, Millis now);
+    // A task is ordered again although its former run may have ended unseen; the next owner has to know.
+    void noteRepeatedRun(Job &job);
     void endJob(Job &job, JobPhase phase);
     void stopRuns(Job &job);
     void noteUnstoredEnd(Job &job, AgentNumber agent, const RunId &run, Millis now);
--- a/src/jobs/jobbookpartitions.cpp
+++ b/src/jobs/jobbookpartitions.cpp
@@ -49,7 +49,8 @@
         m_ended[id] = {.phase = record->phase,
                        .forgetAt = now + m_options.retention,
                        .partition = partition,
-                       .recorded = true};
+                       .recorded = true,
+                       .hasRepeatedRuns = record->repeated_runs};
         m_endedOrder.push_back(id);
         return;
     }
@@ -58,6 +59,7 @@
     job.recorded = true;
     job.expiresAt = now + loadedJobPatience;
     job.runBase = static_cast<uint32_t>(m_partitions[partition].epoch) * runsPerEpoch;
+    job.hasRepeatedRuns = record->repeated_runs;
     job.failedRuns = record->failed_runs;
     for (const uint32_t number : record->done_tasks) {
         if (number >= job.tasks.size() || job.tasks[number].phase == TaskPhase::Done)
--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -63,8 +63,12 @@
 {
     if (end.kind != EndKind::Done)
         return false;
-    if (task)
-        return !job->spec.best_effort && end.run.number < task->run;
+    if (task) {
+        // Of the runs that a former owner ordered only its record tells.
+        const bool isOfFormerOwner = end.run.number < job->runBase;
+        return !job->spec.best_effort
+            && (end.run.number < task->run || (isOfFormerOwner && job->hasRepeatedRuns));
+    }
     const auto ended = m_ended.find(end.run.task.job);
     return ended != m_ended.end() && ended->second.hasRepeatedRuns;
 }
@@ -76,6 +80,14 @@
         enqueue(job);
 }
 
+void JobBook::noteRepeatedRun(Job &job)
+{
+    // A record that is under way already does not have it.
+    if (std::exchange(job.hasRepeatedRuns, true) || job.spec.best_effort)
+        return;
+    writeRecord(job);
+}
+
 void JobBook::stopRuns(Job &job)
 {
     const auto partition = m_partitions.find(job.partition);
@@ -342,6 +354,7 @@
                          {"run", task.run},
                          {"agent", agent}});
             makeWaiting(job, task, now);
+            noteRepeatedRun(job);
         }
     }
 }
@@ -368,8 +381,8 @@
             if (task.phase != TaskPhase::Unlocated)
                 continue;
             ++restarted;
-            job.hasRepeatedRuns = true;
             makeWaiting(job, task, now);
+            noteRepeatedRun(job);
         }
     }
     m_log.always(now, "partition_located",
--- a/tests/unit/jobbooktest.cpp
+++ b/tests/unit/jobbooktest.cpp
@@ -92,6 +92,41 @@
     BOOST_TEST(effects.disputed.size() == 1U);
 }
 
+// Guards against the same with a new owner in between, which knows of the second run only from the record.
+BOOST_FIXTURE_TEST_CASE(nextOwnerDisputesAnEndAfterTheJob, JobBookFixture)
+{
+    load();
+    submitAndStart(1, 1);
+    const RecordedEffects::Start first = effects.starts[0];
+    book.agentGone(first.agent, now);
+    book.advance(now);
+    startAll();
+    storeAll();
+    end(effects.starts.back(), EndKind::Done);
+    BOOST_TEST_REQUIRE(effects.records.size() == 1U);
+    JobBookFixture next(2);
+    next.book.loadRecord(0, 1, effects.records[0].value, next.now);
+    next.load();
+    next.end(first, EndKind::Done);
+    BOOST_TEST(next.effects.disputed.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(nextOwnerDisputesAnEndOfAnUnfinishedJob, JobBookFixture)
+{
+    load();
+    submitAndStart(1, 1);
+    const RecordedEffects::Start first = effects.starts[0];
+    book.agentGone(first.agent, now);
+    book.advance(now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    BOOST_TEST_REQUIRE(effects.records.size() == 1U);
+    JobBookFixture next(2);
+    next.book.loadRecord(0, 1, effects.records[0].value, next.now);
+    next.load();
+    next.end(first, EndKind::Done);
+    BOOST_TEST(next.effects.disputed.size() == 1U);
+}
+
 // Guards against a task that runs again under a new owner: an agent that connects again lists an end that its
 // owner knows and has not stored yet, and must not take it for stored.
 BOOST_FIXTURE_TEST_CASE(endThatIsListedAgainIsNotConfirmedBeforeItIsStored, JobBookFixture)
