Report a worker again after its lease was given up, and dispute single tasks only

The disputes that led to the lapse were too many: a new owner disputed all ends of a job of which one task had been ordered again, also when all agents had reported and no former run could be left.

Change: a lapse that was forced changes the report. The record of an unfinished job names the tasks that were ordered again; only their ends are disputed, and a task is noted only if an agent had not reported.

--- a/src/jobs/jobbook.cpp
+++ b/src/jobs/jobbook.cpp
@@ -257,6 +257,8 @@
         for (uint32_t number = 0; number < job.tasks.size(); ++number) {
             if (job.tasks[number].phase == TaskPhase::Done)
                 record.done_tasks.push_back(number);
+            if (job.tasks[number].isRepeated)
+                record.repeated_tasks.push_back(number);
         }
     }
     const JobId id = job.spec.id;
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -195,6 +195,8 @@
         std::string checkpoint;
         // Runs that were stopped because they took too long.
         uint32_t moves = 0;
+        // Ordered again although the former run may have ended unseen.
+        bool isRepeated = false;
         // Agents on whose workers a run failed or took too long.
         std::set<AgentNumber> avoided;
         // The present run is being stopped, to be started elsewhere.
@@ -304,8 +306,8 @@
     void taskDone(Job &job, Task &task, Millis now);
     void taskFailed(Job &job, Task &task, AgentNumber agent, const RunId &run, Millis now);
     void makeWaiting(Job &job, Task &task, Millis now);
-    // A task is ordered again although its former run may have ended unseen; the next owner has to know.
-    void noteRepeatedRun(Job &job);
+    // The task is ordered again although its former run may have ended unseen; the next owner has to know.
+    void noteRepeatedRun(Job &job, Task &task);
     void endJob(Job &job, JobPhase phase);
     void stopRuns(Job &job);
     void noteUnstoredEnd(Job &job, AgentNumber agent, const RunId &run, Millis now);
--- a/src/jobs/jobbookpartitions.cpp
+++ b/src/jobs/jobbookpartitions.cpp
@@ -68,6 +68,10 @@
         task.phase = TaskPhase::Done;
         --job.stepRemaining[task.step];
     }
+    for (const uint32_t number : record->repeated_tasks) {
+        if (number < job.tasks.size())
+            job.tasks[number].isRepeated = true;
+    }
     for (const fleet::FailedRun &failed : job.failedRuns) {
         if (failed.task() >= job.tasks.size())
             continue;
--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -67,7 +67,7 @@
         // Of the runs that a former owner ordered only its record tells.
         const bool isOfFormerOwner = end.run.number < job->runBase;
         return !job->spec.best_effort
-            && (end.run.number < task->run || (isOfFormerOwner && job->hasRepeatedRuns));
+            && (end.run.number < task->run || (isOfFormerOwner && task->isRepeated));
     }
     const auto ended = m_ended.find(end.run.task.job);
     return ended != m_ended.end() && ended->second.hasRepeatedRuns;
@@ -80,10 +80,10 @@
         enqueue(job);
 }
 
-void JobBook::noteRepeatedRun(Job &job)
+void JobBook::noteRepeatedRun(Job &job, Task &task)
 {
-    // A record that is under way already does not have it.
-    if (std::exchange(job.hasRepeatedRuns, true) || job.spec.best_effort)
+    job.hasRepeatedRuns = true;
+    if (std::exchange(task.isRepeated, true) || job.spec.best_effort)
         return;
     writeRecord(job);
 }
@@ -354,7 +354,7 @@
                          {"run", task.run},
                          {"agent", agent}});
             makeWaiting(job, task, now);
-            noteRepeatedRun(job);
+            noteRepeatedRun(job, task);
         }
     }
 }
@@ -382,7 +382,10 @@
                 continue;
             ++restarted;
             makeWaiting(job, task, now);
-            noteRepeatedRun(job);
+            job.hasRepeatedRuns = true;
+            // If all agents have reported, the task has no run whose end could still be heard of soon.
+            if (!allReported)
+                noteRepeatedRun(job, task);
         }
     }
     m_log.always(now, "partition_located",
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -77,7 +77,8 @@
 void WorkerKeeper::leaseLapsed(Millis now)
 {
     m_lapsedAfterEnd = m_lastEnd;
-    m_lapseForced = false;
+    // After a forced lapse the worker takes orders again.
+    m_reportChanged = std::exchange(m_lapseForced, false) || m_reportChanged;
     if (m_holdFailures >= failuresUntilUnusable) {
         loseRuns("lease lapsed", now);
         return;
--- a/tests/unit/jobbooktest.cpp
+++ b/tests/unit/jobbooktest.cpp
@@ -111,20 +111,28 @@
     BOOST_TEST(next.effects.disputed.size() == 1U);
 }
 
+// Guards against the same while the job is not finished, and against disputing the ends of its other tasks,
+// which keeps all later ends of their workers back.
 BOOST_FIXTURE_TEST_CASE(nextOwnerDisputesAnEndOfAnUnfinishedJob, JobBookFixture)
 {
     load();
-    submitAndStart(1, 1);
+    submitAndStart(1, 2);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
     const RecordedEffects::Start first = effects.starts[0];
+    const RecordedEffects::Start second = effects.starts[1];
+    BOOST_TEST_REQUIRE(first.agent != second.agent);
     book.agentGone(first.agent, now);
     book.advance(now);
-    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 3U);
     BOOST_TEST_REQUIRE(effects.records.size() == 1U);
     JobBookFixture next(2);
     next.book.loadRecord(0, 1, effects.records[0].value, next.now);
-    next.load();
+    next.load(false);
+    next.end(second, EndKind::Done);
+    BOOST_TEST(next.effects.disputed.empty());
     next.end(first, EndKind::Done);
-    BOOST_TEST(next.effects.disputed.size() == 1U);
+    BOOST_TEST_REQUIRE(next.effects.disputed.size() == 1U);
+    BOOST_TEST((next.effects.disputed[0] == first.run));
 }
 
 // Guards against a task that runs again under a new owner: an agent that connects again lists an end that its
--- a/tests/unit/workerkeepertest.cpp
+++ b/tests/unit/workerkeepertest.cpp
@@ -332,6 +332,27 @@
     BOOST_TEST((effects.lastHold.deadline == Millis{0}));
 }
 
+// Guards against workers that no entry uses any more: their agents had given up the lease, and did not report
+// that they take orders again (turmericwell emulate --site qalhat --first-seed 1214 --troubles 14).
+BOOST_FIXTURE_TEST_CASE(workerIsReportedAsUsableAfterAForcedLapse, WorkerKeeperFixture)
+{
+    WorkerLists lists;
+    for (uint64_t number = 1; number <= 65; ++number)
+        lists.ended.push_back({.number = number, .run = order(number).run});
+    startRun(100);
+    answerHolds(lists);
+    keeper.endDisputed(order(1).run, now);
+    pass({40});
+    BOOST_TEST_REQUIRE(!keeper.report().usable);
+    keeper.takeReportChange();
+    for (uint32_t round = 0; round < 100 && !keeper.report().usable; ++round) {
+        keeper.takeReportChange();
+        pass({20});
+    }
+    BOOST_TEST(keeper.report().usable);
+    BOOST_TEST(keeper.takeReportChange());
+}
+
 // Guards against a run that is taken for lost because a list that was made before its start lacks it.
 BOOST_FIXTURE_TEST_CASE(listThatWasAskedForBeforeTheStartDoesNotLoseTheRun, WorkerKeeperFixture)
 {
