Do not refuse a job that has taken over a run

Cause: a best-effort job that was submitted again took over a run that an agent reported, waited for room for its other tasks and was then refused as if nothing of it ran. The run went on; the client submitted the job once more, and the task was started a second time.

Change: a run that is taken over counts as ordered.

Conclusion: mended. The refusal was untrue as well.

--- a/src/jobs/jobbookruns.cpp
+++ b/src/jobs/jobbookruns.cpp
@@ -272,6 +272,7 @@
     task->agent = agent;
     task->run = run.number;
     task->startedAt = now;
+    job->anyOrdered = true;
     job->anyStarted = true;
 }
 
--- a/tests/unit/jobbooktest.cpp
+++ b/tests/unit/jobbooktest.cpp
@@ -317,6 +317,25 @@
     BOOST_TEST(effects.stops.empty());
 }
 
+// Guards against a run that goes on unknown: its job was refused for want of room for the other tasks,
+// submitted once more and started from the beginning (turmericwell emulate --site qalhat --first-seed 1132
+// --troubles 14).
+BOOST_FIXTURE_TEST_CASE(jobThatTookOverARunIsNotRefused, JobBookFixture)
+{
+    book.loaded(0, now);
+    book.setExpectedAgents({1, 2}, true);
+    const RunId running{.task = {.job = 1, .index = 0}, .number = 1};
+    book.claimReport(1, 0, 1, std::span(&running, 1), {}, now);
+    submit(job(1, 2, true), true);
+    now += Millis{500};
+    book.advance(now);
+    BOOST_TEST(replies.empty());
+    book.claimReport(2, 0, 1, {}, {}, now);
+    book.advance(now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
+    BOOST_TEST(effects.starts[0].run.task.index == 1U);
+}
+
 // Guards against a stop of the whole service while one agent cannot be reached after a change of owner: a job
 // that is new to the client's entry cannot have a run that still goes on, unless it is long.
 BOOST_FIXTURE_TEST_CASE(newBestEffortJobsStartBeforeAllAgentsHaveReported, JobBookFixture)
