Move a task that stands still until it ends, and not back

Cause: a worker stood still with all it ran while the others were full. The task of a kept job was moved three times, each time back to that worker, which alone had room; then no move was left and the job never completed.

Change: the number of moves is not limited any more (the time until the next one doubles with each), and a task that was moved is not started where it stood still, also when it is late, while another worker can hold it.

--- a/src/jobs/jobbookdispatch.cpp
+++ b/src/jobs/jobbookdispatch.cpp
@@ -18,7 +18,7 @@
 // Beyond this multiple it is moved even from a worker that seems sound.
 constexpr double longRunFactor = 6;
 constexpr Millis leastSlowRun = {80};
-constexpr uint32_t mostMoves = 3;
+constexpr uint32_t mostMoveDoublings = 16;
 constexpr Millis purgeInterval = {1'000};
 // Jobs that found no room before one pass over the queue ends.
 constexpr uint32_t mostUnplacedJobs = 24;
@@ -134,7 +134,8 @@
     }
     const uint32_t estimate = m_runTimes.estimateMs(job.spec.queue, step.estimate_ms);
     const Room size{step.cpu_milli, step.memory_mb, step.accelerators};
-    const bool isLate = job.latestStart < now;
+    // A late task goes wherever there is room, but not back to where it stood still.
+    const bool mayAvoid = job.latestStart >= now || task.moves > 0;
     const std::optional<AgentNumber> agent = m_pool.choose({.service = job.spec.service,
                                                             .size = size,
                                                             .requiredLabel = step.required_label,
@@ -144,7 +145,7 @@
                                                             .estimate = {estimate},
                                                             .slack = job.latestStart - now,
                                                             .eligible = &partition.reported,
-                                                            .avoided = isLate ? nullptr : &task.avoided},
+                                                            .avoided = mayAvoid ? &task.avoided : nullptr},
                                                            now);
     if (!agent)
         return false;
@@ -240,8 +241,8 @@
         m_pool.runPace(task.agent, slowRunFactor, now);
     }
     const double factor = m_pool.slowness(task.agent, now) > 1 ? slowRunFactor : longRunFactor;
-    if (task.stopOrdered || task.moves >= mostMoves
-        || timesEstimate < factor * static_cast<double>(1U << task.moves))
+    const uint32_t doublings = std::min(task.moves, mostMoveDoublings);
+    if (task.stopOrdered || timesEstimate < factor * static_cast<double>(1U << doublings))
         return;
     const PlacementNeeds needs{.service = job.spec.service,
                                .size = {step.cpu_milli, step.memory_mb, step.accelerators},
--- a/tests/process/test_emulation.py
+++ b/tests/process/test_emulation.py
@@ -15,6 +15,7 @@
     ((1044,), ("--site", "qalhat", "--troubles", "14"), "lists of a former life of a worker hid those of the next one"),
     ((1132,), ("--site", "qalhat", "--troubles", "14"), "a job that had taken over a run was refused"),
     ((1168, 1214), ("--site", "qalhat", "--troubles", "14"), "workers were not used again after a forced lapse"),
+    ((60039,), ("--troubles", "16", "--kept-share", "0.3"), "a task went back to the worker on which it stood still"),
     ((2152,), ("--troubles", "14", "--kept-share", "0.5"), "a failed end hid a later run from the next owner"),
 )
 MORE_DAYS = (
--- a/tests/unit/jobbooktest.cpp
+++ b/tests/unit/jobbooktest.cpp
@@ -462,6 +462,28 @@
     BOOST_TEST(effects.starts[2].agent == 2U);
 }
 
+// Guards against an accepted job that never completes: the worker on which its task stood still had the only
+// room when the task was started again, until no move was left (turmericwell emulate --first-seed 60039
+// --troubles 16).
+BOOST_FIXTURE_TEST_CASE(runThatStoodStillDoesNotGoBack, JobBookFixture)
+{
+    load();
+    submitAndStart(1, 1);
+    const AgentNumber bad = effects.starts[0].agent;
+    const AgentNumber good = 3 - bad;
+    now += Millis{1'000};
+    book.advance(now);
+    BOOST_TEST_REQUIRE(effects.stops.size() == 1U);
+    pool.report(good, workerWith(0));
+    end(effects.starts[0], EndKind::Stopped);
+    BOOST_TEST(effects.starts.size() == 1U);
+    pool.report(good, workerWith(4'000));
+    now += Millis{10};
+    book.advance(now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    BOOST_TEST(effects.starts[1].agent == good);
+}
+
 // Guards against work that is thrown away because one task takes longer than declared.
 BOOST_FIXTURE_TEST_CASE(longRunStaysOnASoundWorker, JobBookFixture)
 {
