Keep ends unconfirmed while a restart of the worker is suspected

Cause: a worker that restarts under its name numbers its ends from 1 again. Until the agent had read a list of the new life, its list polls confirmed ends by the numbers of the former one, and the first lists of a new life were discarded. Change: an answer whose clock has gone back by more than 500 ms puts the incarnation in doubt until a later list poll is answered, and no end is confirmed in doubt; the first lists of a new life are merged.

--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -251,15 +251,15 @@
         return;
     }
     if (m_listsIncarnation != 0 && lists.born != 0 && lists.born != m_listsIncarnation) {
-        // A new incarnation answers before its announcement has arrived.
-        if (lists.born > m_listsIncarnation) {
-            resetForNewIncarnation(now);
-            m_minIncarnation = lists.born;
-            m_listsIncarnation = lists.born;
-            m_worker.reset();
-        }
         m_nextListPollAt = now + pauseAfterFailure;
-        return;
+        if (lists.born < m_listsIncarnation)
+            return;
+        // A new incarnation answers before its announcement has arrived. Its lists are merged, because a poll
+        // that was sent to the former incarnation may have made it discard the ends that they contain.
+        resetForNewIncarnation(now);
+        m_minIncarnation = lists.born;
+        m_listsIncarnation = lists.born;
+        m_worker.reset();
     }
     if (m_listPollFailures >= failuresUntilUnusable) {
         m_log.always(now, "worker_call_works", {{"failures", m_listPollFailures}});
@@ -267,6 +267,8 @@
     }
     m_listPollFailures = 0;
     recordClock(lists.workerClock, now);
+    if (m_restartSuspectedUntilPoll && number >= *m_restartSuspectedUntilPoll)
+        m_restartSuspectedUntilPoll.reset();
     m_listsIncarnation = std::max(m_listsIncarnation, lists.born);
     if (!m_listsKnown) {
         m_listsKnown = true;
@@ -302,7 +304,7 @@
     m_effects.callListPoll({.number = number,
                             .deadline = deadline,
                             .fence = m_fence,
-                            .endsStored = m_listPollFailures == 0 ? endsStoredThrough() : 0,
+                            .endsStored = mayConfirmEnds() ? endsStoredThrough() : 0,
                             .wait = wait,
                             .worker = m_worker ? std::string_view(m_worker->worker) : std::string_view()});
 }
--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -14,6 +14,8 @@
 constexpr uint32_t maxStopRetryDoublings = 4;
 // A rejected fencing token is raised by this much, which exceeds a clock jump of several seconds.
 constexpr uint64_t fenceIncrement = 10'000;
+// Answers that are late or overtake each other show a clock that is behind by less than this.
+constexpr Millis clockRegressionLimit = {500};
 
 WorkerManager::WorkerManager(WorkerManagerOptions options, uint64_t firstFence, Millis now,
                              WorkerEffects &effects, StructuredLog &log)
@@ -120,8 +122,15 @@
     return m_clockSample + (now - m_clockSampledAt);
 }
 
+bool WorkerManager::mayConfirmEnds() const
+{
+    return m_listPollFailures == 0 && !m_restartSuspectedUntilPoll;
+}
+
 void WorkerManager::recordClock(Millis workerClock, Millis now)
 {
+    if (m_clockSampledAt.count != 0 && workerClock + clockRegressionLimit < m_clockSample)
+        m_restartSuspectedUntilPoll = m_lastListPoll + 1;
     m_clockSample = workerClock;
     m_clockSampledAt = now;
 }
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -181,6 +181,9 @@
     bool allSizesKnown() const;
     Millis workerNow(Millis now) const;
     void recordClock(Millis workerClock, Millis now);
+    // Ends may be confirmed by number only while no sign suggests that the worker has started to number them
+    // anew.
+    bool mayConfirmEnds() const;
     void extendLease(Millis deadline, Millis now);
     void startQueued(Millis now);
     void sendStart(Run &run, Millis now);
@@ -243,6 +246,9 @@
     // Newest known time of the worker's clock, and when it was received.
     Millis m_clockSample;
     Millis m_clockSampledAt;
+    // The worker's clock has gone back, as it does when the worker restarts: until a list poll from this
+    // number on is answered, the incarnation is in doubt.
+    std::optional<uint64_t> m_restartSuspectedUntilPoll;
     // On the clock of this process: after this time no run exists on the worker unless the lease is renewed.
     Millis m_leaseEnd;
     struct ListPoll
--- a/tests/unit/workermanagertest.cpp
+++ b/tests/unit/workermanagertest.cpp
@@ -488,6 +488,38 @@
     BOOST_TEST(manager.runCount() == 1U);
 }
 
+// Guards against confirming an end that was never received: a worker that had just restarted under the same
+// name ran an order, and a list poll confirmed the new life's ends by the numbers of the former one.
+BOOST_FIXTURE_TEST_CASE(clockThatGoesBackKeepsEndsUnconfirmed, WorkerManagerFixture)
+{
+    startRun(1);
+    answerListPolls({.ended = {{.number = 7, .run = order(1).run, .kind = EndKind::Done}}});
+    manager.endStored(order(1).run);
+    answerListPolls({});
+    advanceTime({40});
+    BOOST_TEST(effects.lastListPoll.endsStored == 7U);
+    manager.order(1, order(2), now);
+    manager.startAnswered(order(2).run, OrderAnswer::Done, Millis{30}, now);
+    manager.listPollAnswered(takeListPoll(), OrderAnswer::Done,
+                             {.workerClock = now - workerStart, .born = 10}, now);
+    advanceTime({100});
+    BOOST_TEST(effects.lastListPoll.endsStored == 0U);
+}
+
+// Guards against losing the ends in the first answer of a new incarnation, which the worker may discard next.
+BOOST_FIXTURE_TEST_CASE(firstListsOfANewIncarnationAreMerged, WorkerManagerFixture)
+{
+    startRun(1);
+    manager.listPollAnswered(takeListPoll(), OrderAnswer::Done,
+                             {.workerClock = {60},
+                              .born = 11,
+                              .ended = {{.number = 1, .run = order(1).run, .kind = EndKind::Done}}},
+                             now);
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    BOOST_TEST((effects.ended[0].run == order(1).run));
+    BOOST_TEST((effects.ended[0].kind == EndKind::Done));
+}
+
 // Guards against reporting runs as lost while a worker that cannot be reached still executes them, and
 // against never reporting the runs of a crashed worker as lost.
 BOOST_FIXTURE_TEST_CASE(runsAreLostWhenTheLastLeaseHasLapsed, WorkerManagerFixture)
