Confirm the ownership of partitions after missed generations and pauses

Cause: an entry that was paused, or whose joins failed for a while, can miss a generation in which another entry owned its partition, and get the partition back in the next one. It kept the partition open with the old epoch and answered "no such job" for jobs that the other owner had accepted, until one of its appends was fenced; an idle partition appends nothing. After a pause, buffered messages were also handled before the tick noticed the pause. Change: after a missed generation or a pause an empty append confirms the epoch; until then unknown jobs are answered with NotReady. A page of records with hasMore and no key is loaded again instead of counting as the last.

--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -47,7 +47,7 @@
                                 [this](const FrameLinkPtr &link) {
                                     connected(std::make_shared<NodeLink>(m_io, link, m_self), {});
                                 }))
-    , m_lastTick(Clock::now())
+    , m_lastActive(Clock::now())
 {
     m_transport.setRelay([this](const HttpRequest &request, Millis timeout, StoreTransport::Done onDone) {
         return relayStoreCall(request, timeout, std::move(onDone));
@@ -342,8 +342,10 @@
         if (guard.expired())
             return;
         m_advancePending = false;
+        const Millis now = Clock::now();
+        checkPause(now);
         if (!m_confirmAfter)
-            m_scheduler.advance(Clock::now());
+            m_scheduler.advance(now);
     });
 }
 
@@ -377,15 +379,20 @@
     }
 }
 
-void EntryNode::tick()
+void EntryNode::checkPause(Millis now)
 {
-    const Millis now = Clock::now();
-    if (now - m_lastTick > pauseLimit) {
-        m_log.always(now, "process_was_paused", {{"ms", now - m_lastTick}});
+    if (now - m_lastActive > pauseLimit) {
+        m_log.always(now, "process_was_paused", {{"ms", now - m_lastActive}});
         m_confirmAfter = now;
-        m_owner.joinNow();
+        m_owner.confirmOwnership();
     }
-    m_lastTick = now;
+    m_lastActive = now;
+}
+
+void EntryNode::tick()
+{
+    const Millis now = Clock::now();
+    checkPause(now);
     updateAgentPresence(now);
     if (m_confirmAfter && m_owner.lastJoinSentAt() >= *m_confirmAfter)
         m_confirmAfter.reset();
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -130,6 +130,9 @@
     void partitionClosed(uint32_t partition, uint64_t epoch);
     void sendReport();
     void tick();
+    // To be called before this entry acts as an owner. A process that was paused handles the messages that
+    // arrived meanwhile before its timers, so the tick alone would notice the pause too late.
+    void checkPause(Millis now);
     bool hasSuccessor() const;
     void advanceStop();
     // Returns null if the agent is not connected.
@@ -193,7 +196,7 @@
     StopHandlers m_stopHandlers;
     bool m_releasing = false;
     bool m_advancePending = false;
-    Millis m_lastTick;
+    Millis m_lastActive;
     // Set after a pause of the process: no task is started until the store has confirmed all memberships in
     // joins sent at or after this time.
     std::optional<Millis> m_confirmAfter;
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -49,6 +49,7 @@
     , m_handlers(std::move(handlers))
 {
     const uint32_t count = std::clamp(m_options.memberships, 1U, maxMemberships);
+    m_generations.resize(count);
     for (uint32_t number = 0; number < count; ++number) {
         m_memberships.push_back(std::make_unique<GroupMember>(
             GroupMemberOptions{.group = ownersGroup,
@@ -89,6 +90,24 @@
         membership->joinNow();
 }
 
+void PartitionOwner::confirmOwnership()
+{
+    for (const auto &[partition, owned] : m_owned)
+        confirm(partition);
+    joinNow();
+}
+
+void PartitionOwner::confirm(uint32_t partition)
+{
+    m_scheduler.setOwnershipConfirmed(partition, false);
+    Owned &owned = m_owned.at(partition);
+    const uint64_t number = ++owned.lastConfirmation;
+    owned.queue->confirm([this, partition, number] {
+        if (number == m_owned.at(partition).lastConfirmation)
+            m_scheduler.setOwnershipConfirmed(partition, true);
+    });
+}
+
 Millis PartitionOwner::lastJoinSentAt() const
 {
     Millis oldest = {INT64_MAX};
@@ -107,12 +126,17 @@
             revoked.push_back(partition);
     }
     handOver(revoked);
+    const uint64_t before = std::exchange(m_generations[membership], generation);
+    const bool hasMissedGenerations = generation > before + 1;
     for (const uint32_t partition : partitions) {
         // A partition that moves from one membership of this entry to another stays open.
         if (const auto owned = m_owned.find(partition);
             owned != m_owned.end() && generation >= owned->second.assignedGeneration) {
+            const bool isRetained = owned->second.membership == membership;
             owned->second.membership = membership;
             owned->second.assignedGeneration = generation;
+            if ((hasMissedGenerations || !isRetained) && !owned->second.closeBy)
+                confirm(partition);
         }
         const auto fenced = m_fencedEpochs.find(partition);
         const bool mayOpen = fenced == m_fencedEpochs.end() || fenced->second < generation;
@@ -177,8 +201,14 @@
         if (const std::optional<JobId> job = parseJobId(record.key); job && !record.value.empty())
             m_scheduler.loadRecord(partition, *job, record.value, now);
     }
-    if (answer.hasMore && !answer.records.empty()) {
-        loadPage(partition, epoch, answer.records.back().key);
+    if (answer.hasMore) {
+        // Without a key to continue from the page is incomplete, and jobs behind it would count as unknown.
+        const std::string &next = answer.lastKey;
+        if (next.empty() || next == after)
+            m_timers.after(pageRetryDelay,
+                           [this, partition, epoch, after] { loadPage(partition, epoch, after); });
+        else
+            loadPage(partition, epoch, next);
         return;
     }
     m_scheduler.loaded(partition, now);
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -42,8 +42,10 @@
                    JobScheduler &scheduler, Handlers handlers);
 
     void start();
-    // Joins the group at once. Called when partitions may have become free or ownership has to be confirmed.
+    // Joins the group at once. Called when partitions may have become free.
     void joinNow();
+    // Called after a pause of the process: the store has to confirm the ownership of all partitions.
+    void confirmOwnership();
     // Called when another entry owns the partition with a higher epoch than the given one.
     void superseded(uint32_t partition, uint64_t epoch);
     // Ends the memberships of another entry.
@@ -68,10 +70,13 @@
         // Set while the partition is being handed over: time at which it is closed at the latest.
         std::optional<Millis> closeBy;
         uint32_t records = 0;
+        // Number of the newest confirmation that was requested.
+        uint64_t lastConfirmation = 0;
     };
 
     void joined(uint32_t membership, uint64_t generation, const std::set<uint32_t> &partitions);
     void open(uint32_t partition, uint32_t membership, uint64_t epoch);
+    void confirm(uint32_t partition);
     void leaveAll(const std::string &member, uint32_t memberships, std::function<void()> onDone);
     void close(uint32_t partition);
     void loadPage(uint32_t partition, uint64_t epoch, const std::string &after);
@@ -96,6 +101,9 @@
     bool m_releasing = false;
     bool m_handOverScheduled = false;
     std::vector<std::unique_ptr<GroupMember>> m_memberships;
+    // Generation of the last join of each membership. In a generation in between, another entry may have
+    // owned the partitions.
+    std::vector<uint64_t> m_generations;
 };
 
 } // namespace turmericwell
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -215,8 +215,13 @@
     if (const auto ended = m_ended.find(id); ended != m_ended.end())
         return {.status = fleet::CallStatus::Done, .phase = ended->second.phase};
     const auto found = m_jobs.find(id);
-    if (found == m_jobs.end() || !found->second.accepted)
+    if (found == m_jobs.end() || !found->second.accepted) {
+        if (!m_partitions.at(partitionOf(id, m_options.partitions)).isConfirmed)
+            return {.status = fleet::CallStatus::NotReady,
+                    .retryAfter = minRetryAfter,
+                    .reason = "the ownership is being confirmed"};
         return {.status = fleet::CallStatus::NotKnown};
+    }
     return {
         .status = fleet::CallStatus::Done, .phase = JobPhase::Active, .running = found->second.anyStarted};
 }
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -145,6 +145,9 @@
     // Removes the partition and its jobs. Pending calls are answered with Unknown.
     void closePartition(uint32_t partition, Millis now);
     bool isServing(uint32_t partition) const;
+    // While the ownership of a partition is unconfirmed, another entry may have owned it and accepted jobs
+    // that this one does not know. Calls for unknown jobs are then answered with NotReady.
+    void setOwnershipConfirmed(uint32_t partition, bool confirmed);
     std::optional<uint64_t> epochOf(uint32_t partition) const;
     std::vector<fleet::OwnedPartitionT> owned() const;
 
@@ -287,6 +290,7 @@
         // All agents have reported their runs, or none of the former owner's runs can exist any longer.
         bool reconciled = false;
         bool frozen = false;
+        bool isConfirmed = true;
         Millis loadedAt;
         std::set<AgentNumber> reported;
     };
--- a/src/jobs/jobschedulerpartitions.cpp
+++ b/src/jobs/jobschedulerpartitions.cpp
@@ -20,6 +20,12 @@
     return found != m_partitions.end() && found->second.loaded && !found->second.frozen;
 }
 
+void JobScheduler::setOwnershipConfirmed(uint32_t partition, bool confirmed)
+{
+    if (const auto found = m_partitions.find(partition); found != m_partitions.end())
+        found->second.isConfirmed = confirmed;
+}
+
 std::optional<uint64_t> JobScheduler::epochOf(uint32_t partition) const
 {
     const auto found = m_partitions.find(partition);
--- a/src/store/appendqueue.cpp
+++ b/src/store/appendqueue.cpp
@@ -34,9 +34,17 @@
     sendNext();
 }
 
+void AppendQueue::confirm(std::function<void()> onConfirmed)
+{
+    if (m_fenced)
+        return;
+    m_waitingConfirmations.push_back(std::move(onConfirmed));
+    sendNext();
+}
+
 void AppendQueue::sendNext()
 {
-    if (m_inFlight || m_waiting.empty() || m_fenced || m_sendScheduled)
+    if (m_inFlight || !hasNext() || m_fenced || m_sendScheduled)
         return;
     const Millis now = Clock::now();
     const Millis earliest = m_sentAt + m_options.minInterval;
@@ -44,8 +52,9 @@
     m_sendScheduled = true;
     m_timers.after(std::max(Millis{0}, earliest - now), [this] {
         m_sendScheduled = false;
-        if (m_inFlight || m_waiting.empty() || m_fenced)
+        if (m_inFlight || !hasNext() || m_fenced)
             return;
+        m_confirmations = std::exchange(m_waitingConfirmations, {});
         size_t bytes = 0;
         while (!m_waiting.empty() && bytes < m_options.maxBytes) {
             bytes += m_waiting.front().record.value.size();
@@ -120,11 +129,14 @@
     m_backoff.reset();
     ++m_sequence;
     std::vector<Item> batch = std::exchange(m_batch, {});
+    const auto confirmations = std::exchange(m_confirmations, {});
     if (m_opening) {
         m_opening = false;
         m_onOpen(outcome);
     }
     const auto guard = m_timers.guard();
+    for (const auto &onConfirmed : confirmations)
+        onConfirmed();
     for (const Item &item : batch)
         item.onDone(outcome);
     if (!guard.expired())
@@ -154,7 +166,7 @@
     if (++m_failures == 1)
         m_log.always(now, "append_failed", {{"partition", m_options.partition}, {"epoch", m_options.epoch}});
     dropExpired(now);
-    if (m_batch.empty() && !m_opening) {
+    if (m_batch.empty() && !mustSendEmpty()) {
         m_inFlight = false;
         m_sentAt = now + m_backoff.next();
         sendNext();
@@ -162,7 +174,7 @@
     }
     m_timers.after(m_backoff.next(), [this] {
         dropExpired(Clock::now());
-        if (m_batch.empty() && !m_opening) {
+        if (m_batch.empty() && !mustSendEmpty()) {
             m_inFlight = false;
             sendNext();
             return;
@@ -180,6 +192,8 @@
     std::vector<Item> items = std::exchange(m_batch, {});
     std::move(m_waiting.begin(), m_waiting.end(), std::back_inserter(items));
     m_waiting.clear();
+    m_confirmations.clear();
+    m_waitingConfirmations.clear();
     const auto guard = m_timers.guard();
     if (m_opening) {
         m_opening = false;
--- a/src/store/appendqueue.h
+++ b/src/store/appendqueue.h
@@ -47,6 +47,9 @@
     // Sets the epoch in the store, which fences appends of all lower epochs from then on.
     void open(std::function<void(AppendOutcome)> onOpen);
     void add(std::string key, std::string value, bool mayDrop, Done onDone);
+    // Calls onConfirmed once the store has accepted an append that was sent after this call, which shows that
+    // no higher epoch has been set until then. Appends an empty batch if there is nothing else to append.
+    void confirm(std::function<void()> onConfirmed);
     // Called at most once, when an append has been fenced by a higher epoch.
     std::function<void()> onFenced;
 
@@ -62,6 +65,9 @@
     };
 
     void sendNext();
+    bool hasNext() const { return !m_waiting.empty() || !m_waitingConfirmations.empty(); }
+    // The append in flight must be repeated although it contains no record.
+    bool mustSendEmpty() const { return m_opening || !m_confirmations.empty(); }
     void send();
     void handleAnswer(const AppendAnswer &answer);
     void finishBatch(AppendOutcome outcome);
@@ -74,8 +80,11 @@
     Timers m_timers;
     StructuredLog &m_log;
     std::deque<Item> m_waiting;
-    // Records of the append in flight; empty for the append that sets the epoch.
+    // Records of the append in flight; empty for the append that sets or confirms the epoch.
     std::vector<Item> m_batch;
+    // Confirmations that wait for the next append, and those that the append in flight provides.
+    std::vector<std::function<void()>> m_waitingConfirmations;
+    std::vector<std::function<void()>> m_confirmations;
     bool m_inFlight = false;
     bool m_opening = false;
     bool m_fenced = false;
--- a/tests/unit/partitionownertest.cpp
+++ b/tests/unit/partitionownertest.cpp
@@ -19,7 +19,7 @@
         // Opening a partition appends nothing.
         if (withholdsAppends && !call.records.empty())
             return;
-        onDone({.status = StoreStatus::Done});
+        onDone({.status = call.epoch < fencedBelow ? StoreStatus::Fenced : StoreStatus::Done});
     }
     void read(const ReadCall &, Millis, std::function<void(ReadAnswer)> onDone) override
     {
@@ -41,6 +41,8 @@
     uint64_t generation = 1;
     std::vector<uint32_t> assigned = {0, 1};
     bool withholdsAppends = false;
+    // Appends with a lower epoch are fenced.
+    uint64_t fencedBelow = 0;
 };
 
 struct PartitionOwnerFixture
@@ -116,6 +118,43 @@
     BOOST_TEST(scheduler.owned().size() == 1U);
 }
 
+// Guards against an entry that answers "no such job" for a job that another owner accepted: the partition was
+// assigned to the other entry and back between two joins of this one.
+BOOST_FIXTURE_TEST_CASE(partitionThatWasOwnedElsewhereMeanwhileIsOpenedAgain, PartitionOwnerFixture)
+{
+    pass({100});
+    BOOST_TEST_REQUIRE(scheduler.epochOf(0).value_or(0) == 1U);
+    store.generation = 3;
+    store.fencedBelow = 2;
+    owner.joinNow();
+    pass({300});
+    BOOST_TEST((std::count(closed.begin(), closed.end(), 0U) == 1));
+    BOOST_TEST(scheduler.epochOf(0).value_or(0) == 3U);
+    BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotKnown));
+}
+
+// Guards against needless handovers: nobody else has opened the partition in the missed generations.
+BOOST_FIXTURE_TEST_CASE(partitionThatNobodyElseOpenedIsRetained, PartitionOwnerFixture)
+{
+    pass({100});
+    store.generation = 3;
+    owner.joinNow();
+    pass({300});
+    BOOST_TEST(closed.empty());
+    BOOST_TEST(scheduler.epochOf(0).value_or(0) == 1U);
+}
+
+// Guards against a process that was paused and answers on the ownership that it had before.
+BOOST_FIXTURE_TEST_CASE(unknownJobIsNotDeniedWhileTheOwnershipIsUnconfirmed, PartitionOwnerFixture)
+{
+    pass({100});
+    BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotKnown));
+    owner.confirmOwnership();
+    BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotReady));
+    pass({100});
+    BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotKnown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
