Go on behind odd records, and after unexpected errors

Cause: one odd entry of another writer stopped a reader or stood in for valid ones: a keyed record without a valid key made the whole read invalid, again and again at the same offset; one item of a page that could not be decoded, or a key that is not UTF-8, hid the whole page; a key with reserved characters changed the query of the next page; an announcement with a huge sequence number or start time made each later one of the real worker count as outdated; run numbers and settings beyond 32 bits were cut. An exception in any handler ended the process. Change: such records are skipped, counted by offset and logged with topic, key and offset at a bounded rate; numbers, labels and addresses are checked; handlers that throw end their own work only: the connection that brought the message, the record, or the single timer call. Result: unit tests with deep nesting, numbers beyond their range, ports 0, 65536 and "80x", bytes that are not UTF-8, and handlers that throw.

--- a/src/core/jsonfields.cpp
+++ b/src/core/jsonfields.cpp
@@ -23,4 +23,12 @@
     return error ? std::nullopt : std::optional<uint64_t>(count);
 }
 
+std::optional<uint64_t> boundedCountAt(const json::object &object, std::string_view key, uint64_t most)
+{
+    if (!object.contains(key))
+        return 0;
+    const std::optional<uint64_t> count = countAt(object, key);
+    return count && *count <= most ? count : std::nullopt;
+}
+
 } // namespace turmericwell
--- a/src/emulator/emulatedstore.cpp
+++ b/src/emulator/emulatedstore.cpp
@@ -258,6 +258,8 @@
     for (; item != source.newest.end() && answer.records.size() < pageRecords; ++item)
         answer.records.push_back(item->second);
     answer.hasMore = item != source.newest.end();
+    if (!answer.records.empty())
+        answer.lastKey = answer.records.back().key;
     return answer;
 }
 
--- a/src/fleet/memberlist.cpp
+++ b/src/fleet/memberlist.cpp
@@ -88,7 +88,10 @@
                           if (const std::optional<Member> member = decodeMember(record.key, record.value))
                               m_handlers.onMember(*member);
                           else
-                              m_log.always(Clock::now(), "registration_unreadable", {{"name", record.key}});
+                              m_log.write(Clock::now(), "registration_unreadable",
+                                          {{"name", record.key},
+                                           {"offset", record.offset},
+                                           {"bytes", record.value.size()}});
                       },
                   .onSynced = [this] { m_synced = true; }})
 { }
--- a/src/fleet/nodelink.cpp
+++ b/src/fleet/nodelink.cpp
@@ -62,6 +62,16 @@
 }
 
 void NodeLink::received(std::span<const uint8_t> payload)
+{
+    // An error while one message is handled ends the connection that brought it, not the process.
+    try {
+        handle(payload);
+    } catch (const std::exception &error) {
+        close("message of " + std::to_string(payload.size()) + " bytes failed: " + error.what());
+    }
+}
+
+void NodeLink::handle(std::span<const uint8_t> payload)
 {
     const std::unique_ptr<fleet::EnvelopeT> envelope = decodeFleetMessage(payload);
     if (!envelope) {
--- a/src/fleet/nodelink.h
+++ b/src/fleet/nodelink.h
@@ -65,6 +65,7 @@
 
 private:
     void received(std::span<const uint8_t> payload);
+    void handle(std::span<const uint8_t> payload);
     void checkPeer();
 
     Timers m_timers;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -109,5 +109,7 @@
 
 // Decodes percent-encoding (%XX); returns nullopt if the text contains an invalid escape sequence.
 std::optional<std::string> percentDecode(std::string_view text);
+// Encodes a value for a query; letters, digits and "-._~" stay as they are.
+std::string percentEncode(std::string_view text);
 
 } // namespace turmericwell
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -37,6 +37,24 @@
     return result;
 }
 
+std::string percentEncode(std::string_view text)
+{
+    static constexpr std::string_view digits = "0123456789ABCDEF";
+    static constexpr std::string_view unreserved = "-._~";
+    std::string result;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) || unreserved.find(c) != std::string_view::npos) {
+            result.push_back(c);
+            continue;
+        }
+        result.push_back('%');
+        result.push_back(digits[byte >> 4U]);
+        result.push_back(digits[byte & 0xfU]);
+    }
+    return result;
+}
+
 static std::map<std::string, std::string> parseQuery(std::string_view text)
 {
     std::map<std::string, std::string> result;
--- a/src/net/timers.cpp
+++ b/src/net/timers.cpp
@@ -34,8 +34,9 @@
 void Timers::every(Millis interval, std::function<void()> call)
 {
     after(interval, [this, interval, call = std::move(call)] {
-        call();
+        // Scheduled first, so that an exception from one call does not end the series.
         every(interval, call);
+        call();
     });
 }
 
--- a/src/store/storeapi.h
+++ b/src/store/storeapi.h
@@ -31,6 +31,8 @@
 
 struct StoreRecord
 {
+    // Empty if the record is not a valid keyed record. Such a record is delivered so that a reader can count
+    // its offset and go on behind it.
     std::string key;
     // An empty value deletes the key.
     std::string value;
@@ -85,6 +87,8 @@
     StoreStatus status = StoreStatus::NoAnswer;
     std::vector<StoreRecord> records;
     bool hasMore = false;
+    // Key of the last record of the page, from which the next page continues.
+    std::string lastKey;
     uint64_t end = 0;
 };
 
--- a/src/store/topicfollower.cpp
+++ b/src/store/topicfollower.cpp
@@ -28,6 +28,18 @@
                    });
 }
 
+void TopicFollower::continueLoading(const std::string &after)
+{
+    // Without a key to continue from the load is incomplete, and the keys that it lacks would count as
+    // deleted.
+    if (after.empty()) {
+        recordFailure("next page of the newest records");
+        m_timers.after(m_backoff.next(), [this] { start(); });
+        return;
+    }
+    loadPage(after);
+}
+
 void TopicFollower::pageLoaded(const NewestAnswer &answer)
 {
     if (answer.status != StoreStatus::Done) {
@@ -40,10 +52,10 @@
         m_loadEnd = answer.end;
     for (const StoreRecord &record : answer.records) {
         m_loadedKeys.insert(record.key);
-        m_handlers.onRecord(record);
+        deliver(record);
     }
-    if (answer.hasMore && !answer.records.empty()) {
-        loadPage(answer.records.back().key);
+    if (answer.hasMore) {
+        continueLoading(answer.lastKey);
         return;
     }
     for (const std::string &key : m_keys) {
@@ -85,13 +97,31 @@
             m_keys.erase(record.key);
         else
             m_keys.insert(record.key);
-        m_handlers.onRecord(record);
+        deliver(record);
         m_nextOffset = record.offset + 1;
     }
     m_handlers.onSynced();
     readChanges();
 }
 
+void TopicFollower::deliver(const StoreRecord &record)
+{
+    if (record.key.empty()) {
+        m_log.write(Clock::now(), "record_unreadable",
+                    {{"topic", m_options.topic}, {"offset", record.offset}, {"bytes", record.value.size()}});
+        return;
+    }
+    try {
+        m_handlers.onRecord(record);
+    } catch (const std::exception &error) {
+        m_log.write(Clock::now(), "record_not_applied",
+                    {{"topic", m_options.topic},
+                     {"key", record.key},
+                     {"offset", record.offset},
+                     {"error", error.what()}});
+    }
+}
+
 void TopicFollower::recordFailure(std::string_view what)
 {
     if (++m_failures == 1)
--- a/src/store/topicfollower.h
+++ b/src/store/topicfollower.h
@@ -41,8 +41,12 @@
 private:
     void loadPage(const std::string &after);
     void pageLoaded(const NewestAnswer &answer);
+    void continueLoading(const std::string &after);
     void readChanges();
     void changesRead(const ReadAnswer &answer);
+    // Passes the record on. A record that cannot be applied is logged and skipped, so that it does not keep
+    // this reader from the records behind it.
+    void deliver(const StoreRecord &record);
     void recordFailure(std::string_view what);
     void recordSuccess();
 
--- a/tests/unit/platformtest.cpp
+++ b/tests/unit/platformtest.cpp
@@ -2,9 +2,11 @@
 // messages are translated in both directions.
 #include "platform/ingress.h"
 #include "platform/operatorrecords.h"
+#include "platform/roleloop.h"
 #include "platform/storecalls.h"
 #include "platform/workercalls.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace turmericwell::platform {
@@ -175,6 +177,115 @@
     BOOST_TEST(!decodeConfiguration("[]").has_value());
 }
 
+// Guards against an agent that takes over what another writer announced: a number that is too large would
+// make each later announcement of its own worker count as outdated.
+BOOST_AUTO_TEST_CASE(oddAnnouncementsAreRejected)
+{
+    const std::string valid(announcementText);
+    BOOST_TEST(decodeAnnouncement("i-1", valid).has_value());
+    const auto with = [&](const std::string &from, const std::string &to) {
+        std::string text = valid;
+        text.replace(text.find(from), from.size(), to);
+        return text;
+    };
+    const std::string nested(100'000, '[');
+    const std::vector<std::string> odd = {
+        "",
+        "\xff\xfe",
+        nested,
+        with(R"("seq":4)", R"("seq":18446744073709551616)"),
+        with(R"("seq":4)", R"("seq":9007199254740992)"),
+        with(R"("seq":4)", R"("seq":-1)"),
+        with(R"("seq":4)", R"("seq":1.5)"),
+        with(R"("born":7)", R"("born":9223372036854775807)"),
+        with(R"("born":7)", R"("born":"7")"),
+        with("16000", "4294967296"),
+        with("32768", "1e300"),
+        with(R"(["a"])", R"(["a",7])"),
+        with(R"(["a"])", R"({"a":1})"),
+        with(R"(["a"])", nested),
+        with(R"("ready")", R"("idle")"),
+        with(R"("seq":4)", R"("seq":4,"address":"10.0.0.1:65536")"),
+        with(R"("seq":4)", R"("seq":4,"address":"10.0.0.1:0")"),
+        with(R"("seq":4)", R"("seq":4,"address":"10.0.0.1:80x")"),
+        with(R"("seq":4)", R"("seq":4,"address":"10.0.0.1")"),
+        with(R"("seq":4)", R"("seq":4,"address":7)"),
+    };
+    for (const std::string &text : odd) {
+        BOOST_TEST_CONTEXT(text.substr(0, 200))
+        BOOST_TEST(!decodeAnnouncement("i-1", text).has_value());
+    }
+}
+
+// Guards against a reader that stops at one odd record of a partition.
+BOOST_AUTO_TEST_CASE(invalidKeyedRecordsCountButHaveNoKey)
+{
+    const std::string valid = encodeKeyedRecords(std::vector<StoreRecord>{{.key = "k", .value = "v"}});
+    const std::string empty(4, '\0');
+    const std::string longKey = std::string("\0\0\0\2", 4) + "\xff" + "k";
+    const auto records = decodeKeyedRecords(empty + longKey + valid, 7);
+    BOOST_TEST_REQUIRE(records.has_value());
+    BOOST_TEST_REQUIRE(records->size() == 3U);
+    BOOST_TEST(records->at(0).key.empty());
+    BOOST_TEST(records->at(1).key.empty());
+    BOOST_TEST(records->at(2).key == "k");
+    BOOST_TEST(records->at(2).offset == 9U);
+    BOOST_TEST(!decodeKeyedRecords(valid.substr(0, valid.size() - 1), 0).has_value());
+}
+
+// Guards against a page that is lost for one odd item, and against a key that changes the query of the next
+// page.
+BOOST_AUTO_TEST_CASE(oddItemsOfAPageAreSkipped)
+{
+    const NewestAnswer page = decodeNewestAnswer(answer(200,
+                                                        R"({"items":[7,{"key":"a","value":"%"},{"key":"b)"
+                                                        "\xff"
+                                                        R"(&x=1","value":"dg==","offset":3}],)"
+                                                        R"("hasMore":true,"end":9})"));
+    BOOST_TEST((page.status == StoreStatus::Done));
+    BOOST_TEST_REQUIRE(page.records.size() == 3U);
+    BOOST_TEST(page.records[0].key.empty());
+    BOOST_TEST(page.records[1].key.empty());
+    BOOST_TEST(page.records[2].value == "v");
+    BOOST_TEST(page.lastKey == "b\xff&x=1");
+    BOOST_TEST(percentEncode(page.lastKey) == "b%FF%26x%3D1");
+}
+
+// Guards against a run number that is cut to 32 bits and then names another run.
+BOOST_AUTO_TEST_CASE(runNumbersBeyondTheirRangeAreRejected)
+{
+    const std::string rows =
+        R"({"clockMs":5,"running":[["0123456789abcdef.0.0.1",4294967297,""]],"ended":[]})";
+    BOOST_TEST(!decodeLists(answer(200, rows)).has_value());
+}
+
+// Guards against a configuration whose numbers are cut to 32 bits.
+BOOST_AUTO_TEST_CASE(configurationNumbersBeyondTheirRangeAreRejected)
+{
+    const auto configuration = [](const std::string &field) {
+        return decodeConfiguration(
+            R"({"version":3,"routes":[{"name":"n","host":"h","pathPrefix":"/","service":"s",)" + field
+            + "}]}");
+    };
+    BOOST_TEST(configuration(R"("attempts":2)").has_value());
+    BOOST_TEST(!configuration(R"("attempts":4294967297)").has_value());
+    BOOST_TEST(!configuration(R"("priority":-1)").has_value());
+    BOOST_TEST(!configuration(R"("timeoutMs":1e300)").has_value());
+}
+
+// Guards against a process that ends for one unexpected error.
+BOOST_AUTO_TEST_CASE(exceptionsOfHandlersDoNotEndTheLoop)
+{
+    IoContext io(1);
+    uint32_t errors = 0;
+    bool reached = false;
+    boost::asio::post(io, [] { throw std::runtime_error("first"); });
+    boost::asio::post(io, [&] { reached = true; });
+    runHandlers(io, [&](const std::exception &) { ++errors; });
+    BOOST_TEST(errors == 1U);
+    BOOST_TEST(reached);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell::platform
