--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -28,6 +28,10 @@
     double load = 1;
     double keptShare = 0.3;
     uint32_t mostTroubles = 8;
+    // 0 for the site's own numbers.
+    uint32_t entries = 0;
+    uint32_t agents = 0;
+    uint32_t partitions = 0;
     uint32_t admissionSlackPercent = 45;
     uint32_t queueAllowancePercent = 10;
     uint32_t urgentSlackPercent = 100;
@@ -42,6 +46,8 @@
     EmulationService service;
     std::vector<BrokenPromise> broken;
     double storeCalls = 0;
+    // Messages between processes, for each process and second of the day.
+    double messagesPerProcess = 0;
 };
 
 constexpr int64_t msPerSecond = 1'000;
@@ -62,6 +68,12 @@
     day.queueOrder = *parseQueueOrder(settings.order);
     day.placement = *parsePlacementPolicy(settings.placement);
     day.writesLogs = writesLogs;
+    if (settings.entries > 0)
+        day.size.entries = settings.entries;
+    if (settings.agents > 0)
+        day.size.agents = settings.agents;
+    if (settings.partitions > 0)
+        day.partitions = settings.partitions;
     if (settings.mostTroubles > 0)
         day.plan = drawPlan({.seed = seed,
                              .size = day.size,
@@ -71,6 +83,13 @@
     return day;
 }
 
+double messagesPerProcess(const EmulationRecord &record, const EmulationOptions &day)
+{
+    const auto processes = static_cast<double>(day.size.entries + day.size.agents);
+    const double seconds = static_cast<double>(record.end.count - record.begin.count) / msPerSecond;
+    return static_cast<double>(record.frames) / processes / seconds;
+}
+
 DayResult playDay(const EmulateSettings &settings, uint64_t seed, bool writesLogs)
 {
     const EmulationOptions day = dayOptions(settings, seed, writesLogs);
@@ -79,7 +98,8 @@
             .plan = day.plan,
             .service = measureService(record, day),
             .broken = checkPromises(record, day),
-            .storeCalls = record.storeCalls};
+            .storeCalls = record.storeCalls,
+            .messagesPerProcess = messagesPerProcess(record, day)};
 }
 
 json::object toJson(const DayResult &day)
@@ -110,6 +130,7 @@
             {"p99_ratio", day.service.p99Ratio},
             {"wasted", day.service.wasted},
             {"store_calls", day.storeCalls},
+            {"messages_per_process_s", day.messagesPerProcess},
             {"broken", std::move(broken)},
             {"plan", std::move(plan)}};
 }
@@ -166,6 +187,10 @@
         "days", options::value(&settings.days), "number of days, each with the next seed")(
         "threads", options::value(&settings.threads), "days that are played at the same time")(
         "length-s", options::value(&settings.lengthSeconds), "seconds of traffic in a day")(
+        "entries", options::value(&settings.entries), "number of entries; the site's own if 0")(
+        "agents", options::value(&settings.agents),
+        "number of agents, each with a worker; the site's own if 0. The rates stay the same: see load")(
+        "partitions", options::value(&settings.partitions), "partitions of the jobs; the site's own if 0")(
         "load", options::value(&settings.load), "multiplies the rates of the site")(
         "kept-share", options::value(&settings.keptShare), "share of the jobs that have to be kept")(
         "troubles", options::value(&settings.mostTroubles), "most troubles in a day; 0 for none")(
--- a/src/emulator/emulatednetwork.cpp
+++ b/src/emulator/emulatednetwork.cpp
@@ -73,6 +73,7 @@
         if (m_closed || !peer)
             return;
         m_bytesSent += frame.size();
+        ++m_network.m_frames;
         peer->expect(std::move(frame), m_host);
     }
     void transmitEnd()
--- a/src/emulator/emulatednetwork.h
+++ b/src/emulator/emulatednetwork.h
@@ -49,6 +49,8 @@
     // Runs a call in the process of this life; dropped if it is gone.
     void postTo(HostNumber host, uint64_t life, std::function<void()> call);
     Millis drawDelay();
+    // Number of frames that all processes have sent.
+    uint64_t frames() const { return m_frames; }
 
     // The network as one process sees it.
     std::unique_ptr<LinkNetwork> networkOf(HostNumber host);
@@ -78,6 +80,7 @@
     std::map<HostNumber, Host> m_hosts;
     std::map<std::pair<HostNumber, HostNumber>, Millis> m_cuts;
     uint64_t m_lives = 0;
+    uint64_t m_frames = 0;
 };
 
 } // namespace turmericwell
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -290,8 +290,11 @@
         m_events.runNext(end);
         pollProcesses();
     }
-    EmulationRecord record{
-        .runs = std::move(m_history), .storeCalls = m_store.calls(), .begin = traffic, .end = end};
+    EmulationRecord record{.runs = std::move(m_history),
+                           .storeCalls = m_store.calls(),
+                           .frames = m_network.frames(),
+                           .begin = traffic,
+                           .end = end};
     for (const auto &[job, outcome] : m_clients.outcomes())
         record.jobs.push_back(outcome);
     std::sort(record.jobs.begin(), record.jobs.end(),
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -39,6 +39,8 @@
     std::vector<RunEvent> runs;
     int64_t mostOverfullMilli = 0;
     double storeCalls = 0;
+    // Messages between processes.
+    uint64_t frames = 0;
     Millis begin;
     Millis end;
 };
--- a/src/fleet/agentpresence.cpp
+++ b/src/fleet/agentpresence.cpp
@@ -2,6 +2,7 @@
 #include "fleet/agentpresence.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace turmericwell {
 
@@ -13,9 +14,45 @@
         m_agents[number].name = name;
     // An agent that has registered again may accept runs from another entry before this entry connects to it.
     m_agents.at(number).lastContact = now;
+    m_agents.at(number).isRegistered = true;
     return number;
 }
 
+void AgentPresence::setWanted(AgentNumber number, bool wanted, Millis now)
+{
+    Agent &agent = m_agents.at(number);
+    if (std::exchange(agent.wanted, wanted) == wanted)
+        return;
+    if (wanted)
+        agent.lastContact = now;
+    else
+        agent.unwantedSince = now;
+}
+
+std::vector<AgentNumber> AgentPresence::superfluousAgents(Millis now) const
+{
+    std::vector<AgentNumber> result;
+    for (const auto &[number, agent] : m_agents) {
+        if (agent.connected && !agent.wanted && now - agent.unwantedSince >= connectionLinger)
+            result.push_back(number);
+    }
+    return result;
+}
+
+size_t AgentPresence::wantedCount() const
+{
+    const auto count =
+        std::count_if(m_agents.begin(), m_agents.end(), [](const auto &item) { return item.second.wanted; });
+    return static_cast<size_t>(count);
+}
+
+size_t AgentPresence::registeredCount() const
+{
+    const auto count = std::count_if(m_agents.begin(), m_agents.end(),
+                                     [](const auto &item) { return item.second.isRegistered; });
+    return static_cast<size_t>(count);
+}
+
 void AgentPresence::connected(AgentNumber number, Millis now)
 {
     Agent &agent = m_agents.at(number);
@@ -71,7 +108,7 @@
 {
     std::set<AgentNumber> result;
     for (const auto &[number, agent] : m_agents) {
-        if (agent.connected || now - agent.lastContact < contactExpiry)
+        if (agent.wanted && (agent.connected || now - agent.lastContact < contactExpiry))
             result.insert(number);
     }
     return result;
@@ -82,7 +119,7 @@
     std::vector<std::pair<AgentNumber, Millis>> result;
     for (const auto &[number, agent] : m_agents) {
         const Millis sinceContact = now - agent.lastContact;
-        if (!agent.connected && sinceContact >= memberExpiry)
+        if (agent.wanted && !agent.connected && sinceContact >= memberExpiry)
             result.emplace_back(number, sinceContact);
     }
     return result;
--- a/src/fleet/agentpresence.h
+++ b/src/fleet/agentpresence.h
@@ -28,12 +28,19 @@
     // it registers again.
     static constexpr Millis memberExpiry = {4'500};
 
+    // A connection is kept for this long after the agent is no longer wanted.
+    static constexpr Millis connectionLinger = {5'000};
+
     // Called when a registration of the agent has been read. A name always maps to the same number.
     AgentNumber registered(const std::string &name, Millis now);
     void connected(AgentNumber agent, Millis now);
     // Called when the connection is lost. lastAnswer is the time at which this entry last answered a ping of
     // the agent.
     void disconnected(AgentNumber agent, Millis lastAnswer, Millis now);
+    // Sets whether this entry wants a connection to the agent. What happened at an agent while it was not
+    // wanted is unknown, so it may hold runs until it has reported or contactExpiry has passed.
+    void setWanted(AgentNumber agent, bool wanted, Millis now);
+    bool isWanted(AgentNumber agent) const { return m_agents.at(agent).wanted; }
     // Called when the agent has announced that it is stopping and that nothing runs on its worker.
     void setLeaving(AgentNumber agent);
 
@@ -45,21 +52,31 @@
     // Returns the agents that have been without a connection for so long that their runs have ended. Each
     // agent is returned once per lost connection.
     std::vector<AgentNumber> takeGone(Millis now);
-    // Agents that may hold runs.
+    // The wanted agents that may hold runs.
     std::set<AgentNumber> mayHoldRuns(Millis now) const;
-    // Agents that have been unreachable for at least memberExpiry, with the time since their last contact.
+    // Number of registered agents, wanted or not, that were not removed from the member list.
+    size_t registeredCount() const;
+    void removed(AgentNumber agent) { m_agents.at(agent).isRegistered = false; }
+    size_t wantedCount() const;
+    // Connected agents that have not been wanted for at least connectionLinger.
+    std::vector<AgentNumber> superfluousAgents(Millis now) const;
+    // Wanted agents that have been unreachable for at least memberExpiry, with the time since their last
+    // contact.
     std::vector<std::pair<AgentNumber, Millis>> unreachableAgents(Millis now) const;
 
 private:
     struct Agent
     {
         std::string name;
+        bool isRegistered = true;
+        bool wanted = false;
+        Millis unwantedSince;
         bool connected = false;
         bool leaving = false;
         // Set when the connection is lost, until takeGone returns the agent: the time by which its runs have
         // ended.
         std::optional<Millis> goneAt;
-        // Time of the last registration, connection or disconnection.
+        // Time of the last registration, connection or disconnection, or since when the agent is wanted.
         Millis lastContact;
     };
 
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -8,6 +8,8 @@
 constexpr Millis dialTimeout = {700};
 // Timeout of the connection attempt to a lost entry, after which its memberships are ended on its behalf.
 constexpr Millis redialTimeout = {250};
+// An entry whose registration has been read counts as present for this long before it is connected.
+constexpr Millis entryAppearanceTime = {1'500};
 
 void EntryNode::memberFound(const Member &member)
 {
@@ -15,9 +17,13 @@
         return;
     Contact &contact = m_contacts[member.identity.name];
     contact.member = member;
+    contact.foundAt = Clock::now();
     const bool isAgent = member.identity.role == fleet::ProcessRole::Agent;
-    if (isAgent)
-        m_presence.registered(member.identity.name, Clock::now());
+    if (isAgent) {
+        const AgentNumber number = m_presence.registered(member.identity.name, contact.foundAt);
+        if (wantsAgent(member.identity.name))
+            m_presence.setWanted(number, true, contact.foundAt);
+    }
     // Of two entries, the one with the lexicographically lower name dials; agents never dial.
     if (isAgent || m_self.name < member.identity.name)
         dial(member.identity.name);
@@ -29,6 +35,8 @@
     if (contact == m_contacts.end())
         return;
     const std::optional<AgentNumber> number = m_presence.find(name);
+    if (number)
+        m_presence.removed(*number);
     // Another entry has lost its connection to this agent and removed the registration, but the agent is
     // alive.
     if (number && m_presence.isActive(*number))
@@ -42,6 +50,8 @@
     const auto found = m_contacts.find(name);
     if (found == m_contacts.end() || found->second.connected || found->second.dialling)
         return;
+    if (const auto agent = m_presence.find(name); agent && !m_presence.isWanted(*agent))
+        return;
     found->second.dialling = true;
     m_network.dial(found->second.member.address, dialTimeout,
                    [this, name, guard = m_timers.guard()](const FrameLinkPtr &link) {
@@ -72,7 +82,41 @@
     int64_t waiting = 0;
     for (const auto &[name, other] : m_peers)
         waiting += other.report.waiting_cpu_milli;
-    m_scheduler.setPeersWaitingCpuMilli(waiting);
+    // The tasks that wait at the peers spread over all agents; only a part of them competes for the agents
+    // that this entry uses.
+    const auto all = static_cast<int64_t>(std::max<size_t>(1, m_presence.registeredCount()));
+    const auto used = std::min(all, static_cast<int64_t>(m_presence.wantedCount()));
+    m_scheduler.setPeersWaitingCpuMilli(waiting * used / all);
+}
+
+void EntryNode::updateMemberships(Millis now)
+{
+    if (!m_members.isSynced() || isStopping())
+        return;
+    std::vector<EntryCapacity> others;
+    for (const auto &[name, contact] : m_contacts) {
+        if (contact.member.identity.role != fleet::ProcessRole::Entry)
+            continue;
+        const auto peer = m_peers.find(name);
+        const bool isPresent = peer == m_peers.end() ? now - contact.foundAt < entryAppearanceTime
+                                                     : !peer->second.report.stopping;
+        if (isPresent)
+            others.push_back({.name = name, .processors = contact.member.processors});
+    }
+    const EntryCapacity self{.name = m_self.name,
+                             .processors = m_settings.processorShare * m_settings.processorSpeed};
+    const uint32_t wanted = membershipsFor(self, others, m_settings.partitions, m_membershipPlan.current());
+    if (const std::optional<uint32_t> count =
+            m_membershipPlan.advance(wanted, m_presence.registeredCount(), now))
+        m_owner.setMemberships(*count);
+}
+
+bool EntryNode::isAmongFirstEntries() const
+{
+    constexpr int64_t entriesThatAct = 3;
+    return std::count_if(m_peers.begin(), m_peers.end(),
+                         [&](const auto &item) { return item.first < m_self.name; })
+        < entriesThatAct;
 }
 
 void EntryNode::checkLostEntry(const std::string &name)
@@ -100,6 +144,7 @@
         if (m_contacts.erase(name) == 0)
             continue;
         m_log.always(now, "member_expired", {{"agent", name}, {"unreached_ms", unreachedFor}});
+        m_presence.removed(number);
         m_members.remove(name);
     }
 }
@@ -110,7 +155,12 @@
         m_log.always(now, "agent_gone", {{"agent", m_presence.name(number)}});
         m_scheduler.agentGone(number, now);
     }
-    m_scheduler.setExpectedAgents(m_presence.mayHoldRuns(now), m_members.isSynced());
+    const std::vector<uint32_t> unreconciled = m_scheduler.unreconciledPartitions();
+    if (unreconciled.empty())
+        return;
+    const std::set<AgentNumber> candidates = m_presence.mayHoldRuns(now);
+    for (const uint32_t partition : unreconciled)
+        m_scheduler.setExpectedAgents(partition, expectedAgents(partition, candidates), m_members.isSynced());
 }
 
 } // namespace turmericwell
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -9,6 +9,10 @@
 constexpr Millis tickInterval = {15};
 constexpr Millis reportInterval = {250};
 constexpr Millis expiryInterval = {1'000};
+constexpr Millis membershipInterval = {50};
+constexpr Millis subsetInterval = {250};
+// A report that has not changed is repeated after this time.
+constexpr Millis unchangedReportInterval = {1'000};
 constexpr Millis stopCheckInterval = {50};
 // An entry that was not scheduled for this long may have lost the ownership of its partitions in the
 // meantime.
@@ -33,16 +37,19 @@
                    .order = settings.queueOrder,
                    .urgentSlackPercent = settings.urgentSlackPercent},
                   m_pool, *this, log)
-    , m_owner({.member = settings.name,
-               .memberTtl = std::max(settings.leastMemberTtl, Millis{1'000}),
-               .memberships = membershipCountFor(settings.processorShare * settings.processorSpeed)},
-              store, io, log, m_scheduler,
-              {.onLoaded = [this](uint32_t partition) { partitionLoaded(partition); },
+    , m_owner({.member = settings.name, .memberTtl = std::max(settings.leastMemberTtl, Millis{1'000})}, store,
+              io, log, m_scheduler,
+              {.onOpening = [this](uint32_t partition) { partitionOpening(partition); },
+               .onLoaded = [this](uint32_t partition,
+                                  std::optional<uint32_t> level) { partitionLoaded(partition, level); },
                .onClosed = [this](uint32_t partition, uint64_t epoch) { partitionClosed(partition, epoch); }})
     , m_members(store, io, log,
                 {.onMember = [this](const Member &member) { memberFound(member); },
                  .onRemoved = [this](const std::string &name) { memberRemoved(name); }})
-    , m_registration({.identity = m_self, .address = settings.peerAddress}, store, io, log)
+    , m_registration({.identity = m_self,
+                      .address = settings.peerAddress,
+                      .processors = settings.processorShare * settings.processorSpeed},
+                     store, io, log)
     , m_listener(network.listen(settings.peerListen,
                                 [this](const FrameLinkPtr &link) {
                                     connected(std::make_shared<NodeLink>(m_io, link, m_self), {});
@@ -62,7 +69,9 @@
     m_members.start();
     m_owner.start();
     m_timers.every(tickInterval, [this] { tick(); });
-    m_timers.every(reportInterval, [this] { sendReport(); });
+    m_timers.every(reportInterval, [this] { refreshReport(); });
+    m_timers.every(membershipInterval, [this] { updateMemberships(Clock::now()); });
+    m_timers.every(subsetInterval, [this] { advanceSubsets(Clock::now()); });
     m_timers.every(expiryInterval, [this] { expireMembers(Clock::now()); });
 }
 
@@ -191,8 +200,10 @@
     m_agentLinks[*number] = link;
     m_presence.connected(*number, Clock::now());
     for (const fleet::OwnedPartitionT &owned : m_scheduler.owned()) {
-        if (owned.ready)
-            claim(link, owned.partition, owned.epoch);
+        if (!owned.ready || !isReached(hello.node, owned.partition))
+            continue;
+        updatePlacement(owned.partition);
+        claim(link, owned.partition, owned.epoch);
     }
 }
 
@@ -210,9 +221,11 @@
         m_scheduler.agentDisconnected(*number);
         m_pool.remove(*number);
     } else if (const auto peer = m_peers.find(name); peer != m_peers.end() && peer->second.link == link) {
+        const bool ownedPartitions = !peer->second.report.partitions.empty();
         m_peers.erase(peer);
         updatePeersWaiting();
-        checkLostEntry(name);
+        if (ownedPartitions && isAmongFirstEntries())
+            checkLostEntry(name);
     }
     std::vector<uint64_t> unanswered;
     for (const auto &[id, call] : m_calls) {
@@ -232,25 +245,7 @@
     agent->send(message);
 }
 
-void EntryNode::partitionLoaded(uint32_t partition)
-{
-    const std::optional<uint64_t> epoch = m_scheduler.epochOf(partition);
-    for (const auto &[number, link] : m_agentLinks)
-        claim(link, partition, epoch.value_or(0));
-    sendReport();
-}
-
-void EntryNode::partitionClosed(uint32_t partition, uint64_t epoch)
-{
-    fleet::ReleaseT message;
-    message.partition = partition;
-    message.epoch = epoch;
-    for (const auto &[number, link] : m_agentLinks)
-        link->send(message);
-    sendReport();
-}
-
-void EntryNode::sendReport()
+fleet::EntryReportT EntryNode::makeReport() const
 {
     fleet::EntryReportT report;
     for (const fleet::OwnedPartitionT &owned : m_scheduler.owned())
@@ -264,10 +259,22 @@
     report.waiting_cpu_milli = m_scheduler.waitingCpuMilli();
     report.stopping = isStopping();
     report.store_reachable = !m_transport.isDirectFailing();
-    fleet::EnvelopeT envelope;
-    envelope.body.Set(std::move(report));
+    return report;
+}
+
+void EntryNode::sendReport()
+{
+    m_lastReport = encodeFleetMessage(makeReport());
+    m_lastReportAt = Clock::now();
     for (const auto &[name, peer] : m_peers)
-        peer.link->send(*envelope.body.AsEntryReport());
+        peer.link->sendFrame(m_lastReport);
+}
+
+void EntryNode::refreshReport()
+{
+    const bool isOld = Clock::now() - m_lastReportAt >= unchangedReportInterval;
+    if (isOld || encodeFleetMessage(makeReport()) != m_lastReport)
+        sendReport();
 }
 
 void EntryNode::received(const NodeLinkPtr &link, fleet::EnvelopeT &envelope)
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -4,8 +4,10 @@
 
 #include "config/queuetable.h"
 #include "fleet/agentpresence.h"
+#include "fleet/agentsubset.h"
 #include "fleet/fleetsettings.h"
 #include "fleet/memberlist.h"
+#include "fleet/membershipplan.h"
 #include "fleet/nodelink.h"
 #include "fleet/partitionowner.h"
 #include "fleet/stopschedule.h"
@@ -97,6 +99,8 @@
     struct Contact
     {
         Member member;
+        // When the newest registration was read.
+        Millis foundAt;
         bool connected = false;
         bool dialling = false;
         Backoff backoff{{100}, {1'000}};
@@ -126,9 +130,10 @@
     void receivedFromAgent(AgentNumber agent, fleet::EnvelopeT &envelope);
     void receivedFromEntry(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
     void claim(const NodeLinkPtr &agent, uint32_t partition, uint64_t epoch);
-    void partitionLoaded(uint32_t partition);
-    void partitionClosed(uint32_t partition, uint64_t epoch);
+    fleet::EntryReportT makeReport() const;
     void sendReport();
+    // Sends the report if it has changed or the last one is old.
+    void refreshReport();
     void tick();
     // To be called before this entry acts as an owner. A process that was paused handles the messages that
     // arrived meanwhile before its timers, so the tick alone would notice the pause too late.
@@ -147,6 +152,10 @@
     void dial(const std::string &name);
     void updateAgentPresence(Millis now);
     void updatePeersWaiting();
+    // Joins or leaves the group of owners as fits the present entries.
+    void updateMemberships(Millis now);
+    // Of many entries that notice a loss at the same time, only a few act on it.
+    bool isAmongFirstEntries() const;
     // Closes the partitions that the reporting peer owns with a higher epoch.
     void closeSuperseded(const fleet::EntryReportT &report);
     // Ends the memberships of an entry that cannot be reached, so that its partitions get a new owner soon.
@@ -154,6 +163,24 @@
     void checkLostEntry(const std::string &name);
     void expireMembers(Millis now);
 
+    // --- entrysubsets.cpp: the agents of the owned partitions ---
+    void partitionOpening(uint32_t partition);
+    void partitionLoaded(uint32_t partition, std::optional<uint32_t> storedLevel);
+    void partitionClosed(uint32_t partition, uint64_t epoch);
+    // Level of the agent subsets that fits the number of registered agents.
+    uint32_t wantedLevel(uint32_t currentLevel) const;
+    bool isReached(const std::string &agent, uint32_t partition) const;
+    bool wantsAgent(const std::string &agent) const;
+    void advanceSubsets(Millis now);
+    void advanceSubset(uint32_t partition, Millis now);
+    void updatePlacement(uint32_t partition);
+    // Claims the partition at the connected agents in its reach that have not reported.
+    void claimAtAgents(uint32_t partition);
+    // Dials the agents that an owned partition needs, and closes connections that none has needed for a
+    // while.
+    void refreshAgentLinks(Millis now);
+    std::set<AgentNumber> expectedAgents(uint32_t partition, const std::set<AgentNumber> &candidates) const;
+
     // --- storerelay.cpp: store calls relayed through another entry ---
     bool relayStoreCall(const HttpRequest &request, Millis timeout, StoreTransport::Done onDone);
     void performStoreRelay(const NodeLinkPtr &link, fleet::StoreRelayT &message);
@@ -179,11 +206,14 @@
     JobScheduler m_scheduler;
     PartitionOwner m_owner;
     MemberList m_members;
+    MembershipPlan m_membershipPlan;
     Registration m_registration;
     std::unique_ptr<LinkListener> m_listener;
     QueueTable m_queues;
     std::map<std::string, Contact> m_contacts;
     AgentPresence m_presence;
+    // Of the partitions that this entry opens or owns.
+    std::map<uint32_t, PartitionSubset> m_subsets;
     // Links of the connected agents.
     std::map<AgentNumber, NodeLinkPtr> m_agentLinks;
     std::map<std::string, Peer> m_peers;
@@ -195,6 +225,9 @@
     std::optional<StopSchedule> m_stop;
     StopHandlers m_stopHandlers;
     bool m_releasing = false;
+    // The last report to the peers, encoded, and when it was sent.
+    std::vector<uint8_t> m_lastReport;
+    Millis m_lastReportAt;
     bool m_advancePending = false;
     Millis m_lastActive;
     // Set after a pause of the process: no task is started until the store has confirmed all memberships in
--- /dev/null
+++ b/src/fleet/entrysubsets.cpp
@@ -0,0 +1,144 @@
+// The agents of the owned partitions: which are connected, claimed and used for new orders.
+#include "fleet/entrynode.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+void EntryNode::partitionOpening(uint32_t partition)
+{
+    // Connections to the agents that the partition probably needs are made while its records are loaded.
+    m_subsets.insert_or_assign(partition, PartitionSubset(wantedLevel(0)));
+    refreshAgentLinks(Clock::now());
+}
+
+void EntryNode::partitionLoaded(uint32_t partition, std::optional<uint32_t> storedLevel)
+{
+    const Millis now = Clock::now();
+    m_subsets.insert_or_assign(partition, PartitionSubset(storedLevel));
+    advanceSubset(partition, now);
+    refreshAgentLinks(now);
+    m_scheduler.setExpectedAgents(partition, expectedAgents(partition, m_presence.mayHoldRuns(now)),
+                                  m_members.isSynced());
+    claimAtAgents(partition);
+    sendReport();
+}
+
+void EntryNode::partitionClosed(uint32_t partition, uint64_t epoch)
+{
+    fleet::ReleaseT message;
+    message.partition = partition;
+    message.epoch = epoch;
+    for (const auto &[number, link] : m_agentLinks) {
+        if (isReached(m_presence.name(number), partition))
+            link->send(message);
+    }
+    m_subsets.erase(partition);
+    sendReport();
+}
+
+uint32_t EntryNode::wantedLevel(uint32_t currentLevel) const
+{
+    return agentSubsetLevel(m_presence.registeredCount(), m_settings.partitions, currentLevel);
+}
+
+bool EntryNode::isReached(const std::string &agent, uint32_t partition) const
+{
+    const auto subset = m_subsets.find(partition);
+    return subset != m_subsets.end() && isInAgentSubset(agent, partition, subset->second.reach());
+}
+
+bool EntryNode::wantsAgent(const std::string &agent) const
+{
+    return std::any_of(m_subsets.begin(), m_subsets.end(),
+                       [&](const auto &item) { return isReached(agent, item.first); });
+}
+
+void EntryNode::claimAtAgents(uint32_t partition)
+{
+    const std::optional<uint64_t> epoch = m_scheduler.epochOf(partition);
+    if (!epoch || !m_scheduler.isServing(partition))
+        return;
+    for (const auto &[number, link] : m_agentLinks) {
+        if (isReached(m_presence.name(number), partition) && !m_scheduler.hasReported(partition, number))
+            claim(link, partition, *epoch);
+    }
+}
+
+std::set<AgentNumber> EntryNode::expectedAgents(uint32_t partition,
+                                                const std::set<AgentNumber> &candidates) const
+{
+    std::set<AgentNumber> result;
+    for (const AgentNumber number : candidates) {
+        if (isReached(m_presence.name(number), partition))
+            result.insert(number);
+    }
+    return result;
+}
+
+void EntryNode::updatePlacement(uint32_t partition)
+{
+    const PartitionSubset &subset = m_subsets.at(partition);
+    // Agents that have left the reach are still connected for a while, and have reported.
+    std::set<AgentNumber> excluded;
+    for (const auto &[number, link] : m_agentLinks) {
+        if (!isInAgentSubset(m_presence.name(number), partition, subset.placement()))
+            excluded.insert(number);
+    }
+    m_scheduler.setPlacement(partition, subset.mayPlace(), std::move(excluded));
+}
+
+void EntryNode::advanceSubset(uint32_t partition, Millis now)
+{
+    PartitionSubset &subset = m_subsets.at(partition);
+    const std::optional<uint32_t> level =
+        subset.advance(wantedLevel(subset.placement()), m_scheduler.hasRunsOnExcludedAgents(partition), now);
+    updatePlacement(partition);
+    if (!level)
+        return;
+    const std::optional<uint64_t> epoch = m_scheduler.epochOf(partition);
+    m_owner.storeSubsetLevel(partition, *level, [this, partition, epoch, level = *level] {
+        const auto found = m_subsets.find(partition);
+        if (found == m_subsets.end() || m_scheduler.epochOf(partition) != epoch)
+            return;
+        m_log.always(Clock::now(), "agent_subset_changed",
+                     {{"partition", partition},
+                      {"level", level},
+                      {"before", found->second.reach()},
+                      {"agents", m_presence.registeredCount()}});
+        found->second.stored(level);
+        updatePlacement(partition);
+        refreshAgentLinks(Clock::now());
+        claimAtAgents(partition);
+        advanceSoon();
+    });
+}
+
+void EntryNode::advanceSubsets(Millis now)
+{
+    for (const auto &[partition, subset] : m_subsets) {
+        if (m_scheduler.isServing(partition))
+            advanceSubset(partition, now);
+    }
+    refreshAgentLinks(now);
+    updatePeersWaiting();
+}
+
+void EntryNode::refreshAgentLinks(Millis now)
+{
+    for (const auto &[name, contact] : m_contacts) {
+        const std::optional<AgentNumber> number = m_presence.find(name);
+        if (!number)
+            continue;
+        const bool wanted = wantsAgent(name);
+        m_presence.setWanted(*number, wanted, now);
+        if (wanted)
+            dial(name);
+    }
+    for (const AgentNumber number : m_presence.superfluousAgents(now)) {
+        if (const NodeLinkPtr link = linkOf(number))
+            link->close("no partition of this entry needs the agent");
+    }
+}
+
+} // namespace turmericwell
--- a/src/fleet/memberlist.cpp
+++ b/src/fleet/memberlist.cpp
@@ -3,6 +3,7 @@
 
 #include "core/jsonfields.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace turmericwell {
@@ -13,6 +14,8 @@
 constexpr Millis registrationTimeout = {800};
 constexpr std::string_view entryRoleName = "entry";
 constexpr std::string_view agentRoleName = "agent";
+// No registration may claim more, so that one odd entry cannot take the place of all others.
+constexpr double maxProcessors = 1'024;
 
 std::string encodeMember(const Member &member)
 {
@@ -20,6 +23,7 @@
     return json::serialize(json::object{{"role", isEntry ? entryRoleName : agentRoleName},
                                         {"address", member.address.text()},
                                         {"zone", member.identity.zone},
+                                        {"processors", member.processors},
                                         {"incarnation", member.identity.incarnation}});
 }
 
@@ -35,12 +39,16 @@
     const std::optional<uint64_t> incarnation = countAt(object, "incarnation");
     if (!address || !incarnation || (role != entryRoleName && role != agentRoleName))
         return std::nullopt;
-    return Member{
+    Member member{
         .identity = {.name = std::string(name),
                      .incarnation = *incarnation,
                      .role = role == entryRoleName ? fleet::ProcessRole::Entry : fleet::ProcessRole::Agent,
                      .zone = textAt(object, "zone")},
         .address = *address};
+    if (const json::value *processors = object.if_contains("processors");
+        processors && processors->is_number())
+        member.processors = std::clamp(processors->to_number<double>(), 0.0, maxProcessors);
+    return member;
 }
 
 Registration::Registration(Member self, StoreApi &store, IoContext &io, StructuredLog &log)
--- a/src/fleet/memberlist.h
+++ b/src/fleet/memberlist.h
@@ -17,6 +17,8 @@
 {
     NodeIdentity identity;
     Address address;
+    // Entries: processor time relative to a typical processor, by which partitions are shared out.
+    double processors = 0.125;
 };
 
 std::string encodeMember(const Member &member);
--- a/src/fleet/nodelink.h
+++ b/src/fleet/nodelink.h
@@ -52,6 +52,8 @@
     {
         m_link->send(encodeFleetMessage(std::move(body)));
     }
+    // Sends a message that encodeFleetMessage has encoded, for the same message to several peers.
+    void sendFrame(const std::vector<uint8_t> &frame) { m_link->send(frame); }
     // Buffers the message until the next call of send or flush.
     template <typename Body>
     void sendLater(Body body)
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -2,7 +2,7 @@
 #include "fleet/partitionowner.h"
 
 #include <algorithm>
-#include <cmath>
+#include <charconv>
 
 namespace turmericwell {
 
@@ -14,13 +14,16 @@
 constexpr Millis handOverCheckInterval = {5};
 // Time limit for storing the waiting records of a partition that is handed over.
 constexpr Millis handOverTimeout = {500};
-constexpr double processorSharePerMembership = 0.125;
-constexpr uint32_t maxMemberships = 4;
+// Key of the record with the level of the partition's agent subset. It is not the identifier of a job.
+static constexpr const char *subsetLevelKey = "agent-subset-level";
 
-uint32_t membershipCountFor(double processorShare)
+static std::optional<uint32_t> parseLevel(std::string_view text)
 {
-    const double wanted = std::round(processorShare / processorSharePerMembership);
-    return static_cast<uint32_t>(std::clamp(wanted, 1.0, double{maxMemberships}));
+    uint32_t level = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), level);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return level;
 }
 
 // The first membership uses the name of the entry; the others append a number to it.
@@ -48,9 +51,8 @@
     , m_scheduler(scheduler)
     , m_handlers(std::move(handlers))
 {
-    const uint32_t count = std::clamp(m_options.memberships, 1U, maxMemberships);
-    m_generations.resize(count);
-    for (uint32_t number = 0; number < count; ++number) {
+    m_generations.resize(maxMemberships);
+    for (uint32_t number = 0; number < maxMemberships; ++number) {
         m_memberships.push_back(std::make_unique<GroupMember>(
             GroupMemberOptions{.group = ownersGroup,
                                .member = membershipName(m_options.member, number),
@@ -66,12 +68,52 @@
 {
     // A previous process of the same name may still be a member. Leaving on its behalf makes the store
     // reassign its partitions at once, and the new generation gives this process epochs of its own.
-    leaveAll(m_options.member, static_cast<uint32_t>(m_memberships.size()), [this] {
-        for (const auto &membership : m_memberships)
-            membership->start();
+    leaveAll(m_options.member, maxMemberships, [this] {
+        m_started = true;
+        joinMemberships();
     });
 }
 
+void PartitionOwner::joinMemberships()
+{
+    for (uint32_t number = 0; number < m_activeMemberships; ++number)
+        m_memberships[number]->start();
+}
+
+void PartitionOwner::setMemberships(uint32_t count)
+{
+    const uint32_t before = std::exchange(m_activeMemberships, std::min(count, maxMemberships));
+    if (m_releasing || before == m_activeMemberships)
+        return;
+    m_log.always(Clock::now(), "memberships_changed", {{"count", m_activeMemberships}, {"before", before}});
+    for (uint32_t number = m_activeMemberships; number < before; ++number)
+        m_endedMemberships.insert(number);
+    for (uint32_t number = 0; number < m_activeMemberships; ++number)
+        m_endedMemberships.erase(number);
+    std::vector<uint32_t> partitions;
+    for (const auto &[partition, owned] : m_owned) {
+        if (!isActive(owned.membership))
+            partitions.push_back(partition);
+    }
+    handOver(partitions);
+    if (m_started)
+        joinMemberships();
+}
+
+void PartitionOwner::leaveEndedMemberships()
+{
+    for (auto number = m_endedMemberships.begin(); number != m_endedMemberships.end();) {
+        const bool holds = std::any_of(m_owned.begin(), m_owned.end(),
+                                       [&](const auto &item) { return item.second.membership == *number; });
+        if (holds) {
+            ++number;
+            continue;
+        }
+        m_memberships[*number]->leave([] {});
+        number = m_endedMemberships.erase(number);
+    }
+}
+
 void PartitionOwner::leaveAll(const std::string &member, uint32_t memberships, std::function<void()> onDone)
 {
     const auto left = afterCalls(memberships, std::move(onDone));
@@ -86,8 +128,10 @@
 
 void PartitionOwner::joinNow()
 {
-    for (const auto &membership : m_memberships)
-        membership->joinNow();
+    if (!m_started)
+        return;
+    for (uint32_t number = 0; number < m_activeMemberships; ++number)
+        m_memberships[number]->joinNow();
 }
 
 void PartitionOwner::confirmOwnership()
@@ -111,14 +155,14 @@
 Millis PartitionOwner::lastJoinSentAt() const
 {
     Millis oldest = {INT64_MAX};
-    for (const auto &membership : m_memberships)
-        oldest = std::min(oldest, membership->lastJoinSentAt());
+    for (uint32_t number = 0; number < m_activeMemberships; ++number)
+        oldest = std::min(oldest, m_memberships[number]->lastJoinSentAt());
     return oldest;
 }
 
 void PartitionOwner::joined(uint32_t membership, uint64_t generation, const std::set<uint32_t> &partitions)
 {
-    if (m_releasing)
+    if (m_releasing || !isActive(membership))
         return;
     std::vector<uint32_t> revoked;
     for (const auto &[partition, owned] : m_owned) {
@@ -161,6 +205,7 @@
         m_timers.after({0}, [this, partition, epoch] { superseded(partition, epoch); });
     };
     m_scheduler.openPartition(partition, epoch);
+    m_handlers.onOpening(partition);
     owned.queue->open([this, partition, epoch](AppendOutcome outcome) {
         if (outcome == AppendOutcome::Stored)
             loadPage(partition, epoch, {});
@@ -198,7 +243,9 @@
     }
     for (const StoreRecord &record : answer.records) {
         ++found->second.records;
-        if (const std::optional<JobId> job = parseJobId(record.key); job && !record.value.empty())
+        if (record.key == subsetLevelKey)
+            found->second.subsetLevel = parseLevel(record.value);
+        else if (const std::optional<JobId> job = parseJobId(record.key); job && !record.value.empty())
             m_scheduler.loadRecord(partition, *job, record.value, now);
     }
     if (answer.hasMore) {
@@ -217,7 +264,19 @@
                   {"epoch", epoch},
                   {"records", found->second.records},
                   {"took_ms", now - found->second.openedAt}});
-    m_handlers.onLoaded(partition);
+    m_handlers.onLoaded(partition, found->second.subsetLevel);
+}
+
+void PartitionOwner::storeSubsetLevel(uint32_t partition, uint32_t level, std::function<void()> onStored)
+{
+    const auto found = m_owned.find(partition);
+    if (found == m_owned.end())
+        return;
+    found->second.queue->add(subsetLevelKey, std::to_string(level), false,
+                             [onStored = std::move(onStored)](AppendOutcome outcome) {
+                                 if (outcome == AppendOutcome::Stored)
+                                     onStored();
+                             });
 }
 
 void PartitionOwner::store(uint32_t partition, JobId job, std::string record, bool mayDrop,
@@ -248,7 +307,8 @@
     m_fencedEpochs[partition] = epoch;
     const uint32_t membership = found->second.membership;
     close(partition);
-    m_memberships[membership]->joinNow();
+    if (isActive(membership))
+        m_memberships[membership]->joinNow();
 }
 
 void PartitionOwner::evictMember(const std::string &member)
@@ -287,7 +347,8 @@
     }
     for (const uint32_t partition : ready)
         close(partition);
-    for (uint32_t number = 0; number < m_memberships.size(); ++number) {
+    leaveEndedMemberships();
+    for (uint32_t number = 0; number < m_activeMemberships; ++number) {
         if (!waiting.contains(number))
             m_memberships[number]->setPaused(false);
     }
@@ -301,9 +362,14 @@
     }
     if (!m_releasing || !m_onReleased)
         return;
-    const auto left = afterCalls(m_memberships.size(), std::exchange(m_onReleased, {}));
-    for (const auto &membership : m_memberships)
-        membership->leave(left);
+    const std::function<void()> onReleased = std::exchange(m_onReleased, {});
+    if (m_activeMemberships == 0) {
+        onReleased();
+        return;
+    }
+    const auto left = afterCalls(m_activeMemberships, onReleased);
+    for (uint32_t number = 0; number < m_activeMemberships; ++number)
+        m_memberships[number]->leave(left);
 }
 
 void PartitionOwner::release(std::function<void()> onDone)
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -8,6 +8,7 @@
 // among members, so an entry with more processor time joins with several memberships.
 #pragma once
 
+#include "fleet/membershipplan.h"
 #include "jobs/jobscheduler.h"
 #include "store/appendqueue.h"
 #include "store/groupmember.h"
@@ -21,27 +22,29 @@
 {
     std::string member;
     Millis memberTtl = {1'500};
-    // Number of group memberships of this entry, at most maxMemberships.
-    uint32_t memberships = 1;
 };
 
-// Number of memberships in proportion to the available processor time, at least one.
-uint32_t membershipCountFor(double processorShare);
-
 class PartitionOwner
 {
 public:
-    // onLoaded is called when a partition has been loaded, onClosed when it has been released or lost.
+    // onOpening is called when a partition begins to load, onLoaded when it has been loaded, with the level
+    // of its agent subset if one is stored, and onClosed when it has been released or lost.
     struct Handlers
     {
-        std::function<void(uint32_t partition)> onLoaded;
+        std::function<void(uint32_t partition)> onOpening;
+        std::function<void(uint32_t partition, std::optional<uint32_t> subsetLevel)> onLoaded;
         std::function<void(uint32_t partition, uint64_t epoch)> onClosed;
     };
 
     PartitionOwner(PartitionOwnerOptions options, StoreApi &store, IoContext &io, StructuredLog &log,
                    JobScheduler &scheduler, Handlers handlers);
 
+    // Ends the memberships of a former process of this name. The entry owns nothing until setMemberships is
+    // called.
     void start();
+    // Joins the group with this many memberships, at most maxMemberships. Partitions of memberships that end
+    // are handed over.
+    void setMemberships(uint32_t count);
     // Joins the group at once. Called when partitions may have become free.
     void joinNow();
     // Called after a pause of the process: the store has to confirm the ownership of all partitions.
@@ -54,6 +57,9 @@
     void release(std::function<void()> onDone);
     void store(uint32_t partition, JobId job, std::string record, bool mayDrop,
                std::function<void(StoreOutcome, Millis)> onDone);
+    // Stores the level of the partition's agent subset. onStored is not called if the ownership is lost
+    // before.
+    void storeSubsetLevel(uint32_t partition, uint32_t level, std::function<void()> onStored);
     // Returns the time up to which all memberships are confirmed: for each membership, the time at which the
     // last join that the store answered was sent; of these, the earliest.
     Millis lastJoinSentAt() const;
@@ -70,10 +76,15 @@
         // Set while the partition is being handed over: time at which it is closed at the latest.
         std::optional<Millis> closeBy;
         uint32_t records = 0;
+        std::optional<uint32_t> subsetLevel;
         // Number of the newest confirmation that was requested.
         uint64_t lastConfirmation = 0;
     };
 
+    bool isActive(uint32_t membership) const { return membership < m_activeMemberships; }
+    void joinMemberships();
+    // Leaves the group with the memberships that are no longer wanted and hold no partition.
+    void leaveEndedMemberships();
     void joined(uint32_t membership, uint64_t generation, const std::set<uint32_t> &partitions);
     void open(uint32_t partition, uint32_t membership, uint64_t epoch);
     void confirm(uint32_t partition);
@@ -100,7 +111,12 @@
     std::function<void()> m_onReleased;
     bool m_releasing = false;
     bool m_handOverScheduled = false;
+    // The memberships below m_activeMemberships take part in the group.
     std::vector<std::unique_ptr<GroupMember>> m_memberships;
+    uint32_t m_activeMemberships = 0;
+    std::set<uint32_t> m_endedMemberships;
+    // The memberships of a former process have ended.
+    bool m_started = false;
     // Generation of the last join of each membership. In a generation in between, another entry may have
     // owned the partitions.
     std::vector<uint64_t> m_generations;
--- a/src/fleet/storerelay.cpp
+++ b/src/fleet/storerelay.cpp
@@ -8,14 +8,16 @@
 
 bool EntryNode::relayStoreCall(const HttpRequest &request, Millis timeout, StoreTransport::Done onDone)
 {
-    NodeLinkPtr link;
+    std::vector<NodeLinkPtr> relays;
     for (const auto &[name, peer] : m_peers) {
         if (peer.report.store_reachable)
-            link = peer.link;
+            relays.push_back(peer.link);
     }
-    if (!link)
+    if (relays.empty())
         return false;
     const uint64_t number = m_nextStoreRelay++;
+    // In turn, so that the calls of many entries that lost the store do not all go through the same one.
+    const NodeLinkPtr link = relays[number % relays.size()];
     m_storeRelays[number] = std::move(onDone);
     fleet::StoreRelayT message;
     message.call = number;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -78,6 +78,14 @@
     return maxWait * m_options.admissionSlackPercent / wholePercent;
 }
 
+// Load pattern: a partition moves under load, and its new owner connects to the agents only then. For some
+// milliseconds it knows few of them, and would reject jobs for want of capacity that exists.
+bool JobScheduler::lacksCapacityView(const Partition &partition, Millis now) const
+{
+    return partition.reported.size() * 2 < partition.expected.size()
+        && now - partition.loadedAt < m_options.capacityViewTimeout;
+}
+
 std::optional<JobReply> JobScheduler::checkAdmission(const JobSpec &spec, Millis now)
 {
     JobReply reply{.status = fleet::CallStatus::Refused, .retryAfter = minRetryAfter};
@@ -154,6 +162,12 @@
         known->expiresAt = std::max(known->expiresAt, now + options.wait);
         return;
     }
+    if (lacksCapacityView(m_partitions.at(partition), now)) {
+        onDone({.status = fleet::CallStatus::NotReady,
+                .retryAfter = minRetryAfter,
+                .reason = "the agents have not reported to the new owner yet"});
+        return;
+    }
     if (std::optional<JobReply> rejection = checkAdmission(spec, now)) {
         onDone(std::move(*rejection));
         return;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -112,6 +112,8 @@
     // agent stops runs 1.2 s after its last contact with the owner, and a lease of 1 s on a slow clock may
     // still be valid then.
     Millis reconciliationTimeout = {2'500};
+    // How long a new owner waits for the reports of half of the agents before it judges the capacity.
+    Millis capacityViewTimeout = {200};
     // Delay after which a client resubmits a best-effort job that was not answered. By then the agents that
     // were in contact with the failed owner have stopped its runs, and the leases of failed agents have
     // lapsed.
@@ -168,10 +170,19 @@
     void agentDisconnected(AgentNumber agent);
     // None of the runs that this entry ordered from the agent exists any longer.
     void agentGone(AgentNumber agent, Millis now);
-    // Sets the agents that may have runs; a partition is reconciled once all of them have reported. If
-    // allKnown is false the set is incomplete, and partitions are reconciled only after
+    // Sets the agents that may have runs of the partition, which is reconciled once all of them have
+    // reported. If allKnown is false the set is incomplete, and the partition is reconciled only after
     // reconciliationTimeout.
-    void setExpectedAgents(std::set<AgentNumber> agents, bool allKnown);
+    void setExpectedAgents(uint32_t partition, std::set<AgentNumber> agents, bool allKnown);
+    // True if the agent has reported its runs of the partition to this owner.
+    bool hasReported(uint32_t partition, AgentNumber agent) const;
+    // Partitions that are loaded and not reconciled yet.
+    std::vector<uint32_t> unreconciledPartitions() const;
+    // Whether tasks of the partition may be started, and the agents that receive none although they have
+    // reported.
+    void setPlacement(uint32_t partition, bool mayPlace, std::set<AgentNumber> excluded);
+    // True if a run of the partition may exist on an agent that is excluded from its placement.
+    bool hasRunsOnExcludedAgents(uint32_t partition) const;
 
     // Places waiting tasks, stores progress and reconciles runs. To be called after each event and every few
     // milliseconds.
@@ -291,8 +302,12 @@
         bool reconciled = false;
         bool frozen = false;
         bool isConfirmed = true;
+        bool mayPlace = true;
         Millis loadedAt;
         std::set<AgentNumber> reported;
+        std::set<AgentNumber> excluded;
+        std::set<AgentNumber> expected;
+        bool allAgentsKnown = false;
     };
 
     // The owner's epoch times this is the base of the run numbers of best-effort and loaded jobs, so that
@@ -300,6 +315,9 @@
     static constexpr uint32_t runsPerEpoch = 1'000;
 
     // --- jobscheduler.cpp: calls of clients, records ---
+    // True if so few agents have reported to a new owner that it cannot judge whether there is capacity for a
+    // job.
+    bool lacksCapacityView(const Partition &partition, Millis now) const;
     // Returns the reply for a job that is rejected; nullopt if the job is admitted.
     std::optional<JobReply> checkAdmission(const JobSpec &spec, Millis now);
     // Predicted time until the job's tasks are started, given the work that is queued ahead of them.
@@ -374,8 +392,6 @@
     // Best-effort jobs that have ended but are still in m_jobs.
     std::vector<JobId> m_finished;
     std::map<RunId, Orphan> m_orphans;
-    std::set<AgentNumber> m_expectedAgents;
-    bool m_allAgentsKnown = false;
     // Processors that the waiting tasks of the jobs in m_onTime require, in thousandths of a core.
     int64_t m_waitingCpuMilli = 0;
     int64_t m_peersWaitingCpuMilli = 0;
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -127,6 +127,8 @@
 {
     const StepSpec &step = *job.spec.steps[task.step];
     const Partition &partition = m_partitions.at(job.partition);
+    if (!partition.mayPlace)
+        return false;
     std::map<AgentNumber, uint32_t> siblings;
     if (step.worker_limit > 0) {
         for (const Task &other : job.tasks) {
@@ -149,6 +151,7 @@
                                                             .estimate = {estimate},
                                                             .slack = job.latestStart - now,
                                                             .eligible = &partition.reported,
+                                                            .excluded = &partition.excluded,
                                                             .avoided = mayAvoid ? &task.avoided : nullptr},
                                                            now);
     if (!agent)
@@ -248,10 +251,12 @@
     const uint32_t doublings = std::min(task.moves, maxMoveDoublings);
     if (task.stopOrdered || timeRatio < factor * static_cast<double>(1U << doublings))
         return;
+    const Partition &partition = m_partitions.at(job.partition);
     const PlacementNeeds needs{.service = job.spec.service,
                                .size = {step.cpu_milli, step.memory_mb, step.accelerators},
                                .requiredLabel = step.required_label,
-                               .eligible = &m_partitions.at(job.partition).reported};
+                               .eligible = &partition.reported,
+                               .excluded = &partition.excluded};
     const std::optional<AgentNumber> other = m_pool.choose(needs, now);
     if (!other || *other == task.agent || m_pool.slowness(*other, now) > 1)
         return;
@@ -265,7 +270,7 @@
                  {"elapsed_ms", elapsed},
                  {"estimate_ms", estimate},
                  {"slowness", m_pool.slowness(task.agent, now)}});
-    m_effects.stop(task.agent, job.partition, m_partitions.at(job.partition).epoch, runId(job, task));
+    m_effects.stop(task.agent, job.partition, partition.epoch, runId(job, task));
 }
 
 void JobScheduler::checkRuns(Millis now)
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -363,17 +363,61 @@
     }
 }
 
-void JobScheduler::setExpectedAgents(std::set<AgentNumber> agents, bool allKnown)
+void JobScheduler::setExpectedAgents(uint32_t number, std::set<AgentNumber> agents, bool allKnown)
 {
-    m_expectedAgents = std::move(agents);
-    m_allAgentsKnown = allKnown;
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end())
+        return;
+    found->second.expected = std::move(agents);
+    found->second.allAgentsKnown = allKnown;
+}
+
+bool JobScheduler::hasReported(uint32_t number, AgentNumber agent) const
+{
+    const auto found = m_partitions.find(number);
+    return found != m_partitions.end() && found->second.reported.contains(agent);
+}
+
+std::vector<uint32_t> JobScheduler::unreconciledPartitions() const
+{
+    std::vector<uint32_t> result;
+    for (const auto &[number, partition] : m_partitions) {
+        if (partition.loaded && !partition.reconciled)
+            result.push_back(number);
+    }
+    return result;
+}
+
+void JobScheduler::setPlacement(uint32_t number, bool mayPlace, std::set<AgentNumber> excluded)
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end())
+        return;
+    found->second.mayPlace = mayPlace;
+    found->second.excluded = std::move(excluded);
+}
+
+bool JobScheduler::hasRunsOnExcludedAgents(uint32_t number) const
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end())
+        return false;
+    const std::set<AgentNumber> &excluded = found->second.excluded;
+    const auto isOutside = [&](const Task &task) {
+        return (task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Running)
+            && excluded.contains(task.agent);
+    };
+    return std::any_of(m_jobs.begin(), m_jobs.end(), [&](const auto &item) {
+        const Job &job = item.second;
+        return job.partition == number && std::any_of(job.tasks.begin(), job.tasks.end(), isOutside);
+    });
 }
 
 void JobScheduler::reconcilePartition(uint32_t number, Partition &partition, Millis now)
 {
-    const bool allReported = m_allAgentsKnown
-        && std::includes(partition.reported.begin(), partition.reported.end(), m_expectedAgents.begin(),
-                         m_expectedAgents.end());
+    const bool allReported = partition.allAgentsKnown
+        && std::includes(partition.reported.begin(), partition.reported.end(), partition.expected.begin(),
+                         partition.expected.end());
     if (!allReported && now - partition.loadedAt < m_options.reconciliationTimeout)
         return;
     partition.reconciled = true;
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -122,7 +122,7 @@
         const Resources available = freeResources(worker);
         if (worker.state.service == needs.service)
             maxFree = std::max(maxFree, available.cpuMilli);
-        if (!admissible(worker, needs) || (needs.eligible && !needs.eligible->contains(agent)))
+        if (!admissible(worker, needs) || !isEligible(agent, needs))
             continue;
         if (!available.holds(needs.size) || (mayAvoid && isAvoided(agent, needs)))
             continue;
@@ -214,6 +214,12 @@
     return total;
 }
 
+bool WorkerPool::isEligible(AgentNumber agent, const PlacementNeeds &needs)
+{
+    return (!needs.eligible || needs.eligible->contains(agent))
+        && (!needs.excluded || !needs.excluded->contains(agent));
+}
+
 bool WorkerPool::isAvoided(AgentNumber agent, const PlacementNeeds &needs) const
 {
     return needs.avoided && needs.avoided->contains(agent);
@@ -222,9 +228,8 @@
 bool WorkerPool::canEverFit(const PlacementNeeds &needs) const
 {
     return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &item) {
-        const bool isEligible = !needs.eligible || needs.eligible->contains(item.first);
-        return isEligible && !isAvoided(item.first, needs) && admissible(item.second, needs)
-            && item.second.state.capacity.holds(needs.size);
+        return isEligible(item.first, needs) && !isAvoided(item.first, needs)
+            && admissible(item.second, needs) && item.second.state.capacity.holds(needs.size);
     });
 }
 
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -84,6 +84,8 @@
     Millis slack;
     // Agents that may be chosen; null for all agents.
     const std::set<AgentNumber> *eligible = nullptr;
+    // Agents that may not be chosen although they are eligible; null for none.
+    const std::set<AgentNumber> *excluded = nullptr;
     // Agents that are chosen only if the task fits on no other worker, not even an empty one; null for none.
     const std::set<AgentNumber> *avoided = nullptr;
 };
@@ -143,6 +145,7 @@
 
     bool admissible(const Worker &worker, const PlacementNeeds &needs) const;
     Resources freeResources(const Worker &worker) const;
+    static bool isEligible(AgentNumber agent, const PlacementNeeds &needs);
     bool isAvoided(AgentNumber agent, const PlacementNeeds &needs) const;
 
     void raiseFreeBound(const Worker &worker);
--- a/src/store/groupmember.cpp
+++ b/src/store/groupmember.cpp
@@ -14,6 +14,11 @@
 
 void GroupMember::start()
 {
+    if (m_started && !m_leaving)
+        return;
+    m_started = true;
+    m_leaving = false;
+    m_paused = false;
     join();
 }
 
--- a/src/store/groupmember.h
+++ b/src/store/groupmember.h
@@ -33,6 +33,7 @@
     GroupMember(GroupMemberOptions options, StoreApi &store, IoContext &io, StructuredLog &log,
                 OnJoined onJoined);
 
+    // Joins the group, also again after leave.
     void start();
     // Joins at once, for example when a peer has left.
     void joinNow();
@@ -56,6 +57,7 @@
     uint64_t m_generation = 0;
     // Number of the latest join; only its answer is used and schedules the next join.
     uint64_t m_joinNumber = 0;
+    bool m_started = false;
     bool m_leaving = false;
     bool m_paused = false;
     uint32_t m_failures = 0;
--- a/tests/unit/agentpresencetest.cpp
+++ b/tests/unit/agentpresencetest.cpp
@@ -14,6 +14,7 @@
 {
     AgentPresence presence;
     const AgentNumber agent = presence.registered("agent-1", start);
+    presence.setWanted(agent, true, start);
     presence.connected(agent, start);
     presence.setLeaving(agent);
     presence.disconnected(agent, start, start + Millis{100});
@@ -27,6 +28,7 @@
 {
     AgentPresence presence;
     const AgentNumber agent = presence.registered("agent-1", start);
+    presence.setWanted(agent, true, start);
     presence.connected(agent, start);
     presence.setLeaving(agent);
     presence.disconnected(agent, start, start + Millis{100});
@@ -42,6 +44,7 @@
 {
     AgentPresence presence;
     const AgentNumber agent = presence.registered("agent-1", start);
+    presence.setWanted(agent, true, start);
     const Millis expired = start + AgentPresence::memberExpiry;
     BOOST_TEST(presence.unreachableAgents(expired).size() == 1);
     presence.registered("agent-1", expired);
@@ -54,6 +57,7 @@
 {
     AgentPresence presence;
     const AgentNumber agent = presence.registered("agent-1", start);
+    presence.setWanted(agent, true, start);
     presence.connected(agent, start);
     const Millis lost = start + Millis{2'000};
     presence.disconnected(agent, lost - Millis{500}, lost);
@@ -64,6 +68,36 @@
     BOOST_TEST(presence.mayHoldRuns(gone).contains(agent));
 }
 
+// Guards against a second run of a task: a new owner connects to an agent only when its partition arrives,
+// and must wait for the report although the agent registered long ago.
+BOOST_AUTO_TEST_CASE(agentThatBecomesWantedMayHoldRuns)
+{
+    AgentPresence presence;
+    const AgentNumber agent = presence.registered("agent-1", start);
+    const Millis later = start + Millis{60'000};
+    BOOST_TEST(presence.mayHoldRuns(later).empty());
+    BOOST_TEST(presence.unreachableAgents(later).empty());
+    presence.setWanted(agent, true, later);
+    BOOST_TEST(presence.mayHoldRuns(later).contains(agent));
+    BOOST_TEST(presence.unreachableAgents(later).empty());
+    BOOST_TEST(presence.unreachableAgents(later + AgentPresence::memberExpiry).size() == 1);
+}
+
+// Guards against closing a connection that the next partition needs again at once.
+BOOST_AUTO_TEST_CASE(unwantedConnectionLingers)
+{
+    AgentPresence presence;
+    const AgentNumber agent = presence.registered("agent-1", start);
+    presence.setWanted(agent, true, start);
+    presence.connected(agent, start);
+    presence.setWanted(agent, false, start + Millis{100});
+    BOOST_TEST(presence.superfluousAgents(start + Millis{200}).empty());
+    const Millis end = start + Millis{100} + AgentPresence::connectionLinger;
+    BOOST_TEST(presence.superfluousAgents(end).size() == 1);
+    presence.setWanted(agent, true, end);
+    BOOST_TEST(presence.superfluousAgents(end).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
--- a/tests/unit/jobschedulerfixture.h
+++ b/tests/unit/jobschedulerfixture.h
@@ -90,7 +90,7 @@
     void load(bool agentsReport = true)
     {
         scheduler.loaded(0, now);
-        scheduler.setExpectedAgents({1, 2}, true);
+        scheduler.setExpectedAgents(0, {1, 2}, true);
         if (agentsReport) {
             for (AgentNumber agent = 1; agent <= 2; ++agent)
                 scheduler.claimReport(agent, 0, *scheduler.epochOf(0), {}, {}, now);
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -331,7 +331,7 @@
 BOOST_FIXTURE_TEST_CASE(resubmittedBestEffortJobAdoptsItsRuns, JobSchedulerFixture)
 {
     scheduler.loaded(0, now);
-    scheduler.setExpectedAgents({1, 2}, true);
+    scheduler.setExpectedAgents(0, {1, 2}, true);
     const RunId running{.task = {.job = 1, .index = 0}, .number = 1};
     scheduler.claimReport(1, 0, 1, std::span(&running, 1), {}, now);
     submit(job(1, 2, true), true);
@@ -349,7 +349,7 @@
 BOOST_FIXTURE_TEST_CASE(jobThatAdoptedARunIsNotRejected, JobSchedulerFixture)
 {
     scheduler.loaded(0, now);
-    scheduler.setExpectedAgents({1, 2}, true);
+    scheduler.setExpectedAgents(0, {1, 2}, true);
     const RunId running{.task = {.job = 1, .index = 0}, .number = 1};
     scheduler.claimReport(1, 0, 1, std::span(&running, 1), {}, now);
     submit(job(1, 2, true), true);
@@ -367,7 +367,7 @@
 BOOST_FIXTURE_TEST_CASE(newBestEffortJobsStartBeforeAllAgentsHaveReported, JobSchedulerFixture)
 {
     scheduler.loaded(0, now);
-    scheduler.setExpectedAgents({1, 2}, true);
+    scheduler.setExpectedAgents(0, {1, 2}, true);
     scheduler.claimReport(1, 0, 1, {}, {}, now);
     submit(job(1, 1, true));
     BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
--- a/tests/unit/partitionownertest.cpp
+++ b/tests/unit/partitionownertest.cpp
@@ -47,7 +47,11 @@
 
 struct PartitionOwnerFixture
 {
-    PartitionOwnerFixture() { owner.start(); }
+    PartitionOwnerFixture()
+    {
+        owner.start();
+        owner.setMemberships(1);
+    }
 
     void pass(Millis time)
     {
@@ -72,7 +76,8 @@
                          io,
                          log,
                          scheduler,
-                         {.onLoaded = [](uint32_t) {},
+                         {.onOpening = [](uint32_t) {},
+                          .onLoaded = [](uint32_t, std::optional<uint32_t>) {},
                           .onClosed = [this](uint32_t partition, uint64_t) { closed.push_back(partition); }}};
 };
 
