--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -106,9 +106,18 @@
     const EntryCapacity self{.name = m_self.name,
                              .processors = m_settings.processorShare * m_settings.processorSpeed};
     const uint32_t wanted = membershipsFor(self, others, m_settings.partitions, m_membershipPlan.current());
-    if (const std::optional<uint32_t> count =
-            m_membershipPlan.advance(wanted, m_presence.registeredCount(), now))
-        m_owner.setMemberships(*count);
+    const uint32_t before = m_membershipPlan.current();
+    const size_t agents = m_presence.registeredCount();
+    const std::optional<uint32_t> count = m_membershipPlan.advance(wanted, agents, now);
+    if (!count)
+        return;
+    m_log.always(now, "memberships_changed",
+                 {{"count", *count},
+                  {"before", before},
+                  {"processors", self.processors},
+                  {"other_entries", others.size()},
+                  {"agents", agents}});
+    m_owner.setMemberships(*count);
 }
 
 bool EntryNode::isAmongFirstEntries() const
