Keep connections of potential owners in small fleets, and judge capacity by known workers

Change: where each partition is served by all agents, members of the group of owners keep their connections; the wait for agents counts the workers that are known.

--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -118,6 +118,7 @@
                   {"other_entries", others.size()},
                   {"agents", agents}});
     m_owner.setMemberships(*count);
+    refreshAgentLinks(now);
 }
 
 bool EntryNode::isAmongFirstEntries() const
--- a/src/fleet/entrysubsets.cpp
+++ b/src/fleet/entrysubsets.cpp
@@ -50,6 +50,10 @@
 
 bool EntryNode::wantsAgent(const std::string &agent) const
 {
+    // In a small fleet each partition is served by all agents, so a member of the group of owners keeps
+    // connections to them and can use a partition as soon as it arrives.
+    if (m_membershipPlan.current() > 0 && wantedLevel(0) == 0)
+        return true;
     return std::any_of(m_subsets.begin(), m_subsets.end(),
                        [&](const auto &item) { return isReached(agent, item.first); });
 }
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -82,8 +82,11 @@
 // milliseconds it knows few of them, and would reject jobs for want of capacity that exists.
 bool JobScheduler::lacksCapacityView(const Partition &partition, Millis now) const
 {
-    return partition.reported.size() * 2 < partition.expected.size()
-        && now - partition.loadedAt < m_options.capacityViewTimeout;
+    if (now - partition.loadedAt >= m_options.capacityViewTimeout)
+        return false;
+    const auto known = std::count_if(partition.expected.begin(), partition.expected.end(),
+                                     [&](AgentNumber agent) { return m_pool.find(agent) != nullptr; });
+    return static_cast<size_t>(known) * 2 < partition.expected.size();
 }
 
 std::optional<JobReply> JobScheduler::checkAdmission(const JobSpec &spec, Millis now)
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -112,7 +112,7 @@
     // agent stops runs 1.2 s after its last contact with the owner, and a lease of 1 s on a slow clock may
     // still be valid then.
     Millis reconciliationTimeout = {2'500};
-    // How long a new owner waits for the reports of half of the agents before it judges the capacity.
+    // How long a new owner waits for the workers of half of the agents before it judges the capacity.
     Millis capacityViewTimeout = {200};
     // Delay after which a client resubmits a best-effort job that was not answered. By then the agents that
     // were in contact with the failed owner have stopped its runs, and the leases of failed agents have
@@ -315,8 +315,8 @@
     static constexpr uint32_t runsPerEpoch = 1'000;
 
     // --- jobscheduler.cpp: calls of clients, records ---
-    // True if so few agents have reported to a new owner that it cannot judge whether there is capacity for a
-    // job.
+    // True if a new owner knows the workers of so few agents that it cannot judge whether there is capacity
+    // for a job.
     bool lacksCapacityView(const Partition &partition, Millis now) const;
     // Returns the reply for a job that is rejected; nullopt if the job is admitted.
     std::optional<JobReply> checkAdmission(const JobSpec &spec, Millis now);
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -529,6 +529,54 @@
     BOOST_TEST(effects.starts.size() == 4U);
 }
 
+// Guards against rejecting jobs for want of capacity that exists: a new owner connects to its agents only
+// when the partition arrives, and knows none of their workers for some milliseconds.
+BOOST_FIXTURE_TEST_CASE(newOwnerWaitsForItsAgentsBeforeItRejects, JobSchedulerFixture)
+{
+    pool.remove(1);
+    pool.remove(2);
+    scheduler.loaded(0, now);
+    scheduler.setExpectedAgents(0, {1, 2}, true);
+    submit(job(1, 1, true));
+    BOOST_TEST_REQUIRE(replies.size() == 1U);
+    BOOST_TEST((replies[0].status == fleet::CallStatus::NotReady));
+    pool.report(1, workerWith(4'000));
+    scheduler.claimReport(1, 0, 1, {}, {}, now);
+    submit(job(2, 1, true));
+    BOOST_TEST(replies.size() == 1U);
+    BOOST_TEST(effects.starts.size() == 1U);
+}
+
+// Guards against waiting for agents that are gone.
+BOOST_FIXTURE_TEST_CASE(newOwnerRejectsWhenNoAgentReports, JobSchedulerFixture)
+{
+    pool.remove(1);
+    pool.remove(2);
+    scheduler.loaded(0, now);
+    scheduler.setExpectedAgents(0, {1, 2}, true);
+    now += Millis{200};
+    submit(job(1, 1, true));
+    BOOST_TEST_REQUIRE(replies.size() == 1U);
+    BOOST_TEST((replies[0].status == fleet::CallStatus::Refused));
+}
+
+// Guards against orders to agents that a later owner does not ask for their runs.
+BOOST_FIXTURE_TEST_CASE(excludedAgentsReceiveNoOrders, JobSchedulerFixture)
+{
+    load();
+    scheduler.setPlacement(0, true, {1});
+    submit(job(1, 3, true));
+    BOOST_TEST(effects.starts.size() == 3U);
+    for (const RecordedEffects::Start &start : effects.starts)
+        BOOST_TEST(start.agent == 2U);
+    BOOST_TEST(!scheduler.hasRunsOnExcludedAgents(0));
+    scheduler.setPlacement(0, true, {2});
+    BOOST_TEST(scheduler.hasRunsOnExcludedAgents(0));
+    scheduler.setPlacement(0, false, {});
+    submit(job(2, 1, true));
+    BOOST_TEST(effects.starts.size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
