--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -66,8 +66,8 @@
 
     void setQueues(QueueTable queues);
     void setEvacuatedZones(std::set<std::string> zones);
-    // The operators' records have been read since the start of the process. Before that, the entry owns nothing: it
-    // does not know which zones are evacuated.
+    // The operators' records have been read since the start of the process. Before that, the entry owns
+    // nothing: it does not know which zones are evacuated.
     void setOperatorRecordsKnown() { m_operatorRecordsKnown = true; }
     const QueueTable &queues() const { return m_queues; }
     bool isStopping() const { return m_stop.has_value(); }
@@ -233,6 +233,7 @@
     std::vector<uint8_t> m_lastReport;
     Millis m_lastReportAt;
     bool m_advancePending = false;
+    // When checkPause was last called. A longer gap than pauseLimit shows that the process was paused.
     Millis m_lastActive;
     // Set after a pause of the process: no task is started until the store has confirmed all memberships in
     // joins sent at or after this time.
