Keep the proportions of memberships when the largest entry is at its limit

Change: the limit of the largest entry scales the counts of all. The test counts the partitions that are owned now and waits up to 3 s for them; the numbers it asks for are the same.

--- a/src/fleet/membershipplan.cpp
+++ b/src/fleet/membershipplan.cpp
@@ -21,9 +21,14 @@
     if (std::count_if(others.begin(), others.end(), comesFirst) >= static_cast<int64_t>(partitions))
         return 0;
     double total = self.processors;
-    for (const EntryCapacity &other : others)
+    double largest = self.processors;
+    for (const EntryCapacity &other : others) {
         total += other.processors;
-    const double ideal = total > 0 ? partitions * self.processors / total : 1;
+        largest = std::max(largest, other.processors);
+    }
+    // The limit of the largest entry applies to all, so that the proportions stay.
+    const double perMembership = std::max(total / partitions, largest / maxMemberships);
+    const double ideal = perMembership > 0 ? self.processors / perMembership : 1;
     if (current > 0 && std::abs(ideal - current) < tolerance)
         return current;
     return static_cast<uint32_t>(std::clamp(std::round(ideal), 1.0, double{maxMemberships}));
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -52,16 +52,29 @@
         fleet = self.fleet(entries=2, processor_shares=(0.5, 0.125))
 
         def owned(entry):
-            events = [event for event in fleet.entries[entry].log_events() if event["event"] == "partition_owned"]
-            return {event["partition"] for event in events}
-
-        self.assertGreaterEqual(len(owned(0)), 6)
+            partitions = set()
+            for event in fleet.entries[entry].log_events():
+                if event["event"] == "partition_owned":
+                    partitions.add(event["partition"])
+                elif event["event"] == "partition_closed":
+                    partitions.discard(event["partition"])
+            return partitions
+
+        def wait_until_owned(entry, least):
+            end = time.monotonic() + 3
+            while len(owned(entry)) < least and time.monotonic() < end:
+                time.sleep(0.05)
+            self.assertGreaterEqual(len(owned(entry)), least)
+
+        # The entries join when they know of each other, and the store then hands partitions over.
+        wait_until_owned(0, 6)
         accepted = self.submit_all(fleet, 20)
         self.assertEqual(len(accepted), 20)
         fleet.entries[0].kill()
         for job in accepted:
             fleet.wait_for_state(job, "completed", entry=1)
-        self.assertEqual(len(owned(1)), 8)
+        # Log lines are written every 0.1 s, so the last partitions may show a little later.
+        wait_until_owned(1, 8)
         self.assert_sound(fleet)
 
     # Guards against two jobs with one identifier when a job is resubmitted at the same or another entry.
--- a/tests/unit/membershipplantest.cpp
+++ b/tests/unit/membershipplantest.cpp
@@ -43,6 +43,15 @@
     BOOST_TEST(membershipsFor({.name = "z", .processors = 0.12}, {}, 16, 0) == maxMemberships);
 }
 
+// Guards against a large entry that owns as much as small ones because its memberships are limited.
+BOOST_AUTO_TEST_CASE(limitOfTheLargestEntryKeepsTheProportions)
+{
+    const EntryCapacity large{.name = "a", .processors = 0.5};
+    const EntryCapacity small{.name = "b", .processors = 0.125};
+    BOOST_TEST(membershipsFor(large, std::vector{small}, 8, 0) == 4U);
+    BOOST_TEST(membershipsFor(small, std::vector{large}, 8, 0) == 1U);
+}
+
 // Guards against partitions that move because the share of an entry has changed a little.
 BOOST_AUTO_TEST_CASE(countIsKeptWhileItIsAboutRight)
 {
