Take an unreadable subset level as covering all agents, and log unusable job records

Cause: a stored level that could not be parsed counted as none, that is as "no orders were placed", so a new owner did not ask the agents of the wider subset for their runs; a level above 31 shifted beyond the width of the number. A page record without a key was skipped by the owner of a partition without a log line. Change: such a level is 0, which covers all agents; the record is logged with topic, partition and offset.

--- a/src/fleet/memberlist.cpp
+++ b/src/fleet/memberlist.cpp
@@ -14,7 +14,7 @@
 constexpr Millis registrationTimeout = {800};
 constexpr std::string_view entryRoleName = "entry";
 constexpr std::string_view agentRoleName = "agent";
-// No registration may claim more, so that one odd entry cannot take the place of all others.
+// No registration may claim more, so that one malformed entry cannot take the place of all others.
 constexpr double maxProcessors = 1'024;
 
 std::string encodeMember(const Member &member)
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -17,13 +17,17 @@
 // Key of the record with the level of the partition's agent subset. It is not the identifier of a job.
 static constexpr const char *subsetLevelKey = "agent-subset-level";
 
-static std::optional<uint32_t> parseLevel(std::string_view text)
+// Far above any level in use: at this one, an agent serves one of 65,536 partitions.
+constexpr uint32_t mostSubsetLevel = 16;
+
+// A record that cannot be parsed shows that an owner has placed orders, but not where: level 0 covers all
+// agents.
+static uint32_t parseLevel(std::string_view text)
 {
     uint32_t level = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), level);
-    if (error != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return level;
+    const bool isValid = error == std::errc() && end == text.data() + text.size() && level <= mostSubsetLevel;
+    return isValid ? level : 0;
 }
 
 // The first membership uses the name of the entry; the others append a number to it.
@@ -242,7 +246,10 @@
     }
     for (const StoreRecord &record : answer.records) {
         ++found->second.records;
-        if (record.key == subsetLevelKey)
+        if (record.key.empty())
+            m_log.write(now, "record_unreadable",
+                        {{"topic", jobsTopic}, {"partition", partition}, {"offset", record.offset}});
+        else if (record.key == subsetLevelKey)
             found->second.subsetLevel = parseLevel(record.value);
         else if (const std::optional<JobId> job = parseJobId(record.key); job && !record.value.empty())
             m_scheduler.loadRecord(partition, *job, record.value, now);
--- a/src/store/topicfollower.cpp
+++ b/src/store/topicfollower.cpp
@@ -51,7 +51,8 @@
     if (!m_loadEnd)
         m_loadEnd = answer.end;
     for (const StoreRecord &record : answer.records) {
-        m_loadedKeys.insert(record.key);
+        if (!record.key.empty())
+            m_loadedKeys.insert(record.key);
         deliver(record);
     }
     if (answer.hasMore) {
--- a/tests/unit/partitionownertest.cpp
+++ b/tests/unit/partitionownertest.cpp
@@ -27,7 +27,7 @@
     }
     void newest(const NewestCall &, Millis, std::function<void(NewestAnswer)> onDone) override
     {
-        onDone({.status = StoreStatus::Done});
+        onDone({.status = StoreStatus::Done, .records = records});
     }
     void join(const JoinCall &, Millis, std::function<void(JoinAnswer)> onDone) override
     {
@@ -40,6 +40,8 @@
 
     uint64_t generation = 1;
     std::vector<uint32_t> assigned = {0, 1};
+    // Newest records of each partition.
+    std::vector<StoreRecord> records;
     bool withholdsAppends = false;
     // Appends with a lower epoch are fenced.
     uint64_t fencedBelow = 0;
@@ -71,14 +73,16 @@
     RecordedEffects effects;
     JobScheduler scheduler{{.partitions = 2}, pool, effects, log};
     std::vector<uint32_t> closed;
-    PartitionOwner owner{{.member = "entry-1"},
-                         store,
-                         io,
-                         log,
-                         scheduler,
-                         {.onOpening = [](uint32_t) {},
-                          .onLoaded = [](uint32_t, std::optional<uint32_t>) {},
-                          .onClosed = [this](uint32_t partition, uint64_t) { closed.push_back(partition); }}};
+    std::vector<std::optional<uint32_t>> levels;
+    PartitionOwner owner{
+        {.member = "entry-1"},
+        store,
+        io,
+        log,
+        scheduler,
+        {.onOpening = [](uint32_t) {},
+         .onLoaded = [this](uint32_t, std::optional<uint32_t> level) { levels.push_back(level); },
+         .onClosed = [this](uint32_t partition, uint64_t) { closed.push_back(partition); }}};
 };
 
 } // namespace
@@ -160,6 +164,28 @@
     BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotKnown));
 }
 
+// Guards against a second run of a task: a level that cannot be read must not count as "no orders were
+// placed".
+BOOST_FIXTURE_TEST_CASE(unreadableSubsetLevelCoversAllAgents, PartitionOwnerFixture)
+{
+    for (const std::string text : {"", "x", "-1", "2x", "17", "40", "4294967296"}) {
+        BOOST_TEST_CONTEXT(text)
+        store.records = {{}, {.key = "agent-subset-level", .value = text}};
+        store.generation += 2;
+        store.fencedBelow = store.generation;
+        owner.joinNow();
+        pass({400});
+        BOOST_TEST_REQUIRE(!levels.empty());
+        BOOST_TEST(levels.back().value_or(9) == 0U);
+    }
+    store.records = {{.key = "agent-subset-level", .value = "2"}};
+    store.generation += 2;
+    store.fencedBelow = store.generation;
+    owner.joinNow();
+    pass({400});
+    BOOST_TEST(levels.back().value_or(9) == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
--- a/tests/unit/platformtest.cpp
+++ b/tests/unit/platformtest.cpp
@@ -179,7 +179,7 @@
 
 // Guards against an agent that takes over what another writer announced: a number that is too large would
 // make each later announcement of its own worker count as outdated.
-BOOST_AUTO_TEST_CASE(oddAnnouncementsAreRejected)
+BOOST_AUTO_TEST_CASE(announcementsOfOtherWritersAreRejected)
 {
     const std::string valid(announcementText);
     BOOST_TEST(decodeAnnouncement("i-1", valid).has_value());
@@ -189,7 +189,7 @@
         return text;
     };
     const std::string nested(100'000, '[');
-    const std::vector<std::string> odd = {
+    const std::vector<std::string> malformed = {
         "",
         "\xff\xfe",
         nested,
@@ -211,13 +211,13 @@
         with(R"("seq":4)", R"("seq":4,"address":"10.0.0.1")"),
         with(R"("seq":4)", R"("seq":4,"address":7)"),
     };
-    for (const std::string &text : odd) {
+    for (const std::string &text : malformed) {
         BOOST_TEST_CONTEXT(text.substr(0, 200))
         BOOST_TEST(!decodeAnnouncement("i-1", text).has_value());
     }
 }
 
-// Guards against a reader that stops at one odd record of a partition.
+// Guards against a reader that stops at one malformed record of a partition.
 BOOST_AUTO_TEST_CASE(invalidKeyedRecordsCountButHaveNoKey)
 {
     const std::string valid = encodeKeyedRecords(std::vector<StoreRecord>{{.key = "k", .value = "v"}});
@@ -233,9 +233,9 @@
     BOOST_TEST(!decodeKeyedRecords(valid.substr(0, valid.size() - 1), 0).has_value());
 }
 
-// Guards against a page that is lost for one odd item, and against a key that changes the query of the next
-// page.
-BOOST_AUTO_TEST_CASE(oddItemsOfAPageAreSkipped)
+// Guards against a page that is lost for one malformed item, and against a key that changes the query of the
+// next page.
+BOOST_AUTO_TEST_CASE(malformedItemsOfAPageAreSkipped)
 {
     const NewestAnswer page = decodeNewestAnswer(answer(200,
                                                         R"({"items":[7,{"key":"a","value":"%"},{"key":"b)"
--- a/tests/unit/topicfollowertest.cpp
+++ b/tests/unit/topicfollowertest.cpp
@@ -60,7 +60,7 @@
                            log,
                            {.onRecord =
                                 [this](const StoreRecord &record) {
-                                    if (record.value == "odd")
+                                    if (record.value == "malformed")
                                         throw std::runtime_error("cannot be applied");
                                     applied.push_back(record.key);
                                 },
@@ -71,15 +71,16 @@
 
 BOOST_AUTO_TEST_SUITE(TopicFollowerTest)
 
-// Guards against a reader that stops, or reads the same offset again and again, at one odd record.
-BOOST_FIXTURE_TEST_CASE(oddRecordsAreSkipped, TopicFollowerFixture)
+// Guards against a reader that stops, or reads the same offset again and again, at one malformed record.
+BOOST_FIXTURE_TEST_CASE(malformedRecordsAreSkipped, TopicFollowerFixture)
 {
     store.pages = {{.status = StoreStatus::Done,
-                    .records = {{.key = "a", .value = "1"}, {}, {.key = "b", .value = "odd"}},
+                    .records = {{.key = "a", .value = "1"}, {}, {.key = "b", .value = "malformed"}},
                     .lastKey = "b",
                     .end = 3}};
-    store.changes = {
-        {.key = "c", .value = "odd", .offset = 3}, {.key = "d", .value = "1", .offset = 4}, {.offset = 5}};
+    store.changes = {{.key = "c", .value = "malformed", .offset = 3},
+                     {.key = "d", .value = "1", .offset = 4},
+                     {.offset = 5}};
     follow();
     BOOST_TEST((applied == std::vector<std::string>{"a", "d"}));
     BOOST_TEST((store.readFrom == std::vector<uint64_t>{3, 6}));
