--- a/review/1/case.py
+++ b/review/1/case.py
@@ -85,4 +85,4 @@
 
 
 if __name__ == "__main__":
-    run_case(HERE, Rig(entries=3, workers=[{"work_ms": work_ms}] * 6), body, durable_probes=False)
+    run_case(HERE, lambda: Rig(entries=3, workers=[{"work_ms": work_ms}] * 6), body, durable_probes=False)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -81,4 +81,4 @@
 
 
 if __name__ == "__main__":
-    run_case(HERE, Rig(entries=3, workers=[{"work_ms": work_ms}] * WORKERS, zone_delay_s=ZONE_DELAY_S), body)
+    run_case(HERE, lambda: Rig(entries=3, workers=[{"work_ms": work_ms}] * WORKERS, zone_delay_s=ZONE_DELAY_S), body)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -100,4 +100,4 @@
 
 if __name__ == "__main__":
     workers = [{"labels": ("b",), "work_ms": work_ms}] + [{"labels": ("a",), "work_ms": work_ms}] * OTHER_WORKERS
-    run_case(HERE, Rig(entries=2, workers=workers), body)
+    run_case(HERE, lambda: Rig(entries=2, workers=workers), body)
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -272,12 +272,13 @@
     return {"count": count, "cpu": cpu, "memMb": 64, "estimateMs": estimate, **fields}
 
 
-def run_case(folder, rig, body, durable_probes=True):
+def run_case(folder, make_rig, body, durable_probes=True):
     """Runs body(rig), which returns the broken promises as lines of text; exits as the issue asks."""
-    code = NOT_RUN
+    code, rig = NOT_RUN, None
     # So that the processes are ended also when the time limit of run.sh is reached.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
+        rig = make_rig()
         rig.start(durable_probes)
         problems = body(rig)
         for problem in problems[:20]:
@@ -290,5 +291,6 @@
             traceback.print_exc()
         print(f"could not run: {reason}")
     finally:
-        rig.close(keep=folder)
+        if rig:
+            rig.close(keep=folder)
     sys.exit(code)
