Never use the epoch of a former process

Cause: an entry that restarted while the store was down ended its former memberships with a single attempt and joined whatever came of it. It got the former generation, opened its partitions with the former epoch and numbered its appends from 1 again; the store takes such appends for repeats and stores nothing. Change: the entry joins only after the store has answered the end of the former memberships. Appends are numbered from a random start, and an unexpected number ends the queue instead of being adopted, so a second use of an epoch on any other path is refused and the membership is renewed.

--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -71,11 +71,35 @@
 void PartitionOwner::start()
 {
     // A previous process of the same name may still be a member. Leaving on its behalf makes the store
-    // reassign its partitions at once, and the new generation gives this process epochs of its own.
-    leaveAll(m_options.member, maxMemberships, [this] {
+    // reassign its partitions at once, and the new generation gives this process epochs of its own. While the
+    // store is down the times of members may stand still, so a former membership does not end by itself.
+    const auto left = afterCalls(maxMemberships, [this] {
+        if (m_failedLeaves > 0)
+            m_log.always(Clock::now(), "former_memberships_ended", {{"failures", m_failedLeaves}});
         m_started = true;
         joinMemberships();
     });
+    for (uint32_t number = 0; number < maxMemberships; ++number)
+        leaveFormer(number, left);
+}
+
+void PartitionOwner::leaveFormer(uint32_t membership, const std::function<void()> &onDone)
+{
+    m_store.leave({.group = ownersGroup, .member = membershipName(m_options.member, membership)}, pageTimeout,
+                  [this, membership, onDone, guard = m_timers.guard()](StoreStatus status) {
+                      if (guard.expired())
+                          return;
+                      // With Invalid the store has answered, and repeating the call would not change it.
+                      if (status == StoreStatus::Done || status == StoreStatus::Invalid) {
+                          onDone();
+                          return;
+                      }
+                      if (++m_failedLeaves == 1)
+                          m_log.always(Clock::now(), "former_memberships_not_ended",
+                                       {{"membership", membership}, {"status", static_cast<int>(status)}});
+                      m_timers.after(m_leaveBackoff.next(),
+                                     [this, membership, onDone] { leaveFormer(membership, onDone); });
+                  });
 }
 
 void PartitionOwner::joinMemberships()
@@ -201,12 +225,18 @@
     owned.assignedGeneration = epoch;
     owned.openedAt = Clock::now();
     owned.queue = std::make_unique<AppendQueue>(
-        AppendQueueOptions{
-            .topic = jobsTopic, .partition = partition, .producer = producerName, .epoch = epoch},
+        AppendQueueOptions{.topic = jobsTopic,
+                           .partition = partition,
+                           .producer = producerName,
+                           .epoch = epoch,
+                           .firstSequence = randomFirstSequence()},
         m_store, m_io, m_log);
     owned.queue->onFenced = [this, partition, epoch] {
         m_timers.after({0}, [this, partition, epoch] { superseded(partition, epoch); });
     };
+    owned.queue->onEpochInUse = [this, partition, epoch] {
+        m_timers.after({0}, [this, partition, epoch] { epochInUse(partition, epoch); });
+    };
     m_scheduler.openPartition(partition, epoch);
     m_handlers.onOpening(partition);
     owned.queue->open([this, partition, epoch](AppendOutcome outcome) {
@@ -317,6 +347,22 @@
         m_memberships[membership]->joinNow();
 }
 
+void PartitionOwner::epochInUse(uint32_t partition, uint64_t epoch)
+{
+    const auto found = m_owned.find(partition);
+    if (found == m_owned.end() || found->second.epoch != epoch)
+        return;
+    m_fencedEpochs[partition] = epoch;
+    const uint32_t membership = found->second.membership;
+    close(partition);
+    if (!isActive(membership))
+        return;
+    m_memberships[membership]->leave([this, membership, guard = m_timers.guard()] {
+        if (!guard.expired() && isActive(membership) && !m_releasing)
+            m_memberships[membership]->start();
+    });
+}
+
 void PartitionOwner::evictMember(const std::string &member)
 {
     leaveAll(member, maxMemberships, [this] { joinNow(); });
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -2,7 +2,9 @@
 //
 // The store assigns the partitions to the entries. A new owner first sets its epoch on the partition, which
 // fences the previous owner, and then reads the records, so that it has seen everything that earlier owners
-// stored.
+// stored. The epoch is the generation of the assignment. Each process opens a partition with an epoch that no
+// other process, a former one of the same name included, has used: run numbers and the store's detection of
+// repeated appends depend on it.
 //
 // Load pattern: entries whose processor capacity differs several-fold. The store assigns partitions evenly
 // among members, so an entry with more processor time joins with several memberships.
@@ -39,8 +41,8 @@
     PartitionOwner(PartitionOwnerOptions options, StoreApi &store, IoContext &io, StructuredLog &log,
                    JobScheduler &scheduler, Handlers handlers);
 
-    // Ends the memberships of a former process of this name. The entry owns nothing until setMemberships is
-    // called.
+    // Ends the memberships of a former process of this name, and joins no group before the store has
+    // acknowledged that. The entry owns nothing until setMemberships is called.
     void start();
     // Joins the group with this many memberships, at most maxMemberships. Partitions of memberships that end
     // are handed over.
@@ -89,6 +91,11 @@
     void open(uint32_t partition, uint32_t membership, uint64_t epoch);
     void confirm(uint32_t partition);
     void leaveAll(const std::string &member, uint32_t memberships, std::function<void()> onDone);
+    // Ends one membership of the former process, retrying until the store has answered.
+    void leaveFormer(uint32_t membership, const std::function<void()> &onDone);
+    // Called when another process has appended with this entry's epoch. The membership is ended and joined
+    // again, so that the next assignment has a new generation.
+    void epochInUse(uint32_t partition, uint64_t epoch);
     void close(uint32_t partition);
     void loadPage(uint32_t partition, uint64_t epoch, const std::string &after);
     void pageLoaded(uint32_t partition, uint64_t epoch, const std::string &after, const NewestAnswer &answer);
@@ -117,6 +124,8 @@
     std::set<uint32_t> m_endedMemberships;
     // The memberships of a former process have ended.
     bool m_started = false;
+    uint32_t m_failedLeaves = 0;
+    Backoff m_leaveBackoff{{50}, {300}};
     // Generation of the last join of each membership. In a generation in between, another entry may have
     // owned the partitions.
     std::vector<uint64_t> m_generations;
--- a/src/store/appendqueue.cpp
+++ b/src/store/appendqueue.cpp
@@ -2,14 +2,24 @@
 #include "store/appendqueue.h"
 
 #include <algorithm>
+#include <random>
 
 namespace turmericwell {
 
+uint64_t randomFirstSequence()
+{
+    // Numbers up to 2^53 are exact in every JSON reader.
+    constexpr uint64_t mostFirstSequence = uint64_t{1} << 48U;
+    std::random_device device;
+    return std::uniform_int_distribution<uint64_t>(1, mostFirstSequence)(device);
+}
+
 AppendQueue::AppendQueue(AppendQueueOptions options, StoreApi &store, IoContext &io, StructuredLog &log)
     : m_options(std::move(options))
     , m_store(store)
     , m_timers(io)
     , m_log(log)
+    , m_sequence(m_options.firstSequence)
 { }
 
 void AppendQueue::open(std::function<void(AppendOutcome)> onOpen)
@@ -90,7 +100,9 @@
         finishBatch(AppendOutcome::Stored);
         return;
     case StoreStatus::Fenced:
-        handleFenced();
+        m_log.always(Clock::now(), "append_fenced",
+                     {{"partition", m_options.partition}, {"epoch", m_options.epoch}});
+        end(onFenced);
         return;
     case StoreStatus::WrongSequence:
         // An earlier attempt to append the same batch has been carried out.
@@ -98,12 +110,13 @@
             finishBatch(AppendOutcome::Stored);
             return;
         }
-        m_log.always(Clock::now(), "append_sequence_corrected",
+        // This queue has one append in flight at a time, so the unexpected number is another queue's.
+        m_log.always(Clock::now(), "append_epoch_in_use",
                      {{"partition", m_options.partition},
+                      {"epoch", m_options.epoch},
                       {"sent", m_sequence},
                       {"expected", answer.expectedSequence}});
-        m_sequence = answer.expectedSequence;
-        retry();
+        end(onEpochInUse);
         return;
     case StoreStatus::NoAnswer:
         m_uncertain = true;
@@ -183,12 +196,10 @@
     });
 }
 
-void AppendQueue::handleFenced()
+void AppendQueue::end(const std::function<void()> &onEnded)
 {
     m_fenced = true;
     m_inFlight = false;
-    m_log.always(Clock::now(), "append_fenced",
-                 {{"partition", m_options.partition}, {"epoch", m_options.epoch}});
     std::vector<Item> items = std::exchange(m_batch, {});
     std::move(m_waiting.begin(), m_waiting.end(), std::back_inserter(items));
     m_waiting.clear();
@@ -201,8 +212,8 @@
     }
     for (const Item &item : items)
         item.onDone(AppendOutcome::Superseded);
-    if (!guard.expired() && onFenced)
-        onFenced();
+    if (!guard.expired() && onEnded)
+        onEnded();
 }
 
 } // namespace turmericwell
--- a/src/store/appendqueue.h
+++ b/src/store/appendqueue.h
@@ -3,6 +3,10 @@
 // One append is in flight at a time; records that arrive meanwhile are batched into the next one. An append
 // without an answer is repeated with the same sequence number until the store reports whether it was carried
 // out, so that the outcome reported for a record is always correct.
+//
+// The store takes an append with the epoch and sequence number of an earlier one for a repeat and stores
+// nothing. Each queue therefore numbers its appends from a random start: a queue whose epoch has been used by
+// another queue, for example one of a former process, receives WrongSequence and counts as superseded.
 #pragma once
 
 #include "net/timers.h"
@@ -28,6 +32,8 @@
     uint32_t partition = 0;
     std::string producer;
     uint64_t epoch = 0;
+    // Sequence number of the first append.
+    uint64_t firstSequence = 1;
     Millis timeout = {700};
     // Records added with `mayDrop` that are not stored this long after they were added are dropped when an
     // append fails.
@@ -37,6 +43,9 @@
     size_t maxBytes = 1U << 20U;
 };
 
+// Draws a first sequence number that no other queue has used, except with negligible probability.
+uint64_t randomFirstSequence();
+
 class AppendQueue
 {
 public:
@@ -52,6 +61,8 @@
     void confirm(std::function<void()> onConfirmed);
     // Called at most once, when an append has been fenced by a higher epoch.
     std::function<void()> onFenced;
+    // Called at most once instead of onFenced, when another queue has appended with the same epoch.
+    std::function<void()> onEpochInUse;
 
     bool isIdle() const { return m_batch.empty() && m_waiting.empty(); }
 
@@ -73,7 +84,8 @@
     void finishBatch(AppendOutcome outcome);
     void dropExpired(Millis now);
     void retry();
-    void handleFenced();
+    // Ends the queue: its records are reported as Superseded, then onEnded is called.
+    void end(const std::function<void()> &onEnded);
 
     const AppendQueueOptions m_options;
     StoreApi &m_store;
@@ -91,7 +103,7 @@
     // An attempt of the current append had no answer and may have been carried out.
     bool m_uncertain = false;
     bool m_sendScheduled = false;
-    uint64_t m_sequence = 1;
+    uint64_t m_sequence;
     uint32_t m_failures = 0;
     Millis m_sentAt;
     Millis m_batchStartedAt;
--- a/tests/unit/appendqueuetest.cpp
+++ b/tests/unit/appendqueuetest.cpp
@@ -143,6 +143,26 @@
     BOOST_TEST(fenced);
 }
 
+// Guards against accepted jobs that are not stored: the store answers an append that looks like a repeat with
+// the first answer and stores nothing, so a queue must not go on with the numbers of another one.
+BOOST_FIXTURE_TEST_CASE(epochThatAnotherQueueUsesEndsTheQueue, AppendQueueFixture)
+{
+    bool isInUse = false;
+    queue.onEpochInUse = [&isInUse] { isInUse = true; };
+    add("a");
+    waitForCall(2);
+    store.answer({.status = StoreStatus::WrongSequence, .expectedSequence = 9});
+    BOOST_TEST(isInUse);
+    BOOST_TEST_REQUIRE(outcomes.size() == 1U);
+    BOOST_TEST((outcomes[0] == AppendOutcome::Superseded));
+}
+
+// Guards against queues of the same epoch that number their appends alike.
+BOOST_AUTO_TEST_CASE(firstSequencesDiffer)
+{
+    BOOST_TEST(randomFirstSequence() != randomFirstSequence());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
--- a/tests/unit/partitionownertest.cpp
+++ b/tests/unit/partitionownertest.cpp
@@ -19,7 +19,7 @@
         // Opening a partition appends nothing.
         if (withholdsAppends && !call.records.empty())
             return;
-        onDone({.status = call.epoch < fencedBelow ? StoreStatus::Fenced : StoreStatus::Done});
+        onDone(statusOf(call));
     }
     void read(const ReadCall &, Millis, std::function<void(ReadAnswer)> onDone) override
     {
@@ -31,11 +31,14 @@
     }
     void join(const JoinCall &, Millis, std::function<void(JoinAnswer)> onDone) override
     {
+        ++joins;
         onDone({.status = StoreStatus::Done, .generation = generation, .partitions = assigned});
     }
-    void leave(const LeaveCall &, Millis, std::function<void(StoreStatus)> onDone) override
+    void leave(const LeaveCall &call, Millis, std::function<void(StoreStatus)> onDone) override
     {
-        onDone(StoreStatus::Done);
+        if (leaveStatus == StoreStatus::Done && call.member == "entry-1" && isMember)
+            ++generation;
+        onDone(leaveStatus);
     }
 
     uint64_t generation = 1;
@@ -45,15 +48,26 @@
     bool withholdsAppends = false;
     // Appends with a lower epoch are fenced.
     uint64_t fencedBelow = 0;
+    // Epoch that a former process has used.
+    uint64_t usedEpoch = 0;
+    StoreStatus leaveStatus = StoreStatus::Done;
+    // The generation increases when the entry leaves.
+    bool isMember = false;
+    uint32_t joins = 0;
+
+private:
+    AppendAnswer statusOf(const AppendCall &call) const
+    {
+        if (call.epoch < fencedBelow)
+            return {.status = StoreStatus::Fenced};
+        if (call.epoch == usedEpoch)
+            return {.status = StoreStatus::WrongSequence, .expectedSequence = 5};
+        return {.status = StoreStatus::Done};
+    }
 };
 
-struct PartitionOwnerFixture
+struct OwnerFixture
 {
-    PartitionOwnerFixture()
-    {
-        owner.start();
-        owner.setMemberships(1);
-    }
 
     void pass(Millis time)
     {
@@ -85,10 +99,60 @@
          .onClosed = [this](uint32_t partition, uint64_t) { closed.push_back(partition); }}};
 };
 
+struct PartitionOwnerFixture : OwnerFixture
+{
+    PartitionOwnerFixture()
+    {
+        owner.start();
+        owner.setMemberships(1);
+    }
+};
+
+// The former process is still a member, and the store cannot be reached.
+struct RestartedOwnerFixture : OwnerFixture
+{
+    RestartedOwnerFixture()
+    {
+        store.leaveStatus = StoreStatus::Refused;
+        store.isMember = true;
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(PartitionOwnerTest)
 
+// Guards against accepted jobs that are not stored: an entry that restarted while the store was down opened its
+// partitions with the epoch of its former process, and the store took its appends for repeats.
+BOOST_FIXTURE_TEST_CASE(entryJoinsOnlyAfterItsFormerMembershipHasEnded, RestartedOwnerFixture)
+{
+    owner.start();
+    owner.setMemberships(1);
+    pass({4'500});
+    BOOST_TEST(store.joins == 0U);
+    store.leaveStatus = StoreStatus::Done;
+    pass({400});
+    BOOST_TEST(store.joins > 0U);
+    BOOST_TEST(scheduler.epochOf(0).value_or(0) == 2U);
+}
+
+// Guards against accepted jobs that are not stored: an epoch that another process has used is given up, and the
+// partition is served with a new one.
+BOOST_FIXTURE_TEST_CASE(epochOfAnotherProcessIsReplaced, RestartedOwnerFixture)
+{
+    store.leaveStatus = StoreStatus::Done;
+    store.isMember = false;
+    store.usedEpoch = 1;
+    owner.start();
+    pass({10});
+    store.isMember = true;
+    owner.setMemberships(1);
+    pass({400});
+    BOOST_TEST(scheduler.isServing(0));
+    BOOST_TEST(scheduler.epochOf(0).value_or(0) > 1U);
+    BOOST_TEST(!closed.empty());
+}
+
 // Guards against a crash during a planned stop: a partition that was already being handed over was closed
 // while release iterated over the partitions.
 BOOST_FIXTURE_TEST_CASE(releaseDuringAHandOverClosesAllPartitions, PartitionOwnerFixture)
