Wait for all agents before placing steps that open during a takeover

Cause: only tasks that were waiting by the stored record waited for the reports of all agents. Ends of unfinished jobs are stored up to 1 s late, so the second step was loaded as blocked; the ends in the first agent's report opened it, and its tasks were placed before the agents that ran them had reported. Change: a job that may have runs of a former owner opens its steps as unreconciled until the partition is reconciled. The same held for best-effort jobs that are submitted again; both use the one place now.

--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -214,13 +214,8 @@
                  {"best_effort", true},
                  {"located", partition.reconciled},
                  {"due_in_ms", job.dueAt - now}});
+    job.mayHaveFormerRuns = !partition.reconciled && mayHaveRuns(job.spec, options.repeated);
     openReadySteps(job);
-    if (!partition.reconciled && mayHaveRuns(job.spec, options.repeated)) {
-        for (Task &task : job.tasks) {
-            if (task.phase == TaskPhase::Waiting)
-                task.phase = TaskPhase::Unreconciled;
-        }
-    }
     adoptOrphans(job, now);
 }
 
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -11,7 +11,9 @@
 // - An end is confirmed to the agent as stored only after a record that contains the end is stored. A job is
 //   reported to clients as ended only after the record with its final phase is stored.
 // - A task that may still have a run is not started again. After a change of ownership, a task whose run is
-//   unknown stays Unreconciled until every agent has reported or reconciliationTimeout has passed.
+//   unknown stays Unreconciled until every agent has reported or reconciliationTimeout has passed. That also
+//   holds for tasks of steps that are opened meanwhile: the former owner may have known ends that are not
+//   stored, and have opened the step.
 #pragma once
 
 #include "jobs/policies.h"
@@ -260,6 +262,8 @@
         bool hasRepeatedRuns = false;
         bool anyStarted = false;
         bool anyOrdered = false;
+        // A former owner may have ordered runs of any task. Meaningful until the partition is reconciled.
+        bool mayHaveFormerRuns = false;
         // No caller waits any longer. The job is not added to m_ended, so that it can be submitted again.
         bool abandoned = false;
         bool recordInFlight = false;
--- a/src/jobs/jobschedulerpartitions.cpp
+++ b/src/jobs/jobschedulerpartitions.cpp
@@ -86,11 +86,8 @@
         ++task.failures;
         task.run = std::max(task.run, failed.run());
     }
+    job.mayHaveFormerRuns = true;
     openReadySteps(job);
-    for (Task &task : job.tasks) {
-        if (task.phase == TaskPhase::Waiting)
-            task.phase = TaskPhase::Unreconciled;
-    }
     dequeue(job);
 }
 
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -29,6 +29,10 @@
 
 void JobScheduler::openReadySteps(Job &job)
 {
+    const auto partition = m_partitions.find(job.partition);
+    const bool isReconciled = partition != m_partitions.end() && partition->second.reconciled;
+    const TaskPhase opened =
+        job.mayHaveFormerRuns && !isReconciled ? TaskPhase::Unreconciled : TaskPhase::Waiting;
     for (uint32_t number = 0; number < job.spec.steps.size(); ++number) {
         const StepSpec &step = *job.spec.steps[number];
         const bool ready = std::all_of(step.after.begin(), step.after.end(),
@@ -38,7 +42,7 @@
         for (uint32_t index = 0; index < step.count; ++index) {
             Task &task = job.tasks[job.stepFirst[number] + index];
             if (task.phase == TaskPhase::Blocked)
-                task.phase = TaskPhase::Waiting;
+                task.phase = opened;
         }
     }
     enqueue(job);
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -577,6 +577,57 @@
     BOOST_TEST(effects.starts.size() == 3U);
 }
 
+// The record of a job with two steps, of which the second depends on the first.
+static std::string twoStepRecord(JobId id, uint32_t tasks)
+{
+    JobRecord record;
+    record.spec = std::make_unique<JobSpec>(JobSchedulerFixture::job(id, tasks, false));
+    auto second = std::make_unique<StepSpec>(*record.spec->steps[0]);
+    second->after.push_back(0);
+    record.spec->steps.push_back(std::move(second));
+    return encodeJobRecord(record);
+}
+
+// Guards against a second run of a task after a change of owner: the step of the task was opened by the ends
+// that the first agent reported, before the agent with the task's run had reported.
+BOOST_FIXTURE_TEST_CASE(stepOpenedDuringATakeoverWaitsForTheReportsOfAllAgents, JobSchedulerFixture)
+{
+    scheduler.loadRecord(0, 1, twoStepRecord(1, 2), now);
+    load(false);
+    std::vector<AgentEnd> ended;
+    for (uint32_t index = 0; index < 2; ++index)
+        ended.push_back({.run = {.task = {.job = 1, .index = index}, .number = 1}, .kind = EndKind::Done});
+    scheduler.claimReport(1, 0, 1, {}, ended, now);
+    scheduler.advance(now);
+    BOOST_TEST(effects.starts.empty());
+    const RunId running{.task = {.job = 1, .step = 1, .index = 1}, .number = 1};
+    scheduler.claimReport(2, 0, 1, std::span(&running, 1), {}, now);
+    scheduler.advance(now);
+    BOOST_TEST(effects.stops.empty());
+    BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
+    BOOST_TEST(effects.starts[0].run.task.step == 1U);
+    BOOST_TEST(effects.starts[0].run.task.index == 0U);
+}
+
+// Guards against the same for a best-effort job that is submitted again to the next owner.
+BOOST_FIXTURE_TEST_CASE(stepOfAResubmittedJobWaitsForTheReportsOfAllAgents, JobSchedulerFixture)
+{
+    load(false);
+    JobSpec spec = job(1, 1, true);
+    auto second = std::make_unique<StepSpec>(*spec.steps[0]);
+    second->after.push_back(0);
+    spec.steps.push_back(std::move(second));
+    submit(std::move(spec), true);
+    const std::vector<AgentEnd> ended = {
+        {.run = {.task = {.job = 1}, .number = 1}, .kind = EndKind::Done}};
+    scheduler.claimReport(1, 0, 1, {}, ended, now);
+    scheduler.advance(now);
+    BOOST_TEST(effects.starts.empty());
+    scheduler.claimReport(2, 0, 1, {}, {}, now);
+    scheduler.advance(now);
+    BOOST_TEST(effects.starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
