Keep dialling agents until their removal is stored

Cause: the entry forgot each agent that it could not reach when it wrote the removal of its registration. It was the entry that was cut off, so the write failed, no record changed, and nothing brought the agents back. Evidence: member_expired and registration_not_changed of all agents, then memberships_changed with 0 agents. The same log shows partition_located with all_agents_reported 4 ms after loading, with no agent connected: agents out of contact for 6 s counted as without runs, so the tasks of their runs were ordered again (TWICE). Change: the contact stays until the removal is read from the store, and the removal is repeated; restores are repeated while the registration is missing; a registered agent may hold runs however long it was out of reach; after the first connection is back, all others are dialled at once.

--- a/src/fleet/agentpresence.cpp
+++ b/src/fleet/agentpresence.cpp
@@ -108,7 +108,9 @@
 {
     std::set<AgentNumber> result;
     for (const auto &[number, agent] : m_agents) {
-        if (agent.wanted && (agent.connected || now - agent.lastContact < contactExpiry))
+        const bool mayBeAlive = agent.isRegistered && !agent.leaving;
+        const bool hadContact = now - agent.lastContact < contactExpiry;
+        if (agent.wanted && (agent.connected || hadContact || mayBeAlive))
             result.insert(number);
     }
     return result;
--- a/src/fleet/agentpresence.h
+++ b/src/fleet/agentpresence.h
@@ -18,7 +18,9 @@
 class AgentPresence
 {
 public:
-    // An agent without a connection holds no runs once this time has passed since its last contact.
+    // An agent without a connection and without a registration holds no runs once this time has passed since
+    // its last contact. The registration of an agent that no entry reaches is removed before; one that stays
+    // shows that this entry may be the one that was cut off.
     static constexpr Millis contactExpiry = {6'000};
     // Runs on an agent without a connection end within this time after this entry last answered a ping of the
     // agent: the agent stops the runs of an unresponsive owner after 1.2 s, and after that a lease of 1 s may
@@ -57,6 +59,7 @@
     // Number of registered agents, wanted or not, that were not removed from the member list.
     size_t registeredCount() const;
     void removed(AgentNumber agent) { m_agents.at(agent).isRegistered = false; }
+    bool isRegistered(AgentNumber agent) const { return m_agents.at(agent).isRegistered; }
     size_t wantedCount() const;
     // Connected agents that have not been wanted for at least connectionLinger.
     std::vector<AgentNumber> superfluousAgents(Millis now) const;
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -39,10 +39,12 @@
         m_presence.removed(*number);
     // Another entry has lost its connection to this agent and removed the registration, but the agent is
     // alive.
-    if (number && m_presence.isActive(*number))
+    if (number && m_presence.isActive(*number)) {
         m_members.restore(contact->second.member);
-    else
-        m_contacts.erase(contact);
+        return;
+    }
+    m_log.always(Clock::now(), "member_removed", {{"member", name}});
+    m_contacts.erase(contact);
 }
 
 void EntryNode::dial(const std::string &name)
@@ -68,6 +70,16 @@
                    });
 }
 
+void EntryNode::dialAll()
+{
+    for (auto &[name, contact] : m_contacts) {
+        const bool isAgent = contact.member.identity.role == fleet::ProcessRole::Agent;
+        contact.backoff.reset();
+        if (isAgent || m_self.name < name)
+            dial(name);
+    }
+}
+
 void EntryNode::closeSuperseded(const fleet::EntryReportT &report)
 {
     for (const auto &owned : report.partitions) {
@@ -151,12 +163,18 @@
 {
     for (const auto &[number, unreachedFor] : m_presence.unreachableAgents(now)) {
         const std::string &name = m_presence.name(number);
-        if (m_contacts.erase(name) == 0)
+        // The contact is kept, and dialled, until the removal has been read from the store. This entry may be
+        // the one that is cut off, and then the removal fails and nothing would bring the agent back.
+        if (!m_contacts.contains(name))
             continue;
         m_log.always(now, "member_expired", {{"agent", name}, {"unreached_ms", unreachedFor}});
-        m_presence.removed(number);
         m_members.remove(name);
     }
+    for (const auto &[name, contact] : m_contacts) {
+        const std::optional<AgentNumber> number = m_presence.find(name);
+        if (number && m_presence.isActive(*number) && !m_presence.isRegistered(*number))
+            m_members.restore(contact.member);
+    }
 }
 
 void EntryNode::updateAgentPresence(Millis now)
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -176,6 +176,9 @@
 {
     if (const auto contact = m_contacts.find(hello.node); contact != m_contacts.end())
         contact->second.backoff.reset();
+    // After this entry was cut off from all, the others are probably in reach again as well.
+    if (m_agentLinks.empty() && m_peers.empty())
+        dialAll();
     m_log.always(Clock::now(), "peer_connected", {{"peer", hello.node}, {"incarnation", hello.incarnation}});
     if (hello.role == fleet::ProcessRole::Agent) {
         agentConnected(link, hello);
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -153,6 +153,8 @@
     void memberFound(const Member &member);
     void memberRemoved(const std::string &name);
     void dial(const std::string &name);
+    // Dials all processes that this entry is not connected to, without waiting for the end of a backoff.
+    void dialAll();
     void updateAgentPresence(Millis now);
     void updatePeersWaiting();
     // Joins or leaves the group of owners as fits the present entries.
@@ -164,6 +166,8 @@
     // Ends the memberships of an entry that cannot be reached, so that its partitions get a new owner soon.
     // This is harmless if the entry is still alive: it joins again, and its epochs fence outdated writes.
     void checkLostEntry(const std::string &name);
+    // Removes the registrations of agents that cannot be reached, and restores those of agents that another
+    // entry has removed although they are alive.
     void expireMembers(Millis now);
 
     // --- entrysubsets.cpp: the agents of the owned partitions ---
--- a/src/fleet/memberlist.h
+++ b/src/fleet/memberlist.h
@@ -55,7 +55,7 @@
     MemberList(StoreApi &store, IoContext &io, StructuredLog &log, Handlers handlers);
     void start() { m_follower.start(); }
     // remove deletes a registration; restore writes it again for a process that is still alive. Each makes a
-    // single attempt.
+    // single attempt: callers go by what is read from the store, and repeat the call until it shows there.
     void remove(const std::string &name);
     void restore(const Member &member);
     // All registrations have been read at least once.
--- a/tests/unit/agentpresencetest.cpp
+++ b/tests/unit/agentpresencetest.cpp
@@ -98,6 +98,21 @@
     BOOST_TEST(presence.superfluousAgents(end).empty());
 }
 
+// Guards against a second run of a task: an entry that was cut off for longer than contactExpiry took over a
+// partition as soon as it reached the store, and waited for none of the agents that it had not reached yet.
+BOOST_AUTO_TEST_CASE(registeredAgentMayHoldRunsHoweverLongItWasOutOfReach)
+{
+    AgentPresence presence;
+    const AgentNumber agent = presence.registered("agent-1", start);
+    presence.setWanted(agent, true, start);
+    presence.connected(agent, start);
+    presence.disconnected(agent, start, start + Millis{100});
+    const Millis later = start + AgentPresence::contactExpiry * 2;
+    BOOST_TEST(presence.mayHoldRuns(later).contains(agent));
+    presence.removed(agent);
+    BOOST_TEST(presence.mayHoldRuns(later).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -47,6 +47,41 @@
     }
 }
 
+// Guards against an entry that owns partitions but has no agents after it was cut off: it forgot agents that it
+// could not reach, and the removal of their registrations, which would have brought them back, had failed.
+BOOST_AUTO_TEST_CASE(entryThatWasCutOffServesAgain)
+{
+    EmulationOptions day = *emulatedSite("himal");
+    day.seed = 12;
+    day.traffic.load = 0.3;
+    day.traffic.keptShare = 1;
+    day.traffic.cancelledShare = 0;
+    day.length = {24'000};
+    const ProcessName entry{fleet::ProcessRole::Entry, 1};
+    constexpr Millis begin = {2'000};
+    constexpr Millis length = {12'000};
+    for (uint32_t index = 0; index < day.size.entries; ++index) {
+        if (index != entry.index)
+            day.plan.push_back({begin, length, CutLink{.from = entry, .to = {fleet::ProcessRole::Entry, index}}});
+    }
+    for (uint32_t index = 0; index < day.size.agents; ++index)
+        day.plan.push_back({begin, length, CutLink{.from = entry, .to = {fleet::ProcessRole::Agent, index}}});
+    day.plan.push_back({begin, length, TroubleStore{.trouble = StoreIsSilent{}, .process = entry}});
+    const EmulationRecord record = Emulation(day).run();
+    BOOST_TEST(firstBroken(checkPromises(record, day)) == "");
+    constexpr Millis settled = begin + length + Millis{3'000};
+    size_t asked = 0;
+    size_t accepted = 0;
+    for (const JobOutcome &job : record.jobs) {
+        if (job.sentAt - record.begin < settled)
+            continue;
+        ++asked;
+        accepted += job.acceptedAt ? 1 : 0;
+    }
+    BOOST_TEST(asked > 100U);
+    BOOST_TEST(accepted == asked);
+}
+
 // Guards against a bound that a dispatcher passes: two jobs want all processors at the same time, and there
 // is room for one of them until the deadlines.
 BOOST_AUTO_TEST_CASE(boundIsWhatTheProcessorsCanDoInTime)
