Look at the jobs behind those that cannot be placed

Cause: a dispatch pass ended after 24 jobs with a task that could not be placed. Late jobs are ordered by age, so the same 24 jobs that wait for the lost worker came first in each pass. Evidence: the workers were known and free, and the partitions were located long before; the new tests reproduce it on the decision object with 60 such jobs, in the queue of late jobs and in that of jobs in time. Change: behind the first jobs of a queue each pass looks at further ones, up to another 24 that cannot be placed, and the next pass goes on where this one ended. The order under overload and the bound on the cost of a pass stay.

--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -314,6 +314,10 @@
         bool allAgentsKnown = false;
     };
 
+    // A job's position in a queue: its sort key, then its identifier.
+    using QueueKey = std::pair<Millis, JobId>;
+    using JobQueue = std::set<QueueKey>;
+
     // The owner's epoch times this is the base of the run numbers of best-effort and loaded jobs, so that
     // they exceed those of any former owner.
     static constexpr uint32_t runsPerEpoch = 1'000;
@@ -368,6 +372,12 @@
     void demoteLate(Millis now);
     void rejectLateJobs(Millis now);
     void dispatch(Millis now);
+    // Places tasks of the queued jobs in order, then of the jobs behind the ones that used up the budget; see
+    // dispatch(). `resumeAt` is where the previous pass over the latter ended.
+    void placeQueued(const JobQueue &queue, uint32_t &budget, QueueKey &resumeAt, Millis now);
+    // Goes through the jobs in order until `budget` of them could not be placed. Returns the number of jobs
+    // looked at.
+    size_t placeInOrder(std::span<const QueueKey> jobs, uint32_t &budget, Millis now);
     bool placeTasks(Job &job, Millis now);
     bool placeTask(Job &job, Task &task, Millis now);
     Millis objective(const JobSpec &spec) const;
@@ -391,8 +401,11 @@
     std::deque<JobId> m_endedOrder;
     // Queue of the jobs with waiting tasks that can still meet their deadline, by queueKey, and of those that
     // cannot, by acceptedAt.
-    std::set<std::pair<Millis, JobId>> m_onTime;
-    std::set<std::pair<Millis, JobId>> m_late;
+    JobQueue m_onTime;
+    JobQueue m_late;
+    // Where the next pass over the jobs behind the first unplaced ones of each queue begins.
+    QueueKey m_onTimeResumeAt;
+    QueueKey m_lateResumeAt;
     // Best-effort jobs that have ended but are still in m_jobs.
     std::vector<JobId> m_finished;
     std::map<RunId, Orphan> m_orphans;
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -2,6 +2,9 @@
 //
 // Load pattern: bursts beyond the capacity of all workers. Jobs that can still meet their deadline are placed
 // first, ordered by their latest start; late jobs use the remaining capacity, oldest first.
+//
+// Load pattern: many jobs that wait for workers that are gone, and others behind them that any worker could
+// run. The first jobs of a queue that cannot be placed do not keep the others from the free workers.
 #include "core/overloaded.h"
 #include "jobs/jobscheduler.h"
 
@@ -20,7 +23,8 @@
 constexpr Millis minSlowRunTime = {80};
 constexpr uint32_t maxMoveDoublings = 16;
 constexpr Millis purgeInterval = {1'000};
-// A dispatch pass ends after this many jobs with a task that could not be placed.
+// Limits the cost of a dispatch pass under overload: the number of jobs with a task that could not be placed
+// after which the pass no longer follows the order of the queues, and after which it ends for the jobs behind.
 constexpr uint32_t maxUnplacedJobs = 24;
 
 Millis declaredSlack(const JobSpec &spec)
@@ -210,23 +214,34 @@
     return amount;
 }
 
+size_t JobScheduler::placeInOrder(std::span<const QueueKey> jobs, uint32_t &budget, Millis now)
+{
+    size_t count = 0;
+    for (; count < jobs.size() && budget > 0; ++count) {
+        if (!placeTasks(m_jobs.at(jobs[count].second), now))
+            --budget;
+    }
+    return count;
+}
+
+void JobScheduler::placeQueued(const JobQueue &queue, uint32_t &budget, QueueKey &resumeAt, Millis now)
+{
+    // Jobs leave the queue when they are placed.
+    const std::vector<QueueKey> jobs(queue.begin(), queue.end());
+    std::span<const QueueKey> behind = std::span(jobs).subspan(placeInOrder(jobs, budget, now));
+    const auto next = std::lower_bound(behind.begin(), behind.end(), resumeAt);
+    behind = behind.subspan(static_cast<size_t>(next - behind.begin()));
+    uint32_t budgetBehind = maxUnplacedJobs;
+    const size_t passed = placeInOrder(behind, budgetBehind, now);
+    // At the end of the queue the next pass begins behind its first jobs again.
+    resumeAt = passed < behind.size() ? behind[passed] : QueueKey();
+}
+
 void JobScheduler::dispatch(Millis now)
 {
-    uint32_t unplaced = 0;
-    const auto pass = [&](const std::set<std::pair<Millis, JobId>> &queue) {
-        std::vector<JobId> order;
-        order.reserve(queue.size());
-        for (const auto &[key, id] : queue)
-            order.push_back(id);
-        for (const JobId id : order) {
-            if (unplaced >= maxUnplacedJobs)
-                return;
-            if (!placeTasks(m_jobs.at(id), now))
-                ++unplaced;
-        }
-    };
-    pass(m_onTime);
-    pass(m_late);
+    uint32_t budget = maxUnplacedJobs;
+    placeQueued(m_onTime, budget, m_onTimeResumeAt, now);
+    placeQueued(m_late, budget, m_lateResumeAt, now);
     m_waitingCpuMilli = 0;
     for (const auto &[key, id] : m_onTime)
         m_waitingCpuMilli += waitingCpuMilli(m_jobs.at(id));
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -628,6 +628,62 @@
     BOOST_TEST(effects.starts.size() == 1U);
 }
 
+// Guards against jobs that stand still beside free workers: a pass over the queue ended after 24 jobs that
+// could not be placed, and late jobs are ordered by age, so the same 24 came first in each pass.
+BOOST_FIXTURE_TEST_CASE(lateJobsBehindJobsThatCannotBePlacedAreStarted, JobSchedulerFixture)
+{
+    load();
+    WorkerState labelled = workerWith(0);
+    labelled.labels = {"b"};
+    pool.report(2, labelled);
+    pool.report(1, workerWith(0));
+    constexpr JobId jobsWithLabel = 60;
+    for (JobId id = 1; id <= jobsWithLabel; ++id) {
+        JobSpec spec = job(id, 1, false);
+        spec.steps[0]->required_label = "b";
+        spec.stretch = 1'000;
+        submit(std::move(spec));
+    }
+    JobSpec spec = job(jobsWithLabel + 1, 1, false);
+    spec.stretch = 1'000;
+    submit(std::move(spec));
+    storeAll();
+    BOOST_TEST_REQUIRE(replies.size() == jobsWithLabel + 1);
+    now += Millis{200'000};
+    scheduler.advance(now);
+    pool.remove(2);
+    pool.report(1, workerWith(4'000));
+    for (int pass = 0; pass < 4; ++pass)
+        scheduler.advance(now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
+    BOOST_TEST(effects.starts[0].run.task.job == jobsWithLabel + 1);
+}
+
+// Guards against the same in the queue of jobs that can still meet their deadline.
+BOOST_FIXTURE_TEST_CASE(jobsInTimeBehindJobsThatCannotBePlacedAreStarted, JobSchedulerFixture)
+{
+    load();
+    WorkerState labelled = workerWith(0);
+    labelled.labels = {"b"};
+    pool.report(2, labelled);
+    pool.report(1, workerWith(0));
+    constexpr JobId jobsWithLabel = 60;
+    for (JobId id = 1; id <= jobsWithLabel + 1; ++id) {
+        JobSpec spec = job(id, 1, false);
+        spec.stretch = 1'000;
+        if (id <= jobsWithLabel)
+            spec.steps[0]->required_label = "b";
+        submit(std::move(spec));
+    }
+    storeAll();
+    pool.remove(2);
+    pool.report(1, workerWith(4'000));
+    for (int pass = 0; pass < 4; ++pass)
+        scheduler.advance(now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
+    BOOST_TEST(effects.starts[0].run.task.job == jobsWithLabel + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
