Answer submissions of best-effort jobs only with their ends

Cause: a best-effort job that was handed over and then given up, since no caller waited, was stored as cancelled, and the next owner answered a later submission with that. Its last record could also outlive it: when the job was submitted again meanwhile, the store's answer to the old record ended the new job, whose phase was still active. Change: the record of a job that is given up is deleted; the store's answer counts only for the job that wrote the record; a cancelled best-effort job is answered with 410; an entry passes on no other answer of an owner. The emulator checks the answers.

--- a/src/emulator/emulatedclients.cpp
+++ b/src/emulator/emulatedclients.cpp
@@ -187,6 +187,8 @@
     if (!outcome.isKept) {
         if (reply.phase == JobPhase::Completed)
             outcome.completedAt = now;
+        else if (reply.status == fleet::CallStatus::Done && reply.phase != JobPhase::Failed)
+            outcome.unfitAnswer = reply.phase;
         return;
     }
     outcome.acceptedAt = now;
--- a/src/emulator/emulatedclients.h
+++ b/src/emulator/emulatedclients.h
@@ -67,6 +67,8 @@
     std::optional<Millis> acceptedAt;
     // Best-effort jobs only: the answer that it is completed.
     std::optional<Millis> completedAt;
+    // Best-effort jobs only: a phase in an answer that is not the end of the job.
+    std::optional<JobPhase> unfitAnswer;
     bool cancelSent = false;
     std::optional<Millis> cancelledAt;
 };
--- a/src/emulator/emulationcheck.cpp
+++ b/src/emulator/emulationcheck.cpp
@@ -31,9 +31,11 @@
     case Promise::CancelledStops:
         return "cancelled_stops";
     case Promise::Recovers:
+        return "recovers";
+    case Promise::AnswersFitCalls:
         break;
     }
-    return "recovers";
+    return "answers_fit_calls";
 }
 
 namespace {
@@ -129,6 +131,10 @@
     void checkJobs()
     {
         for (const JobOutcome &job : m_record.jobs) {
+            if (job.unfitAnswer)
+                broken(Promise::AnswersFitCalls,
+                       "submission of best-effort job " + jobIdText(job.job) + " is answered with "
+                           + fleet::EnumNameJobPhase(*job.unfitAnswer));
             if (job.onlyRefused && m_started.contains(job.job))
                 broken(Promise::RefusedNeverRuns, "job " + jobIdText(job.job));
             if (!job.acceptedAt || job.cancelSent || m_failed.contains(job.job))
--- a/src/emulator/emulationcheck.h
+++ b/src/emulator/emulationcheck.h
@@ -21,6 +21,8 @@
     CancelledStops,
     // Clients are served again soon after the last trouble.
     Recovers,
+    // An answer names a state that the call may return.
+    AnswersFitCalls,
 };
 
 std::string_view promiseName(Promise promise);
--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -118,6 +118,14 @@
         m_timers.after(retryDelay, [this, id] { route(id); });
         return;
     }
+    const bool isBestEffort = pending.call.spec && pending.call.spec->best_effort;
+    const bool namesEnd = reply.phase == JobPhase::Completed || reply.phase == JobPhase::Failed;
+    if (isBestEffort && reply.status == fleet::CallStatus::Done && !namesEnd) {
+        // Owners of an earlier version may answer so; the client could not read the answer.
+        m_log.always(Clock::now(), "answer_without_end",
+                     {{"job", jobIdText(pending.call.job)}, {"phase", fleet::EnumNameJobPhase(reply.phase)}});
+        reply = {.status = fleet::CallStatus::Unknown, .reason = "the owner's answer names no end of the job"};
+    }
     // A rejection of this attempt does not show that an earlier, unanswered attempt was rejected.
     if (reply.status == fleet::CallStatus::Refused && pending.uncertain)
         reply.status = fleet::CallStatus::Unknown;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -131,6 +131,7 @@
 {
     const JobId id = spec.id;
     Job &job = m_jobs[id];
+    job.serial = ++m_lastSerial;
     job.spec = std::move(spec);
     job.partition = partition;
     job.acceptedAt = now;
@@ -145,6 +146,14 @@
     return job;
 }
 
+// Answer to a submission whose job has ended.
+static JobReply endedReply(bool isBestEffort, JobPhase phase)
+{
+    if (isBestEffort && phase == JobPhase::Cancelled)
+        return {.status = fleet::CallStatus::NotKnown, .reason = "the job was cancelled"};
+    return {.status = fleet::CallStatus::Done, .phase = phase};
+}
+
 void JobScheduler::submit(JobSpec spec, SubmitOptions options, Millis now, JobReplyHandler onDone)
 {
     const uint32_t partition = partitionOf(spec.id, m_options.partitions);
@@ -154,7 +163,7 @@
         return;
     }
     if (const auto ended = m_ended.find(spec.id); ended != m_ended.end()) {
-        onDone({.status = fleet::CallStatus::Done, .phase = ended->second.phase});
+        onDone(endedReply(spec.best_effort, ended->second.phase));
         return;
     }
     if (Job *known = findJob(spec.id)) {
@@ -291,29 +300,35 @@
                 record.repeated_tasks.push_back(number);
         }
     }
-    const JobId id = job.spec.id;
-    const uint32_t partition = job.partition;
-    const uint64_t epoch = m_partitions.at(partition).epoch;
-    std::vector<UnstoredEnd> ends = std::exchange(job.unstoredEnds, {});
-    m_effects.store(partition, id, encodeJobRecord(record), !job.accepted,
-                    [this, id, partition, epoch, phase = job.phase,
-                     ends = std::move(ends)](StoreOutcome outcome, Millis doneAt) {
-                        recordStored(id, partition, epoch, phase, ends, outcome, doneAt);
+    RecordWrite write{.job = job.spec.id,
+                      .serial = job.serial,
+                      .partition = job.partition,
+                      .epoch = m_partitions.at(job.partition).epoch,
+                      .phase = job.phase,
+                      .ends = std::exchange(job.unstoredEnds, {})};
+    m_effects.store(job.partition, job.spec.id, encodeJobRecord(record), !job.accepted,
+                    [this, write = std::move(write)](StoreOutcome outcome, Millis doneAt) {
+                        recordStored(write, outcome, doneAt);
                     });
 }
 
-void JobScheduler::recordStored(JobId id, uint32_t partition, uint64_t epoch, JobPhase phase,
-                                const std::vector<UnstoredEnd> &ends, StoreOutcome outcome, Millis now)
+void JobScheduler::deleteRecord(uint32_t partition, JobId id)
+{
+    m_effects.store(partition, id, {}, true, [](StoreOutcome, Millis) {});
+}
+
+void JobScheduler::recordStored(const RecordWrite &write, StoreOutcome outcome, Millis now)
 {
     // After a change of ownership the job has been removed and its callers have been answered.
-    if (epochOf(partition) != epoch || outcome == StoreOutcome::Superseded)
+    if (epochOf(write.partition) != write.epoch || outcome == StoreOutcome::Superseded)
         return;
+    const JobId id = write.job;
     Job *job = findJob(id);
-    if (!job)
+    if (!job || job->serial != write.serial)
         return;
     job->recordInFlight = false;
     if (outcome == StoreOutcome::Stored) {
-        for (const UnstoredEnd &end : ends)
+        for (const UnstoredEnd &end : write.ends)
             m_effects.endStored(end.agent, end.run);
     }
     if (!job->accepted) {
@@ -322,7 +337,7 @@
         if (!job)
             return;
     }
-    if (phase != JobPhase::Active) {
+    if (write.phase != JobPhase::Active) {
         retire(id, now);
         return;
     }
@@ -391,12 +406,16 @@
                        .hasRepeatedRuns = job.hasRepeatedRuns};
         m_endedOrder.push_back(id);
     }
-    std::vector<JobReplyHandler> handlers = std::move(job.cancellers);
-    std::move(job.submitters.begin(), job.submitters.end(), std::back_inserter(handlers));
+    const JobReply submitterReply =
+        job.abandoned ? reply : endedReply(job.spec.best_effort, job.phase);
+    const std::vector<JobReplyHandler> cancellers = std::move(job.cancellers);
+    const std::vector<JobReplyHandler> submitters = std::move(job.submitters);
     dequeue(job);
     m_jobs.erase(id);
-    for (const JobReplyHandler &handler : handlers)
-        handler(reply);
+    for (const JobReplyHandler &canceller : cancellers)
+        canceller(reply);
+    for (const JobReplyHandler &submitter : submitters)
+        submitter(submitterReply);
 }
 
 void JobScheduler::retireFinished(Millis now)
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -4,7 +4,8 @@
 //
 // A best-effort job is not stored. Its submission is answered when the job ends, and clients submit it again
 // if its owner fails. Best-effort jobs are written to the store only when their partition is handed over to
-// another owner.
+// another owner. A best-effort job without callers is given up: its record is deleted, and a later submission
+// of it is a new job. The submission of a best-effort job is answered as done only with Completed or Failed.
 //
 // Invariants under any failure:
 // - A durable job is acknowledged as accepted only after its record is stored.
@@ -240,6 +241,9 @@
     struct Job
     {
         JobSpec spec;
+        // Distinguishes jobs of the same identifier: a job that was given up may be submitted again while the
+        // store still writes a record of its predecessor.
+        uint64_t serial = 0;
         uint32_t partition = 0;
         std::vector<Task> tasks;
         // For each step: the index of its first task in tasks, and the number of its tasks that are not done.
@@ -334,9 +338,19 @@
     Millis allowedWait(const JobSpec &spec, Millis slack, Millis now);
     static int64_t waitingCpuMilli(const Job &job);
     Job &addJob(JobSpec spec, uint32_t partition, Millis now);
+    struct RecordWrite
+    {
+        JobId job = 0;
+        uint64_t serial = 0;
+        uint32_t partition = 0;
+        uint64_t epoch = 0;
+        JobPhase phase = JobPhase::Active;
+        std::vector<UnstoredEnd> ends;
+    };
+
     void writeRecord(Job &job);
-    void recordStored(JobId id, uint32_t partition, uint64_t epoch, JobPhase phase,
-                      const std::vector<UnstoredEnd> &ends, StoreOutcome outcome, Millis now);
+    void deleteRecord(uint32_t partition, JobId id);
+    void recordStored(const RecordWrite &write, StoreOutcome outcome, Millis now);
     void finishAcceptance(Job &job, StoreOutcome outcome, Millis now);
     void acceptBestEffort(JobSpec spec, uint32_t partition, SubmitOptions options, Millis now,
                           JobReplyHandler onDone);
@@ -396,6 +410,7 @@
     UrgentSlack m_urgentSlack;
     std::map<uint32_t, Partition> m_partitions;
     std::unordered_map<JobId, Job> m_jobs;
+    uint64_t m_lastSerial = 0;
     std::unordered_map<JobId, EndedJob> m_ended;
     // Ended jobs, oldest first.
     std::deque<JobId> m_endedOrder;
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -348,7 +348,7 @@
             const bool recorded = found->second.recorded;
             m_ended.erase(found);
             if (recorded)
-                m_effects.store(partition, id, {}, true, [](StoreOutcome, Millis) {});
+                deleteRecord(partition, id);
         }
         m_endedOrder.pop_front();
     }
--- a/src/jobs/jobschedulerpartitions.cpp
+++ b/src/jobs/jobschedulerpartitions.cpp
@@ -48,11 +48,12 @@
 void JobScheduler::loadRecord(uint32_t partition, JobId id, std::string_view bytes, Millis now)
 {
     std::optional<JobRecord> record = decodeJobRecord(bytes);
-    if (!record) {
+    const bool isUnreadable = !record || (record->phase == JobPhase::Active && !record->spec);
+    if (isUnreadable) {
         m_log.always(now, "record_unreadable", {{"job", jobIdText(id)}, {"bytes", bytes.size()}});
         return;
     }
-    if (record->phase != JobPhase::Active || !record->spec) {
+    if (record->phase != JobPhase::Active) {
         m_ended[id] = {.phase = record->phase,
                        .evictAt = now + m_options.retention,
                        .partition = partition,
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -111,7 +111,10 @@
     // The Job object must outlive the handling of the event that ended the job, so it is removed later.
     if (job.spec.best_effort)
         m_finished.push_back(job.spec.id);
-    if (!job.spec.best_effort || job.recorded)
+    // Clients may submit a job again that was given up, so the next owner must not take it for cancelled.
+    if (job.abandoned && job.recorded)
+        deleteRecord(job.partition, job.spec.id);
+    else if (!job.spec.best_effort || job.recorded)
         writeRecord(job);
 }
 
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -281,6 +281,37 @@
         fleet.store.write("keyed.op", "evacuate/patan", b"")
         fleet.wait_until_serving()
 
+    # Guards against a submission that is answered with "cancelled" or "queued": the job was handed over in a planned
+    # stop, given up by the next owner because its client had left, and submitted again to the owner after that.
+    def test_job_that_was_given_up_is_not_shown_as_cancelled_when_it_is_submitted_again(self):
+        fleet = self.fleet(task_ms=lambda task: 20000 if task.startswith("a") else 50)
+        jobs = [f"a{number:015x}" for number in range(8)]
+        answers = []
+
+        def submit_all(entry):
+            threads = [threading.Thread(target=lambda job=job: answers.append(
+                fleet.submit(job, 1, entry=entry, best_effort=True, estimate=20000, timeout=2))) for job in jobs]
+            for thread in threads:
+                thread.start()
+            return threads
+
+        threads = submit_all(0)
+        time.sleep(0.5)
+        fleet.entries[0].signal(TERM)
+        for thread in threads:
+            thread.join()
+        fleet.entries[0].wait()
+        time.sleep(3)
+        fleet.entries[0].start()
+        time.sleep(3)
+        fleet.entries[1].signal(TERM)
+        fleet.entries[1].wait()
+        for thread in submit_all(0):
+            thread.join()
+        states = [body.get("state") for status, body in answers if status == 200]
+        self.assertEqual([state for state in states if state not in ("completed", "failed")], [])
+        self.assertEqual(len(answers), 2 * len(jobs))
+
     # Guards against starts in an evacuated zone after a restart: an entry that has not read the operators' records since
     # its start does not know the zone, and must own no partition.
     def test_restarted_entries_own_nothing_before_the_operators_records_are_read(self):
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -180,6 +180,12 @@
     BOOST_TEST((broken() == std::vector{Promise::CancelledStops}));
 }
 
+BOOST_FIXTURE_TEST_CASE(checkSeesAnAnswerThatIsNoEndOfTheJob, CheckFixture)
+{
+    record.jobs[0].unfitAnswer = JobPhase::Cancelled;
+    BOOST_TEST((broken() == std::vector{Promise::AnswersFitCalls}));
+}
+
 BOOST_FIXTURE_TEST_CASE(checkSeesAnOverfullWorker, CheckFixture)
 {
     record.mostOverfullMilli = 100;
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -684,6 +684,66 @@
     BOOST_TEST(effects.starts[0].run.task.job == jobsWithLabel + 1);
 }
 
+// Guards against an answer that is not one for the call: a client that submits a best-effort job again reads
+// how it ended, and "cancelled" is no such end unless a client has cancelled it. The former owner had given up
+// the job because no caller waited for it.
+BOOST_FIXTURE_TEST_CASE(jobThatAFormerOwnerGaveUpRunsWhenItIsSubmittedAgain, JobSchedulerFixture)
+{
+    load();
+    submit(job(1, 1, true));
+    scheduler.freezePartition(0, now);
+    BOOST_TEST_REQUIRE(effects.records.size() == 1U);
+    JobSchedulerFixture second(2);
+    second.scheduler.loadRecord(0, 1, effects.records[0].value, second.now);
+    second.load();
+    second.now += Millis{2'100};
+    second.scheduler.advance(second.now);
+    second.scheduler.advance(second.now);
+    BOOST_TEST(second.scheduler.activeJobs() == 0U);
+    JobSchedulerFixture third(3);
+    if (!second.effects.records.empty() && !second.effects.records.back().value.empty())
+        third.scheduler.loadRecord(0, 1, second.effects.records.back().value, third.now);
+    third.load();
+    third.submit(job(1, 1, true));
+    BOOST_TEST(third.replies.empty());
+    BOOST_TEST(third.effects.starts.size() == 1U);
+}
+
+// Guards against an answer that says that a best-effort job is queued: the job was submitted again while the
+// record of its first life was being stored, and the answer of the store ended its second life.
+BOOST_FIXTURE_TEST_CASE(recordOfAFormerLifeDoesNotEndTheJob, JobSchedulerFixture)
+{
+    JobRecord record;
+    record.spec = std::make_unique<JobSpec>(job(1, 1, true));
+    scheduler.loadRecord(0, 1, encodeJobRecord(record), now);
+    load();
+    effects.starts.clear();
+    now += Millis{2'100};
+    scheduler.advance(now);
+    scheduler.advance(now);
+    BOOST_TEST_REQUIRE(scheduler.activeJobs() == 0U);
+    submit(job(1, 1, true), true);
+    BOOST_TEST(scheduler.activeJobs() == 1U);
+    storeAll();
+    BOOST_TEST(replies.empty());
+    BOOST_TEST(scheduler.activeJobs() == 1U);
+}
+
+// Guards against an answer to the submission of a best-effort job that names no end of it.
+BOOST_FIXTURE_TEST_CASE(submissionOfACancelledBestEffortJobIsAnsweredAsNotKnown, JobSchedulerFixture)
+{
+    load();
+    submit(job(1, 1, true));
+    scheduler.cancel(1, now, [](const JobReply &) {});
+    scheduler.advance(now);
+    BOOST_TEST_REQUIRE(replies.size() == 1U);
+    BOOST_TEST((replies[0].status == fleet::CallStatus::NotKnown));
+    submit(job(1, 1, true), true);
+    BOOST_TEST_REQUIRE(replies.size() == 2U);
+    BOOST_TEST((replies[1].status == fleet::CallStatus::NotKnown));
+    BOOST_TEST(effects.starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
