Count failed attempts whatever the order of their ends

Cause: taskFailed returned before it compared the failures with the attempts when the run was not the task's current one. After a takeover ends of a former owner's runs arrive for steps that are not open yet, and ends of an earlier run may arrive after those of a later one. Change: the comparison comes first; a later run is stopped with the job.

--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -155,15 +155,18 @@
         task.avoided.insert(agent);
         m_pool.runFailed(agent, now);
     }
-    if (run.number != task.run && task.phase != TaskPhase::Unreconciled)
-        return;
+    const bool isAtWork = task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Running;
+    const bool hasEnded = isAtWork && run.number == task.run;
+    // The failures count in whatever order the ends arrive, and also before the task's step is opened. A later
+    // run is stopped with the job.
     if (job.phase == JobPhase::Active && task.failures >= std::max(1U, job.spec.attempts)) {
-        task.phase = TaskPhase::Waiting;
+        if (hasEnded)
+            task.phase = TaskPhase::Waiting;
         endJob(job, JobPhase::Failed);
         return;
     }
-    // A later run of an unreconciled task may still exist.
-    if (task.phase != TaskPhase::Unreconciled)
+    // Otherwise a later run may still exist.
+    if (hasEnded)
         requeueTask(job, task, now);
 }
 
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -744,6 +744,45 @@
     BOOST_TEST(effects.starts.size() == 1U);
 }
 
+// Guards against a start beyond the allowed attempts: the failed runs of the second step were reported before
+// the ends that open the step.
+BOOST_FIXTURE_TEST_CASE(failuresOfAStepThatIsNotOpenYetCount, JobSchedulerFixture)
+{
+    scheduler.loadRecord(0, 1, twoStepRecord(1, 1), now);
+    load(false);
+    std::vector<AgentEnd> failed;
+    for (uint32_t run = 1; run <= 2; ++run)
+        failed.push_back({.run = {.task = {.job = 1, .step = 1}, .number = run}, .kind = EndKind::Failed});
+    scheduler.claimReport(1, 0, 1, {}, failed, now);
+    const std::vector<AgentEnd> done = {
+        {.run = {.task = {.job = 1}, .number = 1}, .kind = EndKind::Done}};
+    scheduler.claimReport(2, 0, 1, {}, done, now);
+    scheduler.advance(now);
+    storeAll();
+    BOOST_TEST(effects.starts.empty());
+    BOOST_TEST((scheduler.query(1).phase == JobPhase::Failed));
+}
+
+// Guards against a start beyond the allowed attempts if the ends arrive in another order than the runs.
+BOOST_FIXTURE_TEST_CASE(failureOfAnEarlierRunCountsAlsoAfterALaterOne, JobSchedulerFixture)
+{
+    load();
+    submitAndStart(1, 1);
+    const RecordedEffects::Start first = effects.starts[0];
+    scheduler.agentGone(first.agent, now);
+    scheduler.advance(now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    startAll();
+    end(effects.starts[1], EndKind::Failed);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 3U);
+    end(first, EndKind::Failed);
+    // The record of the repeated run is stored before that of the job's end.
+    storeAll();
+    storeAll();
+    BOOST_TEST((scheduler.query(1).phase == JobPhase::Failed));
+    BOOST_TEST(effects.starts.size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
