Keep the last contact with an agent over all its connections

Cause: a connection that ended before its first ping had no last contact, so the agent was taken for gone at once instead of 2.5 s after its last contact; the agent counts the start of a connection and answers on earlier ones. Change: AgentPresence keeps the last contact of the agent and counts the start of a connection. Result: connectionWithoutAPingIsAContact failed before (gone after 1 ms) and passes now.

--- a/src/fleet/agentpresence.cpp
+++ b/src/fleet/agentpresence.cpp
@@ -60,13 +60,15 @@
     agent.leaving = false;
     agent.goneAt.reset();
     agent.lastContact = now;
+    agent.lastAnswered = now;
 }
 
 void AgentPresence::disconnected(AgentNumber number, Millis lastAnswer, Millis now)
 {
     Agent &agent = m_agents.at(number);
     agent.connected = false;
-    agent.goneAt = std::max(lastAnswer, now - goneAfter) + goneAfter;
+    agent.lastAnswered = std::max(agent.lastAnswered, lastAnswer);
+    agent.goneAt = agent.lastAnswered + goneAfter;
     agent.lastContact = now;
     // A drained agent has no runs, so nobody needs to wait for its report.
     if (agent.leaving) {
--- a/src/fleet/agentpresence.h
+++ b/src/fleet/agentpresence.h
@@ -37,7 +37,7 @@
     AgentNumber registered(const std::string &name, Millis now);
     void connected(AgentNumber agent, Millis now);
     // Called when the connection is lost. lastAnswer is the time at which this entry last answered a ping of
-    // the agent.
+    // the agent on this connection; 0 if it has answered none.
     void disconnected(AgentNumber agent, Millis lastAnswer, Millis now);
     // Sets whether this entry wants a connection to the agent. What happened at an agent while it was not
     // wanted is unknown, so it may hold runs until it has reported or contactExpiry has passed.
@@ -81,6 +81,9 @@
         std::optional<Millis> goneAt;
         // Time of the last registration, connection or disconnection, or since when the agent is wanted.
         Millis lastContact;
+        // When the agent last had contact with this entry, by its own reckoning at the latest: it counts the
+        // start of a connection and each answer to a ping, on whatever connection.
+        Millis lastAnswered;
     };
 
     std::map<AgentNumber, Agent> m_agents;
--- a/tests/unit/agentpresencetest.cpp
+++ b/tests/unit/agentpresencetest.cpp
@@ -113,6 +113,19 @@
     BOOST_TEST(presence.mayHoldRuns(later).empty());
 }
 
+// Guards against a second run of a task (soak seed 2004): a connection that ends before its first ping has no
+// last answer, but the agent counts the connection itself, and answers on earlier ones, as contact.
+BOOST_AUTO_TEST_CASE(connectionWithoutAPingIsAContact)
+{
+    AgentPresence presence;
+    const AgentNumber agent = presence.registered("agent-1", start);
+    presence.setWanted(agent, true, start);
+    presence.connected(agent, start);
+    presence.disconnected(agent, {0}, start + Millis{1});
+    BOOST_TEST(presence.takeGone(start + AgentPresence::goneAfter - Millis{1}).empty());
+    BOOST_TEST(presence.takeGone(start + AgentPresence::goneAfter).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
