Repeat removals of registrations every 5 s at most, and format

Cause: an entry that is cut off from all agents would write the removal of each of their registrations every second.

--- a/src/fleet/agentpresence.h
+++ b/src/fleet/agentpresence.h
@@ -81,8 +81,8 @@
         std::optional<Millis> goneAt;
         // Time of the last registration, connection or disconnection, or since when the agent is wanted.
         Millis lastContact;
-        // When the agent last had contact with this entry, by its own reckoning at the latest: it counts the
-        // start of a connection and each answer to a ping, on whatever connection.
+        // Last contact of the agent with this entry as the agent counts it: the start of a connection, or an
+        // answer to a ping, over all connections.
         Millis lastAnswered;
     };
 
--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -124,7 +124,8 @@
         // Owners of an earlier version may answer so; the client could not read the answer.
         m_log.always(Clock::now(), "answer_without_end",
                      {{"job", jobIdText(pending.call.job)}, {"phase", fleet::EnumNameJobPhase(reply.phase)}});
-        reply = {.status = fleet::CallStatus::Unknown, .reason = "the owner's answer names no end of the job"};
+        reply = {.status = fleet::CallStatus::Unknown,
+                 .reason = "the owner's answer names no end of the job"};
     }
     // A rejection of this attempt does not show that an earlier, unanswered attempt was rejected.
     if (reply.status == fleet::CallStatus::Refused && pending.uncertain)
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -10,6 +10,9 @@
 constexpr Millis redialTimeout = {250};
 // An entry whose registration has been read counts as present for this long before it is connected.
 constexpr Millis entryAppearanceTime = {1'500};
+// Time after which the removal of an unreachable agent's registration is repeated if it has not been read
+// from the store. Bounds the writes of an entry that is cut off from all agents.
+constexpr Millis removalRetryInterval = {5'000};
 
 void EntryNode::memberFound(const Member &member)
 {
@@ -165,8 +168,13 @@
         const std::string &name = m_presence.name(number);
         // The contact is kept, and dialled, until the removal has been read from the store. This entry may be
         // the one that is cut off, and then the removal fails and nothing would bring the agent back.
-        if (!m_contacts.contains(name))
+        const auto contact = m_contacts.find(name);
+        if (contact == m_contacts.end())
             continue;
+        std::optional<Millis> &sentAt = contact->second.removalSentAt;
+        if (sentAt && now - *sentAt < removalRetryInterval)
+            continue;
+        sentAt = now;
         m_log.always(now, "member_expired", {{"agent", name}, {"unreached_ms", unreachedFor}});
         m_members.remove(name);
     }
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -107,6 +107,8 @@
         bool connected = false;
         bool dialling = false;
         Backoff backoff{{100}, {1'000}};
+        // When this entry last wrote the removal of the registration.
+        std::optional<Millis> removalSentAt;
     };
 
     struct PendingCall
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -224,13 +224,12 @@
     owned.membership = membership;
     owned.assignedGeneration = epoch;
     owned.openedAt = Clock::now();
-    owned.queue = std::make_unique<AppendQueue>(
-        AppendQueueOptions{.topic = jobsTopic,
-                           .partition = partition,
-                           .producer = producerName,
-                           .epoch = epoch,
-                           .firstSequence = randomFirstSequence()},
-        m_store, m_io, m_log);
+    owned.queue = std::make_unique<AppendQueue>(AppendQueueOptions{.topic = jobsTopic,
+                                                                   .partition = partition,
+                                                                   .producer = producerName,
+                                                                   .epoch = epoch,
+                                                                   .firstSequence = randomFirstSequence()},
+                                                m_store, m_io, m_log);
     owned.queue->onFenced = [this, partition, epoch] {
         m_timers.after({0}, [this, partition, epoch] { superseded(partition, epoch); });
     };
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -406,8 +406,7 @@
                        .hasRepeatedRuns = job.hasRepeatedRuns};
         m_endedOrder.push_back(id);
     }
-    const JobReply submitterReply =
-        job.abandoned ? reply : endedReply(job.spec.best_effort, job.phase);
+    const JobReply submitterReply = job.abandoned ? reply : endedReply(job.spec.best_effort, job.phase);
     const std::vector<JobReplyHandler> cancellers = std::move(job.cancellers);
     const std::vector<JobReplyHandler> submitters = std::move(job.submitters);
     dequeue(job);
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -24,7 +24,8 @@
 constexpr uint32_t maxMoveDoublings = 16;
 constexpr Millis purgeInterval = {1'000};
 // Limits the cost of a dispatch pass under overload: the number of jobs with a task that could not be placed
-// after which the pass no longer follows the order of the queues, and after which it ends for the jobs behind.
+// after which the pass no longer follows the order of the queues, and after which it ends for the jobs
+// behind.
 constexpr uint32_t maxUnplacedJobs = 24;
 
 Millis declaredSlack(const JobSpec &spec)
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -157,8 +157,8 @@
     }
     const bool isAtWork = task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Running;
     const bool hasEnded = isAtWork && run.number == task.run;
-    // The failures count in whatever order the ends arrive, and also before the task's step is opened. A later
-    // run is stopped with the job.
+    // The failures count in whatever order the ends arrive, and also before the task's step is opened. A
+    // later run is stopped with the job.
     if (job.phase == JobPhase::Active && task.failures >= std::max(1U, job.spec.attempts)) {
         if (hasEnded)
             task.phase = TaskPhase::Waiting;
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -47,8 +47,8 @@
     }
 }
 
-// Guards against an entry that owns partitions but has no agents after it was cut off: it forgot agents that it
-// could not reach, and the removal of their registrations, which would have brought them back, had failed.
+// Guards against an entry that owns partitions but has no agents after it was cut off: it forgot agents that
+// it could not reach, and the removal of their registrations, which would have brought them back, had failed.
 BOOST_AUTO_TEST_CASE(entryThatWasCutOffServesAgain)
 {
     EmulationOptions day = *emulatedSite("himal");
@@ -62,7 +62,8 @@
     constexpr Millis length = {12'000};
     for (uint32_t index = 0; index < day.size.entries; ++index) {
         if (index != entry.index)
-            day.plan.push_back({begin, length, CutLink{.from = entry, .to = {fleet::ProcessRole::Entry, index}}});
+            day.plan.push_back(
+                {begin, length, CutLink{.from = entry, .to = {fleet::ProcessRole::Entry, index}}});
     }
     for (uint32_t index = 0; index < day.size.agents; ++index)
         day.plan.push_back({begin, length, CutLink{.from = entry, .to = {fleet::ProcessRole::Agent, index}}});
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -618,8 +618,7 @@
     second->after.push_back(0);
     spec.steps.push_back(std::move(second));
     submit(std::move(spec), true);
-    const std::vector<AgentEnd> ended = {
-        {.run = {.task = {.job = 1}, .number = 1}, .kind = EndKind::Done}};
+    const std::vector<AgentEnd> ended = {{.run = {.task = {.job = 1}, .number = 1}, .kind = EndKind::Done}};
     scheduler.claimReport(1, 0, 1, {}, ended, now);
     scheduler.advance(now);
     BOOST_TEST(effects.starts.empty());
@@ -685,8 +684,8 @@
 }
 
 // Guards against an answer that is not one for the call: a client that submits a best-effort job again reads
-// how it ended, and "cancelled" is no such end unless a client has cancelled it. The former owner had given up
-// the job because no caller waited for it.
+// how it ended, and "cancelled" is no such end unless a client has cancelled it. The former owner had given
+// up the job because no caller waited for it.
 BOOST_FIXTURE_TEST_CASE(jobThatAFormerOwnerGaveUpRunsWhenItIsSubmittedAgain, JobSchedulerFixture)
 {
     load();
@@ -754,8 +753,7 @@
     for (uint32_t run = 1; run <= 2; ++run)
         failed.push_back({.run = {.task = {.job = 1, .step = 1}, .number = run}, .kind = EndKind::Failed});
     scheduler.claimReport(1, 0, 1, {}, failed, now);
-    const std::vector<AgentEnd> done = {
-        {.run = {.task = {.job = 1}, .number = 1}, .kind = EndKind::Done}};
+    const std::vector<AgentEnd> done = {{.run = {.task = {.job = 1}, .number = 1}, .kind = EndKind::Done}};
     scheduler.claimReport(2, 0, 1, {}, done, now);
     scheduler.advance(now);
     storeAll();
--- a/tests/unit/partitionownertest.cpp
+++ b/tests/unit/partitionownertest.cpp
@@ -122,8 +122,8 @@
 
 BOOST_AUTO_TEST_SUITE(PartitionOwnerTest)
 
-// Guards against accepted jobs that are not stored: an entry that restarted while the store was down opened its
-// partitions with the epoch of its former process, and the store took its appends for repeats.
+// Guards against accepted jobs that are not stored: an entry that restarted while the store was down opened
+// its partitions with the epoch of its former process, and the store took its appends for repeats.
 BOOST_FIXTURE_TEST_CASE(entryJoinsOnlyAfterItsFormerMembershipHasEnded, RestartedOwnerFixture)
 {
     owner.start();
@@ -136,8 +136,8 @@
     BOOST_TEST(scheduler.epochOf(0).value_or(0) == 2U);
 }
 
-// Guards against accepted jobs that are not stored: an epoch that another process has used is given up, and the
-// partition is served with a new one.
+// Guards against accepted jobs that are not stored: an epoch that another process has used is given up, and
+// the partition is served with a new one.
 BOOST_FIXTURE_TEST_CASE(epochOfAnotherProcessIsReplaced, RestartedOwnerFixture)
 {
     store.leaveStatus = StoreStatus::Done;
