Deny no unknown job after the membership may have ended

Cause: nothing compared the age of the last join with the membership's time to live, so an entry that nobody could tell kept counting as the owner and denied jobs that the next owner had accepted.

--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -47,7 +47,7 @@
 void EntryNode::perform(JobCall &call, JobReplyHandler onDone)
 {
     const Millis now = Clock::now();
-    checkPause(now);
+    checkOwnership(now);
     switch (call.kind) {
     case fleet::CallKind::Submit:
         m_scheduler.submit(JobSpec(*call.spec), {.wait = call.wait, .repeated = call.repeated}, now,
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -353,7 +353,7 @@
             return;
         m_advancePending = false;
         const Millis now = Clock::now();
-        checkPause(now);
+        checkOwnership(now);
         if (!m_confirmAfter)
             m_scheduler.advance(now);
     });
@@ -389,7 +389,7 @@
     }
 }
 
-void EntryNode::checkPause(Millis now)
+void EntryNode::checkOwnership(Millis now)
 {
     if (now - m_lastActive > pauseLimit) {
         m_log.always(now, "process_was_paused", {{"ms", now - m_lastActive}});
@@ -397,12 +397,13 @@
         m_owner.confirmOwnership();
     }
     m_lastActive = now;
+    m_owner.checkMemberships(now);
 }
 
 void EntryNode::tick()
 {
     const Millis now = Clock::now();
-    checkPause(now);
+    checkOwnership(now);
     updateAgentPresence(now);
     if (m_confirmAfter && m_owner.lastJoinSentAt() >= *m_confirmAfter)
         m_confirmAfter.reset();
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -140,9 +140,10 @@
     // Sends the report if it has changed or the last one is old.
     void refreshReport();
     void tick();
-    // To be called before this entry acts as an owner. A process that was paused handles the messages that
-    // arrived meanwhile before its timers, so the tick alone would notice the pause too late.
-    void checkPause(Millis now);
+    // To be called before this entry acts as an owner: notices a pause of the process, and memberships that
+    // may have ended. A process that was paused handles the messages that arrived meanwhile before its
+    // timers, so the tick alone would notice the pause too late.
+    void checkOwnership(Millis now);
     bool hasSuccessor() const;
     void advanceStop();
     // Returns null if the agent is not connected.
@@ -239,7 +240,7 @@
     std::vector<uint8_t> m_lastReport;
     Millis m_lastReportAt;
     bool m_advancePending = false;
-    // When checkPause was last called. A longer gap than pauseLimit shows that the process was paused.
+    // When checkOwnership was last called. A longer gap than pauseLimit shows that the process was paused.
     Millis m_lastActive;
     // Set after a pause of the process: no task is started until the store has confirmed all memberships in
     // joins sent at or after this time.
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -174,11 +174,25 @@
     Owned &owned = m_owned.at(partition);
     const uint64_t number = ++owned.lastConfirmation;
     owned.queue->confirm([this, partition, number] {
-        if (number == m_owned.at(partition).lastConfirmation)
+        const Owned &confirmed = m_owned.at(partition);
+        if (number == confirmed.lastConfirmation && !confirmed.membershipLapsed)
             m_scheduler.setOwnershipConfirmed(partition, true);
     });
 }
 
+void PartitionOwner::checkMemberships(Millis now)
+{
+    for (auto &[partition, owned] : m_owned) {
+        const Millis age = now - m_memberships[owned.membership]->lastJoinSentAt();
+        if (owned.membershipLapsed || age < m_options.memberTtl)
+            continue;
+        owned.membershipLapsed = true;
+        m_scheduler.setOwnershipConfirmed(partition, false);
+        m_log.always(now, "membership_lapsed",
+                     {{"partition", partition}, {"epoch", owned.epoch}, {"last_join_ms", age}});
+    }
+}
+
 Millis PartitionOwner::lastJoinSentAt() const
 {
     Millis oldest = {INT64_MAX};
@@ -204,9 +218,10 @@
         if (const auto owned = m_owned.find(partition);
             owned != m_owned.end() && generation >= owned->second.assignedGeneration) {
             const bool isRetained = owned->second.membership == membership;
+            const bool hasLapsed = std::exchange(owned->second.membershipLapsed, false);
             owned->second.membership = membership;
             owned->second.assignedGeneration = generation;
-            if ((hasMissedGenerations || !isRetained) && !owned->second.closeBy)
+            if ((hasMissedGenerations || hasLapsed || !isRetained) && !owned->second.closeBy)
                 confirm(partition);
         }
         const auto fenced = m_fencedEpochs.find(partition);
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -51,6 +51,10 @@
     void joinNow();
     // Called after a pause of the process: the store has to confirm the ownership of all partitions.
     void confirmOwnership();
+    // To be called before the ownership is relied on. A partition counts as unconfirmed from the time at
+    // which the store may assign it to another entry, memberTtl after the last answered join was sent, until
+    // the store has confirmed it after a new join.
+    void checkMemberships(Millis now);
     // Called when another entry owns the partition with a higher epoch than the given one.
     void superseded(uint32_t partition, uint64_t epoch);
     // Ends the memberships of another entry.
@@ -81,6 +85,8 @@
         std::optional<uint32_t> subsetLevel;
         // Number of the newest confirmation that was requested.
         uint64_t lastConfirmation = 0;
+        // The membership may have ended in the store, and no join has been answered since.
+        bool membershipLapsed = false;
     };
 
     bool isActive(uint32_t membership) const { return membership < m_activeMemberships; }
--- a/tests/unit/partitionownertest.cpp
+++ b/tests/unit/partitionownertest.cpp
@@ -32,6 +32,10 @@
     void join(const JoinCall &, Millis, std::function<void(JoinAnswer)> onDone) override
     {
         ++joins;
+        if (refusesJoins) {
+            onDone({.status = StoreStatus::Refused});
+            return;
+        }
         onDone({.status = StoreStatus::Done, .generation = generation, .partitions = assigned});
     }
     void leave(const LeaveCall &call, Millis, std::function<void(StoreStatus)> onDone) override
@@ -51,6 +55,7 @@
     // Epoch that a former process has used.
     uint64_t usedEpoch = 0;
     StoreStatus leaveStatus = StoreStatus::Done;
+    bool refusesJoins = false;
     // The generation increases when the entry leaves.
     bool isMember = false;
     uint32_t joins = 0;
@@ -228,6 +233,27 @@
     BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotKnown));
 }
 
+// Guards against an entry that is cut off and denies a job that the next owner has accepted: the store may
+// have given its partitions to another entry, and nothing has told it so.
+BOOST_FIXTURE_TEST_CASE(unknownJobIsNotDeniedAfterTheMembershipMayHaveEnded, PartitionOwnerFixture)
+{
+    pass({300});
+    store.refusesJoins = true;
+    const Millis lastJoin = owner.lastJoinSentAt();
+    owner.checkMemberships(lastJoin + Millis{1'499});
+    BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotKnown));
+    owner.checkMemberships(lastJoin + Millis{1'500});
+    BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotReady));
+    // An append that is accepted does not show that the partition is still assigned to this entry a moment
+    // later.
+    owner.confirmOwnership();
+    pass({300});
+    BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotReady));
+    store.refusesJoins = false;
+    pass({700});
+    BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotKnown));
+}
+
 // Guards against a second run of a task: a level that cannot be read must not count as "no orders were
 // placed".
 BOOST_FIXTURE_TEST_CASE(unreadableSubsetLevelCoversAllAgents, PartitionOwnerFixture)
