--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -28,6 +28,9 @@
     double load = 1;
     double keptShare = 0.3;
     uint32_t mostTroubles = 8;
+    uint32_t mostIsolations = 0;
+    double twoStepShare = 0;
+    double askedShare = 0;
     // 0 for the site's own numbers.
     uint32_t entries = 0;
     uint32_t agents = 0;
@@ -62,6 +65,8 @@
     day.length = {settings.lengthSeconds * msPerSecond};
     day.traffic.load = settings.load;
     day.traffic.keptShare = settings.keptShare;
+    day.traffic.twoStepShare = settings.twoStepShare;
+    day.traffic.askedShare = settings.askedShare;
     day.admissionSlackPercent = settings.admissionSlackPercent;
     day.queueAllowancePercent = settings.queueAllowancePercent;
     day.urgentSlackPercent = settings.urgentSlackPercent;
@@ -79,7 +84,8 @@
                              .size = day.size,
                              .begin = firstTrouble,
                              .end = day.length * troubledPercent / 100,
-                             .most = settings.mostTroubles});
+                             .most = settings.mostTroubles,
+                             .mostIsolations = settings.mostIsolations});
     return day;
 }
 
@@ -194,6 +200,12 @@
         "load", options::value(&settings.load), "multiplies the rates of the site")(
         "kept-share", options::value(&settings.keptShare), "share of the jobs that have to be kept")(
         "troubles", options::value(&settings.mostTroubles), "most troubles in a day; 0 for none")(
+        "isolations", options::value(&settings.mostIsolations),
+        "besides, most entries that are cut off from everything or restarted while the store is down")(
+        "two-step-share", options::value(&settings.twoStepShare),
+        "share of the jobs that have a second step, which depends on the first")(
+        "asked-share", options::value(&settings.askedShare),
+        "share of the kept jobs that a client asks for, at any entry, some seconds later")(
         "slack-percent", options::value(&settings.admissionSlackPercent),
         "share of a job's slack that the predicted wait may take")(
         "queue-allowance-percent", options::value(&settings.queueAllowancePercent),
--- a/src/emulator/emulatedclients.cpp
+++ b/src/emulator/emulatedclients.cpp
@@ -8,6 +8,8 @@
 
 constexpr Millis clientDelay = {3};
 constexpr Millis cancelDelay = {300};
+constexpr Millis leastAskDelay = {500};
+constexpr Millis mostAskDelay = {6'000};
 constexpr Millis watchInterval = {200};
 constexpr double msPerSecond = 1'000;
 constexpr int64_t mostRunTimeFactor = 4;
@@ -77,12 +79,19 @@
     work.cpuMilli = kind.cpuMilli;
     const Millis most = kind.meanRunTime * mostRunTimeFactor;
     JobOutcome &outcome = m_outcomes[job];
-    for (uint32_t task = 0; task < kind.tasks; ++task) {
-        const double drawn =
-            static_cast<double>(kind.meanRunTime.count) * drawFactor(m_traffic.runTimeSpread);
-        work.runTimes.push_back(std::clamp(Millis{std::llround(drawn)}, Millis{1}, most));
-        outcome.longestTask = std::max(outcome.longestTask, work.runTimes.back());
-        outcome.work += work.runTimes.back().count * kind.cpuMilli;
+    // Draws nothing if no job has two steps, so that such days stay as they were.
+    outcome.steps = m_traffic.twoStepShare > 0 && draw() < m_traffic.twoStepShare ? 2 : 1;
+    work.tasksPerStep = kind.tasks;
+    for (uint32_t step = 0; step < outcome.steps; ++step) {
+        Millis longest;
+        for (uint32_t task = 0; task < kind.tasks; ++task) {
+            const double drawn =
+                static_cast<double>(kind.meanRunTime.count) * drawFactor(m_traffic.runTimeSpread);
+            work.runTimes.push_back(std::clamp(Millis{std::llround(drawn)}, Millis{1}, most));
+            longest = std::max(longest, work.runTimes.back());
+            outcome.work += work.runTimes.back().count * kind.cpuMilli;
+        }
+        outcome.longestTask += longest;
     }
     const double estimate =
         static_cast<double>(kind.meanRunTime.count) * drawFactor(m_traffic.estimateSpread);
@@ -114,6 +123,11 @@
     step->memory_mb = memoryOfTaskMb;
     step->estimate_ms = work.estimateMs;
     spec->steps.push_back(std::move(step));
+    for (uint32_t number = 1; number < outcome.steps; ++number) {
+        auto next = std::make_unique<StepSpec>(*spec->steps.front());
+        next->after.push_back(number - 1);
+        spec->steps.push_back(std::move(next));
+    }
     return spec;
 }
 
@@ -194,6 +208,10 @@
     outcome.acceptedAt = now;
     if (draw() < m_traffic.cancelledShare)
         m_events.after(cancelDelay, [this, job] { cancel(job); });
+    else if (m_traffic.askedShare > 0 && draw() < m_traffic.askedShare)
+        m_events.after(
+            {std::uniform_int_distribution<int64_t>(leastAskDelay.count, mostAskDelay.count)(m_random)},
+            [this, job] { ask(job); });
 }
 
 void EmulatedClients::unanswered(JobId job, uint32_t attempt)
@@ -219,18 +237,39 @@
             return;
         node->call({.kind = fleet::CallKind::Cancel, .job = job, .wait = m_traffic.deadline},
                    [this, job](const JobReply &reply) {
-                       if (reply.status == fleet::CallStatus::Done)
+                       // A client also takes "no such job" for an acknowledgement.
+                       if (reply.status == fleet::CallStatus::Done
+                           || reply.status == fleet::CallStatus::NotKnown)
                            m_outcomes.at(job).cancelledAt = m_events.now();
                    });
     });
 }
 
+void EmulatedClients::ask(JobId job)
+{
+    const HostNumber entry = drawEntry();
+    m_network.postTo(entry, m_network.lifeOf(entry), [this, job, entry] {
+        EntryNode *node = m_handlers.entryOn(entry);
+        if (!node)
+            return;
+        node->call({.kind = fleet::CallKind::Query, .job = job, .wait = m_traffic.deadline},
+                   [this, job](const JobReply &reply) {
+                       if (reply.status == fleet::CallStatus::NotKnown)
+                           m_outcomes.at(job).deniedAt = m_events.now();
+                   });
+    });
+}
+
 TaskWork EmulatedClients::workOf(const TaskId &task) const
 {
     const auto found = m_work.find(task.job);
-    if (found == m_work.end() || task.index >= found->second.runTimes.size())
+    if (found == m_work.end())
+        return {};
+    const Work &work = found->second;
+    const size_t position = size_t{task.step} * work.tasksPerStep + task.index;
+    if (task.index >= work.tasksPerStep || position >= work.runTimes.size())
         return {};
-    return {.runTime = found->second.runTimes[task.index], .cpuMilli = found->second.cpuMilli};
+    return {.runTime = work.runTimes[position], .cpuMilli = work.cpuMilli};
 }
 
 } // namespace turmericwell
--- a/src/emulator/emulatedclients.h
+++ b/src/emulator/emulatedclients.h
@@ -39,6 +39,10 @@
     // Share of the jobs that the clients want to be kept, and of these that they cancel.
     double keptShare = 0.3;
     double cancelledShare = 0.05;
+    // Share of the jobs that have a second step of as many tasks, which depends on the first.
+    double twoStepShare = 0;
+    // Share of the kept jobs that a client asks for, at any entry, some seconds after they were accepted.
+    double askedShare = 0;
     // Standard deviations of the logarithms: run times around the mean, declared run times around the real
     // ones.
     double runTimeSpread = 0.4;
@@ -57,7 +61,9 @@
     uint32_t kind = 0;
     bool isKept = false;
     Millis sentAt;
+    // Of each step, added up.
     Millis longestTask;
+    uint32_t steps = 1;
     // Processor time of all tasks, in thousandths of a processor times milliseconds.
     int64_t work = 0;
     uint32_t tries = 0;
@@ -71,6 +77,8 @@
     std::optional<JobPhase> unfitAnswer;
     bool cancelSent = false;
     std::optional<Millis> cancelledAt;
+    // An answer that an accepted job is not known.
+    std::optional<Millis> deniedAt;
 };
 
 class EmulatedClients
@@ -99,7 +107,9 @@
 private:
     struct Work
     {
+        // Of the tasks of all steps.
         std::vector<Millis> runTimes;
+        uint32_t tasksPerStep = 1;
         int64_t cpuMilli = 0;
         uint32_t estimateMs = 1;
     };
@@ -108,6 +118,7 @@
     void arrive(uint32_t kind);
     void submit(JobId job);
     void cancel(JobId job);
+    void ask(JobId job);
     void answered(JobId job, uint32_t attempt, const JobReply &reply);
     void unanswered(JobId job, uint32_t attempt);
     // Looks again and again whether the entry that has the call still lives.
--- a/src/emulator/emulatedstore.cpp
+++ b/src/emulator/emulatedstore.cpp
@@ -338,6 +338,14 @@
     deal(group);
 }
 
+void EmulatedStore::pauseMembers(Millis length)
+{
+    for (auto &[name, group] : m_groups) {
+        for (auto &[member, state] : group.members)
+            state.lastJoin += length;
+    }
+}
+
 void EmulatedStore::dealAnew()
 {
     for (auto &[name, group] : m_groups) {
--- a/src/emulator/emulatedstore.h
+++ b/src/emulator/emulatedstore.h
@@ -57,6 +57,8 @@
 
     void setTrouble(StoreTrouble trouble, Millis until);
     void setTroubleFor(HostNumber host, StoreTrouble trouble, Millis until);
+    // The times of the members of all groups stand still for this long.
+    void pauseMembers(Millis length);
     // All partitions of all groups are dealt anew at once.
     void dealAnew();
 
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -271,10 +271,31 @@
                    [&](const CrashWorker &crash) { m_workers[crash.worker]->crash(); },
                    [&](const DealAnew &) { m_store.dealAnew(); },
                    [&](const Burst &burst) { m_clients.burst(burst.factor, until); },
+                   [&](const IsolateEntry &cut) {
+                       isolate({fleet::ProcessRole::Entry, cut.entry}, until);
+                   },
+                   [&](const RestartWithoutStore &restart) {
+                       m_store.setTrouble(StoreRefuses{}, until);
+                       m_store.pauseMembers(planned.length);
+                       stopProcess({fleet::ProcessRole::Entry, restart.entry});
+                   },
                },
                planned.trouble);
 }
 
+void Emulation::isolate(const ProcessName &process, Millis until)
+{
+    const HostNumber host = hostOf(process);
+    m_store.setTroubleFor(host, StoreIsSilent{}, until);
+    for (const ProcessName &name : allProcesses()) {
+        const HostNumber other = hostOf(name);
+        if (other == host)
+            continue;
+        m_network.cut(host, other, until);
+        m_network.cut(other, host, until);
+    }
+}
+
 EmulationRecord Emulation::run()
 {
     for (const ProcessName &name : allProcesses())
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -66,6 +66,7 @@
     void superviseWorkers();
     void announceWorker(uint32_t worker);
     void beginTrouble(const PlannedTrouble &planned);
+    void isolate(const ProcessName &process, Millis until);
     std::vector<ProcessName> allProcesses() const;
     std::vector<HostNumber> openEntries() const;
     EntryNode *entryOn(HostNumber host) const;
--- a/src/emulator/emulationcheck.cpp
+++ b/src/emulator/emulationcheck.cpp
@@ -28,6 +28,10 @@
         return "refused_never_runs";
     case Promise::AcceptedCompletes:
         return "accepted_completes";
+    case Promise::AcceptedIsKnown:
+        return "accepted_is_known";
+    case Promise::StepsInOrder:
+        return "steps_in_order";
     case Promise::CancelledStops:
         return "cancelled_stops";
     case Promise::Recovers:
@@ -94,17 +98,21 @@
         const RunHistory history(m_record);
         std::map<TaskId, std::set<RunHistory::RunAt>> open;
         std::set<TaskId> done;
+        std::set<TaskId> ended;
         for (const RunEvent &event : m_record.runs) {
             const RunHistory::RunAt run{event.run, event.worker, event.life};
             if (event.kind == RunEventKind::Confirmed)
                 continue;
             if (event.kind != RunEventKind::Started) {
                 open[event.run.task].erase(run);
+                if (event.kind == RunEventKind::Done)
+                    ended.insert(event.run.task);
                 if (event.kind == RunEventKind::Done && history.confirmed.contains(run))
                     done.insert(event.run.task);
                 continue;
             }
             checkStart(event, open[event.run.task], done.contains(event.run.task));
+            checkOrder(event, ended);
             open[event.run.task].insert(run);
             m_started.insert(event.run.task.job);
         }
@@ -128,6 +136,19 @@
             broken(Promise::CancelledStops, runText(event, m_record.begin));
     }
 
+    void checkOrder(const RunEvent &event, const std::set<TaskId> &ended)
+    {
+        if (event.run.task.step == 0)
+            return;
+        const JobOutcome &job = *m_jobs.at(event.run.task.job);
+        TaskId earlier{.job = job.job, .step = event.run.task.step - 1};
+        for (; earlier.index < m_options.traffic.kinds[job.kind].tasks; ++earlier.index) {
+            if (!ended.contains(earlier))
+                broken(Promise::StepsInOrder,
+                       runText(event, m_record.begin) + " before the end of " + taskIdText(earlier));
+        }
+    }
+
     void checkJobs()
     {
         for (const JobOutcome &job : m_record.jobs) {
@@ -139,7 +160,11 @@
                 broken(Promise::RefusedNeverRuns, "job " + jobIdText(job.job));
             if (!job.acceptedAt || job.cancelSent || m_failed.contains(job.job))
                 continue;
-            const uint32_t tasks = m_options.traffic.kinds[job.kind].tasks;
+            if (job.deniedAt)
+                broken(Promise::AcceptedIsKnown,
+                       "job " + jobIdText(job.job) + " at "
+                           + std::to_string((*job.deniedAt - m_record.begin).count) + " ms");
+            const uint32_t tasks = m_options.traffic.kinds[job.kind].tasks * job.steps;
             if (m_done[job.job].size() != tasks)
                 broken(Promise::AcceptedCompletes,
                        "job " + jobIdText(job.job) + ": " + std::to_string(m_done[job.job].size()) + " of "
--- a/src/emulator/emulationcheck.h
+++ b/src/emulator/emulationcheck.h
@@ -17,6 +17,10 @@
     RefusedNeverRuns,
     // An accepted job is completed.
     AcceptedCompletes,
+    // No entry denies an accepted job.
+    AcceptedIsKnown,
+    // A step starts after the steps that it depends on.
+    StepsInOrder,
     // A cancelled job starts nothing more.
     CancelledStops,
     // Clients are served again soon after the last trouble.
--- a/src/emulator/emulationplan.cpp
+++ b/src/emulator/emulationplan.cpp
@@ -10,6 +10,11 @@
 
 constexpr Millis leastLength = {200};
 constexpr Millis mostLength = {4'000};
+// Longer than a membership lasts without renewal, and up to beyond the time after which agents count as gone.
+constexpr Millis leastIsolation = {1'500};
+constexpr Millis mostIsolation = {13'000};
+constexpr Millis leastOutage = {2'500};
+constexpr Millis mostOutage = {5'000};
 
 namespace {
 
@@ -30,11 +35,25 @@
                               .length = {whole(leastLength.count, mostLength.count)},
                               .trouble = trouble()});
         }
+        for (int64_t number = whole(0, m_options.mostIsolations); number > 0; --number)
+            result.push_back(isolation());
         std::sort(result.begin(), result.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
         return result;
     }
 
 private:
+    PlannedTrouble isolation()
+    {
+        const Millis at{whole(m_options.begin.count, m_options.end.count)};
+        const uint32_t index = entry().index;
+        if (chance(0.5))
+            return {.at = at,
+                    .length = {whole(leastIsolation.count, mostIsolation.count)},
+                    .trouble = IsolateEntry{.entry = index}};
+        return {.at = at,
+                .length = {whole(leastOutage.count, mostOutage.count)},
+                .trouble = RestartWithoutStore{.entry = index}};
+    }
     int64_t whole(int64_t least, int64_t most)
     {
         return std::uniform_int_distribution<int64_t>(least, most)(m_random);
@@ -178,6 +197,12 @@
             },
             [](const CrashWorker &crash) { return "worker-" + std::to_string(crash.worker) + " crashes"; },
             [](const DealAnew &) { return std::string("partitions are dealt anew"); },
+            [](const IsolateEntry &cut) {
+                return "entry-" + std::to_string(cut.entry) + " is cut off from everything";
+            },
+            [](const RestartWithoutStore &restart) {
+                return "store is down and entry-" + std::to_string(restart.entry) + " is restarted";
+            },
             [](const Burst &burst) { return "burst of " + std::to_string(burst.factor) + " times the load"; },
         },
         trouble);
--- a/src/emulator/emulationplan.h
+++ b/src/emulator/emulationplan.h
@@ -72,13 +72,24 @@
 struct DealAnew
 {
 };
+// The entry is cut off from the store and from all other processes. Its clients still reach it.
+struct IsolateEntry
+{
+    uint32_t entry = 0;
+};
+// The store is down for all while the entry is restarted as planned. The times of group members stand still.
+struct RestartWithoutStore
+{
+    uint32_t entry = 0;
+};
 struct Burst
 {
     double factor = 1.9;
 };
 
-using Trouble = std::variant<KillProcess, PauseProcess, StopProcess, RestartEntriesInTurn, KillAll, CutLink,
-                             TroubleStore, TroubleWorker, CrashWorker, DealAnew, Burst>;
+using Trouble =
+    std::variant<KillProcess, PauseProcess, StopProcess, RestartEntriesInTurn, KillAll, CutLink, TroubleStore,
+                 TroubleWorker, CrashWorker, DealAnew, Burst, IsolateEntry, RestartWithoutStore>;
 
 struct PlannedTrouble
 {
@@ -97,6 +108,9 @@
     Millis begin = {2'000};
     Millis end = {14'000};
     uint32_t most = 8;
+    // Most entries that are cut off from everything or restarted during an outage of the store, besides the
+    // other troubles. With 0 the plan is the one that the same seed gave before there were such troubles.
+    uint32_t mostIsolations = 0;
 };
 
 // Equal options give equal plans.
--- a/tests/process/test_emulation.py
+++ b/tests/process/test_emulation.py
@@ -8,6 +8,10 @@
 BUILD = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
 
 # Seeds that have broken a promise, with their options; each names the cause that was mended.
+# Entries that are cut off from everything or restarted while the store is down, jobs of two steps, and clients that ask
+# for accepted jobs at any entry.
+ISOLATIONS = ("--troubles", "6", "--isolations", "4", "--two-step-share", "0.4", "--asked-share", "0.6", "--kept-share",
+              "0.6")
 REGRESSIONS = (
     ((7, 10, 15, 24), ("--site", "himal"), "a restarted worker had started runs that its agent took for lost"),
     ((1017,), ("--site", "qalhat", "--troubles", "14"), "a planned stop beside a handover ended the process"),
@@ -17,10 +21,12 @@
     ((1168, 1214), ("--site", "qalhat", "--troubles", "14"), "workers were not used again after a forced lapse"),
     ((60039,), ("--troubles", "16", "--kept-share", "0.3"), "a task went back to the worker on which it stood still"),
     ((2152,), ("--troubles", "14", "--kept-share", "0.5"), "a failed end hid a later run from the next owner"),
+    ((700076,), ("--site", "qalhat", *ISOLATIONS), "the next owner did not dispute the end of a superseded run"),
 )
 MORE_DAYS = (
     ("--site", "himal", "--days", "8", "--first-seed", "100", "--troubles", "12"),
     ("--site", "qalhat", "--days", "8", "--first-seed", "200", "--troubles", "12", "--kept-share", "0.7"),
+    ("--site", "himal", "--days", "8", "--first-seed", "300", *ISOLATIONS),
 )
 
 
