Dispute ends of runs that reports show to be superseded

Cause: the owner ordered a task again, could not store that, and lost its partitions; the next owner knew nothing of the second run when it confirmed the end of the first, although agents reported both. Change: the highest run number that reports show is kept for each task; ends of lower ones are disputed in whatever order they come.

--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -212,6 +212,9 @@
         return;
     }
     if (task->phase == TaskPhase::Done) {
+        // A former owner ordered this run after the one that completed the task, and could not store that.
+        if (run.number > task->run && !job->spec.best_effort)
+            m_effects.endDisputed(task->agent, runId(*job, *task));
         // A reconnected agent lists the end with which the task became done; that end may not be stored yet.
         recordUnstoredEnd(*job, agent, run, now);
         return;
@@ -223,6 +226,12 @@
     }
     if (!end.checkpoint.empty())
         task->checkpoint = end.checkpoint;
+    // Shows ends of earlier runs, which agents may report later, to be superseded.
+    const bool isAtWork = task->phase == TaskPhase::Ordered || task->phase == TaskPhase::Running;
+    if (!isAtWork && run.number > task->run) {
+        task->run = run.number;
+        task->agent = agent;
+    }
     if (end.kind == EndKind::Done) {
         if (!isCurrent && (task->phase == TaskPhase::Ordered || task->phase == TaskPhase::Running))
             m_effects.stop(task->agent, job->partition, m_partitions.at(job->partition).epoch,
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -761,6 +761,30 @@
     BOOST_TEST((scheduler.query(1).phase == JobPhase::Failed));
 }
 
+// Guards against an undisputed end of a superseded run after a change of owner (turmericwell emulate --site
+// qalhat
+// --first-seed 700076 --troubles 6 --isolations 4 --two-step-share 0.4 --asked-share 0.6 --kept-share 0.6):
+// the former owner could not store that it had ordered the task again, and the reports show both runs.
+BOOST_FIXTURE_TEST_CASE(endOfARunThatAFormerOwnerSupersededIsDisputed, JobSchedulerFixture)
+{
+    const RunId first{.task = {.job = 1}, .number = 1};
+    const RunId second{.task = {.job = 1}, .number = 2};
+    for (const bool laterRunFirst : {true, false}) {
+        BOOST_TEST_CONTEXT(laterRunFirst)
+        {
+            JobSchedulerFixture next(2);
+            JobRecord record;
+            record.spec = std::make_unique<JobSpec>(job(1, 2, false));
+            next.scheduler.loadRecord(0, 1, encodeJobRecord(record), next.now);
+            next.load(false);
+            next.end({.agent = 1, .run = laterRunFirst ? second : first}, EndKind::Done);
+            next.end({.agent = 2, .run = laterRunFirst ? first : second}, EndKind::Done);
+            BOOST_TEST_REQUIRE(next.effects.disputed.size() == 1U);
+            BOOST_TEST((next.effects.disputed[0] == first));
+        }
+    }
+}
+
 // Guards against a start beyond the allowed attempts if the ends arrive in another order than the runs.
 BOOST_FIXTURE_TEST_CASE(failureOfAnEarlierRunCountsAlsoAfterALaterOne, JobSchedulerFixture)
 {
