--- a/tests/process/test_emulation.py
+++ b/tests/process/test_emulation.py
@@ -7,11 +7,11 @@
 
 BUILD = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
 
-# Seeds that have broken a promise, with their options; each names the cause that was mended.
 # Entries that are cut off from everything or restarted while the store is down, jobs of two steps, and clients that ask
 # for accepted jobs at any entry.
 ISOLATIONS = ("--troubles", "6", "--isolations", "4", "--two-step-share", "0.4", "--asked-share", "0.6", "--kept-share",
               "0.6")
+# Seeds that have broken a promise, with their options; each names the cause that was mended.
 REGRESSIONS = (
     ((7, 10, 15, 24), ("--site", "himal"), "a restarted worker had started runs that its agent took for lost"),
     ((1017,), ("--site", "qalhat", "--troubles", "14"), "a planned stop beside a handover ended the process"),
