Look at the jobs behind unplaced ones every 50 ms only

Cause: suspected: every dispatch pass looked at up to 48 more jobs under overload, which costs an entry processor time when it has least. Change: the pass behind the first 24 unplaced jobs of a queue is made every 50 ms.

--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -386,9 +386,10 @@
     void demoteLate(Millis now);
     void rejectLateJobs(Millis now);
     void dispatch(Millis now);
-    // Places tasks of the queued jobs in order, then of the jobs behind the ones that used up the budget; see
-    // dispatch(). `resumeAt` is where the previous pass over the latter ended.
-    void placeQueued(const JobQueue &queue, uint32_t &budget, QueueKey &resumeAt, Millis now);
+    // Places tasks of the queued jobs in order. With alsoBehind it then goes on with the jobs behind the ones
+    // that used up the budget; `resumeAt` is where the previous pass over these ended.
+    void placeQueued(const JobQueue &queue, uint32_t &budget, QueueKey &resumeAt, bool alsoBehind,
+                     Millis now);
     // Goes through the jobs in order until `budget` of them could not be placed. Returns the number of jobs
     // looked at.
     size_t placeInOrder(std::span<const QueueKey> jobs, uint32_t &budget, Millis now);
@@ -427,6 +428,7 @@
     // Processors that the waiting tasks of the jobs in m_onTime require, in thousandths of a core.
     int64_t m_waitingCpuMilli = 0;
     int64_t m_peersWaitingCpuMilli = 0;
+    Millis m_nextPassBehind;
     Millis m_nextProgress;
     Millis m_nextRunCheck;
     Millis m_nextPurge;
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -23,10 +23,12 @@
 constexpr Millis minSlowRunTime = {80};
 constexpr uint32_t maxMoveDoublings = 16;
 constexpr Millis purgeInterval = {1'000};
-// Limits the cost of a dispatch pass under overload: the number of jobs with a task that could not be placed
-// after which the pass no longer follows the order of the queues, and after which it ends for the jobs
-// behind.
+// Limits the cost of a dispatch pass under overload: it ends after this many jobs with a task that could not
+// be placed.
 constexpr uint32_t maxUnplacedJobs = 24;
+// Interval of the passes over the jobs behind those, each of which ends after as many unplaced jobs of a
+// queue. A job behind 1,000 jobs that cannot be placed is looked at within about two seconds.
+constexpr Millis passBehindInterval = {50};
 
 Millis declaredSlack(const JobSpec &spec)
 {
@@ -225,11 +227,14 @@
     return count;
 }
 
-void JobScheduler::placeQueued(const JobQueue &queue, uint32_t &budget, QueueKey &resumeAt, Millis now)
+void JobScheduler::placeQueued(const JobQueue &queue, uint32_t &budget, QueueKey &resumeAt, bool alsoBehind,
+                               Millis now)
 {
     // Jobs leave the queue when they are placed.
     const std::vector<QueueKey> jobs(queue.begin(), queue.end());
     std::span<const QueueKey> behind = std::span(jobs).subspan(placeInOrder(jobs, budget, now));
+    if (!alsoBehind)
+        return;
     const auto next = std::lower_bound(behind.begin(), behind.end(), resumeAt);
     behind = behind.subspan(static_cast<size_t>(next - behind.begin()));
     uint32_t budgetBehind = maxUnplacedJobs;
@@ -240,9 +245,12 @@
 
 void JobScheduler::dispatch(Millis now)
 {
+    const bool alsoBehind = now >= m_nextPassBehind;
+    if (alsoBehind)
+        m_nextPassBehind = now + passBehindInterval;
     uint32_t budget = maxUnplacedJobs;
-    placeQueued(m_onTime, budget, m_onTimeResumeAt, now);
-    placeQueued(m_late, budget, m_lateResumeAt, now);
+    placeQueued(m_onTime, budget, m_onTimeResumeAt, alsoBehind, now);
+    placeQueued(m_late, budget, m_lateResumeAt, alsoBehind, now);
     m_waitingCpuMilli = 0;
     for (const auto &[key, id] : m_onTime)
         m_waitingCpuMilli += waitingCpuMilli(m_jobs.at(id));
