Take the number after the last records for one of this queue

Cause: the users' store does not count empty appends, unlike the stand-ins. After a confirmation of the ownership it expects the number after the last append with records; since the queue took that for another queue and gave the partition up. Change: that number is adopted, as before; any other number still ends the queue.

--- a/src/store/appendqueue.cpp
+++ b/src/store/appendqueue.cpp
@@ -110,6 +110,12 @@
             finishBatch(AppendOutcome::Stored);
             return;
         }
+        if (m_lastRecordSequence && answer.expectedSequence == *m_lastRecordSequence + 1) {
+            // The store does not count empty appends.
+            m_sequence = answer.expectedSequence;
+            retry();
+            return;
+        }
         // This queue has one append in flight at a time, so the unexpected number is another queue's.
         m_log.always(Clock::now(), "append_epoch_in_use",
                      {{"partition", m_options.partition},
@@ -140,6 +146,8 @@
     m_uncertain = false;
     m_inFlight = false;
     m_backoff.reset();
+    if (!m_batch.empty())
+        m_lastRecordSequence = m_sequence;
     ++m_sequence;
     std::vector<Item> batch = std::exchange(m_batch, {});
     const auto confirmations = std::exchange(m_confirmations, {});
--- a/src/store/appendqueue.h
+++ b/src/store/appendqueue.h
@@ -104,6 +104,9 @@
     bool m_uncertain = false;
     bool m_sendScheduled = false;
     uint64_t m_sequence;
+    // Number of the last append that contained records; the store may expect its successor although empty
+    // appends were sent since.
+    std::optional<uint64_t> m_lastRecordSequence;
     uint32_t m_failures = 0;
     Millis m_sentAt;
     Millis m_batchStartedAt;
--- a/tests/unit/appendqueuetest.cpp
+++ b/tests/unit/appendqueuetest.cpp
@@ -157,6 +157,30 @@
     BOOST_TEST((outcomes[0] == AppendOutcome::Superseded));
 }
 
+// Guards against a needless change of owner: the store counts only appends with records, so after a
+// confirmation it expects a number that this queue has used for the empty append.
+BOOST_FIXTURE_TEST_CASE(emptyAppendsThatTheStoreDoesNotCountDoNotEndTheQueue, AppendQueueFixture)
+{
+    bool isInUse = false;
+    queue.onEpochInUse = [&isInUse] { isInUse = true; };
+    add("a");
+    waitForCall(2);
+    store.answer({.status = StoreStatus::Done});
+    const uint64_t last = store.calls[1].sequence;
+    queue.confirm([] {});
+    waitForCall(3);
+    store.answer({.status = StoreStatus::Done});
+    add("b");
+    waitForCall(4);
+    store.answer({.status = StoreStatus::WrongSequence, .expectedSequence = last + 1});
+    waitForCall(5);
+    BOOST_TEST(!isInUse);
+    BOOST_TEST(store.calls[4].sequence == last + 1);
+    store.answer({.status = StoreStatus::Done});
+    BOOST_TEST_REQUIRE(outcomes.size() == 2U);
+    BOOST_TEST((outcomes[1] == AppendOutcome::Stored));
+}
+
 // Guards against queues of the same epoch that number their appends alike.
 BOOST_AUTO_TEST_CASE(firstSequencesDiffer)
 {
