--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -308,6 +308,9 @@
         fleet.entries[1].wait()
         for thread in submit_all(0):
             thread.join()
+        # Without a job that was given up the answers would show nothing.
+        given_up = [event["job"] for event in fleet.entries[1].log_events() if event["event"] == "job_given_up"]
+        self.assertNotEqual(given_up, [])
         states = [body.get("state") for status, body in answers if status == 200]
         self.assertEqual([state for state in states if state not in ("completed", "failed")], [])
         self.assertEqual(len(answers), 2 * len(jobs))
