--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -188,7 +188,7 @@
 void EntryNode::updateAgentPresence(Millis now)
 {
     for (const AgentNumber number : m_presence.takeGone(now)) {
-        m_log.always(now, "agent_gone", {{"agent", m_presence.name(number)}});
+        m_log.always(now, "agent_gone", {{"agent", m_presence.name(number)}, {"number", number}});
         m_scheduler.agentGone(number, now);
     }
     const std::vector<uint32_t> unreconciled = m_scheduler.unreconciledPartitions();
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -198,6 +198,7 @@
         return;
     if (const NodeLinkPtr previous = linkOf(*number); previous && previous != link)
         previous->close("replaced by a newer connection");
+    m_log.always(Clock::now(), "agent_connected", {{"agent", hello.node}, {"number", *number}});
     m_scheduler.agentDisconnected(*number);
     m_pool.remove(*number);
     m_agentLinks[*number] = link;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -365,7 +365,8 @@
     void openReadySteps(Job &job);
     void taskDone(Job &job, Task &task, Millis now);
     void taskFailed(Job &job, Task &task, AgentNumber agent, const RunId &run, Millis now);
-    void requeueTask(Job &job, Task &task, Millis now);
+    // Makes the task ready to be ordered again. The cause is logged.
+    void requeueTask(Job &job, Task &task, std::string_view cause, Millis now);
     // Records that the task is ordered again although its previous run may have ended without a report, so
     // that the next owner can dispute that run's end.
     void recordRepeatedRun(Job &job, Task &task);
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -78,8 +78,14 @@
     return ended != m_ended.end() && ended->second.hasRepeatedRuns;
 }
 
-void JobScheduler::requeueTask(Job &job, Task &task, Millis)
+void JobScheduler::requeueTask(Job &job, Task &task, std::string_view cause, Millis now)
 {
+    m_log.write(now, "task_requeued",
+                {{"job", jobIdText(job.spec.id)},
+                 {"task", taskIdText(runId(job, task).task)},
+                 {"run", task.run},
+                 {"agent", task.agent},
+                 {"cause", cause}});
     task.phase = TaskPhase::Waiting;
     if (job.phase == JobPhase::Active)
         enqueue(job);
@@ -167,7 +173,7 @@
     }
     // Otherwise a later run may still exist.
     if (hasEnded)
-        requeueTask(job, task, now);
+        requeueTask(job, task, "the run failed", now);
 }
 
 void JobScheduler::runStarted(AgentNumber agent, const RunId &run, Millis now)
@@ -204,7 +210,10 @@
                  {"task", taskIdText(run.task)},
                  {"run", run.number},
                  {"how", fleet::EnumNameEndKind(end.kind)},
-                 {"known", task != nullptr}});
+                 {"agent", agent},
+                 {"known", task != nullptr},
+                 {"current_run", task ? task->run : 0},
+                 {"current_agent", task ? task->agent : 0}});
     if (isDisputed(end, job, task))
         m_effects.endDisputed(agent, run);
     if (!task) {
@@ -248,7 +257,7 @@
     }
     m_effects.endStored(agent, run);
     if (isCurrent && (task->phase == TaskPhase::Ordered || task->phase == TaskPhase::Running))
-        requeueTask(*job, *task, now);
+        requeueTask(*job, *task, "the run ended early", now);
 }
 
 void JobScheduler::runRejected(AgentNumber agent, const RunId &run, RejectReason reason, Millis now)
@@ -268,7 +277,7 @@
         m_partitions.at(job->partition).reported.erase(agent);
     if (reason == RejectReason::Unhealthy)
         m_pool.runFailed(agent, now);
-    requeueTask(*job, *task, now);
+    requeueTask(*job, *task, "the order was rejected", now);
 }
 
 void JobScheduler::adoptRun(AgentNumber agent, const RunId &run, Millis now)
@@ -352,7 +361,7 @@
             now, "run_lost",
             {{"job", jobIdText(id)}, {"task", taskIdText(run.task)}, {"run", run.number}, {"agent", agent}});
         Job &job = m_jobs.at(id);
-        requeueTask(job, *findTask(job, run.task), now);
+        requeueTask(job, *findTask(job, run.task), "the agent does not report the run", now);
     }
     found->second.reported.insert(agent);
 }
@@ -376,7 +385,7 @@
                          {"task", taskIdText(runId(job, task).task)},
                          {"run", task.run},
                          {"agent", agent}});
-            requeueTask(job, task, now);
+            requeueTask(job, task, "the agent is gone", now);
             recordRepeatedRun(job, task);
         }
     }
@@ -448,7 +457,7 @@
             if (task.phase != TaskPhase::Unreconciled)
                 continue;
             ++restarted;
-            requeueTask(job, task, now);
+            requeueTask(job, task, "no run of a former owner exists", now);
             job.hasRepeatedRuns = true;
             // If all agents have reported, no end of an earlier run of the task is expected any more.
             if (!allReported)
