--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -29,8 +29,12 @@
     double keptShare = 0.3;
     uint32_t mostTroubles = 8;
     uint32_t mostIsolations = 0;
+    uint32_t mostGroupCuts = 0;
     double twoStepShare = 0;
     double askedShare = 0;
+    // 0 for the traffic's own deadline.
+    uint32_t deadlineMs = 0;
+    uint32_t mostResubmissions = 0;
     // 0 for the site's own numbers.
     uint32_t entries = 0;
     uint32_t agents = 0;
@@ -67,6 +71,9 @@
     day.traffic.keptShare = settings.keptShare;
     day.traffic.twoStepShare = settings.twoStepShare;
     day.traffic.askedShare = settings.askedShare;
+    day.traffic.mostResubmissions = settings.mostResubmissions;
+    if (settings.deadlineMs > 0)
+        day.traffic.deadline = {settings.deadlineMs};
     day.admissionSlackPercent = settings.admissionSlackPercent;
     day.queueAllowancePercent = settings.queueAllowancePercent;
     day.urgentSlackPercent = settings.urgentSlackPercent;
@@ -85,7 +92,8 @@
                              .begin = firstTrouble,
                              .end = day.length * troubledPercent / 100,
                              .most = settings.mostTroubles,
-                             .mostIsolations = settings.mostIsolations});
+                             .mostIsolations = settings.mostIsolations,
+                             .mostGroupCuts = settings.mostGroupCuts});
     return day;
 }
 
@@ -202,6 +210,12 @@
         "troubles", options::value(&settings.mostTroubles), "most troubles in a day; 0 for none")(
         "isolations", options::value(&settings.mostIsolations),
         "besides, most entries that are cut off from everything or restarted while the store is down")(
+        "group-cuts", options::value(&settings.mostGroupCuts),
+        "besides, most groups of one entry and some agents that are cut off from all others and the store")(
+        "deadline-ms", options::value(&settings.deadlineMs),
+        "how long clients wait for an answer; the traffic's own if 0")(
+        "resubmissions", options::value(&settings.mostResubmissions),
+        "most times that a client submits a job again after its deadline")(
         "two-step-share", options::value(&settings.twoStepShare),
         "share of the jobs that have a second step, which depends on the first")(
         "asked-share", options::value(&settings.askedShare),
--- a/src/emulator/emulatedclients.cpp
+++ b/src/emulator/emulatedclients.cpp
@@ -100,6 +100,7 @@
     outcome.kind = number;
     outcome.isKept = draw() < m_traffic.keptShare;
     outcome.sentAt = m_events.now();
+    outcome.deadlineSince = outcome.sentAt;
     submit(job);
 }
 
@@ -145,7 +146,7 @@
     const uint32_t attempt = ++outcome.tries;
     const HostNumber entry = drawEntry();
     const uint64_t life = m_network.lifeOf(entry);
-    const Millis left = outcome.sentAt + m_traffic.deadline - m_events.now();
+    const Millis left = outcome.deadlineSince + m_traffic.deadline - m_events.now();
     m_events.after(clientDelay, [this, job, attempt, entry, life, left] {
         if (life == 0 || m_network.lifeOf(entry) != life) {
             unanswered(job, attempt);
@@ -221,9 +222,14 @@
         return;
     outcome.onlyRefused = false;
     ++outcome.tries;
-    const bool isInTime = m_events.now() + m_traffic.resendDelay < outcome.sentAt + m_traffic.deadline;
-    if (isInTime)
-        m_events.after(m_traffic.resendDelay, [this, job] { submit(job); });
+    const Millis resentAt = m_events.now() + m_traffic.resendDelay;
+    if (resentAt >= outcome.deadlineSince + m_traffic.deadline) {
+        if (outcome.resubmissions >= m_traffic.mostResubmissions)
+            return;
+        ++outcome.resubmissions;
+        outcome.deadlineSince = resentAt;
+    }
+    m_events.after(m_traffic.resendDelay, [this, job] { submit(job); });
 }
 
 void EmulatedClients::cancel(JobId job)
--- a/src/emulator/emulatedclients.h
+++ b/src/emulator/emulatedclients.h
@@ -52,6 +52,9 @@
     Millis targetLatency = {60};
     Millis deadline = {6'000};
     Millis resendDelay = {1'300};
+    // Most times that a client submits a job again after its deadline has passed without an answer, each time
+    // with a new deadline.
+    uint32_t mostResubmissions = 0;
 };
 
 // What became of a job, as its client knows.
@@ -67,6 +70,9 @@
     // Processor time of all tasks, in thousandths of a processor times milliseconds.
     int64_t work = 0;
     uint32_t tries = 0;
+    // Times that the job was submitted again after its deadline, and since when the present deadline counts.
+    uint32_t resubmissions = 0;
+    Millis deadlineSince;
     // Every try was refused; the job must not have run.
     bool onlyRefused = true;
     // Kept jobs only: the answer that it is stored.
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -4,6 +4,7 @@
 #include "core/overloaded.h"
 
 #include <algorithm>
+#include <set>
 
 namespace turmericwell {
 
@@ -272,8 +273,10 @@
                    [&](const DealAnew &) { m_store.dealAnew(); },
                    [&](const Burst &burst) { m_clients.burst(burst.factor, until); },
                    [&](const IsolateEntry &cut) {
-                       isolate({fleet::ProcessRole::Entry, cut.entry}, until);
+                       const ProcessName entry{fleet::ProcessRole::Entry, cut.entry};
+                       cutOff(std::span(&entry, 1), until);
                    },
+                   [&](const CutGroup &cut) { cutOff(cut.processes, until); },
                    [&](const RestartWithoutStore &restart) {
                        m_store.setTrouble(StoreRefuses{}, until);
                        m_store.pauseMembers(planned.length);
@@ -283,16 +286,20 @@
                planned.trouble);
 }
 
-void Emulation::isolate(const ProcessName &process, Millis until)
+void Emulation::cutOff(std::span<const ProcessName> group, Millis until)
 {
-    const HostNumber host = hostOf(process);
-    m_store.setTroubleFor(host, StoreIsSilent{}, until);
-    for (const ProcessName &name : allProcesses()) {
-        const HostNumber other = hostOf(name);
-        if (other == host)
-            continue;
-        m_network.cut(host, other, until);
-        m_network.cut(other, host, until);
+    std::set<HostNumber> inside;
+    for (const ProcessName &name : group)
+        inside.insert(hostOf(name));
+    for (const HostNumber host : inside) {
+        m_store.setTroubleFor(host, StoreIsSilent{}, until);
+        for (const ProcessName &name : allProcesses()) {
+            const HostNumber other = hostOf(name);
+            if (inside.contains(other))
+                continue;
+            m_network.cut(host, other, until);
+            m_network.cut(other, host, until);
+        }
     }
 }
 
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -6,6 +6,7 @@
 #include "emulator/emulationplan.h"
 
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -66,7 +67,8 @@
     void superviseWorkers();
     void announceWorker(uint32_t worker);
     void beginTrouble(const PlannedTrouble &planned);
-    void isolate(const ProcessName &process, Millis until);
+    // The processes reach each other only, and not the store.
+    void cutOff(std::span<const ProcessName> group, Millis until);
     std::vector<ProcessName> allProcesses() const;
     std::vector<HostNumber> openEntries() const;
     EntryNode *entryOn(HostNumber host) const;
--- a/src/emulator/emulationplan.cpp
+++ b/src/emulator/emulationplan.cpp
@@ -37,6 +37,8 @@
         }
         for (int64_t number = whole(0, m_options.mostIsolations); number > 0; --number)
             result.push_back(isolation());
+        for (int64_t number = whole(0, m_options.mostGroupCuts); number > 0; --number)
+            result.push_back(groupCut());
         std::sort(result.begin(), result.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
         return result;
     }
@@ -54,6 +56,18 @@
                 .length = {whole(leastOutage.count, mostOutage.count)},
                 .trouble = RestartWithoutStore{.entry = index}};
     }
+    PlannedTrouble groupCut()
+    {
+        std::vector<ProcessName> group{entry()};
+        const int64_t agents = whole(1, std::max<int64_t>(1, m_options.size.agents / 2));
+        const uint32_t first = worker();
+        for (int64_t number = 0; number < agents; ++number)
+            group.push_back(
+                {fleet::ProcessRole::Agent, static_cast<uint32_t>((first + number) % m_options.size.agents)});
+        return {.at = {whole(m_options.begin.count, m_options.end.count)},
+                .length = {whole(leastIsolation.count, mostIsolation.count)},
+                .trouble = CutGroup{.processes = std::move(group)}};
+    }
     int64_t whole(int64_t least, int64_t most)
     {
         return std::uniform_int_distribution<int64_t>(least, most)(m_random);
@@ -203,6 +217,12 @@
             [](const RestartWithoutStore &restart) {
                 return "store is down and entry-" + std::to_string(restart.entry) + " is restarted";
             },
+            [](const CutGroup &cut) {
+                std::string names;
+                for (const ProcessName &process : cut.processes)
+                    names += (names.empty() ? "" : ", ") + text(process);
+                return names + " are cut off from the store and all other processes";
+            },
             [](const Burst &burst) { return "burst of " + std::to_string(burst.factor) + " times the load"; },
         },
         trouble);
--- a/src/emulator/emulationplan.h
+++ b/src/emulator/emulationplan.h
@@ -82,6 +82,12 @@
 {
     uint32_t entry = 0;
 };
+// The processes reach each other and their workers, but neither the store nor any other process. Their
+// clients still reach them.
+struct CutGroup
+{
+    std::vector<ProcessName> processes;
+};
 struct Burst
 {
     double factor = 1.9;
@@ -89,7 +95,7 @@
 
 using Trouble =
     std::variant<KillProcess, PauseProcess, StopProcess, RestartEntriesInTurn, KillAll, CutLink, TroubleStore,
-                 TroubleWorker, CrashWorker, DealAnew, Burst, IsolateEntry, RestartWithoutStore>;
+                 TroubleWorker, CrashWorker, DealAnew, Burst, IsolateEntry, RestartWithoutStore, CutGroup>;
 
 struct PlannedTrouble
 {
@@ -111,6 +117,8 @@
     // Most entries that are cut off from everything or restarted during an outage of the store, besides the
     // other troubles. With 0 the plan is the one that the same seed gave before there were such troubles.
     uint32_t mostIsolations = 0;
+    // Most groups of one entry and some agents that are cut off from the rest, besides the other troubles.
+    uint32_t mostGroupCuts = 0;
 };
 
 // Equal options give equal plans.
