Never take a run of a former submission for the present one

Cause: run numbers were reused. A best-effort job that was given up is forgotten by its owner; submitted again, its tasks got the same run numbers in the same epoch. A late end of the former run, from an agent that had been paused or cut off, then counted as the end of the present run, and the task was ordered again beside it. Change: the owner remembers the highest run number of a job that was given up, for as long as ended jobs, and gives higher ones to its next submission. Ends, rejections and reports are matched by agent and number. Why it works: two orders of a task never share a number within an owner's epoch, and epochs already separate owners; the agent decides also where a number is old.

--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -216,6 +216,9 @@
     job.expiresAt = now + options.wait;
     const Partition &partition = m_partitions.at(number);
     job.runBase = static_cast<uint32_t>(partition.epoch) * runsPerEpoch;
+    // Late reports on the runs of a submission that was given up must not be taken for the present runs.
+    if (const auto givenUp = m_givenUp.find(id); givenUp != m_givenUp.end())
+        job.runBase = std::max(job.runBase, givenUp->second.lastRun);
     m_log.write(now, "job_accepted",
                 {{"job", jobIdText(id)},
                  {"queue", job.spec.queue},
@@ -393,6 +396,7 @@
         ? JobReply{.status = fleet::CallStatus::Unknown, .reason = "not done in time"}
         : JobReply{.status = fleet::CallStatus::Done, .phase = job.phase};
     if (job.abandoned) {
+        recordGivenUp(job, now);
         // A new submission of the job must wait until these runs have ended.
         for (const Task &task : job.tasks) {
             if (task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Running)
@@ -417,6 +421,16 @@
         submitter(submitterReply);
 }
 
+void JobScheduler::recordGivenUp(const Job &job, Millis now)
+{
+    GivenUpJob &givenUp = m_givenUp[job.spec.id];
+    givenUp.lastRun = std::max(givenUp.lastRun, job.runBase);
+    for (const Task &task : job.tasks)
+        givenUp.lastRun = std::max(givenUp.lastRun, task.run);
+    givenUp.partition = job.partition;
+    givenUp.evictAt = now + m_options.retention;
+}
+
 void JobScheduler::retireFinished(Millis now)
 {
     const std::vector<JobId> finished = std::exchange(m_finished, {});
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -294,6 +294,15 @@
         bool hasRepeatedRuns = false;
     };
 
+    // A best-effort job that was given up. It may be submitted again, and its runs may still be reported.
+    struct GivenUpJob
+    {
+        // Highest run number of its tasks; a new submission uses higher ones.
+        uint32_t lastRun = 0;
+        uint32_t partition = 0;
+        Millis evictAt;
+    };
+
     // A run whose job is unknown to this owner. If the job is submitted again, it adopts the run.
     struct Orphan
     {
@@ -357,11 +366,17 @@
     bool mayHaveRuns(const JobSpec &spec, bool repeated) const;
     void retire(JobId id, Millis now);
     void retireFinished(Millis now);
+    void recordGivenUp(const Job &job, Millis now);
 
     // --- jobschedulerruns.cpp: tasks and runs ---
     Job *findJob(JobId id);
     Task *findTask(Job &job, const TaskId &id);
     RunId runId(const Job &job, const Task &task) const;
+    // True if this is the task's present run. Another agent may still report a run of an earlier order.
+    static bool isCurrentRun(const Task &task, AgentNumber agent, const RunId &run)
+    {
+        return task.agent == agent && task.run == run.number;
+    }
     void openReadySteps(Job &job);
     void taskDone(Job &job, Task &task, Millis now);
     void taskFailed(Job &job, Task &task, AgentNumber agent, const RunId &run, Millis now);
@@ -416,6 +431,7 @@
     std::unordered_map<JobId, EndedJob> m_ended;
     // Ended jobs, oldest first.
     std::deque<JobId> m_endedOrder;
+    std::unordered_map<JobId, GivenUpJob> m_givenUp;
     // Queue of the jobs with waiting tasks that can still meet their deadline, by queueKey, and of those that
     // cannot, by acceptedAt.
     JobQueue m_onTime;
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -347,6 +347,7 @@
     if (now < m_nextPurge)
         return;
     m_nextPurge = now + purgeInterval;
+    std::erase_if(m_givenUp, [&](const auto &item) { return item.second.evictAt <= now; });
     while (!m_endedOrder.empty()) {
         const JobId id = m_endedOrder.front();
         const auto found = m_ended.find(id);
--- a/src/jobs/jobschedulerpartitions.cpp
+++ b/src/jobs/jobschedulerpartitions.cpp
@@ -145,6 +145,7 @@
         item = m_jobs.erase(item);
     }
     std::erase_if(m_ended, [&](const auto &item) { return item.second.partition == number; });
+    std::erase_if(m_givenUp, [&](const auto &item) { return item.second.partition == number; });
     std::erase_if(m_orphans, [&](const auto &item) {
         return partitionOf(item.first.task.job, m_options.partitions) == number;
     });
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -162,7 +162,7 @@
         m_pool.runFailed(agent, now);
     }
     const bool isAtWork = task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Running;
-    const bool hasEnded = isAtWork && run.number == task.run;
+    const bool hasEnded = isAtWork && isCurrentRun(task, agent, run);
     // The failures count in whatever order the ends arrive, and also before the task's step is opened. A
     // later run is stopped with the job.
     if (job.phase == JobPhase::Active && task.failures >= std::max(1U, job.spec.attempts)) {
@@ -180,7 +180,7 @@
 {
     Job *job = findJob(run.task.job);
     Task *task = job ? findTask(*job, run.task) : nullptr;
-    if (!task || task->agent != agent || task->run != run.number) {
+    if (!task || !isCurrentRun(*task, agent, run)) {
         // The order was executed late, by a worker that counts as lost or that received it over a connection
         // that is lost.
         const uint32_t number = partitionOf(run.task.job, m_options.partitions);
@@ -228,8 +228,8 @@
         recordUnstoredEnd(*job, agent, run, now);
         return;
     }
-    const bool isCurrent = run.number == task->run;
-    if (isCurrent && task->agent == agent) {
+    const bool isCurrent = isCurrentRun(*task, agent, run);
+    if (isCurrent) {
         const StepSpec &step = *job->spec.steps[task->step];
         m_pool.runEnded(agent, {step.cpu_milli, step.memory_mb, step.accelerators});
     }
@@ -270,7 +270,7 @@
                  {"run", run.number},
                  {"reason", fleet::EnumNameRejectReason(reason)},
                  {"known", task != nullptr}});
-    if (!task || task->agent != agent || task->run != run.number || task->phase != TaskPhase::Ordered)
+    if (!task || !isCurrentRun(*task, agent, run) || task->phase != TaskPhase::Ordered)
         return;
     // The agent knows another owner of the partition. It receives no more orders until it accepts a claim.
     if (reason == RejectReason::Superseded)
@@ -291,7 +291,7 @@
         return;
     }
     const bool hasOtherRun = task && (task->phase == TaskPhase::Ordered || task->phase == TaskPhase::Running)
-        && (task->run != run.number || task->agent != agent);
+        && !isCurrentRun(*task, agent, run);
     if (!task || task->phase == TaskPhase::Done || job->phase != JobPhase::Active || hasOtherRun) {
         m_effects.stop(agent, number, epoch, run);
         return;
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -813,4 +813,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against two runs of a task at the same time: a best-effort job that was given up was submitted
+// again, and a late end of its first submission's run, reported by an agent that had been cut off, was taken
+// for the end of the present run.
+BOOST_FIXTURE_TEST_CASE(endOfAFormerSubmissionsRunDoesNotRestartTheTask, JobSchedulerFixture)
+{
+    load();
+    submit(job(1, 1, true));
+    startAll();
+    BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
+    const auto former = effects.starts[0];
+    scheduler.agentDisconnected(former.agent);
+    pool.remove(former.agent);
+    now += Millis{2'100};
+    scheduler.advance(now);
+    scheduler.advance(now);
+    BOOST_TEST_REQUIRE(scheduler.activeJobs() == 0U);
+    now += Millis{400};
+    scheduler.agentGone(former.agent, now);
+    submit(job(1, 1, true));
+    startAll();
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    const auto present = effects.starts[1];
+    BOOST_TEST(present.agent != former.agent);
+
+    pool.report(former.agent, workerWith(4'000));
+    const AgentEnd end{.run = former.run, .kind = EndKind::Stopped};
+    scheduler.claimReport(former.agent, 0, 1, {}, std::span(&end, 1), now);
+    scheduler.advance(now);
+    BOOST_TEST(effects.starts.size() == 2U);
+    // The run of the first submission must not be taken for the present one by anybody else either.
+    BOOST_TEST(present.run.number > former.run.number);
+}
+
 } // namespace turmericwell
