Suspend partitions that another entry may have taken over

Cause: an entry that is cut off from the store and from the other entries, together with some agents, kept its partitions after its membership had ended. It went on accepting and ordering best-effort jobs and answered the pings of those agents, while the next owner ran the same jobs elsewhere. Change: when the membership has lapsed and the entry does not reach most of the registered entries, it suspends the partition: agents are told that it is released, so its runs end 1.2 s after the entry's last answer unless another owner claims them, and calls get 503. It is resumed only when the store has answered a join and taken an append with the epoch. An entry that reaches most others goes on through an outage of the store. Why it works: the lease of a run now ends with the permission of its owner. The next owner places tasks again at the earliest 2.5 s after it has opened the partition, the former one's runs end by 2.2 s after its last join.

--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -136,6 +136,19 @@
     refreshAgentLinks(now);
 }
 
+bool EntryNode::reachesMostEntries() const
+{
+    size_t registered = 1;
+    size_t reached = 1;
+    for (const auto &[name, contact] : m_contacts) {
+        if (contact.member.identity.role != fleet::ProcessRole::Entry)
+            continue;
+        ++registered;
+        reached += m_peers.contains(name) ? 1 : 0;
+    }
+    return reached * 2 > registered;
+}
+
 bool EntryNode::isAmongFirstEntries() const
 {
     constexpr int64_t entriesThatAct = 3;
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -42,7 +42,13 @@
               {.onOpening = [this](uint32_t partition) { partitionOpening(partition); },
                .onLoaded = [this](uint32_t partition,
                                   std::optional<uint32_t> level) { partitionLoaded(partition, level); },
-               .onClosed = [this](uint32_t partition, uint64_t epoch) { partitionClosed(partition, epoch); }})
+               .onClosed = [this](uint32_t partition, uint64_t epoch) { partitionClosed(partition, epoch); },
+               .onSuspended =
+                   [this](uint32_t partition, uint64_t epoch) {
+                       releaseAtAgents(partition, epoch);
+                       sendReport();
+                   },
+               .onResumed = [this](uint32_t partition) { partitionResumed(partition); }})
     , m_members(store, io, log,
                 {.onMember = [this](const Member &member) { memberFound(member); },
                  .onRemoved = [this](const std::string &name) { memberRemoved(name); }})
@@ -398,7 +404,7 @@
         m_owner.confirmOwnership();
     }
     m_lastActive = now;
-    m_owner.checkMemberships(now);
+    m_owner.checkMemberships(reachesMostEntries(), now);
 }
 
 void EntryNode::tick()
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -177,6 +177,11 @@
     void partitionOpening(uint32_t partition);
     void partitionLoaded(uint32_t partition, std::optional<uint32_t> storedLevel);
     void partitionClosed(uint32_t partition, uint64_t epoch);
+    // Tells the agents that this entry's pongs no longer keep the partition's runs alive.
+    void releaseAtAgents(uint32_t partition, uint64_t epoch);
+    void partitionResumed(uint32_t partition);
+    // True if this entry is connected to most of the registered entries, itself included.
+    bool reachesMostEntries() const;
     // Level of the agent subsets that fits the number of registered agents.
     uint32_t wantedLevel(uint32_t currentLevel) const;
     bool isReached(const std::string &agent, uint32_t partition) const;
--- a/src/fleet/entrysubsets.cpp
+++ b/src/fleet/entrysubsets.cpp
@@ -24,7 +24,7 @@
     sendReport();
 }
 
-void EntryNode::partitionClosed(uint32_t partition, uint64_t epoch)
+void EntryNode::releaseAtAgents(uint32_t partition, uint64_t epoch)
 {
     fleet::ReleaseT message;
     message.partition = partition;
@@ -33,10 +33,22 @@
         if (isReached(m_presence.name(number), partition))
             link->send(message);
     }
+}
+
+void EntryNode::partitionClosed(uint32_t partition, uint64_t epoch)
+{
+    releaseAtAgents(partition, epoch);
     m_subsets.erase(partition);
     sendReport();
 }
 
+void EntryNode::partitionResumed(uint32_t partition)
+{
+    updatePlacement(partition);
+    claimAtAgents(partition);
+    sendReport();
+}
+
 uint32_t EntryNode::wantedLevel(uint32_t currentLevel) const
 {
     return agentSubsetLevel(m_presence.registeredCount(), m_settings.partitions, currentLevel);
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -175,21 +175,42 @@
     const uint64_t number = ++owned.lastConfirmation;
     owned.queue->confirm([this, partition, number] {
         const Owned &confirmed = m_owned.at(partition);
-        if (number == confirmed.lastConfirmation && !confirmed.membershipLapsed)
-            m_scheduler.setOwnershipConfirmed(partition, true);
+        if (number != confirmed.lastConfirmation || confirmed.membershipLapsed)
+            return;
+        m_scheduler.setOwnershipConfirmed(partition, true);
+        setSuspended(partition, false);
     });
 }
 
-void PartitionOwner::checkMemberships(Millis now)
+void PartitionOwner::checkMemberships(bool reachesMostEntries, Millis now)
 {
     for (auto &[partition, owned] : m_owned) {
         const Millis age = now - m_memberships[owned.membership]->lastJoinSentAt();
-        if (owned.membershipLapsed || age < m_options.memberTtl)
-            continue;
-        owned.membershipLapsed = true;
-        m_scheduler.setOwnershipConfirmed(partition, false);
-        m_log.always(now, "membership_lapsed",
-                     {{"partition", partition}, {"epoch", owned.epoch}, {"last_join_ms", age}});
+        if (!owned.membershipLapsed && age >= m_options.memberTtl) {
+            owned.membershipLapsed = true;
+            m_scheduler.setOwnershipConfirmed(partition, false);
+            m_log.always(now, "membership_lapsed",
+                         {{"partition", partition},
+                          {"epoch", owned.epoch},
+                          {"last_join_ms", age},
+                          {"reaches_most_entries", reachesMostEntries}});
+        }
+        if (owned.membershipLapsed && !reachesMostEntries)
+            setSuspended(partition, true);
+    }
+}
+
+void PartitionOwner::setSuspended(uint32_t partition, bool suspended)
+{
+    Owned &owned = m_owned.at(partition);
+    if (std::exchange(owned.suspended, suspended) == suspended)
+        return;
+    if (suspended) {
+        m_scheduler.suspendPartition(partition, Clock::now());
+        m_handlers.onSuspended(partition, owned.epoch);
+    } else {
+        m_scheduler.resumePartition(partition, Clock::now());
+        m_handlers.onResumed(partition);
     }
 }
 
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -30,12 +30,15 @@
 {
 public:
     // onOpening is called when a partition begins to load, onLoaded when it has been loaded, with the level
-    // of its agent subset if one is stored, and onClosed when it has been released or lost.
+    // of its agent subset if one is stored, and onClosed when it has been released or lost. onSuspended and
+    // onResumed enclose the time in which another entry may own it.
     struct Handlers
     {
         std::function<void(uint32_t partition)> onOpening;
         std::function<void(uint32_t partition, std::optional<uint32_t> subsetLevel)> onLoaded;
         std::function<void(uint32_t partition, uint64_t epoch)> onClosed;
+        std::function<void(uint32_t partition, uint64_t epoch)> onSuspended;
+        std::function<void(uint32_t partition)> onResumed;
     };
 
     PartitionOwner(PartitionOwnerOptions options, StoreApi &store, IoContext &io, StructuredLog &log,
@@ -54,7 +57,11 @@
     // To be called before the ownership is relied on. A partition counts as unconfirmed from the time at
     // which the store may assign it to another entry, memberTtl after the last answered join was sent, until
     // the store has confirmed it after a new join.
-    void checkMemberships(Millis now);
+    //
+    // If this entry does not reach most of the registered entries, they may reach the store and the agents,
+    // and one of them may own the partition: it is suspended until the store has confirmed the ownership.
+    // Otherwise the store is taken to be down for all.
+    void checkMemberships(bool reachesMostEntries, Millis now);
     // Called when another entry owns the partition with a higher epoch than the given one.
     void superseded(uint32_t partition, uint64_t epoch);
     // Ends the memberships of another entry.
@@ -87,6 +94,7 @@
         uint64_t lastConfirmation = 0;
         // The membership may have ended in the store, and no join has been answered since.
         bool membershipLapsed = false;
+        bool suspended = false;
     };
 
     bool isActive(uint32_t membership) const { return membership < m_activeMemberships; }
@@ -96,6 +104,7 @@
     void joined(uint32_t membership, uint64_t generation, const std::set<uint32_t> &partitions);
     void open(uint32_t partition, uint32_t membership, uint64_t epoch);
     void confirm(uint32_t partition);
+    void setSuspended(uint32_t partition, bool suspended);
     void leaveAll(const std::string &member, uint32_t memberships, std::function<void()> onDone);
     // Ends one membership of the former process, retrying until the store has answered.
     void leaveFormer(uint32_t membership, const std::function<void()> &onDone);
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -147,6 +147,11 @@
     // Prepares the handover to another owner: stops accepting and ordering work of the partition, and stores
     // its active jobs.
     void freezePartition(uint32_t partition, Millis now);
+    // While a partition is suspended, no call of it is served, nothing is ordered and no report is taken:
+    // another entry may own it. Its jobs are kept for the case that none does.
+    void suspendPartition(uint32_t partition, Millis now);
+    // All agents have to be claimed anew after this.
+    void resumePartition(uint32_t partition, Millis now);
     // Removes the partition and its jobs. Pending calls are answered with Unknown.
     void closePartition(uint32_t partition, Millis now);
     bool isServing(uint32_t partition) const;
@@ -318,6 +323,7 @@
         // All agents have reported their runs, or none of the former owner's runs can exist any longer.
         bool reconciled = false;
         bool frozen = false;
+        bool suspended = false;
         bool isConfirmed = true;
         bool mayPlace = true;
         Millis loadedAt;
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -75,8 +75,9 @@
 void JobScheduler::enqueue(Job &job)
 {
     const auto partition = m_partitions.find(job.partition);
-    const bool frozen = partition == m_partitions.end() || partition->second.frozen;
-    if (job.queued || job.phase != JobPhase::Active || !job.accepted || frozen)
+    const bool mayOrder =
+        partition != m_partitions.end() && !partition->second.frozen && !partition->second.suspended;
+    if (job.queued || job.phase != JobPhase::Active || !job.accepted || !mayOrder)
         return;
     job.queued = true;
     job.latestStart = job.dueAt - remainingCriticalPath(job) - dispatchOverhead;
@@ -303,7 +304,7 @@
         return;
     m_nextRunCheck = now + runCheckInterval;
     for (auto &[id, job] : m_jobs) {
-        if (job.phase != JobPhase::Active || m_partitions.at(job.partition).frozen)
+        if (job.phase != JobPhase::Active || !isServing(job.partition))
             continue;
         for (Task &task : job.tasks) {
             if (task.phase == TaskPhase::Running)
@@ -369,7 +370,7 @@
     retireFinished(now);
     stopOrphans(now);
     for (auto &[number, partition] : m_partitions) {
-        if (partition.loaded && !partition.reconciled)
+        if (partition.loaded && !partition.reconciled && !partition.suspended)
             reconcilePartition(number, partition, now);
     }
     demoteLate(now);
--- a/src/jobs/jobschedulerpartitions.cpp
+++ b/src/jobs/jobschedulerpartitions.cpp
@@ -17,7 +17,8 @@
 bool JobScheduler::isServing(uint32_t partition) const
 {
     const auto found = m_partitions.find(partition);
-    return found != m_partitions.end() && found->second.loaded && !found->second.frozen;
+    return found != m_partitions.end() && found->second.loaded && !found->second.frozen
+        && !found->second.suspended;
 }
 
 void JobScheduler::setOwnershipConfirmed(uint32_t partition, bool confirmed)
@@ -39,7 +40,7 @@
         fleet::OwnedPartitionT item;
         item.partition = number;
         item.epoch = partition.epoch;
-        item.ready = partition.loaded && !partition.frozen;
+        item.ready = isServing(number);
         result.push_back(item);
     }
     return result;
@@ -125,6 +126,31 @@
                  {{"partition", number}, {"epoch", found->second.epoch}, {"stored", stored}});
 }
 
+void JobScheduler::suspendPartition(uint32_t number, Millis now)
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end() || std::exchange(found->second.suspended, true))
+        return;
+    found->second.reported.clear();
+    for (auto &[id, job] : m_jobs) {
+        if (job.partition == number)
+            dequeue(job);
+    }
+    m_log.always(now, "partition_suspended", {{"partition", number}, {"epoch", found->second.epoch}});
+}
+
+void JobScheduler::resumePartition(uint32_t number, Millis now)
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end() || !std::exchange(found->second.suspended, false))
+        return;
+    for (auto &[id, job] : m_jobs) {
+        if (job.partition == number)
+            enqueue(job);
+    }
+    m_log.always(now, "partition_resumed", {{"partition", number}, {"epoch", found->second.epoch}});
+}
+
 void JobScheduler::closePartition(uint32_t number, Millis now)
 {
     const auto found = m_partitions.find(number);
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -287,7 +287,11 @@
     Job *job = findJob(run.task.job);
     Task *task = job ? findTask(*job, run.task) : nullptr;
     if (!job && !m_ended.contains(run.task.job)) {
-        m_orphans.try_emplace(run, Orphan{.agent = agent, .stopAt = now + orphanGracePeriod});
+        const auto [orphan, isNew] =
+            m_orphans.try_emplace(run, Orphan{.agent = agent, .stopAt = now + orphanGracePeriod});
+        // An earlier stop did not reach the agent, or the run would not be reported.
+        if (!isNew && std::exchange(orphan->second.stopped, false))
+            orphan->second.stopAt = now;
         return;
     }
     const bool hasOtherRun = task && (task->phase == TaskPhase::Ordered || task->phase == TaskPhase::Running)
@@ -333,7 +337,8 @@
                                std::span<const RunId> running, std::span<const AgentEnd> ended, Millis now)
 {
     const auto found = m_partitions.find(number);
-    if (found == m_partitions.end() || found->second.epoch != epoch || !found->second.loaded)
+    if (found == m_partitions.end() || found->second.epoch != epoch || !found->second.loaded
+        || found->second.suspended)
         return;
     std::set<RunId> reported(running.begin(), running.end());
     for (const AgentEnd &end : ended)
--- a/tests/unit/partitionownertest.cpp
+++ b/tests/unit/partitionownertest.cpp
@@ -92,6 +92,8 @@
     RecordedEffects effects;
     JobScheduler scheduler{{.partitions = 2}, pool, effects, log};
     std::vector<uint32_t> closed;
+    std::vector<uint32_t> suspended;
+    std::vector<uint32_t> resumed;
     std::vector<std::optional<uint32_t>> levels;
     PartitionOwner owner{
         {.member = "entry-1"},
@@ -101,7 +103,9 @@
         scheduler,
         {.onOpening = [](uint32_t) {},
          .onLoaded = [this](uint32_t, std::optional<uint32_t> level) { levels.push_back(level); },
-         .onClosed = [this](uint32_t partition, uint64_t) { closed.push_back(partition); }}};
+         .onClosed = [this](uint32_t partition, uint64_t) { closed.push_back(partition); },
+         .onSuspended = [this](uint32_t partition, uint64_t) { suspended.push_back(partition); },
+         .onResumed = [this](uint32_t partition) { resumed.push_back(partition); }}};
 };
 
 struct PartitionOwnerFixture : OwnerFixture
@@ -240,9 +244,9 @@
     pass({300});
     store.refusesJoins = true;
     const Millis lastJoin = owner.lastJoinSentAt();
-    owner.checkMemberships(lastJoin + Millis{1'499});
+    owner.checkMemberships(true, lastJoin + Millis{1'499});
     BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotKnown));
-    owner.checkMemberships(lastJoin + Millis{1'500});
+    owner.checkMemberships(true, lastJoin + Millis{1'500});
     BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotReady));
     // An append that is accepted does not show that the partition is still assigned to this entry a moment
     // later.
@@ -254,6 +258,43 @@
     BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotKnown));
 }
 
+// Guards against two runs of a task at the same time: an entry that was cut off from the store and the other
+// entries, but not from its agents, went on accepting and ordering jobs of partitions that had a new owner.
+BOOST_FIXTURE_TEST_CASE(entryThatMayHaveASuccessorServesNothing, PartitionOwnerFixture)
+{
+    const uint32_t partition = partitionOf(1, 2);
+    pass({300});
+    store.refusesJoins = true;
+    const Millis lastJoin = owner.lastJoinSentAt();
+    owner.checkMemberships(false, lastJoin + Millis{1'499});
+    BOOST_TEST(scheduler.isServing(partition));
+    owner.checkMemberships(false, lastJoin + Millis{1'500});
+    BOOST_TEST(!scheduler.isServing(partition));
+    BOOST_TEST(!suspended.empty());
+    // Neither contact with some of the others nor an answer of the store to an append is enough.
+    owner.checkMemberships(true, lastJoin + Millis{1'600});
+    owner.confirmOwnership();
+    pass({300});
+    BOOST_TEST(!scheduler.isServing(partition));
+    BOOST_TEST(resumed.empty());
+    store.refusesJoins = false;
+    pass({700});
+    BOOST_TEST(scheduler.isServing(partition));
+    BOOST_TEST(resumed == suspended);
+    BOOST_TEST(closed.empty());
+}
+
+// Guards against an outage of the store that stops the service: entries that still reach each other have no
+// successor.
+BOOST_FIXTURE_TEST_CASE(entryWithoutASuccessorServesThroughAnOutage, PartitionOwnerFixture)
+{
+    pass({300});
+    store.refusesJoins = true;
+    owner.checkMemberships(true, owner.lastJoinSentAt() + Millis{10'000});
+    BOOST_TEST(scheduler.isServing(0));
+    BOOST_TEST(suspended.empty());
+}
+
 // Guards against a second run of a task: a level that cannot be read must not count as "no orders were
 // placed".
 BOOST_FIXTURE_TEST_CASE(unreadableSubsetLevelCoversAllAgents, PartitionOwnerFixture)
