Take only reports on the newest claim of a partition

Cause: the first owner of a partition claims it twice at each agent, when it is loaded and when the level of its agent subset is stored. A report on the second claim that was written before a start order arrived made the owner take the order for lost, and it ordered the task elsewhere. Change: claims are numbered, and the report returns the number. A claim takes the agent's permission to receive orders away until it has reported on this claim, and a report on an earlier claim is logged and not used. The fields are optional in the messages; reports of agents of an earlier version are taken as before. Why it works: messages of one connection keep their order, and no order is sent between a claim and its report, so a report that is used was written after every order that it does not show had arrived.

--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -25,6 +25,7 @@
     uint32_t days = 1;
     uint32_t threads = 1;
     uint32_t lengthSeconds = 20;
+    uint32_t settleMs = 4'000;
     double load = 1;
     double keptShare = 0.3;
     uint32_t mostTroubles = 8;
@@ -66,6 +67,7 @@
 {
     EmulationOptions day = *emulatedSite(settings.site);
     day.seed = seed;
+    day.settleTime = {settings.settleMs};
     day.length = {settings.lengthSeconds * msPerSecond};
     day.traffic.load = settings.load;
     day.traffic.keptShare = settings.keptShare;
@@ -199,7 +201,9 @@
     description.add_options()("site", options::value(&settings.site), "himal (default) or qalhat")(
         "first-seed", options::value(&settings.firstSeed), "seed of the first day")(
         "days", options::value(&settings.days), "number of days, each with the next seed")(
-        "threads", options::value(&settings.threads), "days that are played at the same time")(
+        "threads", options::value(&settings.threads),
+        "days that are played at the same time")("settle-ms", options::value(&settings.settleMs),
+                                                 "time between the start of the processes and the traffic")(
         "length-s", options::value(&settings.lengthSeconds), "seconds of traffic in a day")(
         "entries", options::value(&settings.entries), "number of entries; the site's own if 0")(
         "agents", options::value(&settings.agents),
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -9,8 +9,6 @@
 namespace turmericwell {
 
 constexpr Millis emulationStart = {1'000'000};
-// Agents find out that nothing runs on a new worker after a lease.
-constexpr Millis settleTime = {4'000};
 constexpr Millis leaseCheckInterval = {5};
 constexpr Millis restartDelay = {300};
 constexpr Millis stopGrace = {6'000};
@@ -310,7 +308,7 @@
     for (uint32_t number = 0; number < m_workers.size(); ++number)
         announceWorker(number);
     superviseWorkers();
-    const Millis traffic = m_events.now() + settleTime;
+    const Millis traffic = m_events.now() + m_options.settleTime;
     const Millis end = traffic + m_options.length + m_options.finish;
     m_events.at(traffic, [this, traffic] { m_clients.start(traffic + m_options.length); });
     for (const PlannedTrouble &planned : m_options.plan)
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -19,6 +19,9 @@
     uint32_t partitions = 8;
     Resources workerCapacity = {16'000, 32'000, 0};
     EmulatedTraffic traffic;
+    // Time from the start of all processes to the first submission. Agents find out that nothing runs on a
+    // new worker after a lease.
+    Millis settleTime = {4'000};
     // Clients submit from the moment at which the processes have settled until this one.
     Millis length = {20'000};
     // After that the system gets this long to finish what it has accepted.
--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -197,7 +197,7 @@
     } else if (const fleet::EndDisputedT *disputed = envelope.body.AsEndDisputed()) {
         m_workerManager.endDisputed(fromWire(disputed->run), now);
     } else if (const fleet::ClaimT *claim = envelope.body.AsClaim()) {
-        m_workerManager.claim(entry, claim->partition, claim->epoch, now);
+        m_workerManager.claim(entry, claim->partition, claim->epoch, now, claim->number);
     } else if (const fleet::ReleaseT *release = envelope.body.AsRelease()) {
         m_workerManager.release(entry, release->partition, release->epoch, now);
     } else if (const fleet::RunSizeT *size = envelope.body.AsRunSize()) {
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -213,7 +213,7 @@
         if (!owned.ready || !isReached(hello.node, owned.partition))
             continue;
         updatePlacement(owned.partition);
-        claim(link, owned.partition, owned.epoch);
+        claim(*number, owned.partition, owned.epoch);
     }
 }
 
@@ -247,12 +247,13 @@
                  {.status = fleet::CallStatus::Unknown, .reason = "owner disconnected"});
 }
 
-void EntryNode::claim(const NodeLinkPtr &agent, uint32_t partition, uint64_t epoch)
+void EntryNode::claim(AgentNumber agent, uint32_t partition, uint64_t epoch)
 {
     fleet::ClaimT message;
     message.partition = partition;
     message.epoch = epoch;
-    agent->send(message);
+    message.number = m_scheduler.claimSent(agent, partition);
+    m_agentLinks.at(agent)->send(message);
 }
 
 fleet::EntryReportT EntryNode::makeReport() const
@@ -339,6 +340,11 @@
             m_owner.superseded(claim->partition, claim->epoch);
             return;
         }
+        if (!m_scheduler.isNewestClaim(agent, claim->partition, claim->claim)) {
+            m_log.write(now, "claim_report_outdated",
+                        {{"agent", agent}, {"partition", claim->partition}, {"claim", claim->claim}});
+            return;
+        }
         std::vector<RunId> running;
         for (const fleet::RunRef &run : claim->running)
             running.push_back(fromWire(run));
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -134,7 +134,7 @@
     void received(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
     void receivedFromAgent(AgentNumber agent, fleet::EnvelopeT &envelope);
     void receivedFromEntry(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
-    void claim(const NodeLinkPtr &agent, uint32_t partition, uint64_t epoch);
+    void claim(AgentNumber agent, uint32_t partition, uint64_t epoch);
     fleet::EntryReportT makeReport() const;
     void sendReport();
     // Sends the report if it has changed or the last one is old.
--- a/src/fleet/entrysubsets.cpp
+++ b/src/fleet/entrysubsets.cpp
@@ -77,7 +77,7 @@
         return;
     for (const auto &[number, link] : m_agentLinks) {
         if (isReached(m_presence.name(number), partition) && !m_scheduler.hasReported(partition, number))
-            claim(link, partition, *epoch);
+            claim(number, partition, *epoch);
     }
 }
 
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -172,6 +172,13 @@
     void runStarted(AgentNumber agent, const RunId &run, Millis now);
     void runEnded(AgentNumber agent, const AgentEnd &end, Millis now);
     void runRejected(AgentNumber agent, const RunId &run, RejectReason reason, Millis now);
+    // The partition is claimed at the agent, which receives no orders until it has reported on this claim.
+    // Returns the number of the claim.
+    uint64_t claimSent(AgentNumber agent, uint32_t partition);
+    // True if a report on this claim shows all orders that the agent may have received. A report on an
+    // earlier claim may have been written before an order arrived, and would show its run to be lost. Number
+    // 0 is from an agent of an earlier version.
+    bool isNewestClaim(AgentNumber agent, uint32_t partition, uint64_t claim) const;
     void claimReport(AgentNumber agent, uint32_t partition, uint64_t epoch, std::span<const RunId> running,
                      std::span<const AgentEnd> ended, Millis now);
     // The connection to the agent is lost. It receives no orders until it has reported again.
@@ -327,6 +334,8 @@
         bool isConfirmed = true;
         bool mayPlace = true;
         Millis loadedAt;
+        // Number of the newest claim at each agent. An agent in `reported` has reported on it.
+        std::map<AgentNumber, uint64_t> claims;
         std::set<AgentNumber> reported;
         std::set<AgentNumber> excluded;
         std::set<AgentNumber> expected;
@@ -434,6 +443,7 @@
     std::map<uint32_t, Partition> m_partitions;
     std::unordered_map<JobId, Job> m_jobs;
     uint64_t m_lastSerial = 0;
+    uint64_t m_lastClaim = 0;
     std::unordered_map<JobId, EndedJob> m_ended;
     // Ended jobs, oldest first.
     std::deque<JobId> m_endedOrder;
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -333,6 +333,23 @@
     }
 }
 
+uint64_t JobScheduler::claimSent(AgentNumber agent, uint32_t number)
+{
+    Partition &partition = m_partitions.at(number);
+    partition.reported.erase(agent);
+    partition.claims[agent] = ++m_lastClaim;
+    return m_lastClaim;
+}
+
+bool JobScheduler::isNewestClaim(AgentNumber agent, uint32_t number, uint64_t claim) const
+{
+    const auto partition = m_partitions.find(number);
+    if (partition == m_partitions.end())
+        return false;
+    const auto newest = partition->second.claims.find(agent);
+    return newest != partition->second.claims.end() && (claim == 0 || claim == newest->second);
+}
+
 void JobScheduler::claimReport(AgentNumber agent, uint32_t number, uint64_t epoch,
                                std::span<const RunId> running, std::span<const AgentEnd> ended, Millis now)
 {
@@ -373,8 +390,10 @@
 
 void JobScheduler::agentDisconnected(AgentNumber agent)
 {
-    for (auto &[number, partition] : m_partitions)
+    for (auto &[number, partition] : m_partitions) {
         partition.reported.erase(agent);
+        partition.claims.erase(agent);
+    }
 }
 
 void JobScheduler::agentGone(AgentNumber agent, Millis now)
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -99,7 +99,8 @@
     // The entry has answered the ping that was sent at `pingSentAt`.
     void entryAnswered(EntryNumber entry, Millis pingSentAt);
     void setEvacuatedZones(std::set<std::string> zones, Millis now);
-    void claim(EntryNumber entry, uint32_t partition, uint64_t epoch, Millis now);
+    // `number` is returned with the report, so that the owner can tell to which of its claims it belongs.
+    void claim(EntryNumber entry, uint32_t partition, uint64_t epoch, Millis now, uint64_t number = 0);
     // The entry no longer owns the partition: its ping answers no longer keep the partition's runs alive.
     void release(EntryNumber entry, uint32_t partition, uint64_t epoch, Millis now);
     void order(EntryNumber entry, RunOrder order, Millis now);
@@ -153,6 +154,8 @@
         Millis lastContact;
         // The answer to the owner's claim has not been sent yet.
         bool reportDue = false;
+        // Number of the owner's newest claim.
+        uint64_t claimNumber = 0;
     };
 
     struct End
--- a/src/worker/workerowners.cpp
+++ b/src/worker/workerowners.cpp
@@ -56,7 +56,7 @@
     startQueued(now);
 }
 
-void WorkerManager::claim(EntryNumber entry, uint32_t partition, uint64_t epoch, Millis now)
+void WorkerManager::claim(EntryNumber entry, uint32_t partition, uint64_t epoch, Millis now, uint64_t number)
 {
     Owner &owner = m_owners[partition];
     if (epoch < owner.epoch) {
@@ -74,6 +74,7 @@
     owner.entry = entry;
     owner.lastContact = std::max(owner.lastContact, m_contacts[entry]);
     owner.reportDue = true;
+    owner.claimNumber = number;
     // The new owner will order again the runs that have not been started.
     dropQueued(partition);
     reportClaims(now);
@@ -117,6 +118,7 @@
         report.partition = partition;
         report.epoch = owner.epoch;
         report.accepted = true;
+        report.claim = owner.claimNumber;
         for (const auto &[id, run] : m_runs) {
             if (run.order.partition == partition && run.phase != RunPhase::Queued)
                 report.running.push_back(toWire(id));
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -83,6 +83,46 @@
     BOOST_TEST(accepted == asked);
 }
 
+// Guards against a task that runs twice at the same time in the first second of a deployment: the first owner
+// of a partition claims it twice at each agent, and the report on the second claim, written before an order
+// had arrived, made the owner take the order for lost.
+BOOST_AUTO_TEST_CASE(secondClaimDoesNotLoseAnOrder)
+{
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+        EmulationOptions day = *emulatedSite("qalhat");
+        day.seed = seed;
+        day.settleTime = {100};
+        day.traffic.keptShare = 0;
+        day.length = {1'500};
+        BOOST_TEST_CONTEXT("seed " << seed)
+        BOOST_TEST(firstBroken(checkPromises(Emulation(day).run(), day)) == "");
+    }
+}
+
+// Guards against two runs of a task at the same time: an entry that was cut off together with some agents
+// went on running best-effort jobs of partitions that another entry had taken over.
+// The seeds are those of turmericwell emulate --site qalhat --kept-share 0 --deadline-ms 1500 --resubmissions
+// 4
+// --group-cuts 2.
+BOOST_AUTO_TEST_CASE(entryThatWasCutOffWithAgentsRunsNothingBesideItsSuccessor)
+{
+    for (const uint64_t seed : {300'021, 300'035}) {
+        EmulationOptions day = *emulatedSite("qalhat");
+        day.seed = seed;
+        day.traffic.keptShare = 0;
+        day.traffic.deadline = {1'500};
+        day.traffic.mostResubmissions = 4;
+        day.plan = drawPlan({.seed = seed,
+                             .size = day.size,
+                             .begin = {1'000},
+                             .end = day.length * 60 / 100,
+                             .most = 8,
+                             .mostGroupCuts = 2});
+        BOOST_TEST_CONTEXT("seed " << seed)
+        BOOST_TEST(firstBroken(checkPromises(Emulation(day).run(), day)) == "");
+    }
+}
+
 // Guards against a bound that a dispatcher passes: two jobs want all processors at the same time, and there
 // is room for one of them until the deadlines.
 BOOST_AUTO_TEST_CASE(boundIsWhatTheProcessorsCanDoInTime)
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -846,4 +846,27 @@
     BOOST_TEST(present.run.number > former.run.number);
 }
 
+// Guards against an order that counts as lost because the agent had not received it yet: only a report on the
+// newest claim shows all orders.
+BOOST_FIXTURE_TEST_CASE(agentReceivesNoOrdersBeforeItHasReportedOnTheNewestClaim, JobSchedulerFixture)
+{
+    scheduler.loaded(0, now);
+    scheduler.setExpectedAgents(0, {1, 2}, true);
+    const uint64_t first = scheduler.claimSent(1, 0);
+    const uint64_t second = scheduler.claimSent(1, 0);
+    BOOST_TEST(!scheduler.isNewestClaim(1, 0, first));
+    BOOST_TEST(scheduler.isNewestClaim(1, 0, second));
+    scheduler.claimReport(1, 0, 1, {}, {}, now);
+    submit(job(1, 1, true));
+    BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
+    // A further claim holds the orders back until the agent has reported on it.
+    const uint64_t third = scheduler.claimSent(1, 0);
+    submit(job(2, 1, true));
+    BOOST_TEST(effects.starts.size() == 1U);
+    BOOST_TEST(scheduler.isNewestClaim(1, 0, third));
+    scheduler.agentDisconnected(1);
+    BOOST_TEST(!scheduler.isNewestClaim(1, 0, third));
+    BOOST_TEST(!scheduler.isNewestClaim(1, 5, third));
+}
+
 } // namespace turmericwell
