Let the lease lapse when runs of a silent owner cannot be stopped

Cause: an agent stops the runs of an owner that has been silent for 1.2 s, and the owner starts others 2.5 s after its last contact. When the worker accepted no stop (orders that get no answer and are carried out seconds later) but answered list polls, the agent went on renewing the lease, and the runs outlived the 2.5 s. Change: 1.35 s after the last contact with an owner, the lease is no longer renewed while a run of this owner exists whose stop the worker has not accepted, and nothing is started until it has lapsed. The check is also made before each poll, since after a pause no timer may have run yet. Why it works: a lease of 1 s on a slow clock ends within 1.12 s, so the last one ends before the 2.5 s are over.

--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -183,13 +183,30 @@
                        [](const auto &item) { return item.second.isDisputed; });
 }
 
+bool WorkerManager::hasUnstoppableRuns(Millis now) const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &item) {
+        const Run &run = item.second;
+        if (run.phase == RunPhase::Queued || run.stopAccepted)
+            return false;
+        const auto owner = m_owners.find(partitionOf(item.first.task.job, m_options.partitions));
+        const Millis lastContact = owner == m_owners.end() ? m_startedAt : owner->second.lastContact;
+        return now - lastContact > m_options.ownerLeaseLimit;
+    });
+}
+
 void WorkerManager::forceLeaseLapse(Millis now)
 {
-    if (m_lapseForced || m_ends.size() <= m_options.maxRetainedEnds || !hasDisputedEnds())
+    if (m_lapseForced)
+        return;
+    const bool retainsTooManyEnds = m_ends.size() > m_options.maxRetainedEnds && hasDisputedEnds();
+    const bool hasUnstoppable = hasUnstoppableRuns(now);
+    if (!retainsTooManyEnds && !hasUnstoppable)
         return;
     m_lapseForced = true;
     m_reportChanged = true;
-    m_log.always(now, "lease_given_up", {{"ends", m_ends.size()}, {"runs", m_runs.size()}});
+    m_log.always(now, "lease_given_up",
+                 {{"ends", m_ends.size()}, {"runs", m_runs.size()}, {"unstoppable_runs", hasUnstoppable}});
 }
 
 uint64_t WorkerManager::endsStoredThrough() const
@@ -313,6 +330,8 @@
 // answer would hide all ends until its timeout.
 void WorkerManager::sendListPolls(Millis now)
 {
+    // After a pause of this process no timer may have run yet.
+    forceLeaseLapse(now);
     const bool isWorkerInDoubt = m_listPollFailures > 0 || m_clockSampledAt.count == 0;
     if (m_needsListsNow && m_listPolls.size() <= m_options.parallelListPolls) {
         m_needsListsNow = false;
--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -302,6 +302,7 @@
         // Lists requested from now on contain the run, its end, or neither if the run never started.
         run.listedFromPoll = m_lastListPoll + 1;
         run.nextStop = {INT64_MAX};
+        run.stopAccepted = true;
         m_needsListsNow = true;
         return;
     }
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -67,6 +67,9 @@
     Millis ownerFreshness = {1'100};
     // Runs are stopped when their owner has not answered for this long.
     Millis ownerTimeout = {1'200};
+    // If such a run cannot be stopped, the worker's lease is no longer renewed from this time on. It has then
+    // lapsed when the owner orders the task elsewhere, 2.5 s after its last contact with this agent.
+    Millis ownerLeaseLimit = {1'350};
     // Orders beyond the worker's capacity that may be queued here, in percent of its processors: processors
     // that become free are then used at once instead of after the next report to the entries.
     uint32_t queueAllowancePercent = 10;
@@ -143,6 +146,8 @@
         uint32_t unansweredStops = 0;
         // The run was ordered to stop before the worker answered its start.
         bool stopWanted = false;
+        // The worker has accepted the stop, so it ends the run at once.
+        bool stopAccepted = false;
     };
 
     struct Owner
@@ -224,7 +229,10 @@
     bool mayConfirm(uint64_t number, const End &end) const;
     uint64_t endsStoredThrough() const;
     bool hasDisputedEnds() const;
-    // Stops renewing the lease once too many ends are retained while one of them is disputed.
+    // True if the worker has not accepted the stop of a run whose owner is unresponsive.
+    bool hasUnstoppableRuns(Millis now) const;
+    // Stops renewing the lease once too many ends are retained while one of them is disputed, or if runs
+    // cannot be stopped otherwise.
     void forceLeaseLapse(Millis now);
     void sendListPolls(Millis now);
 
--- a/tests/unit/workermanagertest.cpp
+++ b/tests/unit/workermanagertest.cpp
@@ -265,6 +265,36 @@
     BOOST_TEST(effects.stops.size() == 1U);
 }
 
+// Guards against two runs of a task: an agent that could not stop a run of a silent owner, because the worker
+// answered no stop, went on renewing the run's lease after the owner had started another run.
+BOOST_FIXTURE_TEST_CASE(leaseIsNotRenewedForRunsThatCannotBeStopped, WorkerManagerFixture)
+{
+    startRun(1);
+    const Millis lastContact = now;
+    // The owner starts another run 2.5 s after the last contact; a lease of 1 s on a slow clock and the
+    // margin for its delivery take 1.12 s of that.
+    constexpr Millis lastRenewal = Millis{2'500} - Millis{1'120};
+    while (now < lastContact + Millis{2'500}) {
+        advanceTime({20}, false);
+        for (const ListPollCall &call : effects.openListPolls)
+            BOOST_TEST((call.deadline.count == 0 || now <= lastContact + lastRenewal));
+        answerListPolls({.running = {{.run = order(1).run}}});
+    }
+    BOOST_TEST(!effects.stops.empty());
+}
+
+// Guards against a lapse, which costs all runs on the worker, although the worker has accepted the stop.
+BOOST_FIXTURE_TEST_CASE(leaseIsRenewedWhenTheStopIsAccepted, WorkerManagerFixture)
+{
+    startRun(1);
+    while (effects.stops.empty())
+        advanceTime({20}, false);
+    manager.stopAnswered(order(1).run, OrderAnswer::Done, now);
+    advanceTime({400}, false);
+    answerListPolls({.running = {{.run = order(1).run}}});
+    BOOST_TEST(effects.lastListPoll.deadline.count > 0);
+}
+
 // Guards against a start by an agent that was paused: by then, the owner may have ordered the task elsewhere.
 BOOST_FIXTURE_TEST_CASE(queuedRunIsNotStartedAfterAPause, WorkerManagerFixture)
 {
