Order a task again only once the store shows that it is repeated

Cause: an owner that lost an agent, or a run without an end, ordered the task again at once and recorded that afterwards. If it could not reach the store, the next owner did not know of the second run and let the worker discard the end of the first. Steps that opened after a takeover without all reports were not recorded at all. Change: such a task is ordered once its record is stored. Lost runs and steps that open later are recorded, too. Best-effort jobs, which need no record, are ordered at once as before. Why it works: whoever may confirm an end has read the records of all owners that may have ordered a later run.

--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -308,7 +308,8 @@
                       .partition = job.partition,
                       .epoch = m_partitions.at(job.partition).epoch,
                       .phase = job.phase,
-                      .ends = std::exchange(job.unstoredEnds, {})};
+                      .ends = std::exchange(job.unstoredEnds, {}),
+                      .repeatedTasks = record.repeated_tasks};
     m_effects.store(job.partition, job.spec.id, encodeJobRecord(record), !job.accepted,
                     [this, write = std::move(write)](StoreOutcome outcome, Millis doneAt) {
                         recordStored(write, outcome, doneAt);
@@ -333,6 +334,8 @@
     if (outcome == StoreOutcome::Stored) {
         for (const UnstoredEnd &end : write.ends)
             m_effects.endStored(end.agent, end.run);
+        for (const uint32_t number : write.repeatedTasks)
+            job->tasks[number].awaitsRecord = false;
     }
     if (!job->accepted) {
         finishAcceptance(*job, outcome, now);
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -236,6 +236,9 @@
         uint32_t moves = 0;
         // Ordered again although the previous run may have ended without a report.
         bool isRepeated = false;
+        // The store does not contain isRepeated yet. Until it does, the task is not ordered: the next owner
+        // could confirm the end of the previous run without knowing of a later one.
+        bool awaitsRecord = false;
         // Agents on whose workers a run failed or took too long.
         std::set<AgentNumber> avoided;
         // The current run is being stopped and will be restarted on another worker.
@@ -329,6 +332,8 @@
         bool loaded = false;
         // All agents have reported their runs, or none of the former owner's runs can exist any longer.
         bool reconciled = false;
+        // Reconciled although an agent has not reported: it may still report ends of a former owner's runs.
+        bool hasUnreportedAgents = false;
         bool frozen = false;
         bool suspended = false;
         bool isConfirmed = true;
@@ -370,6 +375,8 @@
         uint64_t epoch = 0;
         JobPhase phase = JobPhase::Active;
         std::vector<UnstoredEnd> ends;
+        // Indices of the tasks that the record shows as repeated.
+        std::vector<uint32_t> repeatedTasks;
     };
 
     void writeRecord(Job &job);
@@ -398,7 +405,7 @@
     // Makes the task ready to be ordered again. The cause is logged.
     void requeueTask(Job &job, Task &task, std::string_view cause, Millis now);
     // Records that the task is ordered again although its previous run may have ended without a report, so
-    // that the next owner can dispute that run's end.
+    // that the next owner can dispute that run's end. The task is ordered once the record is stored.
     void recordRepeatedRun(Job &job, Task &task);
     void endJob(Job &job, JobPhase phase);
     void stopRuns(Job &job);
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -193,9 +193,9 @@
 {
     bool all = true;
     for (Task &task : job.tasks) {
-        if (task.phase == TaskPhase::Unreconciled)
+        if (task.phase == TaskPhase::Unreconciled || task.awaitsRecord)
             all = false;
-        if (task.phase != TaskPhase::Waiting)
+        if (task.phase != TaskPhase::Waiting || task.awaitsRecord)
             continue;
         // The tasks of a job are similar: if one does not fit on any worker, the others rarely do.
         if (!placeTask(job, task, now)) {
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -41,8 +41,11 @@
             continue;
         for (uint32_t index = 0; index < step.count; ++index) {
             Task &task = job.tasks[job.stepFirst[number] + index];
-            if (task.phase == TaskPhase::Blocked)
-                task.phase = opened;
+            if (task.phase != TaskPhase::Blocked)
+                continue;
+            task.phase = opened;
+            if (job.mayHaveFormerRuns && isReconciled && partition->second.hasUnreportedAgents)
+                recordRepeatedRun(job, task);
         }
     }
     enqueue(job);
@@ -96,6 +99,7 @@
     job.hasRepeatedRuns = true;
     if (std::exchange(task.isRepeated, true) || job.spec.best_effort)
         return;
+    task.awaitsRecord = true;
     writeRecord(job);
 }
 
@@ -256,8 +260,12 @@
         return;
     }
     m_effects.endStored(agent, run);
-    if (isCurrent && (task->phase == TaskPhase::Ordered || task->phase == TaskPhase::Running))
-        requeueTask(*job, *task, "the run ended early", now);
+    if (!isCurrent || (task->phase != TaskPhase::Ordered && task->phase != TaskPhase::Running))
+        return;
+    requeueTask(*job, *task, "the run ended early", now);
+    // The worker may still list an end that it could not report.
+    if (end.kind == EndKind::Lost)
+        recordRepeatedRun(*job, *task);
 }
 
 void JobScheduler::runRejected(AgentNumber agent, const RunId &run, RejectReason reason, Millis now)
@@ -473,6 +481,7 @@
     if (!allReported && now - partition.loadedAt < m_options.reconciliationTimeout)
         return;
     partition.reconciled = true;
+    partition.hasUnreportedAgents = !allReported;
     uint32_t restarted = 0;
     for (auto &[id, job] : m_jobs) {
         if (job.partition != number)
