Renew no lease that no owner has asked for

Cause: an agent that was restarted took its own start for contact with the owners of the runs that it found, and renewed their lease for 1.2 s, with each restart again. The owner counts 2.5 s from its last contact and starts another run then. Besides, a worker that deregistered had its runs reported as lost at once, although it is up until it has the answer, or some seconds longer if that is lost. Change: a lease is renewed only when each partition with runs on the worker has been claimed since the agent's start, and not after the worker has deregistered; its runs are lost when the lease has lapsed or its successor appears. An entry that has not read the list of members does not count as reaching most entries. The emulator draws the faults that show it (--agent-series: restarts within 0.9 s, link cuts, hanging runs and late orders on one agent).

--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -31,6 +31,7 @@
     uint32_t mostTroubles = 8;
     uint32_t mostIsolations = 0;
     uint32_t mostGroupCuts = 0;
+    uint32_t mostAgentSeries = 0;
     double twoStepShare = 0;
     double askedShare = 0;
     // 0 for the traffic's own deadline.
@@ -95,7 +96,8 @@
                              .end = day.length * troubledPercent / 100,
                              .most = settings.mostTroubles,
                              .mostIsolations = settings.mostIsolations,
-                             .mostGroupCuts = settings.mostGroupCuts});
+                             .mostGroupCuts = settings.mostGroupCuts,
+                             .mostAgentSeries = settings.mostAgentSeries});
     return day;
 }
 
@@ -216,6 +218,8 @@
         "besides, most entries that are cut off from everything or restarted while the store is down")(
         "group-cuts", options::value(&settings.mostGroupCuts),
         "besides, most groups of one entry and some agents that are cut off from all others and the store")(
+        "agent-series", options::value(&settings.mostAgentSeries),
+        "besides, most series of restarts, link cuts and hanging runs of one agent")(
         "deadline-ms", options::value(&settings.deadlineMs),
         "how long clients wait for an answer; the traffic's own if 0")(
         "resubmissions", options::value(&settings.mostResubmissions),
--- a/src/emulator/emulationplan.cpp
+++ b/src/emulator/emulationplan.cpp
@@ -13,6 +13,12 @@
 // Longer than a membership lasts without renewal, and up to beyond the time after which agents count as gone.
 constexpr Millis leastIsolation = {1'500};
 constexpr Millis mostIsolation = {13'000};
+constexpr int64_t mostTroublesOfASeries = 8;
+constexpr Millis seriesLength = {6'000};
+// Shorter than the time after which the entries take an agent for gone, so that it comes back to its runs.
+constexpr Millis leastQuickRestart = {100};
+constexpr Millis mostQuickRestart = {900};
+constexpr double hangingWorkerLateShare = 0.7;
 constexpr Millis leastOutage = {2'500};
 constexpr Millis mostOutage = {5'000};
 
@@ -39,6 +45,8 @@
             result.push_back(isolation());
         for (int64_t number = whole(0, m_options.mostGroupCuts); number > 0; --number)
             result.push_back(groupCut());
+        for (int64_t number = whole(0, m_options.mostAgentSeries); number > 0; --number)
+            addAgentSeries(result);
         std::sort(result.begin(), result.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
         return result;
     }
@@ -68,6 +76,31 @@
                 .length = {whole(leastIsolation.count, mostIsolation.count)},
                 .trouble = CutGroup{.processes = std::move(group)}};
     }
+    PlannedTrouble agentTrouble(const ProcessName &agent, Millis at)
+    {
+        const Millis length{whole(leastOutage.count, mostOutage.count)};
+        switch (whole(0, 2)) {
+        case 0:
+            return {.at = at,
+                    .length = length,
+                    .trouble = TroubleWorker{
+                        .worker = agent.index,
+                        .trouble = {.late = chance(0.5) ? hangingWorkerLateShare : 0, .hangs = true}}};
+        case 1:
+            return {.at = at, .length = length, .trouble = CutLink{.from = entry(), .to = agent}};
+        default:
+            return {.at = at,
+                    .length = {whole(leastQuickRestart.count, mostQuickRestart.count)},
+                    .trouble = KillProcess{.process = agent, .losesPower = chance(0.5)}};
+        }
+    }
+    void addAgentSeries(EmulationPlan &plan)
+    {
+        const ProcessName agent{fleet::ProcessRole::Agent, worker()};
+        const int64_t begin = whole(m_options.begin.count, m_options.end.count);
+        for (int64_t number = whole(3, mostTroublesOfASeries); number > 0; --number)
+            plan.push_back(agentTrouble(agent, {begin + whole(0, seriesLength.count)}));
+    }
     int64_t whole(int64_t least, int64_t most)
     {
         return std::uniform_int_distribution<int64_t>(least, most)(m_random);
--- a/src/emulator/emulationplan.h
+++ b/src/emulator/emulationplan.h
@@ -119,6 +119,9 @@
     uint32_t mostIsolations = 0;
     // Most groups of one entry and some agents that are cut off from the rest, besides the other troubles.
     uint32_t mostGroupCuts = 0;
+    // Most series of troubles of one agent, besides the other troubles: quick restarts, cuts of a link to an
+    // entry, and a worker whose runs hang and which carries orders out late.
+    uint32_t mostAgentSeries = 0;
 };
 
 // Equal options give equal plans.
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -138,6 +138,8 @@
 
 bool EntryNode::reachesMostEntries() const
 {
+    if (!m_members.isSynced())
+        return false;
     size_t registered = 1;
     size_t reached = 1;
     for (const auto &[name, contact] : m_contacts) {
--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -49,6 +49,7 @@
                       {"cpu_milli", announcement.capacity.cpuMilli}});
     }
     m_worker = announcement;
+    m_workerLeaves = false;
     m_minIncarnation = announcement.born;
     m_reportChanged = m_reportChanged || changed;
     if (m_worker->draining)
@@ -61,10 +62,14 @@
 {
     if (!m_worker || m_worker->worker != worker)
         return;
-    m_log.always(now, "worker_deregistered", {{"worker", worker}});
-    resetForNewIncarnation(now);
+    m_log.always(now, "worker_deregistered", {{"worker", worker}, {"runs", m_runs.size()}});
+    // The worker is still up while it waits for the answer, and longer if the answer is lost, so its runs are
+    // lost only when the lease has lapsed or the next incarnation appears.
+    rejectQueued(RejectReason::NoWorker, now);
+    m_workerLeaves = true;
     m_minIncarnation = m_worker->born + 1;
     m_worker.reset();
+    m_reportChanged = true;
 }
 
 std::optional<RejectReason> WorkerManager::rejectReason() const
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -229,6 +229,9 @@
     bool mayConfirm(uint64_t number, const End &end) const;
     uint64_t endsStoredThrough() const;
     bool hasDisputedEnds() const;
+    // True if a run on the worker belongs to a partition that no entry has claimed since this agent started.
+    // The owner counts the time of the run from its last contact with the former agent process.
+    bool hasUnclaimedRuns() const;
     // True if the worker has not accepted the stop of a run whose owner is unresponsive.
     bool hasUnstoppableRuns(Millis now) const;
     // Stops renewing the lease once too many ends are retained while one of them is disputed, or if runs
@@ -289,6 +292,8 @@
     uint64_t m_lapsedAfterEnd = 0;
     // No run is started and no lease is renewed until the lease has lapsed.
     bool m_lapseForced = false;
+    // The worker has deregistered and is about to end. Its runs end with it or when the lease lapses.
+    bool m_workerLeaves = false;
     // Last contact with each connected entry.
     std::map<EntryNumber, Millis> m_contacts;
     std::map<EntryNumber, uint64_t> m_ordersReceived;
--- a/tests/unit/workermanagertest.cpp
+++ b/tests/unit/workermanagertest.cpp
@@ -295,6 +295,55 @@
     BOOST_TEST(effects.lastListPoll.deadline.count > 0);
 }
 
+// Guards against two runs of a task: an agent that was restarted, and again, renewed the lease of the runs
+// that it found while their owner, which it did not reach, took the agent for gone.
+BOOST_FIXTURE_TEST_CASE(restartedAgentRenewsNoLeaseBeforeTheOwnerHasClaimed, WorkerManagerFixture)
+{
+    WorkerManager restarted{{.partitions = 1}, 1, now, effects, log};
+    effects.openListPolls.clear();
+    restarted.announced(announcement(), now);
+    restarted.advance(now);
+    const auto answer = [&] {
+        const uint64_t number = effects.openListPolls.front().number;
+        effects.openListPolls.pop_front();
+        restarted.listPollAnswered(
+            number, OrderAnswer::Done,
+            {.workerClock = now - workerStart, .born = 10, .running = {{.run = order(1).run}}}, now);
+    };
+    answer();
+    BOOST_TEST_REQUIRE(!effects.openListPolls.empty());
+    for (const ListPollCall &call : effects.openListPolls)
+        BOOST_TEST(call.deadline.count == 0);
+    restarted.entryConnected(7, now);
+    restarted.claim(7, 0, 5, now);
+    effects.lastListPoll = {};
+    answer();
+    now += Millis{20};
+    restarted.advance(now);
+    BOOST_TEST(effects.lastListPoll.deadline.count > 0);
+}
+
+// Guards against two runs of a task: a worker that deregisters is still up until it has the answer.
+BOOST_FIXTURE_TEST_CASE(deregistrationIsNoEndOfRuns, WorkerManagerFixture)
+{
+    startRun(1);
+    answerListPolls({.running = {{.run = order(1).run}}});
+    manager.deregistered("w", now);
+    BOOST_TEST(effects.ended.empty());
+    effects.lastListPoll = {};
+    answerListPolls({.running = {{.run = order(1).run}}});
+    BOOST_TEST(effects.lastListPoll.deadline.count == 0);
+    const Millis since = now;
+    while (effects.ended.empty() && now < since + Millis{2'000}) {
+        loseListPollAnswers();
+        advanceTime({20});
+    }
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    BOOST_TEST((effects.ended[0].kind == EndKind::Lost));
+    // A lease of 1 s on a slow clock.
+    BOOST_TEST((now - since >= Millis{1'000}));
+}
+
 // Guards against a start by an agent that was paused: by then, the owner may have ordered the task elsewhere.
 BOOST_FIXTURE_TEST_CASE(queuedRunIsNotStartedAfterAPause, WorkerManagerFixture)
 {
