--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -247,15 +247,6 @@
                  {.status = fleet::CallStatus::Unknown, .reason = "owner disconnected"});
 }
 
-void EntryNode::claim(AgentNumber agent, uint32_t partition, uint64_t epoch)
-{
-    fleet::ClaimT message;
-    message.partition = partition;
-    message.epoch = epoch;
-    message.number = m_scheduler.claimSent(agent, partition);
-    m_agentLinks.at(agent)->send(message);
-}
-
 fleet::EntryReportT EntryNode::makeReport() const
 {
     fleet::EntryReportT report;
--- a/src/fleet/entrysubsets.cpp
+++ b/src/fleet/entrysubsets.cpp
@@ -70,6 +70,15 @@
                        [&](const auto &item) { return isReached(agent, item.first); });
 }
 
+void EntryNode::claim(AgentNumber agent, uint32_t partition, uint64_t epoch)
+{
+    fleet::ClaimT message;
+    message.partition = partition;
+    message.epoch = epoch;
+    message.number = m_scheduler.claimSent(agent, partition);
+    m_agentLinks.at(agent)->send(message);
+}
+
 void EntryNode::claimAtAgents(uint32_t partition)
 {
     const std::optional<uint64_t> epoch = m_scheduler.epochOf(partition);
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -168,7 +168,7 @@
     void cancel(JobId job, Millis now, JobReplyHandler onDone);
     std::map<std::string, uint32_t> pendingByQueue() const;
 
-    // --- reports of agents ---
+    // --- reports of agents (jobschedulerruns.cpp, jobscheduleragents.cpp) ---
     void runStarted(AgentNumber agent, const RunId &run, Millis now);
     void runEnded(AgentNumber agent, const AgentEnd &end, Millis now);
     void runRejected(AgentNumber agent, const RunId &run, RejectReason reason, Millis now);
@@ -413,6 +413,8 @@
     void adoptRun(AgentNumber agent, const RunId &run, Millis now);
     void adoptOrphans(Job &job, Millis now);
     void stopOrphans(Millis now);
+
+    // --- jobscheduleragents.cpp: claims, lost agents, reconciliation ---
     void reconcilePartition(uint32_t number, Partition &partition, Millis now);
 
     // --- jobschedulerdispatch.cpp: queue and placement ---
--- /dev/null
+++ b/src/jobs/jobscheduleragents.cpp
@@ -0,0 +1,169 @@
+// JobScheduler: claims of partitions at the agents, their reports, lost agents, and the reconciliation of a
+// new owner's view with the runs that exist.
+#include "jobs/jobscheduler.h"
+
+#include <algorithm>
+
+namespace turmericwell {
+
+uint64_t JobScheduler::claimSent(AgentNumber agent, uint32_t number)
+{
+    Partition &partition = m_partitions.at(number);
+    partition.reported.erase(agent);
+    partition.claims[agent] = ++m_lastClaim;
+    return m_lastClaim;
+}
+
+bool JobScheduler::isNewestClaim(AgentNumber agent, uint32_t number, uint64_t claim) const
+{
+    const auto partition = m_partitions.find(number);
+    if (partition == m_partitions.end())
+        return false;
+    const auto newest = partition->second.claims.find(agent);
+    return newest != partition->second.claims.end() && (claim == 0 || claim == newest->second);
+}
+
+void JobScheduler::claimReport(AgentNumber agent, uint32_t number, uint64_t epoch,
+                               std::span<const RunId> running, std::span<const AgentEnd> ended, Millis now)
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end() || found->second.epoch != epoch || !found->second.loaded
+        || found->second.suspended)
+        return;
+    std::set<RunId> reported(running.begin(), running.end());
+    for (const AgentEnd &end : ended)
+        reported.insert(end.run);
+    std::erase_if(m_orphans, [&](const auto &item) {
+        return item.second.agent == agent && !reported.contains(item.first)
+            && partitionOf(item.first.task.job, m_options.partitions) == number;
+    });
+    for (const RunId &run : running)
+        adoptRun(agent, run, now);
+    for (const AgentEnd &end : ended)
+        runEnded(agent, end, now);
+    std::vector<std::pair<JobId, RunId>> lost;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.partition != number)
+            continue;
+        for (const Task &task : job.tasks) {
+            const bool isOrdered = task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Running;
+            if (isOrdered && task.agent == agent && !reported.contains(runId(job, task)))
+                lost.emplace_back(id, runId(job, task));
+        }
+    }
+    for (const auto &[id, run] : lost) {
+        m_log.write(
+            now, "run_lost",
+            {{"job", jobIdText(id)}, {"task", taskIdText(run.task)}, {"run", run.number}, {"agent", agent}});
+        Job &job = m_jobs.at(id);
+        requeueTask(job, *findTask(job, run.task), "the agent does not report the run", now);
+    }
+    found->second.reported.insert(agent);
+}
+
+void JobScheduler::agentDisconnected(AgentNumber agent)
+{
+    for (auto &[number, partition] : m_partitions) {
+        partition.reported.erase(agent);
+        partition.claims.erase(agent);
+    }
+}
+
+void JobScheduler::agentGone(AgentNumber agent, Millis now)
+{
+    agentDisconnected(agent);
+    std::erase_if(m_orphans, [&](const auto &item) { return item.second.agent == agent; });
+    for (auto &[id, job] : m_jobs) {
+        for (Task &task : job.tasks) {
+            if (task.agent != agent || (task.phase != TaskPhase::Ordered && task.phase != TaskPhase::Running))
+                continue;
+            m_log.write(now, "run_lost",
+                        {{"job", jobIdText(id)},
+                         {"task", taskIdText(runId(job, task).task)},
+                         {"run", task.run},
+                         {"agent", agent}});
+            requeueTask(job, task, "the agent is gone", now);
+            recordRepeatedRun(job, task);
+        }
+    }
+}
+
+void JobScheduler::setExpectedAgents(uint32_t number, std::set<AgentNumber> agents, bool allKnown)
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end())
+        return;
+    found->second.expected = std::move(agents);
+    found->second.allAgentsKnown = allKnown;
+}
+
+bool JobScheduler::hasReported(uint32_t number, AgentNumber agent) const
+{
+    const auto found = m_partitions.find(number);
+    return found != m_partitions.end() && found->second.reported.contains(agent);
+}
+
+std::vector<uint32_t> JobScheduler::unreconciledPartitions() const
+{
+    std::vector<uint32_t> result;
+    for (const auto &[number, partition] : m_partitions) {
+        if (partition.loaded && !partition.reconciled)
+            result.push_back(number);
+    }
+    return result;
+}
+
+void JobScheduler::setPlacement(uint32_t number, bool mayPlace, std::set<AgentNumber> excluded)
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end())
+        return;
+    found->second.mayPlace = mayPlace;
+    found->second.excluded = std::move(excluded);
+}
+
+bool JobScheduler::hasRunsOnExcludedAgents(uint32_t number) const
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end())
+        return false;
+    const std::set<AgentNumber> &excluded = found->second.excluded;
+    const auto isOutside = [&](const Task &task) {
+        return (task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Running)
+            && excluded.contains(task.agent);
+    };
+    return std::any_of(m_jobs.begin(), m_jobs.end(), [&](const auto &item) {
+        const Job &job = item.second;
+        return job.partition == number && std::any_of(job.tasks.begin(), job.tasks.end(), isOutside);
+    });
+}
+
+void JobScheduler::reconcilePartition(uint32_t number, Partition &partition, Millis now)
+{
+    const bool allReported = partition.allAgentsKnown
+        && std::includes(partition.reported.begin(), partition.reported.end(), partition.expected.begin(),
+                         partition.expected.end());
+    if (!allReported && now - partition.loadedAt < m_options.reconciliationTimeout)
+        return;
+    partition.reconciled = true;
+    uint32_t restarted = 0;
+    for (auto &[id, job] : m_jobs) {
+        if (job.partition != number)
+            continue;
+        for (Task &task : job.tasks) {
+            if (task.phase != TaskPhase::Unreconciled)
+                continue;
+            ++restarted;
+            requeueTask(job, task, "no run of a former owner exists", now);
+            // An agent that is out of reach for long is not waited for, and may still report an end.
+            recordRepeatedRun(job, task);
+        }
+    }
+    m_log.always(now, "partition_located",
+                 {{"partition", number},
+                  {"all_agents_reported", allReported},
+                  {"after_ms", now - partition.loadedAt},
+                  {"tasks_without_run", restarted}});
+}
+
+} // namespace turmericwell
