--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -203,9 +203,7 @@
     description.add_options()("site", options::value(&settings.site), "himal (default) or qalhat")(
         "first-seed", options::value(&settings.firstSeed), "seed of the first day")(
         "days", options::value(&settings.days), "number of days, each with the next seed")(
-        "threads", options::value(&settings.threads),
-        "days that are played at the same time")("settle-ms", options::value(&settings.settleMs),
-                                                 "time between the start of the processes and the traffic")(
+        "threads", options::value(&settings.threads), "days that are played at the same time")(
         "length-s", options::value(&settings.lengthSeconds), "seconds of traffic in a day")(
         "entries", options::value(&settings.entries), "number of entries; the site's own if 0")(
         "agents", options::value(&settings.agents),
@@ -216,6 +214,8 @@
         "troubles", options::value(&settings.mostTroubles), "most troubles in a day; 0 for none")(
         "isolations", options::value(&settings.mostIsolations),
         "besides, most entries that are cut off from everything or restarted while the store is down")(
+        "settle-ms", options::value(&settings.settleMs),
+        "time between the start of the processes and the traffic")(
         "group-cuts", options::value(&settings.mostGroupCuts),
         "besides, most groups of one entry and some agents that are cut off from all others and the store")(
         "agent-series", options::value(&settings.mostAgentSeries),
--- a/src/emulator/emulationplan.cpp
+++ b/src/emulator/emulationplan.cpp
@@ -13,11 +13,13 @@
 // Longer than a membership lasts without renewal, and up to beyond the time after which agents count as gone.
 constexpr Millis leastIsolation = {1'500};
 constexpr Millis mostIsolation = {13'000};
+constexpr int64_t leastTroublesOfASeries = 3;
 constexpr int64_t mostTroublesOfASeries = 8;
 constexpr Millis seriesLength = {6'000};
 // Shorter than the time after which the entries take an agent for gone, so that it comes back to its runs.
 constexpr Millis leastQuickRestart = {100};
 constexpr Millis mostQuickRestart = {900};
+// Share of the orders that a worker with hanging runs carries out seconds later, if any.
 constexpr double hangingWorkerLateShare = 0.7;
 constexpr Millis leastOutage = {2'500};
 constexpr Millis mostOutage = {5'000};
@@ -98,7 +100,7 @@
     {
         const ProcessName agent{fleet::ProcessRole::Agent, worker()};
         const int64_t begin = whole(m_options.begin.count, m_options.end.count);
-        for (int64_t number = whole(3, mostTroublesOfASeries); number > 0; --number)
+        for (int64_t number = whole(leastTroublesOfASeries, mostTroublesOfASeries); number > 0; --number)
             plan.push_back(agentTrouble(agent, {begin + whole(0, seriesLength.count)}));
     }
     int64_t whole(int64_t least, int64_t most)
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -94,6 +94,7 @@
         uint64_t lastConfirmation = 0;
         // The membership may have ended in the store, and no join has been answered since.
         bool membershipLapsed = false;
+        // Set from the call of onSuspended to that of onResumed.
         bool suspended = false;
     };
 
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -100,10 +100,8 @@
 }
 
 // Guards against two runs of a task at the same time: an entry that was cut off together with some agents
-// went on running best-effort jobs of partitions that another entry had taken over.
-// The seeds are those of turmericwell emulate --site qalhat --kept-share 0 --deadline-ms 1500 --resubmissions
-// 4
-// --group-cuts 2.
+// went on running best-effort jobs of partitions that another entry had taken over. The seeds are those of
+// turmericwell emulate --site qalhat --kept-share 0 --deadline-ms 1500 --resubmissions 4 --group-cuts 2.
 BOOST_AUTO_TEST_CASE(entryThatWasCutOffWithAgentsRunsNothingBesideItsSuccessor)
 {
     for (const uint64_t seed : {300'021, 300'035}) {
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -849,7 +849,7 @@
     scheduler.claimReport(former.agent, 0, 1, {}, std::span(&end, 1), now);
     scheduler.advance(now);
     BOOST_TEST(effects.starts.size() == 2U);
-    // The run of the first submission must not be taken for the present one by anybody else either.
+    // Agents and workers tell the runs of the two submissions apart by their numbers.
     BOOST_TEST(present.run.number > former.run.number);
 }
 
