--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -206,6 +206,13 @@
     });
 }
 
+size_t JobScheduler::unreportedAgents(const Partition &partition)
+{
+    const auto hasNotReported = [&](AgentNumber agent) { return !partition.reported.contains(agent); };
+    return static_cast<size_t>(
+        std::count_if(partition.expected.begin(), partition.expected.end(), hasNotReported));
+}
+
 void JobScheduler::acceptBestEffort(JobSpec spec, uint32_t number, SubmitOptions options, Millis now,
                                     JobReplyHandler onDone)
 {
@@ -225,6 +232,8 @@
                  {"tasks", job.tasks.size()},
                  {"best_effort", true},
                  {"located", partition.reconciled},
+                 {"unreported_agents", unreportedAgents(partition)},
+                 {"repeated", options.repeated},
                  {"due_in_ms", job.dueAt - now}});
     job.mayHaveFormerRuns = !partition.reconciled && mayHaveRuns(job.spec, options.repeated);
     openReadySteps(job);
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -384,12 +384,16 @@
     void acceptBestEffort(JobSpec spec, uint32_t partition, SubmitOptions options, Millis now,
                           JobReplyHandler onDone);
     bool mayHaveRuns(const JobSpec &spec, bool repeated) const;
+    // Number of agents that may have runs of the partition and have not reported to this owner.
+    static size_t unreportedAgents(const Partition &partition);
     void retire(JobId id, Millis now);
     void retireFinished(Millis now);
     void recordGivenUp(const Job &job, Millis now);
 
     // --- jobschedulerruns.cpp: tasks and runs ---
     Job *findJob(JobId id);
+    // What this owner knows of the job, for log lines.
+    std::string_view jobState(JobId id) const;
     Task *findTask(Job &job, const TaskId &id);
     RunId runId(const Job &job, const Task &task) const;
     // True if this is the task's present run. Another agent may still report a run of an earlier order.
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -176,6 +176,7 @@
                 {{"job", jobIdText(job.spec.id)},
                  {"task", taskIdText(run.task)},
                  {"run", run.number},
+                 {"agent", *agent},
                  {"worker", m_pool.find(*agent)->worker},
                  {"slack_ms", job.latestStart - now}});
     m_effects.start({.agent = *agent,
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -15,6 +15,15 @@
     return found == m_jobs.end() ? nullptr : &found->second;
 }
 
+std::string_view JobScheduler::jobState(JobId id) const
+{
+    if (m_jobs.contains(id))
+        return "active";
+    if (m_ended.contains(id))
+        return "ended";
+    return m_givenUp.contains(id) ? "given up" : "unknown";
+}
+
 JobScheduler::Task *JobScheduler::findTask(Job &job, const TaskId &id)
 {
     if (id.occurrence != 0 || id.step >= job.stepFirst.size() || id.index >= job.spec.steps[id.step]->count)
@@ -216,6 +225,7 @@
                  {"how", fleet::EnumNameEndKind(end.kind)},
                  {"agent", agent},
                  {"known", task != nullptr},
+                 {"job_state", jobState(run.task.job)},
                  {"current_run", task ? task->run : 0},
                  {"current_agent", task ? task->agent : 0}});
     if (isDisputed(end, job, task))
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -23,6 +23,7 @@
     m_lapsedAfterEnd = 0;
     m_lapseForced = false;
     m_newestLists = {};
+    m_newestClock = {};
     m_listsKnown = false;
     m_leaseEnd = now;
     m_reportChanged = true;
@@ -157,16 +158,26 @@
     }
 }
 
-void WorkerManager::reportUnlistedRunsLost(const WorkerLists &lists, uint64_t poll, Millis now)
+void WorkerManager::reportUnlistedRunsLost(const WorkerLists &lists, uint64_t number, const ListPoll &poll,
+                                           Millis now)
 {
     std::set<RunId> running;
     for (const ListedRun &listed : lists.running)
         running.insert(listed.run);
     std::vector<RunId> lost;
     for (const auto &[id, run] : m_runs) {
-        if (run.listedFromPoll && *run.listedFromPoll <= poll && !running.contains(id))
+        if (run.listedFromPoll && *run.listedFromPoll <= number && !running.contains(id))
             lost.push_back(id);
     }
+    if (!lost.empty()) {
+        m_log.write(now, "runs_not_listed",
+                    {{"poll", number},
+                     {"runs", lost.size()},
+                     {"listed", lists.running.size()},
+                     {"polled_ms_ago", now - poll.sentAt},
+                     {"worker_clock", lists.workerClock},
+                     {"clock_before_poll", poll.clockBefore}});
+    }
     reportRunsLost(lost, "not listed", now);
 }
 
@@ -236,7 +247,7 @@
         m_recentEnds.pop_front();
 }
 
-void WorkerManager::mergeLists(const WorkerLists &lists, uint64_t poll, Millis now)
+void WorkerManager::mergeLists(const WorkerLists &lists, uint64_t number, const ListPoll &poll, Millis now)
 {
     mergeEnded(lists, now);
     // Lists that were overtaken by newer ones do not show the current runs.
@@ -244,7 +255,7 @@
         return;
     m_newestLists = lists.workerClock;
     mergeRunning(lists, now);
-    reportUnlistedRunsLost(lists, poll, now);
+    reportUnlistedRunsLost(lists, number, poll, now);
 }
 
 void WorkerManager::listPollFailed(OrderAnswer answer, Millis now)
@@ -300,7 +311,7 @@
         m_reportChanged = true;
     }
     m_hasNewEnds = false;
-    mergeLists(lists, number, now);
+    mergeLists(lists, number, poll, now);
     const uint64_t through = endsStoredThrough();
     std::erase_if(m_ends, [&](const auto &item) { return item.first <= through && item.second.stored; });
     const bool answeredEarly = now - poll.sentAt < poll.wait / 2;
@@ -314,7 +325,7 @@
 void WorkerManager::sendListPoll(Millis wait, Millis now)
 {
     const uint64_t number = ++m_lastListPoll;
-    m_listPolls[number] = {.sentAt = now, .wait = wait};
+    m_listPolls[number] = {.sentAt = now, .wait = wait, .clockBefore = m_newestClock};
     // Before the first answer the worker's clock is unknown; a deadline of zero renews nothing.
     const bool clockKnown = m_clockSampledAt.count != 0;
     // After an unanswered poll the worker may have restarted and number its ends from 1 again, so the next
--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -137,6 +137,7 @@
     if (m_clockSampledAt.count != 0 && workerClock + clockRegressionLimit < m_clockSample)
         m_restartSuspectedUntilPoll = m_lastListPoll + 1;
     m_clockSample = workerClock;
+    m_newestClock = std::max(m_newestClock, workerClock);
     m_clockSampledAt = now;
 }
 
@@ -214,6 +215,7 @@
 void WorkerManager::sendStart(Run &run, Millis now)
 {
     run.phase = RunPhase::Starting;
+    run.clockBeforeStart = m_newestClock;
     m_reportChanged = true;
     const Millis deadline = workerNow(now) + m_options.startValidity;
     extendLease(deadline, now);
@@ -241,6 +243,8 @@
                  {"task", taskIdText(id.task)},
                  {"run", id.number},
                  {"answer", orderAnswerName(answer)},
+                 {"worker_clock", workerClock.value_or(Millis{0})},
+                 {"clock_before_call", run.clockBeforeStart},
                  {"waited_ms", now - run.orderedAt}});
     if (answer == OrderAnswer::Done) {
         run.listedFromPoll = m_lastListPoll + 1;
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -141,6 +141,8 @@
         std::optional<uint64_t> listedFromPoll;
         Millis latestStart;
         Millis orderedAt;
+        // Newest time of the worker's clock that was known when the start was sent.
+        Millis clockBeforeStart;
         // When the stop has to be sent again.
         Millis nextStop;
         uint32_t unansweredStops = 0;
@@ -179,6 +181,15 @@
         bool isDisputed = false;
     };
 
+    struct ListPoll
+    {
+        Millis sentAt;
+        Millis wait;
+        // Newest time of the worker's clock that was known when the poll was sent. An answer that does not
+        // show a later time may have been written before the poll.
+        Millis clockBefore;
+    };
+
     // --- workermanager.cpp ---
     bool isUsable() const;
     std::optional<RejectReason> rejectReason() const;
@@ -219,8 +230,8 @@
     void reportRunLost(const RunId &id, std::string_view cause, Millis now);
     void mergeRunning(const WorkerLists &lists, Millis now);
     void mergeEnded(const WorkerLists &lists, Millis now);
-    void reportUnlistedRunsLost(const WorkerLists &lists, uint64_t poll, Millis now);
-    void mergeLists(const WorkerLists &lists, uint64_t poll, Millis now);
+    void reportUnlistedRunsLost(const WorkerLists &lists, uint64_t number, const ListPoll &poll, Millis now);
+    void mergeLists(const WorkerLists &lists, uint64_t number, const ListPoll &poll, Millis now);
     void listPollFailed(OrderAnswer answer, Millis now);
     void sendListPoll(Millis wait, Millis now);
     void recordRecentEnd(const RunId &run);
@@ -260,16 +271,13 @@
     // Newest known time of the worker's clock, and when it was received.
     Millis m_clockSample;
     Millis m_clockSampledAt;
+    // Newest time of the worker's clock in any answer of the present incarnation.
+    Millis m_newestClock;
     // The worker's clock has gone back, as it does when the worker restarts: until a list poll from this
     // number on is answered, the incarnation is in doubt.
     std::optional<uint64_t> m_restartSuspectedUntilPoll;
     // On the clock of this process: after this time no run exists on the worker unless the lease is renewed.
     Millis m_leaseEnd;
-    struct ListPoll
-    {
-        Millis sentAt;
-        Millis wait;
-    };
     // List polls in flight, by number. Their answers may arrive out of order.
     std::map<uint64_t, ListPoll> m_listPolls;
     uint64_t m_lastListPoll = 0;
