Take no run for lost while the worker's list of ends is full

A full list does not show that a run is gone, so it proves none lost any more. Besides, an agent starts no run whose end might not fit into the list: retained ends and active runs together stay within 500, and the worker counts as not usable until ends are stored.

The emulated worker and the stand-in listed all ends; they now list 500 at a time, as workers do.

--- a/src/emulator/emulatedworker.cpp
+++ b/src/emulator/emulatedworker.cpp
@@ -175,8 +175,11 @@
     WorkerLists content{.workerClock = clock(), .born = m_bornAt.count};
     for (const auto &[id, run] : m_runs)
         content.running.push_back({.run = id});
-    for (const auto &[number, end] : m_ends)
+    for (const auto &[number, end] : m_ends) {
+        if (content.ended.size() == mostListedEnds)
+            break;
         content.ended.push_back(end);
+    }
     return content;
 }
 
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -169,16 +169,20 @@
         if (run.listedFromPoll && *run.listedFromPoll <= number && !running.contains(id))
             lost.push_back(id);
     }
+    // The ends of these runs may be behind those in the list.
+    const bool isEndListFull = lists.ended.size() >= mostListedEnds;
     if (!lost.empty()) {
         m_log.write(now, "runs_not_listed",
                     {{"poll", number},
                      {"runs", lost.size()},
                      {"listed", lists.running.size()},
+                     {"end_list_full", isEndListFull},
                      {"polled_ms_ago", now - poll.sentAt},
                      {"worker_clock", lists.workerClock},
                      {"clock_before_poll", poll.clockBefore}});
     }
-    reportRunsLost(lost, "not listed", now);
+    if (!isEndListFull)
+        reportRunsLost(lost, "not listed", now);
 }
 
 bool WorkerManager::mayConfirm(uint64_t number, const End &end) const
--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -80,9 +80,19 @@
         return RejectReason::Draining;
     if (m_evacuated.contains(m_worker->zone))
         return RejectReason::Evacuated;
+    if (pendingEnds() >= mostListedEnds)
+        return RejectReason::NoRoom;
     return std::nullopt;
 }
 
+size_t WorkerManager::pendingEnds() const
+{
+    const auto retained = std::distance(m_ends.upper_bound(endsStoredThrough()), m_ends.end());
+    const auto active = std::count_if(m_runs.begin(), m_runs.end(),
+                                      [](const auto &item) { return item.second.phase != RunPhase::Queued; });
+    return static_cast<size_t>(retained + active);
+}
+
 bool WorkerManager::isUsable() const
 {
     return !rejectReason();
@@ -201,13 +211,15 @@
     std::sort(queue.begin(), queue.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
     Resources free = m_worker->capacity;
     free -= usedResources();
+    size_t endsToList = pendingEnds();
     for (const auto &[key, run] : queue) {
-        if (!free.holds(run->order.size))
+        if (!free.holds(run->order.size) || endsToList >= mostListedEnds)
             return;
         const Owner &owner = m_owners[run->order.partition];
         if (now - owner.lastContact > m_options.ownerFreshness)
             continue;
         free -= run->order.size;
+        ++endsToList;
         sendStart(*run, now);
     }
 }
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -8,7 +8,8 @@
 //   while that owner has answered a recent ping.
 // - An end is confirmed to the worker only after the owner has stored it; that of a best-effort job at once.
 // - A run is reported as lost only when the worker's lists, the lapse of its lease or a new incarnation of
-//   the worker shows that it does not exist.
+//   the worker shows that it does not exist. A full list of ends does not show that.
+// - No run is started whose end might not fit into the worker's list of ends.
 #pragma once
 
 #include "observe/structuredlog.h"
@@ -198,6 +199,8 @@
     // Resources available to further orders, including the queue allowance; requires a known worker.
     Resources freeResources() const;
     bool allSizesKnown() const;
+    // Ends that the worker may not discard yet, and those that its active runs will add.
+    size_t pendingEnds() const;
     Millis workerNow(Millis now) const;
     void recordClock(Millis workerClock, Millis now);
     // Ends may be confirmed by number only while no sign suggests that the worker has started to number them
--- a/src/worker/workerowners.cpp
+++ b/src/worker/workerowners.cpp
@@ -143,6 +143,8 @@
 
 void WorkerManager::endStored(const RunId &run)
 {
+    // The worker can be used again once its list of ends has room.
+    m_reportChanged = m_reportChanged || pendingEnds() >= mostListedEnds;
     for (auto &[number, end] : m_ends) {
         if (end.run == run)
             end.stored = true;
--- a/src/worker/workerstate.h
+++ b/src/worker/workerstate.h
@@ -41,6 +41,9 @@
     std::string checkpoint;
 };
 
+// A worker lists at most this many ends: those with the lowest numbers of the ones that it may not discard.
+constexpr size_t mostListedEnds = 500;
+
 struct WorkerLists
 {
     Millis workerClock;
--- a/tests/unit/workermanagertest.cpp
+++ b/tests/unit/workermanagertest.cpp
@@ -136,6 +136,16 @@
         manager.startAnswered(order(job).run, OrderAnswer::Done, now - workerStart, now);
     }
 
+    // Ends of jobs that this agent did not start, numbered from 1.
+    static std::vector<ListedEnd> foreignEnds(size_t count)
+    {
+        constexpr JobId firstJob = 10'000;
+        std::vector<ListedEnd> ends;
+        for (uint64_t number = 1; number <= count; ++number)
+            ends.push_back({.number = number, .run = order(firstJob + number).run});
+        return ends;
+    }
+
     const Millis workerStart = {90'000};
     Millis now = {100'000};
     StructuredLog log;
@@ -726,6 +736,48 @@
     BOOST_TEST(fixture.effects.starts.size() == 1U);
 }
 
+// Guards against a run that counts as lost, and is run again, because its end does not fit into a list that
+// is full of ends that no owner has stored.
+BOOST_FIXTURE_TEST_CASE(runIsNotLostWhileTheListOfEndsIsFull, WorkerManagerFixture)
+{
+    startRun(1);
+    advanceTime({20});
+    answerListPolls({.running = {{.run = order(1).run}}});
+    advanceTime({20});
+    const std::vector<ListedEnd> full = foreignEnds(mostListedEnds);
+    answerListPolls({.ended = full});
+    BOOST_TEST(manager.runCount() == 1U);
+    BOOST_TEST(effects.ended.size() == mostListedEnds);
+    for (const ListedEnd &end : full)
+        manager.endStored(end.run);
+    advanceTime({40});
+    answerListPolls({.ended = {{.number = mostListedEnds + 1, .run = order(1).run, .kind = EndKind::Done}}});
+    BOOST_TEST(manager.runCount() == 0U);
+    BOOST_TEST_REQUIRE(effects.ended.size() == mostListedEnds + 1);
+    BOOST_TEST((effects.ended.back().run == order(1).run));
+    BOOST_TEST((effects.ended.back().kind == EndKind::Done));
+}
+
+// Guards against runs whose ends a worker cannot list because no owner stores the ends before them.
+BOOST_FIXTURE_TEST_CASE(nothingStartsBeyondTheEndsThatAWorkerLists, WorkerManagerFixture)
+{
+    advanceTime({20});
+    const std::vector<ListedEnd> ends = foreignEnds(mostListedEnds - 2);
+    answerListPolls({.ended = ends});
+    for (JobId job = 1; job <= 3; ++job)
+        manager.order(1, order(job), now);
+    BOOST_TEST(effects.starts.size() == 2U);
+    BOOST_TEST(!manager.report().usable);
+    advanceTime({60});
+    BOOST_TEST_REQUIRE(effects.reasons.size() == 1U);
+    BOOST_TEST((effects.reasons[0] == RejectReason::NoRoom));
+    for (const ListedEnd &end : ends)
+        manager.endStored(end.run);
+    BOOST_TEST(manager.report().usable);
+    manager.order(1, order(4), now);
+    BOOST_TEST(effects.starts.size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
--- a/tools/lab/workerstandin.py
+++ b/tools/lab/workerstandin.py
@@ -8,6 +8,9 @@
 
 from lab.httpstandin import HttpStandin, NoAnswer
 
+# A worker returns the ends with the lowest numbers that were not confirmed, at most this many at a time.
+MOST_LISTED_ENDS = 500
+
 
 class WorkerStandin:
     """Writes (time, "start" or how it ended, task, run, worker) to `history`, which several workers may share."""
@@ -162,5 +165,5 @@
         until = time.monotonic() + body.get("waitMs", 0) / 1000
         while self._last_end == last and not self._ended and time.monotonic() < until:
             self._changed.wait(until - time.monotonic())
-        return 200, {"clockMs": self._clock(), "born": self.born, "ended": self._ended,
+        return 200, {"clockMs": self._clock(), "born": self.born, "ended": self._ended[:MOST_LISTED_ENDS],
                      "running": [[task, run, "", 50] for task, (run, _) in self._running.items()]}
