Reject claim reports that cannot be read as a whole, and log rejections

A claim report names the runs that an agent knows; runs that it does not name count as lost and are ordered again. A run or end in it that could not be read was taken for run 0 of job 0, so the run that it stood for was ordered again while it may be at work. Reports of another epoch and messages on an older connection of an agent changed nothing, but silently.

A report with a run number 0, a run of another partition or an end of unknown kind is now rejected as a whole, and each rejection is logged with its cause. The handling of claim reports moves to entrysubsets.cpp, beside the claims.

--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -289,9 +289,14 @@
     const std::optional<AgentNumber> number = m_presence.find(name);
     if (number && linkOf(*number) == link)
         receivedFromAgent(*number, envelope);
+    else
+        m_log.write(Clock::now(), "message_rejected",
+                    {{"from", name},
+                     {"message", fleet::EnumNameBody(envelope.body.type)},
+                     {"cause", "older connection"}});
 }
 
-static AgentEnd toAgentEnd(const fleet::RunEndT &end)
+AgentEnd EntryNode::toAgentEnd(const fleet::RunEndT &end)
 {
     return {.run = fromWire(end.run), .kind = end.kind, .checkpoint = end.checkpoint};
 }
@@ -326,23 +331,7 @@
     } else if (const fleet::RunRejectedT *rejected = envelope.body.AsRunRejected()) {
         m_scheduler.runRejected(agent, fromWire(rejected->run), rejected->reason, now);
     } else if (const fleet::ClaimReportT *claim = envelope.body.AsClaimReport()) {
-        if (!claim->accepted) {
-            m_log.always(now, "claim_superseded", {{"partition", claim->partition}, {"epoch", claim->epoch}});
-            m_owner.superseded(claim->partition, claim->epoch);
-            return;
-        }
-        if (!m_scheduler.isNewestClaim(agent, claim->partition, claim->claim)) {
-            m_log.write(now, "claim_report_outdated",
-                        {{"agent", agent}, {"partition", claim->partition}, {"claim", claim->claim}});
-            return;
-        }
-        std::vector<RunId> running;
-        for (const fleet::RunRef &run : claim->running)
-            running.push_back(fromWire(run));
-        std::vector<AgentEnd> ended;
-        for (const auto &item : claim->ended)
-            ended.push_back(toAgentEnd(*item));
-        m_scheduler.claimReport(agent, claim->partition, claim->epoch, running, ended, now);
+        receivedClaimReport(agent, *claim, now);
     }
     if (resourcesChanged)
         advanceSoon();
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -133,6 +133,7 @@
     void agentConnected(const NodeLinkPtr &link, const fleet::HelloT &hello);
     void received(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
     void receivedFromAgent(AgentNumber agent, fleet::EnvelopeT &envelope);
+    static AgentEnd toAgentEnd(const fleet::RunEndT &end);
     void receivedFromEntry(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
     void claim(AgentNumber agent, uint32_t partition, uint64_t epoch);
     fleet::EntryReportT makeReport() const;
@@ -191,6 +192,7 @@
     void updatePlacement(uint32_t partition);
     // Claims the partition at the connected agents in its reach that have not reported.
     void claimAtAgents(uint32_t partition);
+    void receivedClaimReport(AgentNumber agent, const fleet::ClaimReportT &report, Millis now);
     // Dials the agents that an owned partition needs, and closes connections that none has needed for a
     // while.
     void refreshAgentLinks(Millis now);
--- a/src/fleet/entrysubsets.cpp
+++ b/src/fleet/entrysubsets.cpp
@@ -90,6 +90,27 @@
     }
 }
 
+void EntryNode::receivedClaimReport(AgentNumber agent, const fleet::ClaimReportT &report, Millis now)
+{
+    if (!report.accepted) {
+        m_log.always(now, "claim_superseded", {{"partition", report.partition}, {"epoch", report.epoch}});
+        m_owner.superseded(report.partition, report.epoch);
+        return;
+    }
+    if (!m_scheduler.isNewestClaim(agent, report.partition, report.claim)) {
+        m_log.write(now, "claim_report_outdated",
+                    {{"agent", agent}, {"partition", report.partition}, {"claim", report.claim}});
+        return;
+    }
+    std::vector<RunId> running;
+    for (const fleet::RunRef &run : report.running)
+        running.push_back(fromWire(run));
+    std::vector<AgentEnd> ended;
+    for (const auto &item : report.ended)
+        ended.push_back(toAgentEnd(*item));
+    m_scheduler.claimReport(agent, report.partition, report.epoch, running, ended, now);
+}
+
 std::set<AgentNumber> EntryNode::expectedAgents(uint32_t partition,
                                                 const std::set<AgentNumber> &candidates) const
 {
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -179,6 +179,7 @@
     // earlier claim may have been written before an order arrived, and would show its run to be lost. Number
     // 0 is from an agent of an earlier version.
     bool isNewestClaim(AgentNumber agent, uint32_t partition, uint64_t claim) const;
+    // Changes nothing if the report is of another epoch or cannot be read.
     void claimReport(AgentNumber agent, uint32_t partition, uint64_t epoch, std::span<const RunId> running,
                      std::span<const AgentEnd> ended, Millis now);
     // The connection to the agent is lost. It receives no orders until it has reported again.
@@ -420,6 +421,9 @@
 
     // --- jobscheduleragents.cpp: claims, lost agents, reconciliation ---
     void reconcilePartition(uint32_t number, Partition &partition, Millis now);
+    // Why a report on a claim may not be used; empty if it may.
+    std::string_view claimReportProblem(uint32_t number, uint64_t epoch, std::span<const RunId> running,
+                                        std::span<const AgentEnd> ended) const;
 
     // --- jobschedulerdispatch.cpp: queue and placement ---
     Millis queueKey(Millis latestStart, Millis acceptedAt) const;
--- a/src/jobs/jobscheduleragents.cpp
+++ b/src/jobs/jobscheduleragents.cpp
@@ -23,13 +23,39 @@
     return newest != partition->second.claims.end() && (claim == 0 || claim == newest->second);
 }
 
+std::string_view JobScheduler::claimReportProblem(uint32_t number, uint64_t epoch,
+                                                  std::span<const RunId> running,
+                                                  std::span<const AgentEnd> ended) const
+{
+    const auto found = m_partitions.find(number);
+    if (found == m_partitions.end())
+        return "the partition is not owned";
+    const Partition &partition = found->second;
+    if (partition.epoch != epoch)
+        return epoch < partition.epoch ? "older epoch" : "newer epoch";
+    if (!partition.loaded || partition.suspended)
+        return "the partition is not in use";
+    const auto isReadable = [&](const RunId &run) {
+        return run.number > 0 && partitionOf(run.task.job, m_options.partitions) == number;
+    };
+    const bool runsReadable = std::all_of(running.begin(), running.end(), isReadable);
+    const bool endsReadable = std::all_of(ended.begin(), ended.end(), [&](const AgentEnd &end) {
+        return isReadable(end.run) && end.kind <= EndKind::MAX;
+    });
+    return runsReadable && endsReadable ? "" : "unreadable run";
+}
+
 void JobScheduler::claimReport(AgentNumber agent, uint32_t number, uint64_t epoch,
                                std::span<const RunId> running, std::span<const AgentEnd> ended, Millis now)
 {
-    const auto found = m_partitions.find(number);
-    if (found == m_partitions.end() || found->second.epoch != epoch || !found->second.loaded
-        || found->second.suspended)
+    // A run that the report does not contain counts as lost, so a report is used as a whole or not at all.
+    const std::string_view problem = claimReportProblem(number, epoch, running, ended);
+    if (!problem.empty()) {
+        m_log.always(now, "claim_report_rejected",
+                     {{"agent", agent}, {"partition", number}, {"epoch", epoch}, {"cause", problem}});
         return;
+    }
+    Partition &partition = m_partitions.at(number);
     std::set<RunId> reported(running.begin(), running.end());
     for (const AgentEnd &end : ended)
         reported.insert(end.run);
@@ -58,7 +84,7 @@
         Job &job = m_jobs.at(id);
         requeueTask(job, *findTask(job, run.task), "the agent does not report the run", now);
     }
-    found->second.reported.insert(agent);
+    partition.reported.insert(agent);
 }
 
 void JobScheduler::agentDisconnected(AgentNumber agent)
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -1,6 +1,9 @@
 // Tests of JobScheduler: durability before answers, ends of runs, failures, handover and recovery.
 #include "unit/jobschedulerfixture.h"
 
+#include "observe/metrics.h"
+
+#include <array>
 #include <boost/test/unit_test.hpp>
 
 namespace turmericwell {
@@ -896,6 +899,37 @@
     BOOST_TEST(effects.starts.size() == 4U);
 }
 
+// Guards against a run that counts as lost, and is ordered again, because a report that does not contain it
+// is of another epoch or cannot be read.
+BOOST_FIXTURE_TEST_CASE(rejectedClaimReportChangesNothing, JobSchedulerFixture)
+{
+    static constexpr std::array counters = {
+        MetricDescription{"decisions_total", MetricKind::Counter, "Decisions by event.", "event"}};
+    Metrics metrics(counters);
+    log.setMetrics(&metrics);
+    load();
+    submitAndStart(1, 1);
+    const RecordedEffects::Start start = effects.starts[0];
+    const RunId unreadable;
+    const std::vector<AgentEnd> endsWithoutRun = {{.kind = EndKind::Done}};
+    const std::vector<AgentEnd> endsOfUnknownKind = {{.run = start.run, .kind = static_cast<EndKind>(99)}};
+    scheduler.claimSent(start.agent, 0);
+    scheduler.claimReport(start.agent, 0, 0, {}, {}, now);
+    scheduler.claimReport(start.agent, 0, 2, {}, {}, now);
+    scheduler.claimReport(start.agent, 5, 1, {}, {}, now);
+    scheduler.claimReport(start.agent, 0, 1, std::span(&unreadable, 1), {}, now);
+    scheduler.claimReport(start.agent, 0, 1, {}, endsWithoutRun, now);
+    scheduler.claimReport(start.agent, 0, 1, {}, endsOfUnknownKind, now);
+    scheduler.advance(now);
+    storeAll();
+    BOOST_TEST(!scheduler.hasReported(0, start.agent));
+    BOOST_TEST(effects.starts.size() == 1U);
+    BOOST_TEST(effects.confirmed.empty());
+    BOOST_TEST(metrics.text().find("{event=\"claim_report_rejected\"} 6") != std::string::npos);
+    scheduler.claimReport(start.agent, 0, 1, std::span(&start.run, 1), {}, now);
+    BOOST_TEST(scheduler.hasReported(0, start.agent));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
