Reject levels of an agent subset that go back

The level of a partition's agent subset says which agents a later owner asks for runs. An answer for a level that was not being stored was taken, and so was a record that is older than the level already read. Either would set the level back, and orders could go to agents that a later owner does not ask, or not to all that it does.

Both are now rejected with agent_subset_rejected and change nothing.

--- a/src/fleet/agentsubset.cpp
+++ b/src/fleet/agentsubset.cpp
@@ -77,13 +77,16 @@
     return m_storing;
 }
 
-void PartitionSubset::stored(uint32_t level)
+bool PartitionSubset::stored(uint32_t level)
 {
+    if (m_storing != level)
+        return false;
     m_storing.reset();
     m_isUnstored = false;
     m_drainedSince.reset();
     m_reach = level;
     m_placement = std::max(m_placement, m_reach);
+    return true;
 }
 
 } // namespace turmericwell
--- a/src/fleet/agentsubset.h
+++ b/src/fleet/agentsubset.h
@@ -52,7 +52,9 @@
     // Sets the level that fits the fleet, and whether runs exist on agents that receive no new orders.
     // Returns the level to store next, if any; the caller then reports the outcome with stored().
     std::optional<uint32_t> advance(uint32_t wanted, bool hasRunsOutside, Millis now);
-    void stored(uint32_t level);
+    // Returns false, and changes nothing, unless this level was the one to store: a lower one would send
+    // orders to agents that a later owner does not ask.
+    bool stored(uint32_t level);
 
 private:
     uint32_t m_reach = 0;
--- a/src/fleet/entrysubsets.cpp
+++ b/src/fleet/entrysubsets.cpp
@@ -147,12 +147,15 @@
         const auto found = m_subsets.find(partition);
         if (found == m_subsets.end() || m_scheduler.epochOf(partition) != epoch)
             return;
-        m_log.always(Clock::now(), "agent_subset_changed",
+        const uint32_t before = found->second.reach();
+        const bool isTaken = found->second.stored(level);
+        m_log.always(Clock::now(), isTaken ? "agent_subset_changed" : "agent_subset_rejected",
                      {{"partition", partition},
                       {"level", level},
-                      {"before", found->second.reach()},
+                      {"before", before},
                       {"agents", m_presence.registeredCount()}});
-        found->second.stored(level);
+        if (!isTaken)
+            return;
         updatePlacement(partition);
         refreshAgentLinks(Clock::now());
         claimAtAgents(partition);
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -315,7 +315,7 @@
             m_log.write(now, "record_unreadable",
                         {{"topic", jobsTopic}, {"partition", partition}, {"offset", record.offset}});
         else if (record.key == subsetLevelKey)
-            found->second.subsetLevel = parseLevel(record.value);
+            loadSubsetLevel(partition, record, now);
         else if (const std::optional<JobId> job = parseJobId(record.key); job && !record.value.empty())
             m_scheduler.loadRecord(partition, *job, record.value, now);
     }
@@ -338,6 +338,22 @@
     m_handlers.onLoaded(partition, found->second.subsetLevel);
 }
 
+void PartitionOwner::loadSubsetLevel(uint32_t partition, const StoreRecord &record, Millis now)
+{
+    Owned &owned = m_owned.at(partition);
+    if (owned.subsetLevel && record.offset < owned.subsetLevelOffset) {
+        m_log.always(now, "agent_subset_rejected",
+                     {{"partition", partition},
+                      {"level", record.value},
+                      {"before", *owned.subsetLevel},
+                      {"offset", record.offset},
+                      {"newest_offset", owned.subsetLevelOffset}});
+        return;
+    }
+    owned.subsetLevel = parseLevel(record.value);
+    owned.subsetLevelOffset = record.offset;
+}
+
 void PartitionOwner::storeSubsetLevel(uint32_t partition, uint32_t level, std::function<void()> onStored)
 {
     const auto found = m_owned.find(partition);
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -90,6 +90,8 @@
         std::optional<Millis> closeBy;
         uint32_t records = 0;
         std::optional<uint32_t> subsetLevel;
+        // Offset of the record with that level. An older record does not replace it.
+        uint64_t subsetLevelOffset = 0;
         // Number of the newest confirmation that was requested.
         uint64_t lastConfirmation = 0;
         // The membership may have ended in the store, and no join has been answered since.
@@ -115,6 +117,7 @@
     void close(uint32_t partition);
     void loadPage(uint32_t partition, uint64_t epoch, const std::string &after);
     void pageLoaded(uint32_t partition, uint64_t epoch, const std::string &after, const NewestAnswer &answer);
+    void loadSubsetLevel(uint32_t partition, const StoreRecord &record, Millis now);
     // Stores the waiting records for the next owners. Each partition is closed once its records are stored or
     // the time limit is reached.
     void handOver(std::span<const uint32_t> partitions);
--- a/tests/unit/agentsubsettest.cpp
+++ b/tests/unit/agentsubsettest.cpp
@@ -103,6 +103,21 @@
     BOOST_TEST(subset.placement() == 1U);
 }
 
+// Guards against a subset that is set back to a level which an outdated answer of the store names.
+BOOST_AUTO_TEST_CASE(levelThatIsNotBeingStoredChangesNothing)
+{
+    PartitionSubset subset;
+    subset.advance(2, false, {1'000});
+    BOOST_TEST(!subset.stored(1));
+    BOOST_TEST(!subset.mayPlace());
+    BOOST_TEST(subset.stored(2));
+    BOOST_TEST(!subset.stored(2));
+    BOOST_TEST(!subset.stored(0));
+    BOOST_TEST(subset.mayPlace());
+    BOOST_TEST(subset.reach() == 2U);
+    BOOST_TEST(subset.placement() == 2U);
+}
+
 // Guards against giving up agents that still run tasks of the partition.
 BOOST_AUTO_TEST_CASE(subsetIsNarrowedOnceTheOtherAgentsAreDrained)
 {
--- a/tests/unit/partitionownertest.cpp
+++ b/tests/unit/partitionownertest.cpp
@@ -317,6 +317,20 @@
     BOOST_TEST(levels.back().value_or(9) == 2U);
 }
 
+// Guards against a subset level that goes back because the store returns an older record after the newest
+// one.
+BOOST_FIXTURE_TEST_CASE(olderSubsetLevelChangesNothing, PartitionOwnerFixture)
+{
+    store.records = {{.key = "agent-subset-level", .value = "1", .offset = 7},
+                     {.key = "agent-subset-level", .value = "3", .offset = 5}};
+    store.generation += 2;
+    store.fencedBelow = store.generation;
+    owner.joinNow();
+    pass({400});
+    BOOST_TEST_REQUIRE(!levels.empty());
+    BOOST_TEST(levels.back().value_or(9) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
