--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -2,6 +2,7 @@
 #include "cli/options.h"
 #include "emulator/emulationcheck.h"
 #include "emulator/emulationsites.h"
+#include "emulator/unservedjobs.h"
 #include "observe/log.h"
 
 #include <atomic>
@@ -53,6 +54,7 @@
     uint64_t seed = 0;
     EmulationPlan plan;
     EmulationService service;
+    UnservedCounts unserved;
     std::vector<BrokenPromise> broken;
     double storeCalls = 0;
     // Messages between processes, for each process and second of the day.
@@ -115,11 +117,23 @@
     return {.seed = seed,
             .plan = day.plan,
             .service = measureService(record, day),
+            .unserved = countUnserved(record, day),
             .broken = checkPromises(record, day),
             .storeCalls = record.storeCalls,
             .messagesPerProcess = messagesPerProcess(record, day)};
 }
 
+json::object toJson(const UnservedCounts &unserved)
+{
+    return {{"refused", unserved.refused},
+            {"failed", unserved.failed},
+            {"standing_still", unserved.standingStill},
+            {"without_capacity", unserved.withoutCapacity},
+            {"during_trouble", unserved.duringTrouble},
+            {"without_answer", unserved.withoutAnswer},
+            {"example_of_standing_still", jobIdText(unserved.exampleOfStandingStill)}};
+}
+
 json::object toJson(const DayResult &day)
 {
     const KindService total = day.service.total();
@@ -142,6 +156,7 @@
             {"late", total.late},
             {"refused", total.refused},
             {"not_served", total.notServed},
+            {"unserved", toJson(day.unserved)},
             {"work_in_time", day.service.workInTime},
             {"work_bound", day.service.workBound},
             {"p50_ratio", day.service.medianRatio},
@@ -153,6 +168,19 @@
             {"plan", std::move(plan)}};
 }
 
+void printUnserved(const UnservedCounts &unserved)
+{
+    if (unserved.total() == 0)
+        return;
+    std::cout << "  unserved " << unserved.total() << ": " << unserved.refused << " refused, "
+              << unserved.failed << " failed, " << unserved.standingStill << " standing still, "
+              << unserved.withoutCapacity << " waiting without capacity, " << unserved.duringTrouble
+              << " waiting during a trouble, " << unserved.withoutAnswer << " without an answer";
+    if (unserved.standingStill > 0)
+        std::cout << "; job " << jobIdText(unserved.exampleOfStandingStill) << " stood still";
+    std::cout << '\n';
+}
+
 void printDay(const DayResult &day)
 {
     const KindService total = day.service.total();
@@ -162,6 +190,7 @@
               << day.service.workInTime << " of " << day.service.workBound << ", median "
               << day.service.medianRatio << " and p99 " << day.service.p99Ratio << " times the longest task; "
               << day.service.wasted << " wasted\n";
+    printUnserved(day.unserved);
     if (day.broken.empty())
         return;
     for (const PlannedTrouble &planned : day.plan)
