Start no job of a new owner on the strength of an estimate

Callers saw a task of a best-effort job run on two workers at once. An entry that had taken over a partition ordered a job at once, before all agents had reported, if three times its estimate was less than the time after which clients submit again (1.3 s): it took runs of the former owner for ended. A task that takes longer than declared, at an agent that the new owner has not heard of, was still running.

--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -50,8 +50,7 @@
     checkOwnership(now);
     switch (call.kind) {
     case fleet::CallKind::Submit:
-        m_scheduler.submit(JobSpec(*call.spec), {.wait = call.wait, .repeated = call.repeated}, now,
-                           std::move(onDone));
+        m_scheduler.submit(JobSpec(*call.spec), {.wait = call.wait}, now, std::move(onDone));
         return;
     case fleet::CallKind::Cancel:
         m_scheduler.cancel(call.job, now, std::move(onDone));
@@ -70,7 +69,6 @@
     PendingCall &pending = found->second;
     const uint64_t attempt = ++pending.attempt;
     const uint32_t partition = partitionOf(pending.call.job, m_settings.partitions);
-    pending.call.repeated = pending.uncertain;
     if (m_scheduler.isServing(partition)) {
         pending.inProgress = true;
         perform(pending.call,
@@ -168,11 +166,8 @@
         m_log.always(Clock::now(), "call_unreadable", {{"peer", link->peer().node}});
         return;
     }
-    JobCall call{.kind = message.kind,
-                 .job = message.job,
-                 .spec = std::move(message.spec),
-                 .wait = {message.wait_ms},
-                 .repeated = message.repeated};
+    JobCall call{
+        .kind = message.kind, .job = message.job, .spec = std::move(message.spec), .wait = {message.wait_ms}};
     perform(call, [weak = std::weak_ptr(link), number = message.call](const JobReply &reply) {
         const NodeLinkPtr peer = weak.lock();
         if (!peer)
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -32,7 +32,6 @@
     , m_timers(io)
     , m_pool(settings.placement)
     , m_scheduler({.partitions = settings.partitions,
-                   .resubmitDelay = settings.resubmitDelay,
                    .admissionSlackPercent = settings.admissionSlackPercent,
                    .order = settings.queueOrder,
                    .urgentSlackPercent = settings.urgentSlackPercent},
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -27,8 +27,6 @@
     std::unique_ptr<JobSpec> spec;
     // The caller receives an answer within this time.
     Millis wait;
-    // True if an earlier attempt of the call may have reached an owner.
-    bool repeated = false;
 };
 
 // Identifies one attempt of a forwarded call; sent as a single number.
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -36,8 +36,6 @@
     FleetSettings settings = readCommon(reader);
     settings.clientListen = readAddress(reader, "clientListen");
     settings.readyListen = readAddress(reader, "readyListen");
-    settings.resubmitDelay =
-        reader.millis("resubmitDelayMs", settings.resubmitDelay, {.least = 0, .most = 600'000});
     settings.processorShare = reader.number("processorShare", settings.processorShare, 0.001, 1'024);
     settings.processorSpeed = reader.number("processorSpeed", settings.processorSpeed, 0.01, 1'024);
     settings.admissionSlackPercent = static_cast<uint32_t>(
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -30,8 +30,6 @@
     uint32_t partitions = 8;
     Millis leastMemberTtl;
     Millis workerLease;
-    // Entries: least time after which a client resubmits a best-effort job that was not answered.
-    Millis resubmitDelay = {1'300};
     Millis stopGrace;
     uint32_t logLinesPerSecond = 800;
     // Entries: fraction of a processor available to the instance, and the processor's speed relative to a
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -193,19 +193,6 @@
     writeRecord(job);
 }
 
-bool JobScheduler::mayHaveRuns(const JobSpec &spec, bool repeated) const
-{
-    if (repeated)
-        return true;
-    // A run that a failed owner started has ended by the time the client resubmits the job, unless the job is
-    // long. The margin allows for estimates that are off by tens of percent.
-    constexpr int64_t estimateMargin = 3;
-    return std::any_of(spec.steps.begin(), spec.steps.end(), [&](const auto &step) {
-        return m_runTimes.estimateMs(spec.queue, step->estimate_ms) * estimateMargin
-            > m_options.resubmitDelay.count;
-    });
-}
-
 size_t JobScheduler::unreportedAgents(const Partition &partition)
 {
     const auto hasNotReported = [&](AgentNumber agent) { return !partition.reported.contains(agent); };
@@ -233,9 +220,8 @@
                  {"best_effort", true},
                  {"located", partition.reconciled},
                  {"unreported_agents", unreportedAgents(partition)},
-                 {"repeated", options.repeated},
                  {"due_in_ms", job.dueAt - now}});
-    job.mayHaveFormerRuns = !partition.reconciled && mayHaveRuns(job.spec, options.repeated);
+    job.mayHaveFormerRuns = !partition.reconciled;
     openReadySteps(job);
     adoptOrphans(job, now);
 }
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -13,8 +13,9 @@
 //   reported to clients as ended only after the record with its final phase is stored.
 // - A task that may still have a run is not started again. After a change of ownership, a task whose run is
 //   unknown stays Unreconciled until every agent has reported or reconciliationTimeout has passed. That also
-//   holds for tasks of steps that are opened meanwhile: the former owner may have known ends that are not
-//   stored, and have opened the step.
+//   holds for tasks of steps that are opened meanwhile (the former owner may have known ends that are not
+//   stored, and have opened the step), and for best-effort jobs that are submitted meanwhile: neither their
+//   estimates nor the waits of their clients show that no run of an earlier submission exists.
 #pragma once
 
 #include "jobs/policies.h"
@@ -95,8 +96,6 @@
 {
     // How long the caller waits for the answer.
     Millis wait;
-    // An earlier attempt of this call may have reached an owner.
-    bool repeated = false;
 };
 
 using JobReplyHandler = std::function<void(JobReply)>;
@@ -117,10 +116,6 @@
     Millis reconciliationTimeout = {2'500};
     // How long a new owner waits for the workers of half of the agents before it judges the capacity.
     Millis capacityViewTimeout = {200};
-    // Delay after which a client resubmits a best-effort job that was not answered. By then the agents that
-    // were in contact with the failed owner have stopped its runs, and the leases of failed agents have
-    // lapsed.
-    Millis resubmitDelay = {1'300};
     // Delay before ends of unfinished jobs are stored, so that most jobs need a single record for all ends.
     Millis progressDelay = {1'000};
     // Maximum predicted wait, as a percentage of the job's slack. Estimates of the slack are off by tens of
@@ -384,7 +379,6 @@
     void finishAcceptance(Job &job, StoreOutcome outcome, Millis now);
     void acceptBestEffort(JobSpec spec, uint32_t partition, SubmitOptions options, Millis now,
                           JobReplyHandler onDone);
-    bool mayHaveRuns(const JobSpec &spec, bool repeated) const;
     // Number of agents that may have runs of the partition and have not reported to this owner.
     static size_t unreportedAgents(const Partition &partition);
     void retire(JobId id, Millis now);
--- a/tests/process/test_emulation.py
+++ b/tests/process/test_emulation.py
@@ -22,6 +22,8 @@
     ((60039,), ("--troubles", "16", "--kept-share", "0.3"), "a task went back to the worker on which it stood still"),
     ((2152,), ("--troubles", "14", "--kept-share", "0.5"), "a failed end hid a later run from the next owner"),
     ((700076,), ("--site", "qalhat", *ISOLATIONS), "the next owner did not dispute the end of a superseded run"),
+    ((440038,), ("--site", "qalhat", "--kept-share", "0", "--deadline-ms", "1500", "--resubmissions", "4",
+                 "--agent-series", "3"), "a new owner took the runs of short jobs for ended"),
 )
 MORE_DAYS = (
     ("--site", "himal", "--days", "8", "--first-seed", "100", "--troubles", "12"),
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -226,8 +226,8 @@
         self.assert_sound(fleet)
 
     # Guards against a second run of a best-effort job whose owner dies while the agent that runs it is paused: the
-    # entry with the client's connection resubmits the job at once, and the new owner must know that it is a
-    # resubmission.
+    # entry with the client's connection resubmits the job at once, and the new owner must wait for the report of that
+    # agent.
     def test_repeated_submission_waits_for_the_runs_of_the_dead_owner(self):
         fleet = self.fleet(entries=3, task_ms=lambda task: 900)
         answers = []
