Forget an orphan whose order is rejected

A client that submitted a best-effort job again could wait for a run that did not exist, until the job was given up again: the first submission had been given up while its order was queued at the agent, and the rejection that came later left the orphan in place, or was ignored since the task that had taken it over counted as running.

A rejection now removes the orphan, and makes the task ready again in both phases. Run numbers rise over submissions, so it belongs to this order.

rejectedOrderOfAGivenUpJobIsNotTakenOver and taskThatTookOverARejectedOrderIsOrderedAgain failed before (one order in place of two) and pass now.

--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -288,7 +288,11 @@
                  {"run", run.number},
                  {"reason", fleet::EnumNameRejectReason(reason)},
                  {"known", task != nullptr}});
-    if (!task || !isCurrentRun(*task, agent, run) || task->phase != TaskPhase::Ordered)
+    m_orphans.erase(run);
+    // A task that took over an orphan counts as running, also if the order of the orphan is rejected only
+    // now.
+    const bool isAtWork = task && (task->phase == TaskPhase::Ordered || task->phase == TaskPhase::Running);
+    if (!isAtWork || !isCurrentRun(*task, agent, run))
         return;
     // The agent knows another owner of the partition. It receives no more orders until it accepts a claim.
     if (reason == RejectReason::Superseded)
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -881,6 +881,40 @@
     BOOST_TEST(present.run.number > former.run.number);
 }
 
+// Guards against a task that waits for a run that does not exist: the job was given up while its order was
+// queued at the agent, which rejected the order later.
+BOOST_FIXTURE_TEST_CASE(rejectedOrderOfAGivenUpJobIsNotTakenOver, JobSchedulerFixture)
+{
+    load();
+    submit(job(1, 1, true));
+    BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
+    const auto former = effects.starts[0];
+    now += Millis{2'100};
+    scheduler.advance(now);
+    scheduler.advance(now);
+    BOOST_TEST_REQUIRE(scheduler.activeJobs() == 0U);
+    scheduler.runRejected(former.agent, former.run, RejectReason::NoRoom, now);
+    submit(job(1, 1, true));
+    BOOST_TEST(effects.starts.size() == 2U);
+}
+
+// Guards against the same if the job is submitted again before the order is rejected.
+BOOST_FIXTURE_TEST_CASE(taskThatTookOverARejectedOrderIsOrderedAgain, JobSchedulerFixture)
+{
+    load();
+    submit(job(1, 1, true));
+    const auto former = effects.starts[0];
+    now += Millis{2'100};
+    scheduler.advance(now);
+    scheduler.advance(now);
+    submit(job(1, 1, true));
+    BOOST_TEST_REQUIRE(effects.starts.size() == 1U);
+    scheduler.runRejected(former.agent, former.run, RejectReason::NoRoom, now);
+    scheduler.advance(now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    BOOST_TEST(effects.starts[1].run.number > former.run.number);
+}
+
 // Guards against an order that counts as lost because the agent had not received it yet: only a report on the
 // newest claim shows all orders.
 BOOST_FIXTURE_TEST_CASE(agentReceivesNoOrdersBeforeItHasReportedOnTheNewestClaim, JobSchedulerFixture)
