Answer stops of queued and of unknown runs

A task could wait for a run that did not exist. An agent removed a queued order on a stop without a word to its owner, so that the orphan of a job that was given up stayed, and the next submission took it over. A stop of a run that the agent does not know was ignored, so that an owner that believed in such a run never learned.

A queued order that is stopped now ends as Stopped. A stop of an unknown run is answered with its loss, once the worker's lists are known: order and stop arrive on one connection in their sequence, so the run does not exist. Nothing is sent if the run's end is known, since the end was reported or follows with the answer to the owner's claim.

stopOfAQueuedOrderEndsTheRun and stopOfAnUnknownRunReportsItLost failed before (no end was reported) and pass now. stopAfterTheEndDoesNotLoseTheRun and stopBeforeTheListsAreKnownDoesNotLoseTheRun guard the limits of the answer.

--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -291,20 +291,40 @@
 void WorkerManager::stop(EntryNumber entry, uint32_t partition, uint64_t epoch, const RunId &id, Millis now)
 {
     const Owner &owner = m_owners[partition];
-    const auto found = m_runs.find(id);
-    if (owner.epoch != epoch || owner.entry != entry || found == m_runs.end())
+    if (owner.epoch != epoch || owner.entry != entry)
         return;
+    const auto found = m_runs.find(id);
+    const bool isKnown = found != m_runs.end();
     m_log.write(now, "run_stop_ordered",
-                {{"job", jobIdText(id.task.job)}, {"task", taskIdText(id.task)}, {"run", id.number}});
+                {{"job", jobIdText(id.task.job)},
+                 {"task", taskIdText(id.task)},
+                 {"run", id.number},
+                 {"known", isKnown}});
+    if (!isKnown) {
+        reportUnknownRun(owner, id);
+        return;
+    }
     if (found->second.phase == RunPhase::Queued) {
         m_runs.erase(found);
         m_reportChanged = true;
+        m_effects.sendEnded(entry, id, EndKind::Stopped, {});
         return;
     }
     if (found->second.phase != RunPhase::Stopping)
         sendStop(found->second, now);
 }
 
+// The order of a run and its stop arrive in this sequence, so a run that is not known here does not exist.
+void WorkerManager::reportUnknownRun(const Owner &owner, const RunId &id)
+{
+    const auto isEndOfRun = [&](const auto &item) { return item.second.run == id; };
+    const bool hasEnded = std::any_of(m_ends.begin(), m_ends.end(), isEndOfRun);
+    // An end has been sent, or follows with the answer to the owner's claim.
+    if (!m_listsKnown || owner.reportDue || hasEnded)
+        return;
+    m_effects.sendEnded(*owner.entry, id, EndKind::Lost, {});
+}
+
 void WorkerManager::sendStop(Run &run, Millis now)
 {
     run.phase = RunPhase::Stopping;
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -10,6 +10,9 @@
 // - A run is reported as lost only when the worker's lists, the lapse of its lease or a new incarnation of
 //   the worker shows that it does not exist. A full list of ends does not show that.
 // - No run is started whose end might not fit into the worker's list of ends.
+// - An order is never dropped without a word to the owner that sent it, if that owner is connected: the owner
+//   would wait for a run that does not exist. Orders that a claim drops are missing in the report on the
+//   claim.
 #pragma once
 
 #include "observe/structuredlog.h"
@@ -210,6 +213,8 @@
     void startQueued(Millis now);
     void sendStart(Run &run, Millis now);
     void sendStop(Run &run, Millis now);
+    // Answers a stop of a run that is not known here.
+    void reportUnknownRun(const Owner &owner, const RunId &id);
     void rejectQueued(RejectReason reason, Millis now);
     void returnOverdueOrders(Millis now);
 
--- a/tests/unit/workermanagertest.cpp
+++ b/tests/unit/workermanagertest.cpp
@@ -260,6 +260,55 @@
     BOOST_TEST((effects.reasons[0] == RejectReason::NoRoom));
 }
 
+// Guards against a task that waits for a run that does not exist: a queued order was removed by a stop
+// without a word to its owner.
+BOOST_FIXTURE_TEST_CASE(stopOfAQueuedOrderEndsTheRun, WorkerManagerFixture)
+{
+    for (JobId job = 1; job <= 5; ++job)
+        manager.order(1, order(job), now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 4U);
+    manager.stop(1, 0, 5, order(5).run, now);
+    BOOST_TEST(effects.stops.empty());
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    BOOST_TEST((effects.ended[0].run == order(5).run));
+    BOOST_TEST((effects.ended[0].kind == EndKind::Stopped));
+}
+
+// Guards against a task that waits for a run that does not exist: the agent ignored stops of runs that it
+// does not know.
+BOOST_FIXTURE_TEST_CASE(stopOfAnUnknownRunReportsItLost, WorkerManagerFixture)
+{
+    manager.stop(1, 0, 5, order(7).run, now);
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    BOOST_TEST((effects.ended[0].run == order(7).run));
+    BOOST_TEST((effects.ended[0].kind == EndKind::Lost));
+    // An owner with an older epoch, or another entry, learns nothing.
+    manager.stop(1, 0, 4, order(7).run, now);
+    manager.stop(2, 0, 5, order(7).run, now);
+    BOOST_TEST(effects.ended.size() == 1U);
+}
+
+// Guards against a run that is reported as lost although it has ended otherwise: its end crossed the stop.
+BOOST_FIXTURE_TEST_CASE(stopAfterTheEndDoesNotLoseTheRun, WorkerManagerFixture)
+{
+    startRun(1);
+    answerListPolls({.ended = {{.number = 1, .run = order(1).run}}});
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    manager.stop(1, 0, 5, order(1).run, now);
+    BOOST_TEST(effects.ended.size() == 1U);
+}
+
+// Guards against a run that is reported as lost by an agent that does not know the worker's runs yet.
+BOOST_FIXTURE_TEST_CASE(stopBeforeTheListsAreKnownDoesNotLoseTheRun, WorkerManagerFixture)
+{
+    WorkerManager restarted{{.partitions = 1}, 1, now, effects, log};
+    restarted.announced(announcement(), now);
+    restarted.entryConnected(7, now);
+    restarted.claim(7, 0, 5, now);
+    restarted.stop(7, 0, 5, order(1).run, now);
+    BOOST_TEST(effects.ended.empty());
+}
+
 // Guards against two runs of a task: the owner starts another run elsewhere after the time within which an
 // agent without contact has to stop its runs.
 BOOST_FIXTURE_TEST_CASE(runsAreStoppedWhenTheirOwnerIsUnresponsive, WorkerManagerFixture)
