Return the queued orders of an unresponsive owner

An agent dropped the queued orders of an owner that had not answered its pings for 1.2 s without a word. The connection of such an owner is closed only after 1.05 to 1.35 s, and stays open if an answer arrives in between: the owner then waits for a run that does not exist.

Such orders are now rejected like overdue ones, if the owner is connected. orderOfAnUnresponsiveOwnerIsReturned failed before (no rejection) and passes now.

--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -382,19 +382,24 @@
 }
 
 // Load pattern: long tasks occupy one worker while others have free resources. An order that has been queued
-// for too long is returned to its owner, which knows the free resources of all workers.
+// for too long is returned to its owner, which knows the free resources of all workers. So is one of an owner
+// that is unresponsive but connected.
 void WorkerManager::returnOverdueOrders(Millis now)
 {
     for (auto item = m_runs.begin(); item != m_runs.end();) {
+        const RunId id = item->first;
         const Run &run = item->second;
-        if (run.phase != RunPhase::Queued || now - run.orderedAt < m_options.maxQueueTime) {
+        const Owner &owner = ownerOf(id);
+        const bool isOverdue = now - run.orderedAt >= m_options.maxQueueTime;
+        const bool isOwnerSilent = now - owner.lastContact > m_options.ownerTimeout;
+        if (run.phase != RunPhase::Queued || (!isOverdue && !isOwnerSilent)) {
             ++item;
             continue;
         }
-        const RunId id = item->first;
-        const Owner &owner = ownerOf(id);
-        if (owner.entry)
-            m_effects.sendRejected(*owner.entry, id, RejectReason::NoRoom);
+        if (owner.entry) {
+            m_effects.sendRejected(*owner.entry, id,
+                                   isOwnerSilent ? RejectReason::Disconnected : RejectReason::NoRoom);
+        }
         item = m_runs.erase(item);
         m_reportChanged = true;
     }
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -223,7 +223,7 @@
     void rejectClaim(EntryNumber entry, uint32_t partition, uint64_t epoch);
     void dropQueued(uint32_t partition);
     void reportClaims(Millis now);
-    // Stops the runs of unresponsive owners and drops their queued orders.
+    // Stops the runs of unresponsive owners.
     void checkOwners(Millis now);
     std::map<uint32_t, EntryNumber> connectedOwners() const;
 
--- a/src/worker/workerowners.cpp
+++ b/src/worker/workerowners.cpp
@@ -202,10 +202,6 @@
                      {"silent_ms", now - owner.lastContact}});
         sendStop(run, now);
     }
-    std::erase_if(m_runs, [&](const auto &item) {
-        return item.second.phase == RunPhase::Queued
-            && now - ownerOf(item.first).lastContact > m_options.ownerTimeout;
-    });
 }
 
 } // namespace turmericwell
--- a/tests/unit/workermanagertest.cpp
+++ b/tests/unit/workermanagertest.cpp
@@ -309,6 +309,20 @@
     BOOST_TEST(effects.ended.empty());
 }
 
+// Guards against a task that waits for a run that does not exist: the order of an owner that is unresponsive,
+// but connected, was dropped without a word.
+BOOST_FIXTURE_TEST_CASE(orderOfAnUnresponsiveOwnerIsReturned, WorkerManagerFixture)
+{
+    for (JobId job = 1; job <= 4; ++job)
+        manager.order(1, order(job), now);
+    advanceTime({1'200}, false);
+    manager.order(1, order(5), now);
+    advanceTime({20}, false);
+    BOOST_TEST_REQUIRE(effects.rejected.size() == 1U);
+    BOOST_TEST((effects.rejected[0].run == order(5).run));
+    BOOST_TEST((effects.reasons[0] == RejectReason::Disconnected));
+}
+
 // Guards against two runs of a task: the owner starts another run elsewhere after the time within which an
 // agent without contact has to stop its runs.
 BOOST_FIXTURE_TEST_CASE(runsAreStoppedWhenTheirOwnerIsUnresponsive, WorkerManagerFixture)
