Restore the registration of an agent that connects after its removal

A restarted entry neither used one agent nor waited for its report, and ordered all its runs again within 130 ms, while the other entries went on using the agent.

An entry that reads the removal of an agent's registration forgets the agent's address unless it is connected. A connection that was just being made then makes the agent active without a registration: the restore goes over known addresses, and the agent registers again only without any connection. Entries that start later do not know the agent.

The address is now kept while a connection is open or being made, and an agent that connects without a registration is registered at once.

--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -46,8 +46,29 @@
         m_members.restore(contact->second.member);
         return;
     }
+    // A connection to an agent that is being made may succeed after the removal. The registration is then
+    // restored: an entry that does not find it orders the runs of that agent again.
+    if (number && (contact->second.connected || contact->second.dialling))
+        return;
+    forgetMember(name);
+}
+
+void EntryNode::forgetMember(const std::string &name)
+{
     m_log.always(Clock::now(), "member_removed", {{"member", name}});
-    m_contacts.erase(contact);
+    m_contacts.erase(name);
+}
+
+void EntryNode::dialAfterFailure(const std::string &name)
+{
+    const auto contact = m_contacts.find(name);
+    if (contact == m_contacts.end())
+        return;
+    const std::optional<AgentNumber> number = m_presence.find(name);
+    if (number && !m_presence.isRegistered(*number) && !m_presence.isActive(*number))
+        forgetMember(name);
+    else
+        m_timers.after(contact->second.backoff.next(), [this, name] { dial(name); });
 }
 
 void EntryNode::dial(const std::string &name)
@@ -65,7 +86,7 @@
                            return;
                        contact->second.dialling = false;
                        if (!link) {
-                           m_timers.after(contact->second.backoff.next(), [this, name] { dial(name); });
+                           dialAfterFailure(name);
                            return;
                        }
                        contact->second.connected = true;
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -166,7 +166,7 @@
                  if (contact == m_contacts.end())
                      return;
                  contact->second.connected = false;
-                 m_timers.after(contact->second.backoff.next(), [this, dialledName] { dial(dialledName); });
+                 dialAfterFailure(dialledName);
              },
          .makePong =
              [this] {
@@ -208,6 +208,9 @@
     m_pool.remove(*number);
     m_agentLinks[*number] = link;
     m_presence.connected(*number, Clock::now());
+    if (const auto contact = m_contacts.find(hello.node);
+        contact != m_contacts.end() && !m_presence.isRegistered(*number))
+        m_members.restore(contact->second.member);
     for (const fleet::OwnedPartitionT &owned : m_scheduler.owned()) {
         if (!owned.ready || !isReached(hello.node, owned.partition))
             continue;
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -154,6 +154,9 @@
     // --- entrymembers.cpp: other processes of the system ---
     void memberFound(const Member &member);
     void memberRemoved(const std::string &name);
+    void forgetMember(const std::string &name);
+    // Dials the process again after a backoff, or forgets an agent whose registration has been removed.
+    void dialAfterFailure(const std::string &name);
     void dial(const std::string &name);
     // Dials all processes that this entry is not connected to, without waiting for the end of a backoff.
     void dialAll();
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -121,6 +121,25 @@
     }
 }
 
+// Guards against two runs of a task at the same time: an agent that was silent for 6 s had lost its
+// registration and was in use again, so entries that started later did not know it and did not wait for its
+// runs.
+BOOST_AUTO_TEST_CASE(agentThatIsBackAfterItsRemovalIsRegistered)
+{
+    for (const int64_t silent : {6'200, 6'500, 6'800, 7'100}) {
+        EmulationOptions day = *emulatedSite("himal");
+        day.seed = 21;
+        day.traffic.load = 0.5;
+        day.length = {17'000};
+        day.plan = {{{1'000}, {silent}, PauseProcess{.process = {fleet::ProcessRole::Agent, 0}}}};
+        for (uint32_t entry = 0; entry < day.size.entries; ++entry)
+            day.plan.push_back(
+                {{9'500 + 2'000 * entry}, {500}, KillProcess{.process = {fleet::ProcessRole::Entry, entry}}});
+        BOOST_TEST_CONTEXT("silent for " << silent << " ms")
+        BOOST_TEST(firstBroken(checkPromises(Emulation(day).run(), day)) == "");
+    }
+}
+
 // Guards against a bound that a dispatcher passes: two jobs want all processors at the same time, and there
 // is room for one of them until the deadlines.
 BOOST_AUTO_TEST_CASE(boundIsWhatTheProcessorsCanDoInTime)
