--- /dev/null
+++ b/tools/lab/daysite.py
@@ -0,0 +1,156 @@
+"""A site file as the day needs it: machines, traffic, classes of jobs, settings from the deploy templates, troubles."""
+
+import json
+import math
+import random
+import re
+import tomllib
+from dataclasses import dataclass, field
+from pathlib import Path
+
+HOST = "day.example"
+ROOT = Path(__file__).resolve().parents[2]
+# Troubles that a site file does not list: workers that answer twice, connections that go silent for good,
+# workers that start again under their id, and owners that change twice while runs are unknown.
+OWN_TROUBLES = ({"kind": "stutter"}, {"kind": "mute_conns"}, {"kind": "worker_restart"}, {"kind": "takeover_series"})
+
+
+@dataclass
+class JobClass:
+    name: str
+    rate: float
+    work_ms: dict
+    width: dict
+    cpu: dict
+    estimate_error: float
+    error_share: float
+    attempts: int
+    priority: int
+    stretch: float
+    deadline_ms: int
+    best_effort: bool
+
+    @property
+    def prefix(self):
+        return f"/{self.name}/"
+
+    def draw(self, choice, hopeless=False):
+        """A job's body. Its spec tells the stand-in workers how long its tasks work and whether they fail."""
+        work = drawn(choice, self.work_ms)
+        width = max(1, round(drawn(choice, self.width)))
+        cpu = round(drawn(choice, self.cpu))
+        spec = {"work": round(work), "fail": 1 if hopeless else self.error_share, "cpu": cpu}
+        estimate = work * math.exp(choice.gauss(0, self.estimate_error))
+        step = {"count": width, "cpu": cpu, "memMb": 64, "estimateMs": max(1, round(estimate))}
+        return {"spec": json.dumps(spec), "steps": [step], **({"bestEffort": True} if self.best_effort else {})}
+
+
+@dataclass
+class Machine:
+    name: str
+    role: str
+    zone: str
+    share: float
+    ip: str
+    cpu: int = 0
+    labels: list = field(default_factory=list)
+    # Not running until a trouble adds it.
+    spare: bool = False
+
+
+def drawn(choice, figure):
+    spread = figure.get("spread", 0)
+    value = figure["mean"] * math.exp(choice.gauss(0, spread) - spread * spread / 2)
+    return min(value, figure.get("max", value))
+
+
+def render(template, fields):
+    """Fills the placeholders {{a}}, {{a.b}}, {{a.0}} and their |json form."""
+    def value(match):
+        name, _, form = match.group(1).partition("|")
+        found = fields
+        for part in name.split("."):
+            found = found[int(part)] if isinstance(found, list) else found[part]
+        return json.dumps(found) if form else str(found)
+    return re.sub(r"{{([^{}]+)}}", value, template)
+
+
+class Site:
+    def __init__(self, path, address_block):
+        self.data = tomllib.loads(Path(path).read_text())
+        self.name = self.data["name"]
+        self.zones = [zone["name"] for zone in self.data["zones"]]
+        self.service = self.data["services"][0]["name"]
+        self.machines = []
+        for group in self.data["machines"]:
+            self._add_machines(group, address_block)
+        self.traffic = self.data["traffic"]
+        self.rate = sum(row["per_s"] for row in self.traffic)
+        mix = self.traffic[0]["mix"]
+        self.classes = [self._job_class(row, mix.get(row["name"], 0) / sum(mix.values())) for row in self.data["classes"]]
+        self.resend_s = self.data["timing"]["resend_ms"] / 1000
+        self.grace_s = self.data["bounds"]["grace_s"]
+        self.beat_s = self.data["discovery"]["beat_ms"] / 1000
+        self.drain_s = self.data["bounds"]["drain_ms"] / 1000
+        self.troubles = [*self.data["troubles"], *OWN_TROUBLES]
+
+    def _add_machines(self, group, address_block):
+        role = {"front": "entry", "side": "agent"}[group["class"]]
+        for index in range(group["count"] + (group.get("spare", 0) if role == "agent" else 0)):
+            name = f"{'edge' if role == 'entry' else 'side'}-{group['zone']}-{index + 1}"
+            number = len(self.machines)
+            machine = Machine(name, role, group["zone"], group["cpu_share"], f"{address_block}.{number + 1}",
+                              spare=index >= group["count"])
+            if role == "agent":
+                node = self.data["services"][0]["node"]
+                workers = sum(1 for each in self.machines if each.role == "agent")
+                kind = workers % len(node["kinds"])
+                machine.cpu = round(node["cpu"] * node["sizes"][kind])
+                machine.labels = [node["kinds"][kind], f"r{self.zones.index(group['zone']) + 1}-{index // node['rack'] + 1}"]
+            self.machines.append(machine)
+
+    @staticmethod
+    def _job_class(row, rate):
+        jobs = row["jobs"]
+        return JobClass(name=row["name"], rate=rate, work_ms=row["work_ms"], width=jobs["width"], cpu=jobs["cpu"],
+                        estimate_error=jobs.get("est_off", 0), error_share=row.get("error_share", 0),
+                        attempts=row["attempts"], priority=row["priority"], stretch=jobs["stretch"],
+                        deadline_ms=int(row["deadline_ms"]), best_effort=jobs.get("loose", False))
+
+    def configuration(self, version, idle=0):
+        routes = [{"name": each.name, "host": HOST, "pathPrefix": each.prefix, "routeType": "non_idempotent",
+                   "timeoutMs": each.deadline_ms, "targetLatencyMs": 60, "priority": each.priority,
+                   "service": self.service, "attempts": each.attempts, "stretch": each.stretch} for each in self.classes]
+        routes += [{**routes[0], "name": f"idle-{n}", "pathPrefix": f"/idle-{n}/"} for n in range(idle)]
+        return json.dumps({"version": version, "routes": routes, "services": [{"name": self.service}],
+                           "limits": {}}).encode()
+
+    def settings(self, machine, ports):
+        """Settings of a process: the template of its role, with the links through the proxy."""
+        bounds = {"maxHoldMs": int(self.data["timing"]["hold_max_ms"]), "graceS": int(self.grace_s),
+                  "resendMs": int(self.resend_s * 1000)}
+        fields = {"node": machine.name, "zone": machine.zone, "ip": machine.ip, "portRange": [ports["peer"]],
+                  "platform": {"address": ports["store"], "parts": self.data["platform"]["parts"], "minTtlMs": 1000},
+                  "listen": {"front": f"{machine.ip}:{ports['front']}", "ready": f"{machine.ip}:{ports['ready']}",
+                             "control": f"{machine.ip}:{ports['control']}"},
+                  "app": f"{machine.ip}:{ports['app']}", "bounds": bounds,
+                  "limits": {"cpuShare": machine.share, "cores": 1}}
+        role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"][machine.role]
+        settings = json.loads(render((ROOT / role["template"]).read_text(), fields))
+        settings["peerAddress"] = ports["peer_proxy"]
+        return role["run"].split()[1], settings
+
+    def plan(self, seed, seconds, only=(), without=()):
+        """Rows (at, trouble), in time order; several overlap, and some come in series."""
+        choice = random.Random(f"{self.name}/{seed}")
+        kinds = [each for each in self.troubles if (not only or each["kind"] in only) and each["kind"] not in without]
+        rows, at = [], 2.0
+        while at < seconds - 2:
+            trouble = choice.choice(kinds)
+            repeats = choice.choice((1, 1, 1, 2, 3))
+            for repeat in range(repeats):
+                row = {**trouble, "for_s": min(trouble.get("for_s", choice.uniform(2, 6)) * choice.uniform(0.3, 1.2), seconds / 3),
+                       "draw": choice.random()}
+                rows.append((at + repeat * choice.uniform(0.5, 2.5), row))
+            at += choice.uniform(0.3, 3.5)
+        return sorted(((at, row) for at, row in rows if at < seconds), key=lambda pair: pair[0])
