Take no answer of a worker for the answer to another call

Cause: HTTP matches an answer with its call by the order on the connection. A worker that sends an answer a second time shifts that order on a kept connection. Old lists were read as the answer to a new poll and lost all runs that were started in between; a rejection was read as the answer to another start. HttpClient also parsed bytes behind an answer as the next one, and mergeLists passed lists with the clock of known ones.

Bytes behind an answer close the connection for all users of HttpClient.

--- a/src/emulator/emulatedworker.cpp
+++ b/src/emulator/emulatedworker.cpp
@@ -90,29 +90,31 @@
         [answer] { answer(OrderAnswer::NoAnswer, std::nullopt); });
 }
 
-void EmulatedWorker::stop(const StopCall &call, Millis timeout, std::function<void(OrderAnswer)> onDone)
+void EmulatedWorker::stop(const StopCall &call, Millis timeout,
+                          std::function<void(OrderAnswer, std::optional<Millis>)> onDone)
 {
     const HostNumber host = m_options.host;
     const uint64_t agent = m_network.lifeOf(host);
     const auto answered = std::make_shared<bool>(false);
-    const auto answer = [this, host, agent, answered, onDone = std::move(onDone)](OrderAnswer result) {
+    const auto answer = [this, host, agent, answered,
+                         onDone = std::move(onDone)](OrderAnswer result, std::optional<Millis> workerClock) {
         if (std::exchange(*answered, true))
             return;
-        m_network.postTo(host, agent, [onDone, result] { onDone(result); });
+        m_network.postTo(host, agent, [onDone, result, workerClock] { onDone(result, workerClock); });
     };
     const bool isLost = draw(trouble().losesAnswers);
     carryOut(
         isLost ? 1 : 0, timeout,
         [this, answer, isLost, life = m_life, run = call.run, fence = call.fence] {
             if (life != m_life) {
-                answer(OrderAnswer::WrongWorker);
+                answer(OrderAnswer::WrongWorker, std::nullopt);
                 return;
             }
             const OrderAnswer result = stopNow(run, fence);
             if (!isLost)
-                m_events.after(callTime, [answer, result] { answer(result); });
+                m_events.after(callTime, [this, answer, result] { answer(result, clock()); });
         },
-        [answer] { answer(OrderAnswer::NoAnswer); });
+        [answer] { answer(OrderAnswer::NoAnswer, std::nullopt); });
 }
 
 void EmulatedWorker::pollLists(const ListPollCall &call, Millis timeout,
--- a/src/emulator/emulatedworker.h
+++ b/src/emulator/emulatedworker.h
@@ -66,7 +66,8 @@
 
     void start(const StartCall &call, Millis timeout,
                std::function<void(OrderAnswer, std::optional<Millis>)> onDone) override;
-    void stop(const StopCall &call, Millis timeout, std::function<void(OrderAnswer)> onDone) override;
+    void stop(const StopCall &call, Millis timeout,
+              std::function<void(OrderAnswer, std::optional<Millis>)> onDone) override;
     void pollLists(const ListPollCall &call, Millis timeout,
                    std::function<void(OrderAnswer, const WorkerLists &)> onDone) override;
 
--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -242,10 +242,12 @@
 
 void AgentNode::callStop(const StopCall &call)
 {
-    m_worker.stop(call, orderTimeout, [this, run = call.run, guard = m_timers.guard()](OrderAnswer answer) {
-        if (!guard.expired())
-            m_workerManager.stopAnswered(run, answer, Clock::now());
-    });
+    m_worker.stop(call, orderTimeout,
+                  [this, run = call.run, guard = m_timers.guard()](OrderAnswer answer,
+                                                                   std::optional<Millis> workerClock) {
+                      if (!guard.expired())
+                          m_workerManager.stopAnswered(run, answer, workerClock, Clock::now());
+                  });
 }
 
 void AgentNode::callListPoll(const ListPollCall &call)
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -19,7 +19,8 @@
     virtual ~WorkerApi() = default;
     virtual void start(const StartCall &call, Millis timeout,
                        std::function<void(OrderAnswer, std::optional<Millis> workerClock)> onDone) = 0;
-    virtual void stop(const StopCall &call, Millis timeout, std::function<void(OrderAnswer)> onDone) = 0;
+    virtual void stop(const StopCall &call, Millis timeout,
+                      std::function<void(OrderAnswer, std::optional<Millis> workerClock)> onDone) = 0;
     virtual void pollLists(const ListPollCall &call, Millis timeout,
                            std::function<void(OrderAnswer, const WorkerLists &)> onDone) = 0;
 };
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -85,10 +85,29 @@
     // A response with a larger body fails the request.
     uint64_t maxBodyBytes = 16U << 20U;
     Millis connectTimeout = {1'000};
+    // Without reuse each request has a connection of its own, so that no answer to another request can be
+    // received on it.
+    bool reusesConnections = true;
+};
+
+// Decides right before and after a request; either may be empty.
+struct HttpRequestChecks
+{
+    // Called once a connection is established; the request is sent only if it returns true.
+    std::function<bool()> maySend;
+    // Returns true if the response itself shows that it was written after the request was sent. The
+    // connection is not used again after any other response.
+    std::function<bool(const HttpResponse &)> isOwnResponse;
 };
 
 // Sends requests to one address over persistent connections. While maxConnections are in use, further
 // requests are queued in FIFO order. A request is never retransmitted.
+//
+// HTTP matches a response with its request by the order on the connection only. A peer that answers a request
+// twice shifts that order, and a late second response looks like the response to the next request. What can
+// be noticed leaves the request without a response and closes the connection: data on an idle connection, and
+// data after the response to a request that is not the first of its connection. A caller whose decisions must
+// not rest on the response to another request either uses no connection twice or checks the content.
 class HttpClient
 {
 public:
@@ -98,8 +117,7 @@
     // Thread-safe. The callback runs once, on a thread of the io context. The timeout applies from the start
     // of sending to the complete response, not to queueing or connecting.
     void request(HttpRequest request, Millis timeout, std::function<void(HttpResult)> onDone);
-    // Calls maySend once a connection is established, and sends the request only if it returns true.
-    void request(HttpRequest request, Millis timeout, std::function<bool()> maySend,
+    void request(HttpRequest request, Millis timeout, HttpRequestChecks checks,
                  std::function<void(HttpResult)> onDone);
 
 private:
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -21,8 +21,7 @@
 {
     HttpRequest request;
     Millis timeout;
-    // Optional check right before sending; may be empty.
-    std::function<bool()> maySend;
+    HttpRequestChecks checks;
     std::function<void(HttpResult)> onDone;
 };
 
@@ -34,7 +33,7 @@
     return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-http::request<http::string_body> toMessage(HttpRequest &&request, const std::string &host)
+http::request<http::string_body> toMessage(HttpRequest &&request, const std::string &host, bool keepAlive)
 {
     http::request<http::string_body> message;
     message.version(11);
@@ -43,6 +42,7 @@
     message.set(http::field::host, host);
     for (const auto &[name, value] : request.headers)
         message.set(name, value);
+    message.keep_alive(keepAlive);
     message.body() = std::move(request.body);
     message.prepare_payload();
     return message;
@@ -96,12 +96,15 @@
     void begin(Call call)
     {
         m_call = std::move(call);
-        m_message = toMessage(std::move(m_call.request), m_owner->address.text());
+        m_message =
+            toMessage(std::move(m_call.request), m_owner->address.text(), m_owner->options.reusesConnections);
         if (m_connected && !isStale(m_stream.socket())) {
             write();
             return;
         }
         m_connected = false;
+        m_responses = 0;
+        m_buffer.clear();
         beast::error_code ignored;
         m_stream.socket().close(ignored);
         m_stream.expires_after(std::chrono::milliseconds(m_owner->options.connectTimeout.count));
@@ -120,7 +123,7 @@
 
     void write()
     {
-        if (m_call.maySend && !m_call.maySend()) {
+        if (m_call.checks.maySend && !m_call.checks.maySend()) {
             finish({.error = "withheld", .sent = false, .withheld = true});
             return;
         }
@@ -149,7 +152,14 @@
 
     void complete()
     {
-        m_connected = m_parser->get().keep_alive();
+        const bool hasSurplus = m_buffer.size() > 0;
+        if (hasSurplus && m_responses > 0) {
+            // Either this response or the data after it belongs to an earlier request.
+            finish({.error = "data after the response", .sent = true});
+            return;
+        }
+        ++m_responses;
+        m_connected = m_owner->options.reusesConnections && !hasSurplus && m_parser->get().keep_alive();
         auto message = m_parser->release();
         HttpResponse response;
         response.status = static_cast<int>(message.result_int());
@@ -160,6 +170,8 @@
             response.headers[name] = std::string_view(field.value());
         }
         response.body = std::move(message.body());
+        if (m_call.checks.isOwnResponse && !m_call.checks.isOwnResponse(response))
+            m_connected = false;
         finish({.response = std::move(response), .sent = true});
     }
 
@@ -186,6 +198,8 @@
     http::request<http::string_body> m_message;
     std::optional<http::response_parser<http::string_body>> m_parser;
     Call m_call;
+    // Responses received on the present connection.
+    uint64_t m_responses = 0;
     bool m_connected = false;
 };
 
@@ -234,15 +248,15 @@
 
 void HttpClient::request(HttpRequest request, Millis timeout, std::function<void(HttpResult)> onDone)
 {
-    this->request(std::move(request), timeout, nullptr, std::move(onDone));
+    this->request(std::move(request), timeout, HttpRequestChecks{}, std::move(onDone));
 }
 
-void HttpClient::request(HttpRequest request, Millis timeout, std::function<bool()> maySend,
+void HttpClient::request(HttpRequest request, Millis timeout, HttpRequestChecks checks,
                          std::function<void(HttpResult)> onDone)
 {
     m_state->submit({.request = std::move(request),
                      .timeout = timeout,
-                     .maySend = std::move(maySend),
+                     .checks = std::move(checks),
                      .onDone = std::move(onDone)});
 }
 
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -24,6 +24,8 @@
     m_lapseForced = false;
     m_newestLists = {};
     m_newestClock = {};
+    for (auto &[number, poll] : m_listPolls)
+        poll.clockBefore = {};
     m_listsKnown = false;
     m_leaseEnd = now;
     m_reportChanged = true;
@@ -259,7 +261,53 @@
         return;
     m_newestLists = lists.workerClock;
     mergeRunning(lists, now);
-    reportUnlistedRunsLost(lists, number, poll, now);
+    if (lists.workerClock > poll.clockBefore)
+        reportUnlistedRunsLost(lists, number, poll, now);
+}
+
+bool WorkerManager::acceptIncarnation(const WorkerLists &lists, ListPoll &poll, Millis now)
+{
+    if (m_listsIncarnation == 0 || lists.born == 0 || lists.born == m_listsIncarnation)
+        return true;
+    m_nextListPollAt = now + pauseAfterFailure;
+    if (lists.born < m_listsIncarnation)
+        return false;
+    // A new incarnation answers before its announcement has arrived. Its lists are merged, because a poll
+    // that was sent to the former incarnation may have made it discard the ends that they contain.
+    resetForNewIncarnation(now);
+    poll.clockBefore = {};
+    m_minIncarnation = lists.born;
+    m_listsIncarnation = lists.born;
+    m_worker.reset();
+    return true;
+}
+
+void WorkerManager::recordPollAnswer(uint64_t number, const WorkerLists &lists, Millis now)
+{
+    if (m_listPollFailures >= failuresUntilUnusable) {
+        m_log.always(now, "worker_call_works", {{"failures", m_listPollFailures}});
+        m_reportChanged = true;
+    }
+    m_listPollFailures = 0;
+    recordClock(lists.workerClock, now);
+    if (m_restartSuspectedUntilPoll && number >= *m_restartSuspectedUntilPoll)
+        m_restartSuspectedUntilPoll.reset();
+    m_listsIncarnation = std::max(m_listsIncarnation, lists.born);
+    if (!m_listsKnown) {
+        m_listsKnown = true;
+        m_reportChanged = true;
+    }
+}
+
+void WorkerManager::recordAnswerOfAnotherCall(uint64_t number, const WorkerLists &lists, const ListPoll &poll,
+                                              Millis now)
+{
+    m_log.write(now, "answer_of_another_call",
+                {{"poll", number},
+                 {"polled_ms_ago", now - poll.sentAt},
+                 {"worker_clock", lists.workerClock},
+                 {"clock_before_poll", poll.clockBefore},
+                 {"listed", lists.running.size()}});
 }
 
 void WorkerManager::listPollFailed(OrderAnswer answer, Millis now)
@@ -283,37 +331,28 @@
     const auto found = m_listPolls.find(number);
     if (found == m_listPolls.end())
         return;
-    const ListPoll poll = found->second;
+    ListPoll poll = found->second;
     m_listPolls.erase(found);
     if (answer != OrderAnswer::Done) {
         listPollFailed(answer, now);
         sendListPolls(now);
         return;
     }
-    if (m_listsIncarnation != 0 && lists.born != 0 && lists.born != m_listsIncarnation) {
-        m_nextListPollAt = now + pauseAfterFailure;
-        if (lists.born < m_listsIncarnation)
-            return;
-        // A new incarnation answers before its announcement has arrived. Its lists are merged, because a poll
-        // that was sent to the former incarnation may have made it discard the ends that they contain.
-        resetForNewIncarnation(now);
-        m_minIncarnation = lists.born;
-        m_listsIncarnation = lists.born;
-        m_worker.reset();
-    }
-    if (m_listPollFailures >= failuresUntilUnusable) {
-        m_log.always(now, "worker_call_works", {{"failures", m_listPollFailures}});
-        m_reportChanged = true;
-    }
-    m_listPollFailures = 0;
-    recordClock(lists.workerClock, now);
-    if (m_restartSuspectedUntilPoll && number >= *m_restartSuspectedUntilPoll)
-        m_restartSuspectedUntilPoll.reset();
-    m_listsIncarnation = std::max(m_listsIncarnation, lists.born);
-    if (!m_listsKnown) {
-        m_listsKnown = true;
-        m_reportChanged = true;
+    if (!acceptIncarnation(lists, poll, now))
+        return;
+    if (lists.workerClock < poll.clockBefore) {
+        recordAnswerOfAnotherCall(number, lists, poll, now);
+        listPollFailed(OrderAnswer::NoAnswer, now);
+        sendListPolls(now);
+        return;
     }
+    const bool isProven = lists.workerClock > poll.clockBefore;
+    if (isProven)
+        recordPollAnswer(number, lists, now);
+    else
+        // The worker's clock counts milliseconds, so these lists may be those of an earlier poll. Until a
+        // later poll is answered, the worker may have restarted.
+        m_restartSuspectedUntilPoll = m_lastListPoll + 1;
     m_hasNewEnds = false;
     mergeLists(lists, number, poll, now);
     const uint64_t through = endsStoredThrough();
@@ -324,6 +363,8 @@
     reportClaims(now);
     startQueued(now);
     sendListPolls(now);
+    // Requested with the next event, when the worker's clock has advanced.
+    m_needsListsNow = m_needsListsNow || !isProven;
 }
 
 void WorkerManager::sendListPoll(Millis wait, Millis now)
@@ -347,6 +388,7 @@
                             .fence = m_fence,
                             .endsStored = mayConfirmEnds() ? endsStoredThrough() : 0,
                             .wait = wait,
+                            .clockBefore = m_newestClock,
                             .worker = m_worker ? std::string_view(m_worker->worker) : std::string_view()});
 }
 
--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -333,8 +333,11 @@
         m_effects.callStop({.run = run.order.run, .fence = m_fence, .worker = m_worker->worker});
 }
 
-void WorkerManager::stopAnswered(const RunId &id, OrderAnswer answer, Millis now)
+void WorkerManager::stopAnswered(const RunId &id, OrderAnswer answer, std::optional<Millis> workerClock,
+                                 Millis now)
 {
+    if (workerClock)
+        recordClock(*workerClock, now);
     const auto found = m_runs.find(id);
     if (found == m_runs.end())
         return;
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -8,7 +8,9 @@
 //   while that owner has answered a recent ping.
 // - An end is confirmed to the worker only after the owner has stored it; that of a best-effort job at once.
 // - A run is reported as lost only when the worker's lists, the lapse of its lease or a new incarnation of
-//   the worker shows that it does not exist. A full list of ends does not show that.
+//   the worker shows that it does not exist. Lists show that only if their clock is later than the newest one
+//   that was known when they were requested (a worker may answer a list poll a second time, and the second
+//   answer is read as that to a later list poll), and only if the list of ends is not full.
 // - No run is started whose end might not fit into the worker's list of ends.
 // - An order is never dropped without a word to the owner that sent it, if that owner is connected: the owner
 //   would wait for a run that does not exist. Orders that a claim drops are missing in the report on the
@@ -97,7 +99,7 @@
     bool announced(const WorkerAnnouncement &announcement, Millis now);
     void deregistered(std::string_view worker, Millis now);
     void startAnswered(const RunId &run, OrderAnswer answer, std::optional<Millis> workerClock, Millis now);
-    void stopAnswered(const RunId &run, OrderAnswer answer, Millis now);
+    void stopAnswered(const RunId &run, OrderAnswer answer, std::optional<Millis> workerClock, Millis now);
     void listPollAnswered(uint64_t poll, OrderAnswer answer, const WorkerLists &lists, Millis now);
 
     // --- entries ---
@@ -189,8 +191,8 @@
     {
         Millis sentAt;
         Millis wait;
-        // Newest time of the worker's clock that was known when the poll was sent. An answer that does not
-        // show a later time may have been written before the poll.
+        // Newest time of the worker's clock that was known when the poll was sent. An answer with an earlier
+        // time belongs to another poll; one with the same time may have been written before the poll.
         Millis clockBefore;
     };
 
@@ -240,6 +242,11 @@
     void mergeEnded(const WorkerLists &lists, Millis now);
     void reportUnlistedRunsLost(const WorkerLists &lists, uint64_t number, const ListPoll &poll, Millis now);
     void mergeLists(const WorkerLists &lists, uint64_t number, const ListPoll &poll, Millis now);
+    // Returns false if an earlier incarnation of the worker wrote the lists.
+    bool acceptIncarnation(const WorkerLists &lists, ListPoll &poll, Millis now);
+    void recordPollAnswer(uint64_t number, const WorkerLists &lists, Millis now);
+    void recordAnswerOfAnotherCall(uint64_t number, const WorkerLists &lists, const ListPoll &poll,
+                                   Millis now);
     void listPollFailed(OrderAnswer answer, Millis now);
     void sendListPoll(Millis wait, Millis now);
     void recordRecentEnd(const RunId &run);
--- a/tests/fuzz/fuzzplatform.cpp
+++ b/tests/fuzz/fuzzplatform.cpp
@@ -33,7 +33,7 @@
         (void)platform::decodeAnnouncement("w", body);
         break;
     case 2:
-        (void)platform::decodeLists(answer);
+        (void)platform::decodeLists(*answer.response);
         break;
     case 3:
         (void)platform::decodeKeyedRecords(body, 0);
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -269,6 +269,28 @@
             thread.join()
         self.assertEqual([status for status in answers if status in (429, 503)], [])
 
+    # Guards against two runs of a task at once: workers answer some calls a second time, and the second answer was read as
+    # that to the next call on the connection.
+    def test_repeated_worker_answers_are_no_answers_to_other_calls(self):
+        fleet = self.fleet(task_ms=lambda task: 40 + sum(task.encode()) * 37 % 400)
+        for worker in fleet.workers:
+            worker.fault = lambda path: "repeat"
+        accepted = []
+        for number in range(1, 201):
+            accepted += self.submit_all(fleet, 1, first=number)
+            time.sleep(0.02)
+        for worker in fleet.workers:
+            worker.fault = lambda path: ""
+        # Fewer jobs would show nothing.
+        self.assertGreater(len(accepted), 100)
+        for job in accepted:
+            fleet.wait_for_state(job, "completed")
+        starts = sum(row[1] == "start" for row in fleet.history)
+        noticed = sum(event["event"] == "answer_of_another_call" for event in fleet.events())
+        print(f"repeated answers: {len(accepted)} jobs, {starts} starts, {noticed} answers of other calls noticed, "
+              f"{len(fleet.overlapping_runs())} runs at once or after an end")
+        self.assert_sound(fleet)
+
     # Guards against starts in a zone that operators have evacuated.
     def test_evacuated_zone_gets_no_starts(self):
         fleet = self.fleet()
--- a/tests/unit/platformtest.cpp
+++ b/tests/unit/platformtest.cpp
@@ -128,14 +128,15 @@
 {
     const std::string good = R"({"clockMs":5,"born":9,"running":[["0123456789abcdef.0.1.17",2,"c",41]],)"
                              R"("ended":[[58,"0123456789abcdef.0.1.9",1,"done",""]]})";
-    const std::optional<WorkerLists> lists = decodeLists(answer(200, good));
+    const std::optional<WorkerLists> lists = decodeLists(*answer(200, good).response);
     BOOST_TEST_REQUIRE(lists.has_value());
     BOOST_TEST(lists->running[0].run.task.index == 17U);
     BOOST_TEST(lists->ended[0].number == 58U);
     std::string unknownWord = good;
     unknownWord.replace(unknownWord.find("done"), 4, "gone");
-    BOOST_TEST(!decodeLists(answer(200, unknownWord)).has_value());
-    BOOST_TEST(!decodeLists(answer(200, R"({"clockMs":5,"running":[[1]],"ended":[]})")).has_value());
+    BOOST_TEST(!decodeLists(*answer(200, unknownWord).response).has_value());
+    BOOST_TEST(
+        !decodeLists(*answer(200, R"({"clockMs":5,"running":[[1]],"ended":[]})").response).has_value());
 }
 
 // Guards against treating an append as rejected although it may have been carried out.
@@ -256,7 +257,7 @@
 {
     const std::string rows =
         R"({"clockMs":5,"running":[["0123456789abcdef.0.0.1",4294967297,""]],"ended":[]})";
-    BOOST_TEST(!decodeLists(answer(200, rows)).has_value());
+    BOOST_TEST(!decodeLists(*answer(200, rows).response).has_value());
 }
 
 // Guards against a configuration whose numbers are cut to 32 bits.
--- a/tests/unit/workermanagertest.cpp
+++ b/tests/unit/workermanagertest.cpp
@@ -85,13 +85,15 @@
                 .slack = {100}};
     }
 
-    // The worker answers the oldest list poll. If none is in flight, 20 ms pass first, after which one is
-    // sent.
+    // The worker answers the oldest list poll, 1 ms later than its newest answer. If no poll is in flight,
+    // 20 ms pass first, after which one is sent.
     void answerListPoll(WorkerLists lists)
     {
+        const uint64_t number = takeListPoll();
+        now += Millis{1};
         lists.workerClock = now - workerStart;
         lists.born = 10;
-        manager.listPollAnswered(takeListPoll(), OrderAnswer::Done, lists, now);
+        manager.listPollAnswered(number, OrderAnswer::Done, lists, now);
     }
 
     // All list polls in flight get the same answer, as when the worker lists a new end.
@@ -176,7 +178,7 @@
     manager.stop(1, 0, 5, order(1).run, now);
     BOOST_TEST(effects.stops.size() == 1U);
     manager.order(1, order(5), now);
-    manager.stopAnswered(order(1).run, OrderAnswer::Done, now);
+    manager.stopAnswered(order(1).run, OrderAnswer::Done, now - workerStart, now);
     BOOST_TEST(effects.starts.size() == 4U);
     answerListPoll({.ended = {{.number = 1, .run = order(1).run, .kind = EndKind::Stopped}}});
     BOOST_TEST(effects.starts.size() == 5U);
@@ -362,7 +364,7 @@
     startRun(1);
     while (effects.stops.empty())
         advanceTime({20}, false);
-    manager.stopAnswered(order(1).run, OrderAnswer::Done, now);
+    manager.stopAnswered(order(1).run, OrderAnswer::Done, now - workerStart, now);
     advanceTime({400}, false);
     answerListPolls({.running = {{.run = order(1).run}}});
     BOOST_TEST(effects.lastListPoll.deadline.count > 0);
@@ -535,7 +537,7 @@
     BOOST_TEST(effects.stops.size() == 1U);
     BOOST_TEST(effects.ended.empty());
     advanceTime({20});
-    manager.stopAnswered(order(1).run, OrderAnswer::Done, now);
+    manager.stopAnswered(order(1).run, OrderAnswer::Done, now - workerStart, now);
     answerListPoll({});
     BOOST_TEST(effects.ended.empty());
     advanceTime({100});
@@ -736,7 +738,7 @@
     manager.order(1, order(1), now);
     manager.startAnswered(order(1).run, OrderAnswer::NoAnswer, std::nullopt, now);
     advanceTime({20});
-    manager.stopAnswered(order(1).run, OrderAnswer::Done, now);
+    manager.stopAnswered(order(1).run, OrderAnswer::Done, now - workerStart, now);
     advanceTime({20});
     BOOST_TEST(effects.lastListPoll.wait.count == 0);
     effects.openListPolls.clear();
@@ -783,6 +785,88 @@
     BOOST_TEST((effects.ended[1].kind == EndKind::Lost));
 }
 
+// Guards against a second run of a task: the worker answered a list poll a second time, and the second answer
+// was read as that to the next poll. All runs that were started in between were reported as lost.
+BOOST_FIXTURE_TEST_CASE(repeatedListsLoseNoRun, WorkerManagerFixture)
+{
+    advanceTime({20});
+    now += Millis{1};
+    const WorkerLists repeated{.workerClock = now - workerStart, .born = 10};
+    manager.listPollAnswered(takeListPoll(), OrderAnswer::Done, repeated, now);
+    // The worker's clock counts milliseconds, so the start may be answered with the time of the lists.
+    startRun(1);
+    advanceTime({20});
+    effects.openListPolls.clear();
+    effects.openListPolls.push_back(effects.lastListPoll);
+    manager.listPollAnswered(takeListPoll(), OrderAnswer::Done, repeated, now);
+    BOOST_TEST(effects.ended.empty());
+    BOOST_TEST(manager.runCount() == 1U);
+    BOOST_TEST(manager.report().usable);
+    // The next lists decide.
+    advanceTime({20});
+    BOOST_TEST(effects.lastListPoll.wait.count == 0);
+    effects.openListPolls.clear();
+    effects.openListPolls.push_back(effects.lastListPoll);
+    answerListPoll({});
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    BOOST_TEST((effects.ended[0].kind == EndKind::Lost));
+}
+
+// Guards against an earlier list that is taken as evidence although a start has shown a later time since.
+BOOST_FIXTURE_TEST_CASE(listsWithAnEarlierClockCountAsNoAnswer, WorkerManagerFixture)
+{
+    advanceTime({20});
+    now += Millis{1};
+    const WorkerLists repeated{.workerClock = now - workerStart, .born = 10};
+    manager.listPollAnswered(takeListPoll(), OrderAnswer::Done, repeated, now);
+    now += Millis{5};
+    startRun(1);
+    advanceTime({20});
+    effects.openListPolls.clear();
+    effects.openListPolls.push_back(effects.lastListPoll);
+    manager.listPollAnswered(takeListPoll(), OrderAnswer::Done, repeated, now);
+    BOOST_TEST(effects.ended.empty());
+    BOOST_TEST(manager.report().usable);
+    // The poll that follows asks at once, and neither confirms ends nor renews the lease.
+    BOOST_TEST(effects.lastListPoll.wait.count == 0);
+    BOOST_TEST(effects.lastListPoll.deadline.count == 0);
+    BOOST_TEST(effects.lastListPoll.endsStored == 0U);
+}
+
+// Guards against ends that a worker that has restarted discards: lists that may be those of an earlier poll
+// do not show that the worker is still the same.
+BOOST_FIXTURE_TEST_CASE(listsOfTheSameMillisecondConfirmNoEnds, WorkerManagerFixture)
+{
+    startRun(1);
+    answerListPolls({.ended = {{.number = 1, .run = order(1).run}}});
+    manager.endStored(order(1).run);
+    advanceTime({20});
+    answerListPoll({});
+    advanceTime({40});
+    BOOST_TEST(effects.lastListPoll.endsStored == 1U);
+    const WorkerLists repeated{.workerClock = effects.lastListPoll.clockBefore, .born = 10};
+    manager.listPollAnswered(effects.lastListPoll.number, OrderAnswer::Done, repeated, now);
+    advanceTime({20});
+    BOOST_TEST(effects.lastListPoll.endsStored == 0U);
+    manager.listPollAnswered(effects.lastListPoll.number, OrderAnswer::Done,
+                             {.workerClock = now - workerStart, .born = 10}, now);
+    advanceTime({40});
+    BOOST_TEST(effects.lastListPoll.endsStored == 1U);
+}
+
+// Guards against runs of a worker that has restarted under the same name: its clock starts anew, and answers
+// to polls that were sent before the restart was known are not answers to other calls.
+BOOST_FIXTURE_TEST_CASE(listsOfANewIncarnationMayHaveAnEarlierClock, WorkerManagerFixture)
+{
+    startRun(1);
+    advanceTime({20});
+    manager.announced(announcement(11), now);
+    const RunId found{.task = {.job = 9}, .number = 3};
+    manager.listPollAnswered(takeListPoll(), OrderAnswer::Done,
+                             {.workerClock = {50}, .born = 11, .running = {{.run = found}}}, now);
+    BOOST_TEST(manager.runCount() == 2U);
+}
+
 // Guards against exceeding the worker's capacity after a restart of its agent, which does not know the sizes
 // of the runs that it finds.
 BOOST_AUTO_TEST_CASE(nothingStartsBesideRunsOfUnknownSize)
--- a/tools/lab/httpstandin.py
+++ b/tools/lab/httpstandin.py
@@ -4,6 +4,8 @@
 import socket
 import sys
 import threading
+from dataclasses import dataclass
+from http import HTTPStatus
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qsl, urlsplit
 
@@ -12,6 +14,14 @@
     """Raised by a handler to leave the caller without an answer."""
 
 
+@dataclass(frozen=True)
+class Repeated:
+    """An answer that is sent a second time on its connection, this long after the first."""
+
+    reply: object
+    after_s: float
+
+
 class Server(ThreadingHTTPServer):
     daemon_threads = True
 
@@ -34,6 +44,8 @@
 
             def setup(self):
                 super().setup()
+                # A repeated answer is sent by another thread.
+                self.sending = threading.Lock()
                 self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
             def log_message(self, *_):
@@ -48,11 +60,23 @@
                 except NoAnswer:
                     self.close_connection = True
                     return
-                data = reply if isinstance(reply, bytes) else json.dumps(reply).encode()
-                self.send_response(status)
-                self.send_header("Content-Length", str(len(data)))
-                self.end_headers()
-                self.wfile.write(data)
+                content = reply.reply if isinstance(reply, Repeated) else reply
+                data = content if isinstance(content, bytes) else json.dumps(content).encode()
+                head = f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Length: {len(data)}\r\n\r\n"
+                self.send(head.encode() + data)
+                if isinstance(reply, Repeated):
+                    threading.Timer(reply.after_s, self.send_again, (head.encode() + data,)).start()
+
+            def send(self, message):
+                with self.sending:
+                    self.wfile.write(message)
+
+            def send_again(self, message):
+                try:
+                    self.send(message)
+                except (OSError, ValueError):
+                    # The connection has been closed since.
+                    pass
 
             do_GET = do_POST = do_DELETE = answer
 
--- a/tools/lab/soak.py
+++ b/tools/lab/soak.py
@@ -11,7 +11,9 @@
 PROCESS_FAULTS = ("kill", "term", "pause")
 LINK_FAULTS = ("delay", "drop", "reset", "half_open")
 STORE_FAULTS = ("refuse", "silent", "lose", "late")
-WORKER_FAULTS = ("lose", "late")
+WORKER_FAULTS = ("lose", "late", "repeat")
+# Lower seeds draw only from the first two worker faults, so that recorded seeds keep their plans.
+FIRST_SEED_WITH_REPEATS = 10_000
 LATEST_RECOVERY_S = 12
 LATEST_COMPLETION_S = 30
 CANCEL_BOUND_S = 3
@@ -36,6 +38,7 @@
     names = [f"entry-{n}" for n in range(entries)] + [f"agent-{n}" for n in range(agents)]
     links = [f"{part}/{name}" for name in names for part in ("store", "peer")]
     links += [f"worker/agent-{n}" for n in range(agents)]
+    worker_faults = WORKER_FAULTS if seed >= FIRST_SEED_WITH_REPEATS else WORKER_FAULTS[:2]
     plan, at = [], 0.5
     while at < seconds:
         group, weight = draw.random(), draw.uniform(0.2, 2.5)
@@ -46,7 +49,7 @@
         elif group < 0.8:
             plan.append(PlannedFault(at, "store_" + draw.choice(STORE_FAULTS), draw.choice(["all", *names]), weight))
         elif group < 0.9:
-            plan.append(PlannedFault(at, "worker_" + draw.choice(WORKER_FAULTS), f"i-{draw.randrange(agents)}", weight))
+            plan.append(PlannedFault(at, "worker_" + draw.choice(worker_faults), f"i-{draw.randrange(agents)}", weight))
         else:
             plan.append(PlannedFault(at, draw.choice(("deal_anew", "configure", "kill_all")), "all", weight))
         at += draw.uniform(0.05, 0.9)
--- a/tools/lab/workerstandin.py
+++ b/tools/lab/workerstandin.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from lab.httpstandin import HttpStandin, NoAnswer
+from lab.httpstandin import HttpStandin, NoAnswer, Repeated
 
 # A worker returns the ends with the lowest numbers that were not confirmed, at most this many at a time.
 MOST_LISTED_ENDS = 500
@@ -18,6 +18,7 @@
     LEASE_S = 1.0
     # Part of the calls that a fault applies to.
     FAULT_SHARE = 0.2
+    LATEST_REPEAT_S = 0.03
 
     def __init__(self, name, port, control_port, history, cpu=4000, task_ms=lambda task: 50):
         self.name = name
@@ -25,7 +26,8 @@
         self.task_ms = task_ms
         self.state = "ready"
         self.history = history
-        # Decides for each call between "", "lose" (done, without an answer) and "late" (done seconds later).
+        # Decides for each call between "", "lose" (done, without an answer), "late" (done seconds later) and "repeat"
+        # (answered a second time, up to 30 ms later).
         self.fault = lambda path: ""
         self.born = int(time.time() * 1000)
         self._control_port = control_port
@@ -107,6 +109,9 @@
         answer = self._perform(path, headers, raw)
         if fault == "lose":
             self._hang()
+        if fault == "repeat":
+            status, body = answer
+            return status, Repeated(body, random.uniform(0, self.LATEST_REPEAT_S))
         return answer
 
     def _hang(self):
