--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -110,7 +110,9 @@
     std::vector<JobId> rejected;
     for (const auto &[key, id] : m_late) {
         const Job &job = m_jobs.at(id);
-        if (job.spec.best_effort && !job.anyOrdered && !job.recorded)
+        // A refusal says that the job does not run, which is not known yet.
+        const bool mayHaveRuns = job.mayHaveFormerRuns && !m_partitions.at(job.partition).reconciled;
+        if (job.spec.best_effort && !job.anyOrdered && !job.recorded && !mayHaveRuns)
             rejected.push_back(id);
     }
     for (const JobId id : rejected) {
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -289,6 +289,7 @@
         m_reportChanged = true;
     }
     m_listPollFailures = 0;
+    m_answersOfOtherCalls = 0;
     recordClock(lists.workerClock, now);
     if (m_restartSuspectedUntilPoll && number >= *m_restartSuspectedUntilPoll)
         m_restartSuspectedUntilPoll.reset();
@@ -308,6 +309,15 @@
                  {"worker_clock", lists.workerClock},
                  {"clock_before_poll", poll.clockBefore},
                  {"listed", lists.running.size()}});
+    // Until a later poll is answered, the worker may have restarted.
+    m_restartSuspectedUntilPoll = m_lastListPoll + 1;
+    m_needsListsNow = true;
+    // The connection of such an answer is closed, so there is at most one on each. More in a row show that
+    // the newest known clock is wrong, for example that of a former incarnation.
+    if (++m_answersOfOtherCalls > m_options.parallelListPolls + 1) {
+        m_answersOfOtherCalls = 0;
+        m_newestClock = lists.workerClock;
+    }
 }
 
 void WorkerManager::listPollFailed(OrderAnswer answer, Millis now)
@@ -342,7 +352,6 @@
         return;
     if (lists.workerClock < poll.clockBefore) {
         recordAnswerOfAnotherCall(number, lists, poll, now);
-        listPollFailed(OrderAnswer::NoAnswer, now);
         sendListPolls(now);
         return;
     }
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -12,7 +12,7 @@
 //   that was known when they were requested (a worker may answer a list poll a second time, and the second
 //   answer is read as that to a later list poll), and only if the list of ends is not full.
 // - No run is started whose end might not fit into the worker's list of ends.
-// - An order is never dropped without a word to the owner that sent it, if that owner is connected: the owner
+// - An order is never dropped without notifying the owner that sent it, if that owner is connected: it
 //   would wait for a run that does not exist. Orders that a claim drops are missing in the report on the
 //   claim.
 #pragma once
@@ -288,6 +288,8 @@
     Millis m_clockSampledAt;
     // Newest time of the worker's clock in any answer of the present incarnation.
     Millis m_newestClock;
+    // Lists in a row whose clock was earlier than one that was known when the poll was sent.
+    uint32_t m_answersOfOtherCalls = 0;
     // The worker's clock has gone back, as it does when the worker restarts: until a list poll from this
     // number on is answered, the incarnation is in doubt.
     std::optional<uint64_t> m_restartSuspectedUntilPoll;
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -413,6 +413,23 @@
     BOOST_TEST(effects.starts[0].agent == 1U);
 }
 
+// Guards against a refusal that is not true: a late job that an agent may be running for a former owner was
+// refused as not run.
+BOOST_FIXTURE_TEST_CASE(lateJobIsNotRefusedBeforeItsFormerRunsAreKnown, JobSchedulerFixture)
+{
+    scheduler.loaded(0, now);
+    scheduler.setExpectedAgents(0, {1, 2}, true);
+    scheduler.claimReport(1, 0, 1, {}, {}, now);
+    submit(job(1, 1, true));
+    now += Millis{500};
+    scheduler.advance(now);
+    scheduler.advance(now);
+    BOOST_TEST(replies.empty());
+    scheduler.claimReport(2, 0, 1, {}, {}, now);
+    scheduler.advance(now);
+    BOOST_TEST(replies.size() + effects.starts.size() == 1U);
+}
+
 // Guards against orphaned runs that continue although their job is not submitted again.
 BOOST_FIXTURE_TEST_CASE(runOfAnUnknownJobIsStoppedWhenNobodySubmitsItAgain, JobSchedulerFixture)
 {
