--- a/tools/lab/daysite.py
+++ b/tools/lab/daysite.py
@@ -12,7 +12,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 # Troubles that a site file does not list: workers that answer twice, connections that go silent for good,
 # workers that start again under their id, and owners that change twice while runs are unknown.
-OWN_TROUBLES = ({"kind": "stutter"}, {"kind": "mute_conns"}, {"kind": "worker_restart"}, {"kind": "takeover_series"})
+OWN_TROUBLES = ({"kind": "repeat_answers"}, {"kind": "mute_conns"}, {"kind": "worker_restart"}, {"kind": "takeover_series"})
 
 
 @dataclass
--- a/tools/lab/daytroubles.py
+++ b/tools/lab/daytroubles.py
@@ -250,9 +250,9 @@
     def _srv_slow(self, trouble, choice):
         self._worker_fault(trouble, choice, "slow", trouble["x"])
 
-    def _stutter(self, trouble, choice):
+    def _repeat_answers(self, trouble, choice):
         value = (choice.choice((0.02, 0.1, 0.3)), choice.choice((0.002, 0.05, 0.3)))
-        self._worker_fault({"share": 0.4, **trouble}, choice, "stutter", value)
+        self._worker_fault({"share": 0.4, **trouble}, choice, "repeat_answers", value)
 
     def _srv_crash(self, trouble, choice):
         names = self._names(trouble, choice, "agent")
--- a/tools/lab/dayworkers.py
+++ b/tools/lab/dayworkers.py
@@ -22,7 +22,7 @@
 class Worker:
     """One worker with its lives. `faults` holds the active troubles: kind to parameters.
 
-    slow: factor; hang; fail; refuse: share of calls; unanswered: share of orders; stutter: share and most seconds.
+    slow: factor; hang; fail; refuse: share of calls; unanswered: share of orders; repeat_answers: share and most seconds.
     """
 
     def __init__(self, machine, service, ports, beat_s, lease_s, stop_s, record, seed):
@@ -196,8 +196,8 @@
         return head[0].split()[1], headers, json.loads(body or b"{}")
 
     def _repeat_answer(self, writer, data):
-        """A back end that stutters sends its answer a second time on the same connection, at once or late."""
-        share, longest_s = self.faults.get("stutter", (0, 0))
+        """Sends an answer a second time on the same connection, at once or late."""
+        share, longest_s = self.faults.get("repeat_answers", (0, 0))
         if self.choice.random() < share:
             delay = self.choice.choice((0, self.choice.uniform(0, longest_s)))
             self.record(what="answer_repeated", worker=self.name, after_ms=round(delay * 1000, 1))
