--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -32,7 +32,6 @@
     , m_timers(io)
     , m_pool(settings.placement)
     , m_scheduler({.partitions = settings.partitions,
-                   .resubmitDelay = settings.resubmitDelay,
                    .admissionSlackPercent = settings.admissionSlackPercent,
                    .order = settings.queueOrder,
                    .urgentSlackPercent = settings.urgentSlackPercent},
@@ -167,7 +166,7 @@
                  if (contact == m_contacts.end())
                      return;
                  contact->second.connected = false;
-                 m_timers.after(contact->second.backoff.next(), [this, dialledName] { dial(dialledName); });
+                 dialAfterFailure(dialledName);
              },
          .makePong =
              [this] {
@@ -209,6 +208,9 @@
     m_pool.remove(*number);
     m_agentLinks[*number] = link;
     m_presence.connected(*number, Clock::now());
+    if (const auto contact = m_contacts.find(hello.node);
+        contact != m_contacts.end() && !m_presence.isRegistered(*number))
+        m_members.restore(contact->second.member);
     for (const fleet::OwnedPartitionT &owned : m_scheduler.owned()) {
         if (!owned.ready || !isReached(hello.node, owned.partition))
             continue;
@@ -289,9 +291,14 @@
     const std::optional<AgentNumber> number = m_presence.find(name);
     if (number && linkOf(*number) == link)
         receivedFromAgent(*number, envelope);
+    else
+        m_log.write(Clock::now(), "message_rejected",
+                    {{"from", name},
+                     {"message", fleet::EnumNameBody(envelope.body.type)},
+                     {"cause", "older connection"}});
 }
 
-static AgentEnd toAgentEnd(const fleet::RunEndT &end)
+AgentEnd EntryNode::toAgentEnd(const fleet::RunEndT &end)
 {
     return {.run = fromWire(end.run), .kind = end.kind, .checkpoint = end.checkpoint};
 }
@@ -326,23 +333,7 @@
     } else if (const fleet::RunRejectedT *rejected = envelope.body.AsRunRejected()) {
         m_scheduler.runRejected(agent, fromWire(rejected->run), rejected->reason, now);
     } else if (const fleet::ClaimReportT *claim = envelope.body.AsClaimReport()) {
-        if (!claim->accepted) {
-            m_log.always(now, "claim_superseded", {{"partition", claim->partition}, {"epoch", claim->epoch}});
-            m_owner.superseded(claim->partition, claim->epoch);
-            return;
-        }
-        if (!m_scheduler.isNewestClaim(agent, claim->partition, claim->claim)) {
-            m_log.write(now, "claim_report_outdated",
-                        {{"agent", agent}, {"partition", claim->partition}, {"claim", claim->claim}});
-            return;
-        }
-        std::vector<RunId> running;
-        for (const fleet::RunRef &run : claim->running)
-            running.push_back(fromWire(run));
-        std::vector<AgentEnd> ended;
-        for (const auto &item : claim->ended)
-            ended.push_back(toAgentEnd(*item));
-        m_scheduler.claimReport(agent, claim->partition, claim->epoch, running, ended, now);
+        receivedClaimReport(agent, *claim, now);
     }
     if (resourcesChanged)
         advanceSoon();
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -27,8 +27,6 @@
     std::unique_ptr<JobSpec> spec;
     // The caller receives an answer within this time.
     Millis wait;
-    // True if an earlier attempt of the call may have reached an owner.
-    bool repeated = false;
 };
 
 // Identifies one attempt of a forwarded call; sent as a single number.
@@ -133,6 +131,7 @@
     void agentConnected(const NodeLinkPtr &link, const fleet::HelloT &hello);
     void received(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
     void receivedFromAgent(AgentNumber agent, fleet::EnvelopeT &envelope);
+    static AgentEnd toAgentEnd(const fleet::RunEndT &end);
     void receivedFromEntry(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
     void claim(AgentNumber agent, uint32_t partition, uint64_t epoch);
     fleet::EntryReportT makeReport() const;
@@ -155,6 +154,9 @@
     // --- entrymembers.cpp: other processes of the system ---
     void memberFound(const Member &member);
     void memberRemoved(const std::string &name);
+    void forgetMember(const std::string &name);
+    // Dials the process again after a backoff, or forgets an agent whose registration has been removed.
+    void dialAfterFailure(const std::string &name);
     void dial(const std::string &name);
     // Dials all processes that this entry is not connected to, without waiting for the end of a backoff.
     void dialAll();
@@ -191,6 +193,7 @@
     void updatePlacement(uint32_t partition);
     // Claims the partition at the connected agents in its reach that have not reported.
     void claimAtAgents(uint32_t partition);
+    void receivedClaimReport(AgentNumber agent, const fleet::ClaimReportT &report, Millis now);
     // Dials the agents that an owned partition needs, and closes connections that none has needed for a
     // while.
     void refreshAgentLinks(Millis now);
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -23,6 +23,9 @@
     m_lapsedAfterEnd = 0;
     m_lapseForced = false;
     m_newestLists = {};
+    m_newestClock = {};
+    for (auto &[number, poll] : m_listPolls)
+        poll.clockBefore = {};
     m_listsKnown = false;
     m_leaseEnd = now;
     m_reportChanged = true;
@@ -157,17 +160,31 @@
     }
 }
 
-void WorkerManager::reportUnlistedRunsLost(const WorkerLists &lists, uint64_t poll, Millis now)
+void WorkerManager::reportUnlistedRunsLost(const WorkerLists &lists, uint64_t number, const ListPoll &poll,
+                                           Millis now)
 {
     std::set<RunId> running;
     for (const ListedRun &listed : lists.running)
         running.insert(listed.run);
     std::vector<RunId> lost;
     for (const auto &[id, run] : m_runs) {
-        if (run.listedFromPoll && *run.listedFromPoll <= poll && !running.contains(id))
+        if (run.listedFromPoll && *run.listedFromPoll <= number && !running.contains(id))
             lost.push_back(id);
     }
-    reportRunsLost(lost, "not listed", now);
+    // The ends of these runs may be behind those in the list.
+    const bool isEndListFull = lists.ended.size() >= mostListedEnds;
+    if (!lost.empty()) {
+        m_log.write(now, "runs_not_listed",
+                    {{"poll", number},
+                     {"runs", lost.size()},
+                     {"listed", lists.running.size()},
+                     {"end_list_full", isEndListFull},
+                     {"polled_ms_ago", now - poll.sentAt},
+                     {"worker_clock", lists.workerClock},
+                     {"clock_before_poll", poll.clockBefore}});
+    }
+    if (!isEndListFull)
+        reportRunsLost(lost, "not listed", now);
 }
 
 bool WorkerManager::mayConfirm(uint64_t number, const End &end) const
@@ -236,7 +253,7 @@
         m_recentEnds.pop_front();
 }
 
-void WorkerManager::mergeLists(const WorkerLists &lists, uint64_t poll, Millis now)
+void WorkerManager::mergeLists(const WorkerLists &lists, uint64_t number, const ListPoll &poll, Millis now)
 {
     mergeEnded(lists, now);
     // Lists that were overtaken by newer ones do not show the current runs.
@@ -244,7 +261,63 @@
         return;
     m_newestLists = lists.workerClock;
     mergeRunning(lists, now);
-    reportUnlistedRunsLost(lists, poll, now);
+    if (lists.workerClock > poll.clockBefore)
+        reportUnlistedRunsLost(lists, number, poll, now);
+}
+
+bool WorkerManager::acceptIncarnation(const WorkerLists &lists, ListPoll &poll, Millis now)
+{
+    if (m_listsIncarnation == 0 || lists.born == 0 || lists.born == m_listsIncarnation)
+        return true;
+    m_nextListPollAt = now + pauseAfterFailure;
+    if (lists.born < m_listsIncarnation)
+        return false;
+    // A new incarnation answers before its announcement has arrived. Its lists are merged, because a poll
+    // that was sent to the former incarnation may have made it discard the ends that they contain.
+    resetForNewIncarnation(now);
+    poll.clockBefore = {};
+    m_minIncarnation = lists.born;
+    m_listsIncarnation = lists.born;
+    m_worker.reset();
+    return true;
+}
+
+void WorkerManager::recordPollAnswer(uint64_t number, const WorkerLists &lists, Millis now)
+{
+    if (m_listPollFailures >= failuresUntilUnusable) {
+        m_log.always(now, "worker_call_works", {{"failures", m_listPollFailures}});
+        m_reportChanged = true;
+    }
+    m_listPollFailures = 0;
+    m_answersOfOtherCalls = 0;
+    recordClock(lists.workerClock, now);
+    if (m_restartSuspectedUntilPoll && number >= *m_restartSuspectedUntilPoll)
+        m_restartSuspectedUntilPoll.reset();
+    m_listsIncarnation = std::max(m_listsIncarnation, lists.born);
+    if (!m_listsKnown) {
+        m_listsKnown = true;
+        m_reportChanged = true;
+    }
+}
+
+void WorkerManager::recordAnswerOfAnotherCall(uint64_t number, const WorkerLists &lists, const ListPoll &poll,
+                                              Millis now)
+{
+    m_log.write(now, "answer_of_another_call",
+                {{"poll", number},
+                 {"polled_ms_ago", now - poll.sentAt},
+                 {"worker_clock", lists.workerClock},
+                 {"clock_before_poll", poll.clockBefore},
+                 {"listed", lists.running.size()}});
+    // Until a later poll is answered, the worker may have restarted.
+    m_restartSuspectedUntilPoll = m_lastListPoll + 1;
+    m_needsListsNow = true;
+    // The connection of such an answer is closed, so there is at most one on each. More in a row show that
+    // the newest known clock is wrong, for example that of a former incarnation.
+    if (++m_answersOfOtherCalls > m_options.parallelListPolls + 1) {
+        m_answersOfOtherCalls = 0;
+        m_newestClock = lists.workerClock;
+    }
 }
 
 void WorkerManager::listPollFailed(OrderAnswer answer, Millis now)
@@ -268,39 +341,29 @@
     const auto found = m_listPolls.find(number);
     if (found == m_listPolls.end())
         return;
-    const ListPoll poll = found->second;
+    ListPoll poll = found->second;
     m_listPolls.erase(found);
     if (answer != OrderAnswer::Done) {
         listPollFailed(answer, now);
         sendListPolls(now);
         return;
     }
-    if (m_listsIncarnation != 0 && lists.born != 0 && lists.born != m_listsIncarnation) {
-        m_nextListPollAt = now + pauseAfterFailure;
-        if (lists.born < m_listsIncarnation)
-            return;
-        // A new incarnation answers before its announcement has arrived. Its lists are merged, because a poll
-        // that was sent to the former incarnation may have made it discard the ends that they contain.
-        resetForNewIncarnation(now);
-        m_minIncarnation = lists.born;
-        m_listsIncarnation = lists.born;
-        m_worker.reset();
-    }
-    if (m_listPollFailures >= failuresUntilUnusable) {
-        m_log.always(now, "worker_call_works", {{"failures", m_listPollFailures}});
-        m_reportChanged = true;
-    }
-    m_listPollFailures = 0;
-    recordClock(lists.workerClock, now);
-    if (m_restartSuspectedUntilPoll && number >= *m_restartSuspectedUntilPoll)
-        m_restartSuspectedUntilPoll.reset();
-    m_listsIncarnation = std::max(m_listsIncarnation, lists.born);
-    if (!m_listsKnown) {
-        m_listsKnown = true;
-        m_reportChanged = true;
+    if (!acceptIncarnation(lists, poll, now))
+        return;
+    if (lists.workerClock < poll.clockBefore) {
+        recordAnswerOfAnotherCall(number, lists, poll, now);
+        sendListPolls(now);
+        return;
     }
+    const bool isProven = lists.workerClock > poll.clockBefore;
+    if (isProven)
+        recordPollAnswer(number, lists, now);
+    else
+        // The worker's clock counts milliseconds, so these lists may be those of an earlier poll. Until a
+        // later poll is answered, the worker may have restarted.
+        m_restartSuspectedUntilPoll = m_lastListPoll + 1;
     m_hasNewEnds = false;
-    mergeLists(lists, number, now);
+    mergeLists(lists, number, poll, now);
     const uint64_t through = endsStoredThrough();
     std::erase_if(m_ends, [&](const auto &item) { return item.first <= through && item.second.stored; });
     const bool answeredEarly = now - poll.sentAt < poll.wait / 2;
@@ -309,12 +372,14 @@
     reportClaims(now);
     startQueued(now);
     sendListPolls(now);
+    // Requested with the next event, when the worker's clock has advanced.
+    m_needsListsNow = m_needsListsNow || !isProven;
 }
 
 void WorkerManager::sendListPoll(Millis wait, Millis now)
 {
     const uint64_t number = ++m_lastListPoll;
-    m_listPolls[number] = {.sentAt = now, .wait = wait};
+    m_listPolls[number] = {.sentAt = now, .wait = wait, .clockBefore = m_newestClock};
     // Before the first answer the worker's clock is unknown; a deadline of zero renews nothing.
     const bool clockKnown = m_clockSampledAt.count != 0;
     // After an unanswered poll the worker may have restarted and number its ends from 1 again, so the next
@@ -332,6 +397,7 @@
                             .fence = m_fence,
                             .endsStored = mayConfirmEnds() ? endsStoredThrough() : 0,
                             .wait = wait,
+                            .clockBefore = m_newestClock,
                             .worker = m_worker ? std::string_view(m_worker->worker) : std::string_view()});
 }
 
--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -80,9 +80,19 @@
         return RejectReason::Draining;
     if (m_evacuated.contains(m_worker->zone))
         return RejectReason::Evacuated;
+    if (pendingEnds() >= mostListedEnds)
+        return RejectReason::NoRoom;
     return std::nullopt;
 }
 
+size_t WorkerManager::pendingEnds() const
+{
+    const auto retained = std::distance(m_ends.upper_bound(endsStoredThrough()), m_ends.end());
+    const auto active = std::count_if(m_runs.begin(), m_runs.end(),
+                                      [](const auto &item) { return item.second.phase != RunPhase::Queued; });
+    return static_cast<size_t>(retained + active);
+}
+
 bool WorkerManager::isUsable() const
 {
     return !rejectReason();
@@ -137,6 +147,7 @@
     if (m_clockSampledAt.count != 0 && workerClock + clockRegressionLimit < m_clockSample)
         m_restartSuspectedUntilPoll = m_lastListPoll + 1;
     m_clockSample = workerClock;
+    m_newestClock = std::max(m_newestClock, workerClock);
     m_clockSampledAt = now;
 }
 
@@ -200,13 +211,15 @@
     std::sort(queue.begin(), queue.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
     Resources free = m_worker->capacity;
     free -= usedResources();
+    size_t endsToList = pendingEnds();
     for (const auto &[key, run] : queue) {
-        if (!free.holds(run->order.size))
+        if (!free.holds(run->order.size) || endsToList >= mostListedEnds)
             return;
         const Owner &owner = m_owners[run->order.partition];
         if (now - owner.lastContact > m_options.ownerFreshness)
             continue;
         free -= run->order.size;
+        ++endsToList;
         sendStart(*run, now);
     }
 }
@@ -214,6 +227,7 @@
 void WorkerManager::sendStart(Run &run, Millis now)
 {
     run.phase = RunPhase::Starting;
+    run.clockBeforeStart = m_newestClock;
     m_reportChanged = true;
     const Millis deadline = workerNow(now) + m_options.startValidity;
     extendLease(deadline, now);
@@ -241,6 +255,8 @@
                  {"task", taskIdText(id.task)},
                  {"run", id.number},
                  {"answer", orderAnswerName(answer)},
+                 {"worker_clock", workerClock.value_or(Millis{0})},
+                 {"clock_before_call", run.clockBeforeStart},
                  {"waited_ms", now - run.orderedAt}});
     if (answer == OrderAnswer::Done) {
         run.listedFromPoll = m_lastListPoll + 1;
@@ -275,20 +291,40 @@
 void WorkerManager::stop(EntryNumber entry, uint32_t partition, uint64_t epoch, const RunId &id, Millis now)
 {
     const Owner &owner = m_owners[partition];
-    const auto found = m_runs.find(id);
-    if (owner.epoch != epoch || owner.entry != entry || found == m_runs.end())
+    if (owner.epoch != epoch || owner.entry != entry)
         return;
+    const auto found = m_runs.find(id);
+    const bool isKnown = found != m_runs.end();
     m_log.write(now, "run_stop_ordered",
-                {{"job", jobIdText(id.task.job)}, {"task", taskIdText(id.task)}, {"run", id.number}});
+                {{"job", jobIdText(id.task.job)},
+                 {"task", taskIdText(id.task)},
+                 {"run", id.number},
+                 {"known", isKnown}});
+    if (!isKnown) {
+        reportUnknownRun(owner, id);
+        return;
+    }
     if (found->second.phase == RunPhase::Queued) {
         m_runs.erase(found);
         m_reportChanged = true;
+        m_effects.sendEnded(entry, id, EndKind::Stopped, {});
         return;
     }
     if (found->second.phase != RunPhase::Stopping)
         sendStop(found->second, now);
 }
 
+// The order of a run and its stop arrive in this sequence, so a run that is not known here does not exist.
+void WorkerManager::reportUnknownRun(const Owner &owner, const RunId &id)
+{
+    const auto isEndOfRun = [&](const auto &item) { return item.second.run == id; };
+    const bool hasEnded = std::any_of(m_ends.begin(), m_ends.end(), isEndOfRun);
+    // An end has been sent, or follows with the answer to the owner's claim.
+    if (!m_listsKnown || owner.reportDue || hasEnded)
+        return;
+    m_effects.sendEnded(*owner.entry, id, EndKind::Lost, {});
+}
+
 void WorkerManager::sendStop(Run &run, Millis now)
 {
     run.phase = RunPhase::Stopping;
@@ -297,8 +333,11 @@
         m_effects.callStop({.run = run.order.run, .fence = m_fence, .worker = m_worker->worker});
 }
 
-void WorkerManager::stopAnswered(const RunId &id, OrderAnswer answer, Millis now)
+void WorkerManager::stopAnswered(const RunId &id, OrderAnswer answer, std::optional<Millis> workerClock,
+                                 Millis now)
 {
+    if (workerClock)
+        recordClock(*workerClock, now);
     const auto found = m_runs.find(id);
     if (found == m_runs.end())
         return;
@@ -346,19 +385,24 @@
 }
 
 // Load pattern: long tasks occupy one worker while others have free resources. An order that has been queued
-// for too long is returned to its owner, which knows the free resources of all workers.
+// for too long is returned to its owner, which knows the free resources of all workers. So is one of an owner
+// that is unresponsive but connected.
 void WorkerManager::returnOverdueOrders(Millis now)
 {
     for (auto item = m_runs.begin(); item != m_runs.end();) {
+        const RunId id = item->first;
         const Run &run = item->second;
-        if (run.phase != RunPhase::Queued || now - run.orderedAt < m_options.maxQueueTime) {
+        const Owner &owner = ownerOf(id);
+        const bool isOverdue = now - run.orderedAt >= m_options.maxQueueTime;
+        const bool isOwnerSilent = now - owner.lastContact > m_options.ownerTimeout;
+        if (run.phase != RunPhase::Queued || (!isOverdue && !isOwnerSilent)) {
             ++item;
             continue;
         }
-        const RunId id = item->first;
-        const Owner &owner = ownerOf(id);
-        if (owner.entry)
-            m_effects.sendRejected(*owner.entry, id, RejectReason::NoRoom);
+        if (owner.entry) {
+            m_effects.sendRejected(*owner.entry, id,
+                                   isOwnerSilent ? RejectReason::Disconnected : RejectReason::NoRoom);
+        }
         item = m_runs.erase(item);
         m_reportChanged = true;
     }
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -8,7 +8,13 @@
 //   while that owner has answered a recent ping.
 // - An end is confirmed to the worker only after the owner has stored it; that of a best-effort job at once.
 // - A run is reported as lost only when the worker's lists, the lapse of its lease or a new incarnation of
-//   the worker shows that it does not exist.
+//   the worker shows that it does not exist. Lists show that only if their clock is later than the newest one
+//   that was known when they were requested (a worker may answer a list poll a second time, and the second
+//   answer is read as that to a later list poll), and only if the list of ends is not full.
+// - No run is started whose end might not fit into the worker's list of ends.
+// - An order is never dropped without notifying the owner that sent it, if that owner is connected: it
+//   would wait for a run that does not exist. Orders that a claim drops are missing in the report on the
+//   claim.
 #pragma once
 
 #include "observe/structuredlog.h"
@@ -93,7 +99,7 @@
     bool announced(const WorkerAnnouncement &announcement, Millis now);
     void deregistered(std::string_view worker, Millis now);
     void startAnswered(const RunId &run, OrderAnswer answer, std::optional<Millis> workerClock, Millis now);
-    void stopAnswered(const RunId &run, OrderAnswer answer, Millis now);
+    void stopAnswered(const RunId &run, OrderAnswer answer, std::optional<Millis> workerClock, Millis now);
     void listPollAnswered(uint64_t poll, OrderAnswer answer, const WorkerLists &lists, Millis now);
 
     // --- entries ---
@@ -141,6 +147,8 @@
         std::optional<uint64_t> listedFromPoll;
         Millis latestStart;
         Millis orderedAt;
+        // Newest time of the worker's clock that was known when the start was sent.
+        Millis clockBeforeStart;
         // When the stop has to be sent again.
         Millis nextStop;
         uint32_t unansweredStops = 0;
@@ -179,6 +187,15 @@
         bool isDisputed = false;
     };
 
+    struct ListPoll
+    {
+        Millis sentAt;
+        Millis wait;
+        // Newest time of the worker's clock that was known when the poll was sent. An answer with an earlier
+        // time belongs to another poll; one with the same time may have been written before the poll.
+        Millis clockBefore;
+    };
+
     // --- workermanager.cpp ---
     bool isUsable() const;
     std::optional<RejectReason> rejectReason() const;
@@ -187,6 +204,8 @@
     // Resources available to further orders, including the queue allowance; requires a known worker.
     Resources freeResources() const;
     bool allSizesKnown() const;
+    // Ends that the worker may not discard yet, and those that its active runs will add.
+    size_t pendingEnds() const;
     Millis workerNow(Millis now) const;
     void recordClock(Millis workerClock, Millis now);
     // Ends may be confirmed by number only while no sign suggests that the worker has started to number them
@@ -196,6 +215,8 @@
     void startQueued(Millis now);
     void sendStart(Run &run, Millis now);
     void sendStop(Run &run, Millis now);
+    // Answers a stop of a run that is not known here.
+    void reportUnknownRun(const Owner &owner, const RunId &id);
     void rejectQueued(RejectReason reason, Millis now);
     void returnOverdueOrders(Millis now);
 
@@ -204,7 +225,7 @@
     void rejectClaim(EntryNumber entry, uint32_t partition, uint64_t epoch);
     void dropQueued(uint32_t partition);
     void reportClaims(Millis now);
-    // Stops the runs of unresponsive owners and drops their queued orders.
+    // Stops the runs of unresponsive owners.
     void checkOwners(Millis now);
     std::map<uint32_t, EntryNumber> connectedOwners() const;
 
@@ -219,8 +240,13 @@
     void reportRunLost(const RunId &id, std::string_view cause, Millis now);
     void mergeRunning(const WorkerLists &lists, Millis now);
     void mergeEnded(const WorkerLists &lists, Millis now);
-    void reportUnlistedRunsLost(const WorkerLists &lists, uint64_t poll, Millis now);
-    void mergeLists(const WorkerLists &lists, uint64_t poll, Millis now);
+    void reportUnlistedRunsLost(const WorkerLists &lists, uint64_t number, const ListPoll &poll, Millis now);
+    void mergeLists(const WorkerLists &lists, uint64_t number, const ListPoll &poll, Millis now);
+    // Returns false if an earlier incarnation of the worker wrote the lists.
+    bool acceptIncarnation(const WorkerLists &lists, ListPoll &poll, Millis now);
+    void recordPollAnswer(uint64_t number, const WorkerLists &lists, Millis now);
+    void recordAnswerOfAnotherCall(uint64_t number, const WorkerLists &lists, const ListPoll &poll,
+                                   Millis now);
     void listPollFailed(OrderAnswer answer, Millis now);
     void sendListPoll(Millis wait, Millis now);
     void recordRecentEnd(const RunId &run);
@@ -260,16 +286,15 @@
     // Newest known time of the worker's clock, and when it was received.
     Millis m_clockSample;
     Millis m_clockSampledAt;
+    // Newest time of the worker's clock in any answer of the present incarnation.
+    Millis m_newestClock;
+    // Lists in a row whose clock was earlier than one that was known when the poll was sent.
+    uint32_t m_answersOfOtherCalls = 0;
     // The worker's clock has gone back, as it does when the worker restarts: until a list poll from this
     // number on is answered, the incarnation is in doubt.
     std::optional<uint64_t> m_restartSuspectedUntilPoll;
     // On the clock of this process: after this time no run exists on the worker unless the lease is renewed.
     Millis m_leaseEnd;
-    struct ListPoll
-    {
-        Millis sentAt;
-        Millis wait;
-    };
     // List polls in flight, by number. Their answers may arrive out of order.
     std::map<uint64_t, ListPoll> m_listPolls;
     uint64_t m_lastListPoll = 0;
--- a/src/worker/workerowners.cpp
+++ b/src/worker/workerowners.cpp
@@ -143,6 +143,8 @@
 
 void WorkerManager::endStored(const RunId &run)
 {
+    // The worker can be used again once its list of ends has room.
+    m_reportChanged = m_reportChanged || pendingEnds() >= mostListedEnds;
     for (auto &[number, end] : m_ends) {
         if (end.run == run)
             end.stored = true;
@@ -200,10 +202,6 @@
                      {"silent_ms", now - owner.lastContact}});
         sendStop(run, now);
     }
-    std::erase_if(m_runs, [&](const auto &item) {
-        return item.second.phase == RunPhase::Queued
-            && now - ownerOf(item.first).lastContact > m_options.ownerTimeout;
-    });
 }
 
 } // namespace turmericwell
--- a/src/worker/workerstate.h
+++ b/src/worker/workerstate.h
@@ -41,6 +41,9 @@
     std::string checkpoint;
 };
 
+// A worker lists at most this many ends: those with the lowest numbers of the ones that it may not discard.
+constexpr size_t mostListedEnds = 500;
+
 struct WorkerLists
 {
     Millis workerClock;
@@ -122,6 +125,8 @@
     uint64_t endsStored = 0;
     // The worker delays its answer by up to this time until a run ends.
     Millis wait;
+    // Newest time of the worker's clock that was known before the call.
+    Millis clockBefore;
     std::string_view worker;
 };
 
--- a/tests/unit/workermanagertest.cpp
+++ b/tests/unit/workermanagertest.cpp
@@ -85,13 +85,15 @@
                 .slack = {100}};
     }
 
-    // The worker answers the oldest list poll. If none is in flight, 20 ms pass first, after which one is
-    // sent.
+    // The worker answers the oldest list poll, 1 ms later than its newest answer. If no poll is in flight,
+    // 20 ms pass first, after which one is sent.
     void answerListPoll(WorkerLists lists)
     {
+        const uint64_t number = takeListPoll();
+        now += Millis{1};
         lists.workerClock = now - workerStart;
         lists.born = 10;
-        manager.listPollAnswered(takeListPoll(), OrderAnswer::Done, lists, now);
+        manager.listPollAnswered(number, OrderAnswer::Done, lists, now);
     }
 
     // All list polls in flight get the same answer, as when the worker lists a new end.
@@ -136,6 +138,16 @@
         manager.startAnswered(order(job).run, OrderAnswer::Done, now - workerStart, now);
     }
 
+    // Ends of jobs that this agent did not start, numbered from 1.
+    static std::vector<ListedEnd> foreignEnds(size_t count)
+    {
+        constexpr JobId firstJob = 10'000;
+        std::vector<ListedEnd> ends;
+        for (uint64_t number = 1; number <= count; ++number)
+            ends.push_back({.number = number, .run = order(firstJob + number).run});
+        return ends;
+    }
+
     const Millis workerStart = {90'000};
     Millis now = {100'000};
     StructuredLog log;
@@ -166,7 +178,7 @@
     manager.stop(1, 0, 5, order(1).run, now);
     BOOST_TEST(effects.stops.size() == 1U);
     manager.order(1, order(5), now);
-    manager.stopAnswered(order(1).run, OrderAnswer::Done, now);
+    manager.stopAnswered(order(1).run, OrderAnswer::Done, now - workerStart, now);
     BOOST_TEST(effects.starts.size() == 4U);
     answerListPoll({.ended = {{.number = 1, .run = order(1).run, .kind = EndKind::Stopped}}});
     BOOST_TEST(effects.starts.size() == 5U);
@@ -250,13 +262,76 @@
     BOOST_TEST((effects.reasons[0] == RejectReason::NoRoom));
 }
 
+// Guards against a task that waits for a run that does not exist: a queued order was removed by a stop
+// without a word to its owner.
+BOOST_FIXTURE_TEST_CASE(stopOfAQueuedOrderEndsTheRun, WorkerManagerFixture)
+{
+    for (JobId job = 1; job <= 5; ++job)
+        manager.order(1, order(job), now);
+    BOOST_TEST_REQUIRE(effects.starts.size() == 4U);
+    manager.stop(1, 0, 5, order(5).run, now);
+    BOOST_TEST(effects.stops.empty());
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    BOOST_TEST((effects.ended[0].run == order(5).run));
+    BOOST_TEST((effects.ended[0].kind == EndKind::Stopped));
+}
+
+// Guards against a task that waits for a run that does not exist: the agent ignored stops of runs that it
+// does not know.
+BOOST_FIXTURE_TEST_CASE(stopOfAnUnknownRunReportsItLost, WorkerManagerFixture)
+{
+    manager.stop(1, 0, 5, order(7).run, now);
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    BOOST_TEST((effects.ended[0].run == order(7).run));
+    BOOST_TEST((effects.ended[0].kind == EndKind::Lost));
+    // An owner with an older epoch, or another entry, learns nothing.
+    manager.stop(1, 0, 4, order(7).run, now);
+    manager.stop(2, 0, 5, order(7).run, now);
+    BOOST_TEST(effects.ended.size() == 1U);
+}
+
+// Guards against a run that is reported as lost although it has ended otherwise: its end crossed the stop.
+BOOST_FIXTURE_TEST_CASE(stopAfterTheEndDoesNotLoseTheRun, WorkerManagerFixture)
+{
+    startRun(1);
+    answerListPolls({.ended = {{.number = 1, .run = order(1).run}}});
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    manager.stop(1, 0, 5, order(1).run, now);
+    BOOST_TEST(effects.ended.size() == 1U);
+}
+
+// Guards against a run that is reported as lost by an agent that does not know the worker's runs yet.
+BOOST_FIXTURE_TEST_CASE(stopBeforeTheListsAreKnownDoesNotLoseTheRun, WorkerManagerFixture)
+{
+    WorkerManager restarted{{.partitions = 1}, 1, now, effects, log};
+    restarted.announced(announcement(), now);
+    restarted.entryConnected(7, now);
+    restarted.claim(7, 0, 5, now);
+    restarted.stop(7, 0, 5, order(1).run, now);
+    BOOST_TEST(effects.ended.empty());
+}
+
+// Guards against a task that waits for a run that does not exist: the order of an owner that is unresponsive,
+// but connected, was dropped without a word.
+BOOST_FIXTURE_TEST_CASE(orderOfAnUnresponsiveOwnerIsReturned, WorkerManagerFixture)
+{
+    for (JobId job = 1; job <= 4; ++job)
+        manager.order(1, order(job), now);
+    advanceTime({1'200}, false);
+    manager.order(1, order(5), now);
+    advanceTime({20}, false);
+    BOOST_TEST_REQUIRE(effects.rejected.size() == 1U);
+    BOOST_TEST((effects.rejected[0].run == order(5).run));
+    BOOST_TEST((effects.reasons[0] == RejectReason::Disconnected));
+}
+
 // Guards against two runs of a task: the owner starts another run elsewhere after the time within which an
 // agent without contact has to stop its runs.
 BOOST_FIXTURE_TEST_CASE(runsAreStoppedWhenTheirOwnerIsUnresponsive, WorkerManagerFixture)
 {
     startRun(1);
     const Millis lastContact = now;
-    while (now < lastContact + Millis{1'200}) {
+    while (now + Millis{20} <= lastContact + Millis{1'200}) {
         advanceTime({20}, false);
         answerListPoll({.running = {{.run = order(1).run}}});
     }
@@ -289,7 +364,7 @@
     startRun(1);
     while (effects.stops.empty())
         advanceTime({20}, false);
-    manager.stopAnswered(order(1).run, OrderAnswer::Done, now);
+    manager.stopAnswered(order(1).run, OrderAnswer::Done, now - workerStart, now);
     advanceTime({400}, false);
     answerListPolls({.running = {{.run = order(1).run}}});
     BOOST_TEST(effects.lastListPoll.deadline.count > 0);
@@ -462,7 +537,7 @@
     BOOST_TEST(effects.stops.size() == 1U);
     BOOST_TEST(effects.ended.empty());
     advanceTime({20});
-    manager.stopAnswered(order(1).run, OrderAnswer::Done, now);
+    manager.stopAnswered(order(1).run, OrderAnswer::Done, now - workerStart, now);
     answerListPoll({});
     BOOST_TEST(effects.ended.empty());
     advanceTime({100});
@@ -663,7 +738,7 @@
     manager.order(1, order(1), now);
     manager.startAnswered(order(1).run, OrderAnswer::NoAnswer, std::nullopt, now);
     advanceTime({20});
-    manager.stopAnswered(order(1).run, OrderAnswer::Done, now);
+    manager.stopAnswered(order(1).run, OrderAnswer::Done, now - workerStart, now);
     advanceTime({20});
     BOOST_TEST(effects.lastListPoll.wait.count == 0);
     effects.openListPolls.clear();
@@ -710,6 +785,113 @@
     BOOST_TEST((effects.ended[1].kind == EndKind::Lost));
 }
 
+// Guards against a second run of a task: the worker answered a list poll a second time, and the second answer
+// was read as that to the next poll. All runs that were started in between were reported as lost.
+BOOST_FIXTURE_TEST_CASE(repeatedListsLoseNoRun, WorkerManagerFixture)
+{
+    advanceTime({20});
+    now += Millis{1};
+    const WorkerLists repeated{.workerClock = now - workerStart, .born = 10};
+    manager.listPollAnswered(takeListPoll(), OrderAnswer::Done, repeated, now);
+    // The worker's clock counts milliseconds, so the start may be answered with the time of the lists.
+    startRun(1);
+    advanceTime({20});
+    effects.openListPolls.clear();
+    effects.openListPolls.push_back(effects.lastListPoll);
+    manager.listPollAnswered(takeListPoll(), OrderAnswer::Done, repeated, now);
+    BOOST_TEST(effects.ended.empty());
+    BOOST_TEST(manager.runCount() == 1U);
+    BOOST_TEST(manager.report().usable);
+    // The next lists decide.
+    advanceTime({20});
+    BOOST_TEST(effects.lastListPoll.wait.count == 0);
+    effects.openListPolls.clear();
+    effects.openListPolls.push_back(effects.lastListPoll);
+    answerListPoll({});
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    BOOST_TEST((effects.ended[0].kind == EndKind::Lost));
+}
+
+// Guards against an earlier list that is taken as evidence although a start has shown a later time since.
+BOOST_FIXTURE_TEST_CASE(listsWithAnEarlierClockCountAsNoAnswer, WorkerManagerFixture)
+{
+    advanceTime({20});
+    now += Millis{1};
+    const WorkerLists repeated{.workerClock = now - workerStart, .born = 10};
+    manager.listPollAnswered(takeListPoll(), OrderAnswer::Done, repeated, now);
+    now += Millis{5};
+    startRun(1);
+    advanceTime({20});
+    effects.openListPolls.clear();
+    effects.openListPolls.push_back(effects.lastListPoll);
+    manager.listPollAnswered(takeListPoll(), OrderAnswer::Done, repeated, now);
+    BOOST_TEST(effects.ended.empty());
+    BOOST_TEST(manager.runCount() == 1U);
+    BOOST_TEST(manager.report().usable);
+    // The poll that follows asks at once, and confirms no ends.
+    BOOST_TEST(effects.lastListPoll.wait.count == 0);
+    BOOST_TEST(effects.lastListPoll.endsStored == 0U);
+    // The worker has answered, so it stays in use.
+    manager.listPollAnswered(effects.lastListPoll.number, OrderAnswer::Done, repeated, now);
+    BOOST_TEST(effects.ended.empty());
+    BOOST_TEST(manager.report().usable);
+}
+
+// Guards against a worker that is never used again: an answer of its former incarnation that was read late
+// had a clock far ahead, and all lists of the present one counted as answers to other calls.
+BOOST_FIXTURE_TEST_CASE(clockOfAFormerIncarnationDoesNotOutdateAllLists, WorkerManagerFixture)
+{
+    startRun(1);
+    manager.startAnswered(order(1).run, OrderAnswer::Done, Millis{50'000'000}, now);
+    advanceTime({20});
+    for (int polls = 0; polls < 8; ++polls) {
+        effects.openListPolls.clear();
+        effects.openListPolls.push_back(effects.lastListPoll);
+        answerListPoll({.running = {{.run = order(1).run}}});
+        advanceTime({20});
+    }
+    effects.openListPolls.clear();
+    effects.openListPolls.push_back(effects.lastListPoll);
+    answerListPoll({.ended = {{.number = 1, .run = order(1).run}}});
+    BOOST_TEST_REQUIRE(effects.ended.size() == 1U);
+    BOOST_TEST((effects.ended[0].kind == EndKind::Done));
+    BOOST_TEST(manager.report().usable);
+}
+
+// Guards against ends that a worker that has restarted discards: lists that may be those of an earlier poll
+// do not show that the worker is still the same.
+BOOST_FIXTURE_TEST_CASE(listsOfTheSameMillisecondConfirmNoEnds, WorkerManagerFixture)
+{
+    startRun(1);
+    answerListPolls({.ended = {{.number = 1, .run = order(1).run}}});
+    manager.endStored(order(1).run);
+    advanceTime({20});
+    answerListPoll({});
+    advanceTime({40});
+    BOOST_TEST(effects.lastListPoll.endsStored == 1U);
+    const WorkerLists repeated{.workerClock = effects.lastListPoll.clockBefore, .born = 10};
+    manager.listPollAnswered(effects.lastListPoll.number, OrderAnswer::Done, repeated, now);
+    advanceTime({20});
+    BOOST_TEST(effects.lastListPoll.endsStored == 0U);
+    manager.listPollAnswered(effects.lastListPoll.number, OrderAnswer::Done,
+                             {.workerClock = now - workerStart, .born = 10}, now);
+    advanceTime({40});
+    BOOST_TEST(effects.lastListPoll.endsStored == 1U);
+}
+
+// Guards against runs of a worker that has restarted under the same name: its clock starts anew, and answers
+// to polls that were sent before the restart was known are not answers to other calls.
+BOOST_FIXTURE_TEST_CASE(listsOfANewIncarnationMayHaveAnEarlierClock, WorkerManagerFixture)
+{
+    startRun(1);
+    advanceTime({20});
+    manager.announced(announcement(11), now);
+    const RunId found{.task = {.job = 9}, .number = 3};
+    manager.listPollAnswered(takeListPoll(), OrderAnswer::Done,
+                             {.workerClock = {50}, .born = 11, .running = {{.run = found}}}, now);
+    BOOST_TEST(manager.runCount() == 2U);
+}
+
 // Guards against exceeding the worker's capacity after a restart of its agent, which does not know the sizes
 // of the runs that it finds.
 BOOST_AUTO_TEST_CASE(nothingStartsBesideRunsOfUnknownSize)
@@ -726,6 +908,48 @@
     BOOST_TEST(fixture.effects.starts.size() == 1U);
 }
 
+// Guards against a run that counts as lost, and is run again, because its end does not fit into a list that
+// is full of ends that no owner has stored.
+BOOST_FIXTURE_TEST_CASE(runIsNotLostWhileTheListOfEndsIsFull, WorkerManagerFixture)
+{
+    startRun(1);
+    advanceTime({20});
+    answerListPolls({.running = {{.run = order(1).run}}});
+    advanceTime({20});
+    const std::vector<ListedEnd> full = foreignEnds(mostListedEnds);
+    answerListPolls({.ended = full});
+    BOOST_TEST(manager.runCount() == 1U);
+    BOOST_TEST(effects.ended.size() == mostListedEnds);
+    for (const ListedEnd &end : full)
+        manager.endStored(end.run);
+    advanceTime({40});
+    answerListPolls({.ended = {{.number = mostListedEnds + 1, .run = order(1).run, .kind = EndKind::Done}}});
+    BOOST_TEST(manager.runCount() == 0U);
+    BOOST_TEST_REQUIRE(effects.ended.size() == mostListedEnds + 1);
+    BOOST_TEST((effects.ended.back().run == order(1).run));
+    BOOST_TEST((effects.ended.back().kind == EndKind::Done));
+}
+
+// Guards against runs whose ends a worker cannot list because no owner stores the ends before them.
+BOOST_FIXTURE_TEST_CASE(nothingStartsBeyondTheEndsThatAWorkerLists, WorkerManagerFixture)
+{
+    advanceTime({20});
+    const std::vector<ListedEnd> ends = foreignEnds(mostListedEnds - 2);
+    answerListPolls({.ended = ends});
+    for (JobId job = 1; job <= 3; ++job)
+        manager.order(1, order(job), now);
+    BOOST_TEST(effects.starts.size() == 2U);
+    BOOST_TEST(!manager.report().usable);
+    advanceTime({60});
+    BOOST_TEST_REQUIRE(effects.reasons.size() == 1U);
+    BOOST_TEST((effects.reasons[0] == RejectReason::NoRoom));
+    for (const ListedEnd &end : ends)
+        manager.endStored(end.run);
+    BOOST_TEST(manager.report().usable);
+    manager.order(1, order(4), now);
+    BOOST_TEST(effects.starts.size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
