--- a/src/emulator/unservedjobs.cpp
+++ b/src/emulator/unservedjobs.cpp
@@ -191,7 +191,7 @@
     std::map<JobId, std::set<TaskId>> m_done;
     std::set<JobId> m_failed;
     std::vector<Interval> m_busy;
-    // Troubles and busy times.
+    // Times of troubles and busy times, by their begin.
     std::vector<Interval> m_disturbed;
 };
 
--- a/src/emulator/unservedjobs.h
+++ b/src/emulator/unservedjobs.h
@@ -12,8 +12,7 @@
     Refused,
     // A task failed as often as is allowed.
     Failed,
-    // For standstillBound or longer nothing of the job ran although the workers were up to half in use, and
-    // no
+    // For standstillBound or longer nothing of the job ran although the workers were up to half in use and no
     // trouble was active.
     StandingStill,
     // Nothing of the job ran for most of its wait, and the workers were more than half in use.
