Judge each answer of a worker by its clock on its connection

Change: orders and list polls keep their connections again. A second answer repeats one that was received before on the same connection, so its clock is not later than the last one there; HttpClient marks such a response as outdated and closes the connection, also after a response without a clock, so no later answer can be shifted. An outdated answer leaves an order unanswered: it is stopped and settled by the lists, as for any lost answer. The connection that has been idle the longest is used next, since two answers within a millisecond on one connection can't be told from a repeated one.

Tests: lateSecondAnswerIsNoAnswerToTheNextRequest, connectionIsNotReusedAfterAnAnswerWithoutANumber, outdatedAnswerLeavesTheOrderUnanswered.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -77,6 +77,8 @@
     bool sent = false;
     // The request was not sent because the caller's maySend returned false.
     bool withheld = false;
+    // The response may be a second one to an earlier request; the outcome of this one is unknown.
+    bool isOutdated = false;
 };
 
 struct HttpClientOptions
@@ -85,19 +87,9 @@
     // A response with a larger body fails the request.
     uint64_t maxBodyBytes = 16U << 20U;
     Millis connectTimeout = {1'000};
-    // Without reuse each request has a connection of its own, so that no answer to another request can be
-    // received on it.
-    bool reusesConnections = true;
-};
-
-// Decides right before and after a request; either may be empty.
-struct HttpRequestChecks
-{
-    // Called once a connection is established; the request is sent only if it returns true.
-    std::function<bool()> maySend;
-    // Returns true if the response itself shows that it was written after the request was sent. The
-    // connection is not used again after any other response.
-    std::function<bool(const HttpResponse &)> isOwnResponse;
+    // Returns a number that rises with each response of the peer, or nullopt for a response without one. If
+    // set, HttpResult::isOutdated marks the responses that may belong to an earlier request.
+    std::function<std::optional<uint64_t>(const HttpResponse &)> responseNumber;
 };
 
 // Sends requests to one address over persistent connections. While maxConnections are in use, further
@@ -107,7 +99,10 @@
 // twice shifts that order, and a late second response looks like the response to the next request. What can
 // be noticed leaves the request without a response and closes the connection: data on an idle connection, and
 // data after the response to a request that is not the first of its connection. A caller whose decisions must
-// not rest on the response to another request either uses no connection twice or checks the content.
+// not rest on the response to another request sets HttpClientOptions::responseNumber. A second response
+// repeats one that was received before on the same connection, so its number is not higher than the last one
+// there. The connection is closed after it, and after a response without a number, so that no later response
+// is shifted.
 class HttpClient
 {
 public:
@@ -117,7 +112,8 @@
     // Thread-safe. The callback runs once, on a thread of the io context. The timeout applies from the start
     // of sending to the complete response, not to queueing or connecting.
     void request(HttpRequest request, Millis timeout, std::function<void(HttpResult)> onDone);
-    void request(HttpRequest request, Millis timeout, HttpRequestChecks checks,
+    // Calls maySend once a connection is established, and sends the request only if it returns true.
+    void request(HttpRequest request, Millis timeout, std::function<bool()> maySend,
                  std::function<void(HttpResult)> onDone);
 
 private:
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -21,7 +21,8 @@
 {
     HttpRequest request;
     Millis timeout;
-    HttpRequestChecks checks;
+    // Optional check right before sending; may be empty.
+    std::function<bool()> maySend;
     std::function<void(HttpResult)> onDone;
 };
 
@@ -33,7 +34,7 @@
     return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-http::request<http::string_body> toMessage(HttpRequest &&request, const std::string &host, bool keepAlive)
+http::request<http::string_body> toMessage(HttpRequest &&request, const std::string &host)
 {
     http::request<http::string_body> message;
     message.version(11);
@@ -42,7 +43,6 @@
     message.set(http::field::host, host);
     for (const auto &[name, value] : request.headers)
         message.set(name, value);
-    message.keep_alive(keepAlive);
     message.body() = std::move(request.body);
     message.prepare_payload();
     return message;
@@ -70,7 +70,9 @@
     // Guards the members below; never locked while a callback runs.
     std::mutex mutex;
     std::deque<Call> waiting;
-    std::vector<ConnectionPtr> idle;
+    // The one that has been idle the longest is used next: two responses on one connection within the
+    // resolution of their numbers could not be told from a repeated one.
+    std::deque<ConnectionPtr> idle;
     size_t open = 0;
 };
 
@@ -96,14 +98,14 @@
     void begin(Call call)
     {
         m_call = std::move(call);
-        m_message =
-            toMessage(std::move(m_call.request), m_owner->address.text(), m_owner->options.reusesConnections);
+        m_message = toMessage(std::move(m_call.request), m_owner->address.text());
         if (m_connected && !isStale(m_stream.socket())) {
             write();
             return;
         }
         m_connected = false;
         m_responses = 0;
+        m_lastNumber.reset();
         m_buffer.clear();
         beast::error_code ignored;
         m_stream.socket().close(ignored);
@@ -123,7 +125,7 @@
 
     void write()
     {
-        if (m_call.checks.maySend && !m_call.checks.maySend()) {
+        if (m_call.maySend && !m_call.maySend()) {
             finish({.error = "withheld", .sent = false, .withheld = true});
             return;
         }
@@ -159,7 +161,7 @@
             return;
         }
         ++m_responses;
-        m_connected = m_owner->options.reusesConnections && !hasSurplus && m_parser->get().keep_alive();
+        m_connected = !hasSurplus && m_parser->get().keep_alive();
         auto message = m_parser->release();
         HttpResponse response;
         response.status = static_cast<int>(message.result_int());
@@ -170,9 +172,18 @@
             response.headers[name] = std::string_view(field.value());
         }
         response.body = std::move(message.body());
-        if (m_call.checks.isOwnResponse && !m_call.checks.isOwnResponse(response))
-            m_connected = false;
-        finish({.response = std::move(response), .sent = true});
+        const bool isOutdated = m_owner->options.responseNumber && !recordNumber(response);
+        finish({.response = std::move(response), .sent = true, .isOutdated = isOutdated});
+    }
+
+    // Returns false if the response may be a second one to an earlier request.
+    bool recordNumber(const HttpResponse &response)
+    {
+        const std::optional<uint64_t> number = m_owner->options.responseNumber(response);
+        const bool isNew = !number || !m_lastNumber || *number > *m_lastNumber;
+        m_connected = m_connected && number && isNew;
+        m_lastNumber = number;
+        return isNew;
     }
 
     void finish(HttpResult result)
@@ -200,6 +211,8 @@
     Call m_call;
     // Responses received on the present connection.
     uint64_t m_responses = 0;
+    // Number of the last response on the present connection, if the client's responses have numbers.
+    std::optional<uint64_t> m_lastNumber;
     bool m_connected = false;
 };
 
@@ -209,8 +222,8 @@
     {
         const std::lock_guard lock(mutex);
         if (!idle.empty()) {
-            connection = std::move(idle.back());
-            idle.pop_back();
+            connection = std::move(idle.front());
+            idle.pop_front();
         } else if (open < options.maxConnections) {
             ++open;
             connection = std::make_shared<Connection>(shared_from_this());
@@ -248,15 +261,15 @@
 
 void HttpClient::request(HttpRequest request, Millis timeout, std::function<void(HttpResult)> onDone)
 {
-    this->request(std::move(request), timeout, HttpRequestChecks{}, std::move(onDone));
+    this->request(std::move(request), timeout, nullptr, std::move(onDone));
 }
 
-void HttpClient::request(HttpRequest request, Millis timeout, HttpRequestChecks checks,
+void HttpClient::request(HttpRequest request, Millis timeout, std::function<bool()> maySend,
                          std::function<void(HttpResult)> onDone)
 {
     m_state->submit({.request = std::move(request),
                      .timeout = timeout,
-                     .checks = std::move(checks),
+                     .maySend = std::move(maySend),
                      .onDone = std::move(onDone)});
 }
 
--- a/src/target/targetclient.cpp
+++ b/src/target/targetclient.cpp
@@ -37,7 +37,7 @@
                     .path = "/v1/tasks",
                     .headers = {{"Content-Type", "application/json"}, {"Task-Id", start.task.text()}},
                     .body = std::move(body)},
-                   timeout, {.maySend = std::move(mayStillStart)},
+                   timeout, std::move(mayStillStart),
                    [task = start.task, onDone = std::move(onDone)](HttpResult result) {
                        onDone(toTaskResult(task, std::move(result)));
                    });
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -397,7 +397,6 @@
                             .fence = m_fence,
                             .endsStored = mayConfirmEnds() ? endsStoredThrough() : 0,
                             .wait = wait,
-                            .clockBefore = m_newestClock,
                             .worker = m_worker ? std::string_view(m_worker->worker) : std::string_view()});
 }
 
--- a/src/worker/workerstate.h
+++ b/src/worker/workerstate.h
@@ -125,8 +125,6 @@
     uint64_t endsStored = 0;
     // The worker delays its answer by up to this time until a run ends.
     Millis wait;
-    // Newest time of the worker's clock that was known before the call.
-    Millis clockBefore;
     std::string_view worker;
 };
 
--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -92,12 +92,18 @@
     std::thread m_thread;
 };
 
+std::optional<uint64_t> numberOf(const HttpResponse &response)
+{
+    return std::stoull(response.body);
+}
+
 // Returns the body of the response, or an empty text if the request counts as unanswered.
-std::string request(IoContext &io, HttpClient &client, HttpRequestChecks checks = {})
+std::string request(IoContext &io, HttpClient &client)
 {
     std::string body;
-    client.request({.method = "GET", .path = "/"}, Millis{1'000}, std::move(checks),
-                   [&](const HttpResult &result) { body = result.response ? result.response->body : ""; });
+    client.request({.method = "GET", .path = "/"}, Millis{1'000}, [&](const HttpResult &result) {
+        body = result.response && !result.isOutdated ? result.response->body : "";
+    });
     io.restart();
     io.run();
     return body;
@@ -118,31 +124,29 @@
     BOOST_TEST(request(io, client) == "3");
 }
 
-// Guards against a late second answer that is read as the answer to the next request.
-BOOST_AUTO_TEST_CASE(lateSecondAnswerIsNeverReadWithoutReuse)
+// Guards against a late second answer that is read as the answer to the next request, and against a
+// connection on which all answers after it are shifted by one.
+BOOST_AUTO_TEST_CASE(lateSecondAnswerIsNoAnswerToTheNextRequest)
 {
     RepeatingServer server(SecondAnswer::AfterTheNextRequest);
     IoContext io;
-    HttpClient client(io, server.address(), {.maxConnections = 1, .reusesConnections = false});
+    HttpClient client(io, server.address(), {.maxConnections = 1, .responseNumber = numberOf});
     BOOST_TEST(request(io, client) == "1");
-    BOOST_TEST(request(io, client) == "2");
+    BOOST_TEST(request(io, client).empty());
     BOOST_TEST(request(io, client) == "3");
-    BOOST_TEST(server.connections() == 3U);
+    BOOST_TEST(server.connections() == 2U);
 }
 
-// Guards against a connection on which all answers are shifted by one after a late second answer.
-BOOST_AUTO_TEST_CASE(connectionWithAnAnswerToAnotherRequestIsClosed)
+// Guards against a second answer without a number that is read as the answer to the next request.
+BOOST_AUTO_TEST_CASE(connectionIsNotReusedAfterAnAnswerWithoutANumber)
 {
     RepeatingServer server(SecondAnswer::AfterTheNextRequest);
     IoContext io;
-    HttpClient client(io, server.address(), {.maxConnections = 1});
-    std::string newest = "0";
-    const HttpRequestChecks checks{.isOwnResponse = [&](const HttpResponse &response) {
-        return response.body > std::exchange(newest, std::max(newest, response.body));
-    }};
-    BOOST_TEST(request(io, client, checks) == "1");
-    BOOST_TEST(request(io, client, checks) == "1");
-    BOOST_TEST(request(io, client, checks) == "3");
+    HttpClient client(io, server.address(), {.maxConnections = 1, .responseNumber = [](const HttpResponse &) {
+                                                 return std::nullopt;
+                                             }});
+    BOOST_TEST(request(io, client) == "1");
+    BOOST_TEST(request(io, client) == "2");
     BOOST_TEST(server.connections() == 2U);
 }
 
@@ -151,10 +155,9 @@
 {
     RepeatingServer server(SecondAnswer::None);
     IoContext io;
-    HttpClient client(io, server.address(), {.maxConnections = 1});
-    const HttpRequestChecks checks{.isOwnResponse = [](const HttpResponse &) { return true; }};
-    BOOST_TEST(request(io, client, checks) == "1");
-    BOOST_TEST(request(io, client, checks) == "2");
+    HttpClient client(io, server.address(), {.maxConnections = 1, .responseNumber = numberOf});
+    BOOST_TEST(request(io, client) == "1");
+    BOOST_TEST(request(io, client) == "2");
     BOOST_TEST(request(io, client) == "3");
     BOOST_TEST(server.connections() == 1U);
 }
--- a/tests/unit/platformtest.cpp
+++ b/tests/unit/platformtest.cpp
@@ -139,6 +139,18 @@
         !decodeLists(*answer(200, R"({"clockMs":5,"running":[[1]],"ended":[]})").response).has_value());
 }
 
+// Guards against a rejection, sent a second time for an earlier order, that is taken for the one of this order.
+BOOST_AUTO_TEST_CASE(outdatedAnswerLeavesTheOrderUnanswered)
+{
+    HttpResult result = answer(409, R"({"clockMs":5,"reason":"room"})");
+    BOOST_TEST((decodeOrderAnswer(result) == OrderAnswer::NoRoom));
+    result.isOutdated = true;
+    BOOST_TEST((decodeOrderAnswer(result) == OrderAnswer::NoAnswer));
+    BOOST_TEST(!decodeWorkerClock(result).has_value());
+    BOOST_TEST(decodeClockNumber(*result.response).value_or(0) == 5U);
+    BOOST_TEST(!decodeClockNumber({.status = 503}).has_value());
+}
+
 // Guards against treating an append as rejected although it may have been carried out.
 BOOST_AUTO_TEST_CASE(storeAnswersKeepTheirMeaning)
 {
--- a/tests/unit/workermanagertest.cpp
+++ b/tests/unit/workermanagertest.cpp
@@ -867,9 +867,10 @@
     manager.endStored(order(1).run);
     advanceTime({20});
     answerListPoll({});
+    const Millis newestClock = now - workerStart;
     advanceTime({40});
     BOOST_TEST(effects.lastListPoll.endsStored == 1U);
-    const WorkerLists repeated{.workerClock = effects.lastListPoll.clockBefore, .born = 10};
+    const WorkerLists repeated{.workerClock = newestClock, .born = 10};
     manager.listPollAnswered(effects.lastListPoll.number, OrderAnswer::Done, repeated, now);
     advanceTime({20});
     BOOST_TEST(effects.lastListPoll.endsStored == 0U);
