--- a/tests/unit/platformtest.cpp
+++ b/tests/unit/platformtest.cpp
@@ -139,7 +139,8 @@
         !decodeLists(*answer(200, R"({"clockMs":5,"running":[[1]],"ended":[]})").response).has_value());
 }
 
-// Guards against a rejection, sent a second time for an earlier order, that is taken for the one of this order.
+// Guards against a rejection, sent a second time for an earlier order, that is taken for the one of this
+// order.
 BOOST_AUTO_TEST_CASE(outdatedAnswerLeavesTheOrderUnanswered)
 {
     HttpResult result = answer(409, R"({"clockMs":5,"reason":"room"})");
