--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -58,7 +58,7 @@
     State(IoContext &context, Address peer, HttpClientOptions clientOptions)
         : io(context)
         , address(std::move(peer))
-        , options(clientOptions)
+        , options(std::move(clientOptions))
     { }
 
     void submit(Call call);
@@ -254,7 +254,7 @@
 }
 
 HttpClient::HttpClient(IoContext &io, Address address, HttpClientOptions options)
-    : m_state(std::make_shared<State>(io, std::move(address), options))
+    : m_state(std::make_shared<State>(io, std::move(address), std::move(options)))
 { }
 
 HttpClient::~HttpClient() = default;
