--- a/tests/unit/workermanagertest.cpp
+++ b/tests/unit/workermanagertest.cpp
@@ -263,7 +263,7 @@
 }
 
 // Guards against a task that waits for a run that does not exist: a queued order was removed by a stop
-// without a word to its owner.
+// without notifying its owner.
 BOOST_FIXTURE_TEST_CASE(stopOfAQueuedOrderEndsTheRun, WorkerManagerFixture)
 {
     for (JobId job = 1; job <= 5; ++job)
@@ -312,7 +312,7 @@
 }
 
 // Guards against a task that waits for a run that does not exist: the order of an owner that is unresponsive,
-// but connected, was dropped without a word.
+// but connected, was dropped without notice.
 BOOST_FIXTURE_TEST_CASE(orderOfAnUnresponsiveOwnerIsReturned, WorkerManagerFixture)
 {
     for (JobId job = 1; job <= 4; ++job)
