--- a/tools/lab/day.py
+++ b/tools/lab/day.py
@@ -149,10 +149,17 @@
         agents = sorted((m for m in self.site.machines if m.role == "agent"), key=lambda m: m.spare)
         for number in range(WORKER_PROCESSES):
             machines = agents[number::WORKER_PROCESSES]
-            options = {m.name: {"service": self.site.service, "ports": self._worker_ports[m.name], "beat_s": self.site.beat_s,
+            options = {m.name: {"service": self.site.service, "ports": self._worker_ports[m.name],
+                                "others": self._controls_after(m), "beat_s": self.site.beat_s,
                                 "lease_s": 1.0, "stop_s": 0.05, "seed": self.seed} for m in machines}
             self._start_child("workers", run_workers, machines, options, self.folder / f"workers-{number}.jsonl")
 
+    def _controls_after(self, machine):
+        """Control addresses of the other agents, in the order of the machines from the next one on."""
+        agents = [m for m in self.site.machines if m.role == "agent"]
+        place = agents.index(machine)
+        return [(m.ip, self._worker_ports[m.name]["control"]) for m in agents[place + 1:] + agents[:place]]
+
     def run(self):
         try:
             self._start_proxy()
--- a/tools/lab/daysite.py
+++ b/tools/lab/daysite.py
@@ -13,6 +13,9 @@
 # Troubles that a site file does not list: workers that answer twice, connections that go silent for good,
 # workers that start again under their id, and owners that change twice while runs are unknown.
 OWN_TROUBLES = ({"kind": "repeat_answers"}, {"kind": "mute_conns"}, {"kind": "worker_restart"}, {"kind": "takeover_series"})
+# Drawn apart from the others, so that these keep their times: workers that announce themselves to another
+# agent while their own is down.
+LATER_TROUBLES = ({"kind": "announce_elsewhere"},)
 
 
 @dataclass
@@ -142,9 +145,17 @@
 
     def plan(self, seed, seconds, only=(), without=()):
         """Rows (at, trouble), in time order; several overlap, and some come in series."""
-        choice = random.Random(f"{self.name}/{seed}")
-        kinds = [each for each in self.troubles if (not only or each["kind"] in only) and each["kind"] not in without]
+        rows = [*self._draw(f"{self.name}/{seed}", self.troubles, seconds, only, without),
+                *self._draw(f"{self.name}/{seed}/later", LATER_TROUBLES, seconds, only, without)]
+        return sorted(rows, key=lambda pair: pair[0])
+
+    @staticmethod
+    def _draw(seed, troubles, seconds, only, without):
+        choice = random.Random(seed)
+        kinds = [each for each in troubles if (not only or each["kind"] in only) and each["kind"] not in without]
         rows, at = [], 2.0
+        if not kinds:
+            return rows
         while at < seconds - 2:
             trouble = choice.choice(kinds)
             repeats = choice.choice((1, 1, 1, 2, 3))
@@ -153,4 +164,4 @@
                        "draw": choice.random()}
                 rows.append((at + repeat * choice.uniform(0.5, 2.5), row))
             at += choice.uniform(0.3, 3.5)
-        return sorted(((at, row) for at, row in rows if at < seconds), key=lambda pair: pair[0])
+        return [(at, row) for at, row in rows if at < seconds]
--- a/tools/lab/daytroubles.py
+++ b/tools/lab/daytroubles.py
@@ -254,6 +254,9 @@
         value = (choice.choice((0.02, 0.1, 0.3)), choice.choice((0.002, 0.05, 0.3)))
         self._worker_fault({"share": 0.4, **trouble}, choice, "repeat_answers", value)
 
+    def _announce_elsewhere(self, trouble, choice):
+        self._worker_fault({**trouble, "share": 1}, choice, "announce_elsewhere", True)
+
     def _srv_crash(self, trouble, choice):
         names = self._names(trouble, choice, "agent")
         for name in names:
--- a/tools/lab/dayworkers.py
+++ b/tools/lab/dayworkers.py
@@ -22,11 +22,14 @@
 class Worker:
     """One worker with its lives. `faults` holds the active troubles: kind to parameters.
 
-    slow: factor; hang; fail; refuse: share of calls; unanswered: share of orders; repeat_answers: share and most seconds.
+    slow: factor; hang; fail; refuse: share of calls; unanswered: share of orders; repeat_answers: share and most seconds;
+    announce_elsewhere: an announcement that its agent does not acknowledge goes to the next agent.
+    `others` holds the control addresses of the other agents, the next one first.
     """
 
-    def __init__(self, machine, service, ports, beat_s, lease_s, stop_s, record, seed):
+    def __init__(self, machine, service, ports, others, beat_s, lease_s, stop_s, record, seed):
         self.machine, self.service, self.ports, self.beat_s = machine, service, ports, beat_s
+        self.others = others
         self.lease_s, self.stop_s, self.record = lease_s, stop_s, record
         self.choice = random.Random(f"{seed}/{machine.name}")
         self.faults = {}
@@ -100,13 +103,24 @@
                            "born": self.born}).encode()
         head = (f"POST /Instances.{call}/{self.name} HTTP/1.1\r\nHost: agent\r\nConnection: close\r\n"
                 f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n").encode()
+        if await self._deliver(head + body, self.machine.ip, self.ports["control"]) or "announce_elsewhere" not in self.faults:
+            return
+        for ip, port in self.others:
+            if await self._deliver(head + body, ip, port):
+                self.record(what="announced_elsewhere", worker=self.name, agent=self.machine.name, to=ip)
+                return
+
+    @staticmethod
+    async def _deliver(message, ip, port):
+        """True if the agent acknowledges the message within a second."""
         try:
-            reader, writer = await asyncio.open_connection(self.machine.ip, self.ports["control"])
-            writer.write(head + body)
-            await asyncio.wait_for(reader.read(4096), 1)
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(ip, port), 1)
+            writer.write(message)
+            answer = await asyncio.wait_for(reader.read(4096), 1)
             writer.close()
         except (OSError, asyncio.TimeoutError):
-            pass
+            return False
+        return answer.startswith(b"HTTP/1.1 2")
 
     # --- runs ---
 
