Take a worker's runs for lost only when its lease has ended or its own lists lack them

Callers saw tasks at work on two workers at once: an agent told the owners that all runs of its worker were lost, while the worker went on.

Cause: an announcement of another worker or life was taken for the end of the present life. WorkerManager::announced reset the state at once, reported each listed run as lost, and named the announced worker in all further calls, which the called worker answers with 421; the announcements of the agent's own worker then counted as outdated. The agent stayed deaf until its next process.

Change: CalledWorker holds which worker the agent calls. An announcement that contradicts it is a candidate until an answer of the called worker confirms or refutes it; one with another address is answered with 421. Runs of a former life are retained until the last lease that it may have been granted has ended, are named in reports on claims, and use none of the new life's resources. The owner logs the evidence of a lost run (lost_because), which does not depend on the agent's own lines.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -28,6 +28,7 @@
     , m_log(log)
     , m_timers(io)
     , m_workerManager({.partitions = settings.partitions,
+                       .workerAddress = settings.worker.text(),
                        .lease = settings.workerLease,
                        .queueAllowancePercent = settings.queueAllowancePercent},
                       incarnation, Clock::now(), *this, log)
@@ -85,7 +86,7 @@
     m_timers.after(drainCheckInterval, [this, deadline, onDone] { checkDrained(deadline, onDone); });
 }
 
-bool AgentNode::announced(const WorkerAnnouncement &announcement)
+AnnouncementOutcome AgentNode::announced(const WorkerAnnouncement &announcement)
 {
     return m_workerManager.announced(announcement, Clock::now());
 }
@@ -293,6 +294,18 @@
     link->send(std::move(message));
 }
 
+void AgentNode::sendLost(EntryNumber entry, const RunId &run, LostCause cause)
+{
+    const NodeLinkPtr link = linkOf(entry);
+    if (!link)
+        return;
+    fleet::RunEndT message;
+    message.run = std::make_unique<fleet::RunRef>(toWire(run));
+    message.kind = EndKind::Lost;
+    message.cause = cause;
+    link->send(std::move(message));
+}
+
 void AgentNode::sendClaimReport(EntryNumber entry, const fleet::ClaimReportT &report)
 {
     const NodeLinkPtr link = linkOf(entry);
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -42,7 +42,7 @@
         metrics.set("runs", static_cast<double>(m_workerManager.runCount()));
     }
 
-    bool announced(const WorkerAnnouncement &announcement);
+    AnnouncementOutcome announced(const WorkerAnnouncement &announcement);
     void deregistered(std::string_view worker);
 
     // --- WorkerEffects ---
@@ -52,6 +52,7 @@
     void sendStarted(EntryNumber entry, const RunId &run) override;
     void sendRejected(EntryNumber entry, const RunId &run, RejectReason reason) override;
     void sendEnded(EntryNumber entry, const RunId &run, EndKind kind, std::string_view checkpoint) override;
+    void sendLost(EntryNumber entry, const RunId &run, LostCause cause) override;
     void sendClaimReport(EntryNumber entry, const fleet::ClaimReportT &report) override;
 
 private:
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -300,7 +300,7 @@
 
 AgentEnd EntryNode::toAgentEnd(const fleet::RunEndT &end)
 {
-    return {.run = fromWire(end.run), .kind = end.kind, .checkpoint = end.checkpoint};
+    return {.run = fromWire(end.run), .kind = end.kind, .checkpoint = end.checkpoint, .lostCause = end.cause};
 }
 
 static WorkerState toWorkerState(fleet::WorkerReportT &report)
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -105,6 +105,8 @@
     RunId run;
     EndKind kind = EndKind::Done;
     std::string checkpoint;
+    // For Lost: the evidence of the agent.
+    LostCause lostCause = LostCause::None;
 };
 
 struct JobSchedulerOptions
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -223,6 +223,7 @@
                  {"task", taskIdText(run.task)},
                  {"run", run.number},
                  {"how", fleet::EnumNameEndKind(end.kind)},
+                 {"lost_because", fleet::EnumNameLostCause(end.lostCause)},
                  {"agent", agent},
                  {"known", task != nullptr},
                  {"job_state", jobState(run.task.job)},
--- a/src/proto/fleetcodec.h
+++ b/src/proto/fleetcodec.h
@@ -18,6 +18,7 @@
 using JobRecord = fleet::JobRecordT;
 using JobPhase = fleet::JobPhase;
 using EndKind = fleet::EndKind;
+using LostCause = fleet::LostCause;
 using RejectReason = fleet::RejectReason;
 
 fleet::RunRef toWire(const RunId &run);
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -14,38 +14,21 @@
 // More than the runs that can end within the time by which one answer can overtake another.
 constexpr size_t maxRecentEnds = 256;
 
-void WorkerManager::resetForNewIncarnation(Millis now)
-{
-    reportListedRunsLost(now);
-    rejectQueued(RejectReason::NoWorker, now);
-    m_ends.clear();
-    m_lastEnd = 0;
-    m_lapsedAfterEnd = 0;
-    m_lapseForced = false;
-    m_newestLists = {};
-    m_newestClock = {};
-    for (auto &[number, poll] : m_listPolls)
-        poll.clockBefore = {};
-    m_listsKnown = false;
-    m_leaseEnd = now;
-    m_reportChanged = true;
-}
-
-void WorkerManager::reportRunLost(const RunId &id, std::string_view cause, Millis now)
+void WorkerManager::reportRunLost(const RunId &id, LostCause cause, Millis now)
 {
     const Owner &owner = ownerOf(id);
     m_log.write(now, "run_lost",
                 {{"job", jobIdText(id.task.job)},
                  {"task", taskIdText(id.task)},
                  {"run", id.number},
-                 {"cause", cause}});
+                 {"cause", fleet::EnumNameLostCause(cause)}});
     if (owner.entry)
-        m_effects.sendEnded(*owner.entry, id, EndKind::Lost, {});
+        m_effects.sendLost(*owner.entry, id, cause);
     m_runs.erase(id);
     m_reportChanged = true;
 }
 
-void WorkerManager::reportStartedRunsLost(std::string_view cause, Millis now)
+void WorkerManager::reportStartedRunsLost(LostCause cause, Millis now)
 {
     std::vector<RunId> lost;
     for (const auto &[id, run] : m_runs) {
@@ -55,24 +38,7 @@
     reportRunsLost(lost, cause, now);
 }
 
-// An order that was sent before the new incarnation was known may have reached either incarnation, since both
-// have the same name. Runs that were never listed are therefore retained until the lists of the new
-// incarnation show whether they exist.
-void WorkerManager::reportListedRunsLost(Millis now)
-{
-    std::vector<RunId> lost;
-    for (auto &[id, run] : m_runs) {
-        if (run.phase == RunPhase::Queued)
-            continue;
-        if (run.isListed)
-            lost.push_back(id);
-        else if (run.listedFromPoll)
-            run.listedFromPoll = m_lastListPoll + 1;
-    }
-    reportRunsLost(lost, "worker restarted", now);
-}
-
-void WorkerManager::reportRunsLost(std::span<const RunId> runs, std::string_view cause, Millis now)
+void WorkerManager::reportRunsLost(std::span<const RunId> runs, LostCause cause, Millis now)
 {
     for (const RunId &id : runs)
         reportRunLost(id, cause, now);
@@ -84,7 +50,7 @@
     // After a forced lapse the worker can be used again.
     m_reportChanged = std::exchange(m_lapseForced, false) || m_reportChanged;
     if (m_listPollFailures >= failuresUntilUnusable) {
-        reportStartedRunsLost("lease lapsed", now);
+        reportStartedRunsLost(LostCause::LeaseLapsed, now);
         return;
     }
     // This process was paused. The worker may have finished the runs before the lease lapsed; lists requested
@@ -102,10 +68,13 @@
     for (const ListedRun &listed : lists.running) {
         if (std::find(m_recentEnds.begin(), m_recentEnds.end(), listed.run) != m_recentEnds.end())
             continue;
+        if (auto former = m_formerRuns.extract(listed.run))
+            m_runs.insert(std::move(former));
         const auto [item, isNew] = m_runs.try_emplace(listed.run);
         Run &run = item->second;
         run.listedFromPoll = m_lastListPoll + 1;
         run.isListed = true;
+        run.formerLeaseEnd.reset();
         if (!isNew) {
             if (run.phase != RunPhase::Starting)
                 continue;
@@ -134,6 +103,7 @@
     const bool bestEffort = run != m_runs.end() && run->second.order.bestEffort;
     recordRecentEnd(listed.run);
     m_runs.erase(listed.run);
+    m_formerRuns.erase(listed.run);
     m_ends[listed.number] = {
         .run = listed.run, .kind = listed.kind, .checkpoint = listed.checkpoint, .bestEffort = bestEffort};
     m_lastEnd = std::max(m_lastEnd, listed.number);
@@ -183,8 +153,15 @@
                      {"worker_clock", lists.workerClock},
                      {"clock_before_poll", poll.clockBefore}});
     }
-    if (!isEndListFull)
-        reportRunsLost(lost, "not listed", now);
+    if (isEndListFull)
+        return;
+    for (const RunId &id : lost) {
+        const std::optional<Millis> formerLeaseEnd = m_runs.at(id).formerLeaseEnd;
+        if (formerLeaseEnd)
+            retainFormerRun(id, *formerLeaseEnd, now);
+        else
+            reportRunLost(id, LostCause::NotListed, now);
+    }
 }
 
 bool WorkerManager::mayConfirm(uint64_t number, const End &end) const
@@ -265,23 +242,6 @@
         reportUnlistedRunsLost(lists, number, poll, now);
 }
 
-bool WorkerManager::acceptIncarnation(const WorkerLists &lists, ListPoll &poll, Millis now)
-{
-    if (m_listsIncarnation == 0 || lists.born == 0 || lists.born == m_listsIncarnation)
-        return true;
-    m_nextListPollAt = now + pauseAfterFailure;
-    if (lists.born < m_listsIncarnation)
-        return false;
-    // A new incarnation answers before its announcement has arrived. Its lists are merged, because a poll
-    // that was sent to the former incarnation may have made it discard the ends that they contain.
-    resetForNewIncarnation(now);
-    poll.clockBefore = {};
-    m_minIncarnation = lists.born;
-    m_listsIncarnation = lists.born;
-    m_worker.reset();
-    return true;
-}
-
 void WorkerManager::recordPollAnswer(uint64_t number, const WorkerLists &lists, Millis now)
 {
     if (m_listPollFailures >= failuresUntilUnusable) {
@@ -293,7 +253,6 @@
     recordClock(lists.workerClock, now);
     if (m_restartSuspectedUntilPoll && number >= *m_restartSuspectedUntilPoll)
         m_restartSuspectedUntilPoll.reset();
-    m_listsIncarnation = std::max(m_listsIncarnation, lists.born);
     if (!m_listsKnown) {
         m_listsKnown = true;
         m_reportChanged = true;
@@ -344,11 +303,13 @@
     ListPoll poll = found->second;
     m_listPolls.erase(found);
     if (answer != OrderAnswer::Done) {
+        if (answer == OrderAnswer::WrongWorker)
+            workerDenied(poll.worker, now);
         listPollFailed(answer, now);
         sendListPolls(now);
         return;
     }
-    if (!acceptIncarnation(lists, poll, now))
+    if (!acceptLife(lists, number, poll, now))
         return;
     if (lists.workerClock < poll.clockBefore) {
         recordAnswerOfAnotherCall(number, lists, poll, now);
@@ -379,7 +340,10 @@
 void WorkerManager::sendListPoll(Millis wait, Millis now)
 {
     const uint64_t number = ++m_lastListPoll;
-    m_listPolls[number] = {.sentAt = now, .wait = wait, .clockBefore = m_newestClock};
+    m_listPolls[number] = {.sentAt = now,
+                           .wait = wait,
+                           .clockBefore = m_newestClock,
+                           .worker = worker() ? worker()->worker : std::string()};
     // Before the first answer the worker's clock is unknown; a deadline of zero renews nothing.
     const bool clockKnown = m_clockSampledAt.count != 0;
     // After an unanswered poll the worker may have restarted and number its ends from 1 again, so the next
@@ -397,7 +361,7 @@
                             .fence = m_fence,
                             .endsStored = mayConfirmEnds() ? endsStoredThrough() : 0,
                             .wait = wait,
-                            .worker = m_worker ? std::string_view(m_worker->worker) : std::string_view()});
+                            .worker = m_listPolls.at(number).worker});
 }
 
 // Load pattern: lost answers of workers that run short tasks. With a single list poll in flight, each lost
--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -19,66 +19,22 @@
 
 WorkerManager::WorkerManager(WorkerManagerOptions options, uint64_t firstFence, Millis now,
                              WorkerEffects &effects, StructuredLog &log)
-    : m_options(options)
+    : m_options(std::move(options))
     , m_effects(effects)
     , m_log(log)
     , m_fence(firstFence)
     , m_startedAt(now)
-    , m_leaseEnd(now + options.lease + options.lease * clockErrorPercent / 100 + leaseMargin)
+    , m_calledWorker(m_options.workerAddress)
+    , m_leaseEnd(now + m_options.lease + m_options.lease * clockErrorPercent / 100 + leaseMargin)
 { }
 
-bool WorkerManager::announced(const WorkerAnnouncement &announcement, Millis now)
-{
-    if (announcement.born < m_minIncarnation)
-        return false;
-    const bool isSameLife =
-        m_worker && m_worker->worker == announcement.worker && m_worker->born == announcement.born;
-    if (isSameLife && announcement.sequence < m_worker->sequence)
-        return false;
-    const bool isFirst = !m_worker && (m_listsIncarnation == 0 || m_listsIncarnation == announcement.born);
-    if (!isSameLife && !isFirst)
-        resetForNewIncarnation(now);
-    m_listsIncarnation = announcement.born;
-    const bool changed = !isSameLife || m_worker->draining != announcement.draining;
-    if (changed) {
-        m_log.always(now, "worker_announced",
-                     {{"worker", announcement.worker},
-                      {"service", announcement.service},
-                      {"born", announcement.born},
-                      {"draining", announcement.draining},
-                      {"cpu_milli", announcement.capacity.cpuMilli}});
-    }
-    m_worker = announcement;
-    m_workerLeaves = false;
-    m_minIncarnation = announcement.born;
-    m_reportChanged = m_reportChanged || changed;
-    if (m_worker->draining)
-        rejectQueued(RejectReason::Draining, now);
-    startQueued(now);
-    return true;
-}
-
-void WorkerManager::deregistered(std::string_view worker, Millis now)
-{
-    if (!m_worker || m_worker->worker != worker)
-        return;
-    m_log.always(now, "worker_deregistered", {{"worker", worker}, {"runs", m_runs.size()}});
-    // The worker is still up while it waits for the answer, and longer if the answer is lost, so its runs are
-    // lost only when the lease has lapsed or the next incarnation appears.
-    rejectQueued(RejectReason::NoWorker, now);
-    m_workerLeaves = true;
-    m_minIncarnation = m_worker->born + 1;
-    m_worker.reset();
-    m_reportChanged = true;
-}
-
 std::optional<RejectReason> WorkerManager::rejectReason() const
 {
-    if (!m_worker || !m_listsKnown || m_listPollFailures >= failuresUntilUnusable || m_lapseForced)
+    if (!worker() || !m_listsKnown || m_listPollFailures >= failuresUntilUnusable || m_lapseForced)
         return RejectReason::NoWorker;
-    if (m_worker->draining || m_draining)
+    if (worker()->draining || m_draining)
         return RejectReason::Draining;
-    if (m_evacuated.contains(m_worker->zone))
+    if (m_evacuated.contains(worker()->zone))
         return RejectReason::Evacuated;
     if (pendingEnds() >= mostListedEnds)
         return RejectReason::NoRoom;
@@ -120,10 +76,10 @@
 
 Resources WorkerManager::freeResources() const
 {
-    Resources free = m_worker->capacity;
+    Resources free = worker()->capacity;
     free -= usedResources();
     free -= queuedResources();
-    free.cpuMilli += m_worker->capacity.cpuMilli * m_options.queueAllowancePercent / 100;
+    free.cpuMilli += worker()->capacity.cpuMilli * m_options.queueAllowancePercent / 100;
     return free;
 }
 
@@ -209,7 +165,7 @@
         return;
     }
     std::sort(queue.begin(), queue.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
-    Resources free = m_worker->capacity;
+    Resources free = worker()->capacity;
     free -= usedResources();
     size_t endsToList = pendingEnds();
     for (const auto &[key, run] : queue) {
@@ -236,7 +192,7 @@
                          .checkpoint = run.order.checkpoint,
                          .deadline = deadline,
                          .fence = m_fence,
-                         .worker = m_worker->worker});
+                         .worker = worker()->worker});
 }
 
 void WorkerManager::startAnswered(const RunId &id, OrderAnswer answer, std::optional<Millis> workerClock,
@@ -274,6 +230,8 @@
     }
     if (answer == OrderAnswer::Fenced)
         m_fence += fenceIncrement;
+    if (answer == OrderAnswer::WrongWorker)
+        m_needsListsNow = true;
     RejectReason reason = RejectReason::NoWorker;
     if (answer == OrderAnswer::Unhealthy)
         reason = RejectReason::Unhealthy;
@@ -295,11 +253,16 @@
         return;
     const auto found = m_runs.find(id);
     const bool isKnown = found != m_runs.end();
+    const bool isOfFormerLife = m_formerRuns.contains(id);
     m_log.write(now, "run_stop_ordered",
                 {{"job", jobIdText(id.task.job)},
                  {"task", taskIdText(id.task)},
                  {"run", id.number},
-                 {"known", isKnown}});
+                 {"known", isKnown},
+                 {"former_life", isOfFormerLife}});
+    // No call reaches the former life; the end of its lease is reported.
+    if (isOfFormerLife)
+        return;
     if (!isKnown) {
         reportUnknownRun(owner, id);
         return;
@@ -322,15 +285,15 @@
     // An end has been sent, or follows with the answer to the owner's claim.
     if (!m_listsKnown || owner.reportDue || hasEnded)
         return;
-    m_effects.sendEnded(*owner.entry, id, EndKind::Lost, {});
+    m_effects.sendLost(*owner.entry, id, LostCause::Unknown);
 }
 
 void WorkerManager::sendStop(Run &run, Millis now)
 {
     run.phase = RunPhase::Stopping;
     run.nextStop = now + m_options.lease;
-    if (m_worker)
-        m_effects.callStop({.run = run.order.run, .fence = m_fence, .worker = m_worker->worker});
+    if (worker())
+        m_effects.callStop({.run = run.order.run, .fence = m_fence, .worker = worker()->worker});
 }
 
 void WorkerManager::stopAnswered(const RunId &id, OrderAnswer answer, std::optional<Millis> workerClock,
@@ -417,6 +380,7 @@
     }
     if (now > m_leaseEnd)
         leaseLapsed(now);
+    expireFormerRuns(now);
     forceLeaseLapse(now);
     checkOwners(now);
     returnOverdueOrders(now);
@@ -427,7 +391,7 @@
     startQueued(now);
     reportClaims(now);
     sendListPolls(now);
-    if (m_worker && m_offer.isTurnOver(freeResources().cpuMilli, m_worker->capacity.cpuMilli, now))
+    if (worker() && m_offer.isTurnOver(freeResources().cpuMilli, worker()->capacity.cpuMilli, now))
         m_offer.passTurn(connectedOwners(), now);
     m_reportChanged = m_offer.takeTurnChange() || m_reportChanged;
 }
@@ -436,15 +400,15 @@
 {
     fleet::WorkerReportT report;
     report.usable = isUsable() && allSizesKnown();
-    if (!m_worker)
+    if (!worker())
         return report;
-    report.worker = m_worker->worker;
-    report.born = m_worker->born;
-    report.service = m_worker->service;
-    report.zone = m_worker->zone;
-    report.labels = m_worker->labels;
-    report.draining = m_worker->draining;
-    const Resources &capacity = m_worker->capacity;
+    report.worker = worker()->worker;
+    report.born = worker()->born;
+    report.service = worker()->service;
+    report.zone = worker()->zone;
+    report.labels = worker()->labels;
+    report.draining = worker()->draining;
+    const Resources &capacity = worker()->capacity;
     report.cpu_milli = static_cast<uint32_t>(capacity.cpuMilli);
     report.memory_mb = static_cast<uint32_t>(capacity.memoryMb);
     report.accelerators = static_cast<uint32_t>(capacity.accelerators);
@@ -472,7 +436,7 @@
 
 bool WorkerManager::isIdle() const
 {
-    return m_listsKnown && m_runs.empty()
+    return m_listsKnown && m_runs.empty() && m_formerRuns.empty()
         && std::all_of(m_ends.begin(), m_ends.end(), [](const auto &item) { return item.second.stored; });
 }
 
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -7,10 +7,12 @@
 // - An order is accepted only from the owner with the highest epoch seen for its partition, and started only
 //   while that owner has answered a recent ping.
 // - An end is confirmed to the worker only after the owner has stored it; that of a best-effort job at once.
-// - A run is reported as lost only when the worker's lists, the lapse of its lease or a new incarnation of
-//   the worker shows that it does not exist. Lists show that only if their clock is later than the newest one
-//   that was known when they were requested (a worker may answer a list poll a second time, and the second
-//   answer is read as that to a later list poll), and only if the list of ends is not full.
+// - A run is reported as lost only when it cannot exist any more: lists of the life that it belongs to lack
+// it, or
+//   the last lease that this life may have been granted has ended on this process's clock. That another life
+//   has been announced or has answered shows neither. Lists show that only if their clock is later than the
+//   newest one that was known when they were requested (a worker may answer a list poll a second time, and
+//   the second answer is read as that to a later list poll), and only if the list of ends is not full.
 // - No run is started whose end might not fit into the worker's list of ends.
 // - An order is never dropped without notifying the owner that sent it, if that owner is connected: it
 //   would wait for a run that does not exist. Orders that a claim drops are missing in the report on the
@@ -18,6 +20,7 @@
 #pragma once
 
 #include "observe/structuredlog.h"
+#include "worker/calledworker.h"
 #include "worker/capacityoffer.h"
 #include "worker/workerstate.h"
 
@@ -41,6 +44,8 @@
     virtual void sendRejected(EntryNumber entry, const RunId &run, RejectReason reason) = 0;
     virtual void sendEnded(EntryNumber entry, const RunId &run, EndKind kind,
                            std::string_view checkpoint) = 0;
+    // The run has ended unseen.
+    virtual void sendLost(EntryNumber entry, const RunId &run, LostCause cause) = 0;
     virtual void sendClaimReport(EntryNumber entry, const fleet::ClaimReportT &report) = 0;
 };
 
@@ -60,6 +65,8 @@
 struct WorkerManagerOptions
 {
     uint32_t partitions = 1;
+    // Address of the worker that is called, as HOST:PORT.
+    std::string workerAddress;
     // Lease requested from the worker; also the longest that a worker grants.
     Millis lease = {1'000};
     // The worker rejects a start order that reaches it later than this.
@@ -95,8 +102,7 @@
                   StructuredLog &log);
 
     // --- worker ---
-    // Returns false if the announcement is older than the newest one known.
-    bool announced(const WorkerAnnouncement &announcement, Millis now);
+    AnnouncementOutcome announced(const WorkerAnnouncement &announcement, Millis now);
     void deregistered(std::string_view worker, Millis now);
     void startAnswered(const RunId &run, OrderAnswer answer, std::optional<Millis> workerClock, Millis now);
     void stopAnswered(const RunId &run, OrderAnswer answer, std::optional<Millis> workerClock, Millis now);
@@ -129,7 +135,7 @@
     fleet::WorkerReportT reportFor(fleet::WorkerReportT report, EntryNumber entry) const;
     // Returns whether the report has changed since the last call, and clears the flag.
     bool takeReportChange();
-    size_t runCount() const { return m_runs.size(); }
+    size_t runCount() const { return m_runs.size() + m_formerRuns.size(); }
     // True if the worker's lists are known, there are no runs, and the owners have stored all ends.
     bool isIdle() const;
 
@@ -156,6 +162,8 @@
         bool stopWanted = false;
         // The worker has accepted the stop, so it ends the run at once.
         bool stopAccepted = false;
+        // The run may belong to the worker's former life, where it may be at work until this time.
+        std::optional<Millis> formerLeaseEnd;
     };
 
     struct Owner
@@ -194,6 +202,8 @@
         // Newest time of the worker's clock that was known when the poll was sent. An answer with an earlier
         // time belongs to another poll; one with the same time may have been written before the poll.
         Millis clockBefore;
+        // Name of the worker in the call; empty if none was named.
+        std::string worker;
     };
 
     // --- workermanager.cpp ---
@@ -229,21 +239,31 @@
     void checkOwners(Millis now);
     std::map<uint32_t, EntryNumber> connectedOwners() const;
 
+    // --- workerlives.cpp ---
+    const std::optional<WorkerAnnouncement> &worker() const { return m_calledWorker.announcement(); }
+    void workerAdopted(Millis now);
+    void logAnnouncement(std::string_view event, const WorkerAnnouncement &announcement,
+                         std::string_view cause, Millis now);
+    // The worker has started again. Its runs may be at work in the former life until the lease ends.
+    void startNewLife(int64_t born, Millis now);
+    void retainFormerRun(const RunId &id, Millis leaseEnd, Millis now);
+    // Reports as lost the runs of the former life whose lease has ended.
+    void expireFormerRuns(Millis now);
+    // The worker that is called is not the known one.
+    void workerDenied(std::string_view named, Millis now);
+    // Returns false if a former life of the worker wrote the lists.
+    bool acceptLife(const WorkerLists &lists, uint64_t number, ListPoll &poll, Millis now);
+
     // --- workerlists.cpp ---
-    void resetForNewIncarnation(Millis now);
     void leaseLapsed(Millis now);
-    void reportStartedRunsLost(std::string_view cause, Millis now);
-    // Reports as lost the runs that the previous incarnation of the worker had listed.
-    void reportListedRunsLost(Millis now);
-    void reportRunsLost(std::span<const RunId> runs, std::string_view cause, Millis now);
+    void reportStartedRunsLost(LostCause cause, Millis now);
+    void reportRunsLost(std::span<const RunId> runs, LostCause cause, Millis now);
     // Reports the run as lost to its owner, and removes it.
-    void reportRunLost(const RunId &id, std::string_view cause, Millis now);
+    void reportRunLost(const RunId &id, LostCause cause, Millis now);
     void mergeRunning(const WorkerLists &lists, Millis now);
     void mergeEnded(const WorkerLists &lists, Millis now);
     void reportUnlistedRunsLost(const WorkerLists &lists, uint64_t number, const ListPoll &poll, Millis now);
     void mergeLists(const WorkerLists &lists, uint64_t number, const ListPoll &poll, Millis now);
-    // Returns false if an earlier incarnation of the worker wrote the lists.
-    bool acceptIncarnation(const WorkerLists &lists, ListPoll &poll, Millis now);
     void recordPollAnswer(uint64_t number, const WorkerLists &lists, Millis now);
     void recordAnswerOfAnotherCall(uint64_t number, const WorkerLists &lists, const ListPoll &poll,
                                    Millis now);
@@ -272,13 +292,9 @@
     uint64_t m_fence;
     const Millis m_startedAt;
 
-    std::optional<WorkerAnnouncement> m_worker;
-    // Incarnations of the worker below this value have ended.
-    int64_t m_minIncarnation = 0;
-    // Incarnation that the runs, ends and lists below belong to; 0 before the first. Lists can show it before
-    // the worker has announced itself.
-    int64_t m_listsIncarnation = 0;
-    // Lists of this incarnation have been received, or the lease has lapsed and no run can exist.
+    // The runs, ends and lists below belong to its present life.
+    CalledWorker m_calledWorker;
+    // Lists of this life have been received, or the lease has lapsed and no run can exist.
     bool m_listsKnown = false;
     // A single answer can be lost; after this many consecutive failures the worker counts as unusable.
     static constexpr uint32_t failuresUntilUnusable = 2;
@@ -309,6 +325,9 @@
     std::deque<RunId> m_recentEnds;
 
     std::map<RunId, Run> m_runs;
+    // Runs that the worker's former life had listed, with the end of the last lease that may have been
+    // granted there. They use none of the present life's resources.
+    std::map<RunId, Run> m_formerRuns;
     std::map<uint32_t, Owner> m_owners;
     // Ends that the worker still lists or whose owner has not stored them, by the worker's number.
     std::map<uint64_t, End> m_ends;
--- a/src/worker/workerowners.cpp
+++ b/src/worker/workerowners.cpp
@@ -49,7 +49,7 @@
         return;
     m_evacuated = std::move(zones);
     m_reportChanged = true;
-    const bool isEvacuated = m_worker && m_evacuated.contains(m_worker->zone);
+    const bool isEvacuated = worker() && m_evacuated.contains(worker()->zone);
     m_log.always(now, "evacuated_zones_changed", {{"zones", m_evacuated.size()}, {"own_zone", isEvacuated}});
     if (isEvacuated)
         rejectQueued(RejectReason::Evacuated, now);
@@ -123,6 +123,10 @@
             if (run.order.partition == partition && run.phase != RunPhase::Queued)
                 report.running.push_back(toWire(id));
         }
+        for (const auto &[id, run] : m_formerRuns) {
+            if (run.order.partition == partition)
+                report.running.push_back(toWire(id));
+        }
         for (const auto &[number, end] : m_ends) {
             if (end.stored || partitionOf(end.run.task.job, m_options.partitions) != partition)
                 continue;
--- a/src/worker/workerstate.h
+++ b/src/worker/workerstate.h
@@ -17,6 +17,8 @@
     std::string worker;
     std::string service;
     std::string zone;
+    // Where the worker accepts calls, as HOST:PORT; empty if the announcement does not tell.
+    std::string address;
     std::vector<std::string> labels;
     Resources capacity;
     bool draining = false;
