Wait for an agent process that registered after its predecessor had left

A new owner took the leaving of an agent's former process for that of the next one: AgentPresence::registered kept `leaving`, so after contactExpiry the partition counted as reported by all while the next process ran tasks for another owner.

The incarnation in the registration tells the processes apart. The last check of agentThatRegistersAgainMayHoldRuns fixed the fault in place (not waited for after contactExpiry although registered); it now checks that only the removal of the registration and goneAfter end the wait, and a new test that a repeated registration of the process that left is not waited for.

--- a/src/fleet/agentpresence.cpp
+++ b/src/fleet/agentpresence.cpp
@@ -6,15 +6,20 @@
 
 namespace turmericwell {
 
-AgentNumber AgentPresence::registered(const std::string &name, Millis now)
+AgentNumber AgentPresence::registered(const std::string &name, uint64_t incarnation, Millis now)
 {
     const auto [item, isNew] = m_numbers.try_emplace(name, static_cast<AgentNumber>(m_numbers.size() + 1));
     const AgentNumber number = item->second;
     if (isNew)
         m_agents[number].name = name;
+    Agent &agent = m_agents.at(number);
+    // What left was the former process.
+    if (incarnation > agent.incarnation)
+        agent.leaving = false;
+    agent.incarnation = std::max(agent.incarnation, incarnation);
     // An agent that has registered again may accept runs from another entry before this entry connects to it.
-    m_agents.at(number).lastContact = now;
-    m_agents.at(number).isRegistered = true;
+    agent.lastContact = now;
+    agent.isRegistered = true;
     return number;
 }
 
--- a/src/fleet/agentpresence.h
+++ b/src/fleet/agentpresence.h
@@ -33,8 +33,9 @@
     // A connection is kept for this long after the agent is no longer wanted.
     static constexpr Millis connectionLinger = {5'000};
 
-    // Called when a registration of the agent has been read. A name always maps to the same number.
-    AgentNumber registered(const std::string &name, Millis now);
+    // Called when a registration of the agent's process `incarnation` has been read. A name always maps to
+    // the same number.
+    AgentNumber registered(const std::string &name, uint64_t incarnation, Millis now);
     void connected(AgentNumber agent, Millis now);
     // Called when the connection is lost. lastAnswer is the time at which this entry last answered a ping of
     // the agent on this connection; 0 if it has answered none.
@@ -73,6 +74,8 @@
     struct Agent
     {
         std::string name;
+        // Process of the newest registration.
+        uint64_t incarnation = 0;
         bool isRegistered = true;
         bool wanted = false;
         Millis unwantedSince;
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -23,7 +23,8 @@
     contact.foundAt = Clock::now();
     const bool isAgent = member.identity.role == fleet::ProcessRole::Agent;
     if (isAgent) {
-        const AgentNumber number = m_presence.registered(member.identity.name, contact.foundAt);
+        const AgentNumber number =
+            m_presence.registered(member.identity.name, member.identity.incarnation, contact.foundAt);
         if (wantsAgent(member.identity.name))
             m_presence.setWanted(number, true, contact.foundAt);
     }
--- a/tests/unit/agentpresencetest.cpp
+++ b/tests/unit/agentpresencetest.cpp
@@ -13,7 +13,7 @@
 BOOST_AUTO_TEST_CASE(drainedAgentHoldsNoRuns)
 {
     AgentPresence presence;
-    const AgentNumber agent = presence.registered("agent-1", start);
+    const AgentNumber agent = presence.registered("agent-1", 1, start);
     presence.setWanted(agent, true, start);
     presence.connected(agent, start);
     presence.setLeaving(agent);
@@ -27,14 +27,33 @@
 BOOST_AUTO_TEST_CASE(agentThatRegistersAgainMayHoldRuns)
 {
     AgentPresence presence;
-    const AgentNumber agent = presence.registered("agent-1", start);
+    const AgentNumber agent = presence.registered("agent-1", 1, start);
     presence.setWanted(agent, true, start);
     presence.connected(agent, start);
     presence.setLeaving(agent);
     presence.disconnected(agent, start, start + Millis{100});
     const Millis again = start + Millis{5'000};
-    BOOST_TEST(presence.registered("agent-1", again) == agent);
+    BOOST_TEST(presence.registered("agent-1", 2, again) == agent);
     BOOST_TEST(presence.mayHoldRuns(again).contains(agent));
+    // Only its removal ends the wait for a process that has not left.
+    const Millis expired = again + AgentPresence::contactExpiry;
+    BOOST_TEST(presence.mayHoldRuns(expired).contains(agent));
+    presence.removed(agent, expired);
+    BOOST_TEST(presence.mayHoldRuns(expired).contains(agent));
+    BOOST_TEST(!presence.mayHoldRuns(expired + AgentPresence::goneAfter).contains(agent));
+}
+
+// Guards against waiting for a process that has left: its registration may be read again.
+BOOST_AUTO_TEST_CASE(repeatedRegistrationOfALeavingAgentIsNotWaitedFor)
+{
+    AgentPresence presence;
+    const AgentNumber agent = presence.registered("agent-1", 1, start);
+    presence.setWanted(agent, true, start);
+    presence.connected(agent, start);
+    presence.setLeaving(agent);
+    presence.disconnected(agent, start, start + Millis{100});
+    const Millis again = start + Millis{5'000};
+    presence.registered("agent-1", 1, again);
     BOOST_TEST(!presence.mayHoldRuns(again + AgentPresence::contactExpiry).contains(agent));
 }
 
@@ -43,11 +62,11 @@
 BOOST_AUTO_TEST_CASE(registrationDefersExpiry)
 {
     AgentPresence presence;
-    const AgentNumber agent = presence.registered("agent-1", start);
+    const AgentNumber agent = presence.registered("agent-1", 1, start);
     presence.setWanted(agent, true, start);
     const Millis expired = start + AgentPresence::memberExpiry;
     BOOST_TEST(presence.unreachableAgents(expired).size() == 1);
-    presence.registered("agent-1", expired);
+    presence.registered("agent-1", 1, expired);
     BOOST_TEST(presence.unreachableAgents(expired).empty());
     BOOST_TEST(presence.mayHoldRuns(expired).contains(agent));
 }
@@ -56,7 +75,7 @@
 BOOST_AUTO_TEST_CASE(runsOfALostAgentEndAfterTheBound)
 {
     AgentPresence presence;
-    const AgentNumber agent = presence.registered("agent-1", start);
+    const AgentNumber agent = presence.registered("agent-1", 1, start);
     presence.setWanted(agent, true, start);
     presence.connected(agent, start);
     const Millis lost = start + Millis{2'000};
@@ -73,7 +92,7 @@
 BOOST_AUTO_TEST_CASE(agentThatBecomesWantedMayHoldRuns)
 {
     AgentPresence presence;
-    const AgentNumber agent = presence.registered("agent-1", start);
+    const AgentNumber agent = presence.registered("agent-1", 1, start);
     const Millis later = start + Millis{60'000};
     BOOST_TEST(presence.mayHoldRuns(later).empty());
     BOOST_TEST(presence.unreachableAgents(later).empty());
@@ -87,7 +106,7 @@
 BOOST_AUTO_TEST_CASE(unwantedConnectionLingers)
 {
     AgentPresence presence;
-    const AgentNumber agent = presence.registered("agent-1", start);
+    const AgentNumber agent = presence.registered("agent-1", 1, start);
     presence.setWanted(agent, true, start);
     presence.connected(agent, start);
     presence.setWanted(agent, false, start + Millis{100});
@@ -103,7 +122,7 @@
 BOOST_AUTO_TEST_CASE(registeredAgentMayHoldRunsHoweverLongItWasOutOfReach)
 {
     AgentPresence presence;
-    const AgentNumber agent = presence.registered("agent-1", start);
+    const AgentNumber agent = presence.registered("agent-1", 1, start);
     presence.setWanted(agent, true, start);
     presence.connected(agent, start);
     presence.disconnected(agent, start, start + Millis{100});
@@ -121,7 +140,7 @@
 BOOST_AUTO_TEST_CASE(connectionWithoutAPingIsAContact)
 {
     AgentPresence presence;
-    const AgentNumber agent = presence.registered("agent-1", start);
+    const AgentNumber agent = presence.registered("agent-1", 1, start);
     presence.setWanted(agent, true, start);
     presence.connected(agent, start);
     presence.disconnected(agent, {0}, start + Millis{1});
