Close a dialled connection that another process answers

An address may be given to another instance within seconds, and the entry took the process that answered there for a newer connection of its own name, which replaced a working one. Found by review, by reading; not shown by a run.

--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -151,30 +151,36 @@
 
 void EntryNode::connected(const NodeLinkPtr &link, const std::string &dialledName)
 {
-    link->start(
-        {.onHello = [this](const NodeLinkPtr &from, const fleet::HelloT &hello) { introduce(from, hello); },
-         .onMessage = [this](const NodeLinkPtr &from,
-                             fleet::EnvelopeT &envelope) { received(from, envelope); },
-         .onPong = [](const NodeLinkPtr &, Millis, const fleet::PongT &) {},
-         .onClosed =
-             [this, dialledName, guard = m_timers.guard()](const NodeLinkPtr &from,
-                                                           const std::string &reason) {
-                 if (guard.expired())
-                     return;
-                 closed(from, reason);
-                 const auto contact = m_contacts.find(dialledName);
-                 if (contact == m_contacts.end())
-                     return;
-                 contact->second.connected = false;
-                 dialAfterFailure(dialledName);
-             },
-         .makePong =
-             [this] {
-                 fleet::PongT pong;
-                 const auto &zones = m_pool.evacuatedZones();
-                 pong.evacuated_zones.assign(zones.begin(), zones.end());
-                 return pong;
-             }});
+    link->start({.onHello =
+                     [this, dialledName](const NodeLinkPtr &from, const fleet::HelloT &hello) {
+                         // The address of a process that is gone may have been given to another one.
+                         if (!dialledName.empty() && hello.node != dialledName)
+                             from->close("another process answers at the address of " + dialledName);
+                         else
+                             introduce(from, hello);
+                     },
+                 .onMessage = [this](const NodeLinkPtr &from,
+                                     fleet::EnvelopeT &envelope) { received(from, envelope); },
+                 .onPong = [](const NodeLinkPtr &, Millis, const fleet::PongT &) {},
+                 .onClosed =
+                     [this, dialledName, guard = m_timers.guard()](const NodeLinkPtr &from,
+                                                                   const std::string &reason) {
+                         if (guard.expired())
+                             return;
+                         closed(from, reason);
+                         const auto contact = m_contacts.find(dialledName);
+                         if (contact == m_contacts.end())
+                             return;
+                         contact->second.connected = false;
+                         dialAfterFailure(dialledName);
+                     },
+                 .makePong =
+                     [this] {
+                         fleet::PongT pong;
+                         const auto &zones = m_pool.evacuatedZones();
+                         pong.evacuated_zones.assign(zones.begin(), zones.end());
+                         return pong;
+                     }});
 }
 
 void EntryNode::introduce(const NodeLinkPtr &link, const fleet::HelloT &hello)
