Refuse what other workers and former lives tell an agent in more orders of events

The address is checked first and a worker elsewhere gets 421, also for its deregistration; lists of an earlier life are failed polls, and four in a row to polls sent after the newest answer are believed; a new life clears the recent ends and repeats stops; only a life that lists have shown is excluded after its deregistration, which names its birth.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -91,9 +91,9 @@
     return m_workerManager.announced(announcement, Clock::now());
 }
 
-void AgentNode::deregistered(std::string_view worker)
+bool AgentNode::deregistered(std::string_view worker, int64_t born)
 {
-    m_workerManager.deregistered(worker, Clock::now());
+    return m_workerManager.deregistered(worker, Clock::now(), born);
 }
 
 void AgentNode::accepted(const NodeLinkPtr &link)
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -43,7 +43,8 @@
     }
 
     AnnouncementOutcome announced(const WorkerAnnouncement &announcement);
-    void deregistered(std::string_view worker);
+    // Returns false if another worker or life is known.
+    bool deregistered(std::string_view worker, int64_t born = 0);
 
     // --- WorkerEffects ---
     void callStart(const StartCall &call) override;
--- a/src/worker/calledworker.h
+++ b/src/worker/calledworker.h
@@ -47,18 +47,26 @@
 
     // `nextPoll` is the number of the next list poll: answers to earlier ones do not refute a candidate.
     AnnouncementOutcome announced(const WorkerAnnouncement &announcement, uint64_t nextPoll);
-    // Returns false if the worker is not the known one. The worker is up until it has received the answer.
-    bool deregistered(std::string_view worker);
-    // A list poll that named `worker` (empty: none) was answered with lists of the life `born` (0: not
-    // shown).
-    ListsOrigin listed(int64_t born, std::string_view worker, uint64_t poll);
+    // Returns false if the life `born` (0: not told) of the worker is not the known one. The worker is up
+    // until it has received the answer.
+    bool deregistered(std::string_view worker, int64_t born);
+    // The list poll with number `poll`, which named `worker` (empty: none), was answered with lists of the
+    // life `born` (0: not shown). `nextPoll` is the number of the next one.
+    ListsOrigin listed(int64_t born, std::string_view worker, uint64_t poll, uint64_t nextPoll);
     // A call that named `worker` was answered by another one. Returns true if `worker` was the known one.
     bool denied(std::string_view worker);
 
 private:
     bool isAddressedHere(const WorkerAnnouncement &announcement) const;
+    AnnouncementOutcome update(const WorkerAnnouncement &announcement);
+    AnnouncementOutcome propose(const WorkerAnnouncement &announcement, uint64_t nextPoll);
     void adoptCandidate();
     void startLife(int64_t born);
+    // True if lists of an earlier life than the known one, in the answer to `poll`, are of the present life.
+    bool mayBeBelieved(uint64_t poll);
+    ListsOrigin listedWithoutLife(std::string_view worker, uint64_t poll);
+    // Lists of the known life show whether the candidate is another worker.
+    void judgeCandidate(int64_t born, std::string_view worker, uint64_t poll);
 
     const std::string m_address;
     std::optional<WorkerAnnouncement> m_announcement;
@@ -67,10 +75,17 @@
     uint64_t m_candidateFromPoll = 0;
     // The announcement whose worker was named in a call that another worker answered.
     std::optional<WorkerAnnouncement> m_denied;
-    // Life that the newest lists have shown; never decreases. 0 if none was shown.
+    // Life that the newest lists have shown; 0 if none was shown.
     int64_t m_life = 0;
+    bool m_listsSeen = false;
+    // A call was answered by another worker; the next lists without a life are not of the former one.
+    bool m_isDenied = false;
     // Lives that started before this time have ended or have deregistered.
     int64_t m_earliestBorn = 0;
+    // List polls from this number on were sent after the newest answer of the known life.
+    uint64_t m_earlierFromPoll = 0;
+    // Answers to such polls, in a row, that showed an earlier life.
+    uint32_t m_earlierLists = 0;
 };
 
 } // namespace turmericwell
--- a/src/worker/workerlives.cpp
+++ b/src/worker/workerlives.cpp
@@ -60,16 +60,21 @@
         rejectQueued(RejectReason::Draining, now);
 }
 
-void WorkerManager::deregistered(std::string_view name, Millis now)
+bool WorkerManager::deregistered(std::string_view name, Millis now, int64_t born)
 {
-    if (!m_calledWorker.deregistered(name))
-        return;
+    const bool isAnotherKnown = worker().has_value();
+    if (!m_calledWorker.deregistered(name, born)) {
+        m_log.always(now, "deregistration_ignored",
+                     {{"worker", name}, {"born", born}, {"another_known", isAnotherKnown}});
+        return !isAnotherKnown;
+    }
     m_log.always(now, "worker_deregistered", {{"worker", name}, {"runs", m_runs.size()}});
     // The worker is still up while it waits for the answer, and longer if the answer is lost, so its runs are
     // lost only when the lease has lapsed.
     rejectQueued(RejectReason::NoWorker, now);
     m_workerLeaves = true;
     m_reportChanged = true;
+    return true;
 }
 
 void WorkerManager::workerDenied(std::string_view named, Millis now)
@@ -99,6 +104,11 @@
         run.formerLeaseEnd = m_leaseEnd;
         if (run.listedFromPoll)
             run.listedFromPoll = m_lastListPoll + 1;
+        // Only the former life knows that it has been stopped.
+        if (run.phase == RunPhase::Stopping) {
+            run.stopAccepted = false;
+            run.nextStop = now;
+        }
     }
     m_log.always(now, "worker_life_changed",
                  {{"born", born},
@@ -109,6 +119,7 @@
     for (const RunId &id : listed)
         retainFormerRun(id, m_leaseEnd, now);
     rejectQueued(RejectReason::NoWorker, now);
+    m_recentEnds.clear();
     m_ends.clear();
     m_lastEnd = 0;
     m_lapsedAfterEnd = 0;
@@ -151,8 +162,9 @@
 {
     const std::optional<WorkerAnnouncement> before = worker();
     const bool hadCandidate = m_calledWorker.hasCandidate();
-    const ListsOrigin origin = m_calledWorker.listed(lists.born, poll.worker, number);
+    const ListsOrigin origin = m_calledWorker.listed(lists.born, poll.worker, number, m_lastListPoll + 1);
     if (origin == ListsOrigin::FormerLife) {
+        listPollFailed(OrderAnswer::WrongWorker, now);
         m_nextListPollAt = now + pauseAfterNewLife;
         return false;
     }
--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -292,8 +292,9 @@
 {
     run.phase = RunPhase::Stopping;
     run.nextStop = now + m_options.lease;
-    if (worker())
-        m_effects.callStop({.run = run.order.run, .fence = m_fence, .worker = worker()->worker});
+    m_effects.callStop({.run = run.order.run,
+                        .fence = m_fence,
+                        .worker = worker() ? std::string_view(worker()->worker) : std::string_view()});
 }
 
 void WorkerManager::stopAnswered(const RunId &id, OrderAnswer answer, std::optional<Millis> workerClock,
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -103,7 +103,9 @@
 
     // --- worker ---
     AnnouncementOutcome announced(const WorkerAnnouncement &announcement, Millis now);
-    void deregistered(std::string_view worker, Millis now);
+    // `born` is the life of the worker that deregisters; 0 if the call does not tell. Returns false if
+    // another worker or life is known.
+    bool deregistered(std::string_view worker, Millis now, int64_t born = 0);
     void startAnswered(const RunId &run, OrderAnswer answer, std::optional<Millis> workerClock, Millis now);
     void stopAnswered(const RunId &run, OrderAnswer answer, std::optional<Millis> workerClock, Millis now);
     void listPollAnswered(uint64_t poll, OrderAnswer answer, const WorkerLists &lists, Millis now);
--- a/tests/unit/workerlivesreviewtest.cpp
+++ b/tests/unit/workerlivesreviewtest.cpp
@@ -165,7 +165,7 @@
 {
     CalledWorker called("10.0.0.1:80");
     called.announced(announcementAt("w", "10.0.0.1:80", 10), 1);
-    called.listed(10, "w", 1);
+    called.listed(10, "w", 1, 2);
     BOOST_TEST((called.announced(announcementAt("other", "10.0.0.2:80", 9), 2)
                 == AnnouncementOutcome::OfAnotherWorker));
 }
@@ -192,8 +192,8 @@
 {
     CalledWorker called("10.0.0.1:80");
     called.announced(announcementAt("other", "", 11), 1);
-    called.deregistered("other");
-    called.listed(10, "", 1);
+    called.deregistered("other", 11);
+    called.listed(10, "", 1, 2);
     BOOST_TEST(
         (called.announced(announcementAt("w", "10.0.0.1:80", 10), 2) == AnnouncementOutcome::Accepted));
 }
@@ -206,7 +206,7 @@
     manager.announced(announcement(11), now);
     play(restarted, {200});
     BOOST_TEST_REQUIRE(manager.report().born == 11);
-    manager.deregistered("w", now);
+    manager.deregistered("w", now, 10);
     for (uint64_t sequence = 2; sequence < 5; ++sequence) {
         play(restarted, {1'000});
         manager.announced(announcement(11, false, sequence), now);
@@ -233,13 +233,13 @@
 {
     const Millis start{1'000};
     AgentPresence presence;
-    const AgentNumber agent = presence.registered("agent-1", start);
+    const AgentNumber agent = presence.registered("agent-1", 1, start);
     presence.setWanted(agent, true, start);
     presence.connected(agent, start);
     presence.setLeaving(agent);
     presence.disconnected(agent, start, start + Millis{100});
     const Millis again = start + Millis{5'000};
-    presence.registered("agent-1", again);
+    presence.registered("agent-1", 2, again);
     BOOST_TEST(presence.isRegistered(agent));
     BOOST_TEST(presence.mayHoldRuns(again + AgentPresence::contactExpiry).contains(agent));
 }
--- a/tests/unit/workerlivestest.cpp
+++ b/tests/unit/workerlivestest.cpp
@@ -128,7 +128,7 @@
 BOOST_AUTO_TEST_CASE(announcementOfALifeBeforeTheListedOneIsOutdated)
 {
     CalledWorker called("");
-    BOOST_TEST((called.listed(11, "", 1) == ListsOrigin::PresentLife));
+    BOOST_TEST((called.listed(11, "", 1, 2) == ListsOrigin::PresentLife));
     BOOST_TEST(
         (called.announced(WorkerManagerFixture::announcement(10), 2) == AnnouncementOutcome::Outdated));
     BOOST_TEST(
