--- a/src/worker/calledworker.cpp
+++ b/src/worker/calledworker.cpp
@@ -35,8 +35,10 @@
     if (m_announcement && !isAddressedHere(announcement))
         return AnnouncementOutcome::OfAnotherWorker;
     const bool isAnotherName = m_announcement && m_announcement->worker != announcement.worker;
-    if (announcement.born < m_earliestBorn || announcement.born < m_life)
-        return isAnotherName ? AnnouncementOutcome::OfAnotherWorker : AnnouncementOutcome::Outdated;
+    if (announcement.born < m_earliestBorn || announcement.born < m_life) {
+        const bool isFormerLife = isAddressedHere(announcement) && !isAnotherName;
+        return isFormerLife ? AnnouncementOutcome::Outdated : AnnouncementOutcome::OfAnotherWorker;
+    }
     if (m_denied && isSameLife(*m_denied, announcement))
         return AnnouncementOutcome::OfAnotherWorker;
     const bool isLifeOfLists = m_life == 0 || m_life == announcement.born;
--- a/tests/unit/workerlivesreviewtest.cpp
+++ b/tests/unit/workerlivesreviewtest.cpp
@@ -170,6 +170,16 @@
                 == AnnouncementOutcome::OfAnotherWorker));
 }
 
+// Guards against the same at an agent that knows its worker's lists and no announcement yet.
+BOOST_AUTO_TEST_CASE(earlierAnnouncementOfAnotherAddressIsRefusedBeforeTheFirst)
+{
+    CalledWorker called("10.0.0.1:80");
+    called.listed(10, "", 1, 2);
+    BOOST_TEST((called.announced(announcementAt("other", "10.0.0.2:80", 9), 2)
+                == AnnouncementOutcome::OfAnotherWorker));
+    BOOST_TEST((called.announced(announcementAt("w", "10.0.0.1:80", 9), 2) == AnnouncementOutcome::Outdated));
+}
+
 // Guards against a worker that is never used again: another writer's announcement under its name and birth
 // was taken over with its sequence number, so the worker's own counted as outdated.
 BOOST_FIXTURE_TEST_CASE(announcementOfAnotherWriterUnderTheWorkersNameIsNotKept, WorkerReviewFixture)
