--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -9,6 +9,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "tools"))
 
+from lab.cluster import wait_until  # noqa: E402
 from lab.fleet import CONTINUE, STOP, TERM, Fleet, configuration  # noqa: E402
 
 BUILD = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
@@ -210,6 +211,46 @@
                 self.assert_sound(fleet)
                 fleet.stop()
 
+    # Guards against accepted jobs that the store does not hold: an entry that was killed came back while it was still a
+    # member, and the store carried out the end of that membership late. The new process opened its partitions with the
+    # epoch of the former one, and the store took its first appends for repeats.
+    def test_entry_whose_former_membership_ends_late_loses_no_accepted_jobs(self):
+        fleet = self.fleet(entries=3)
+        restarted = fleet.entries[2]
+
+        def opened():
+            return [(event["partition"], event["epoch"]) for event in restarted.log_events()
+                    if event["event"] == "partition_opening"]
+
+        # The entry that joins last opens its partitions in the newest generation.
+        restarted.signal(TERM)
+        restarted.wait()
+        before = len(opened())
+        restarted.start()
+        wait_until(lambda: len(opened()) >= before + 2, 10, "partitions of the restarted entry")
+        accepted = self.submit_all(fleet, 8)
+        for job in accepted:
+            fleet.wait_for_state(job, "completed")
+        # Its peers cannot end the membership sooner either.
+        fleet.store.late_s = (3, 3)
+        fleet.store.fault = lambda path, door: "late" if path == "/log-leave" else ""
+        restarted.kill()
+        restarted.start()
+        accepted += self.submit_all(fleet, 40, first=100)
+        fleet.store.fault = lambda path, door: ""
+        self.assertGreater(len(accepted), 40)
+        epochs = opened()
+        # The next owners know only what the store holds.
+        for entry in fleet.entries:
+            entry.kill()
+            entry.start()
+        for job in accepted:
+            fleet.wait_for_state(job, "completed")
+        # The store takes an append for a repeat only if its number was used too, so an epoch that was used twice loses
+        # records in some runs only.
+        self.assertEqual(len(epochs), len(set(epochs)), epochs)
+        self.assert_sound(fleet)
+
     # Guards against two owners that act at the same time when the store reassigns all partitions.
     def test_partitions_reassigned_under_load(self):
         fleet = self.fleet(entries=3, task_ms=lambda task: 150)
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -13,6 +13,7 @@
 
 # Seeds that have failed, each with its cause.
 REGRESSIONS = {
+    # Also: a restarted entry used the epoch of its former process, and accepted jobs were not stored.
     1: "an agent that was paused for longer than the lease reported runs as lost that its worker had finished",
     3201: "a disputed end was confirmed by the next owner, which did not know that its task had been ordered again",
     201: "an end that an agent listed again was confirmed before it was stored",
@@ -23,7 +24,7 @@
 # Logs of the runs that broke a promise.
 KEPT_LOGS = Path(BUILD) / "soak-logs"
 # Seeds that show a fault which is not mended yet; they are named and not played. KNOWN-RED.txt has what was seen.
-KNOWN_RED = (1,)
+KNOWN_RED = ()
 
 
 class SoakTest(unittest.TestCase):
--- a/tools/lab/soak.py
+++ b/tools/lab/soak.py
@@ -59,12 +59,13 @@
 class Soak:
     """One run: a fleet behind a proxy, a load of jobs and a plan of faults. `problems` holds the broken promises."""
 
-    def __init__(self, build, seed, seconds=8, entries=3, agents=4):
+    def __init__(self, build, seed, seconds=8, entries=3, agents=4, extra_ttl_s=0):
         self.seed, self.seconds = seed, seconds
         self.plan = make_plan(seed, seconds, entries, agents)
         self.problems = []
         self._draw = random.Random(seed + 1)
         self._fleet = Fleet(build, entries=entries, agents=agents, cpu=6000, proxied=True, task_ms=self._task_ms)
+        self._fleet.store.extra_ttl_s = extra_ttl_s
         self._entries, self._agents = entries, agents
         self._answers = {}
         # By job, when its cancel was acknowledged.
--- a/tools/lab/storestandin.py
+++ b/tools/lab/storestandin.py
@@ -41,6 +41,10 @@
         self.parts = parts
         self.append_s = append_ms / 1000
         self.fault = lambda path, door: ""
+        # Bounds of the delay, in seconds, after which the store carries out a call that the fault "late" affects.
+        self.late_s = (0.3, 1.0)
+        # Time by which members of a group are kept beyond their time to live.
+        self.extra_ttl_s = 0
         # Calls on these topics are refused; the other calls are as `fault` says.
         self.refused_topics = set()
         self.calls = {}
@@ -97,7 +101,7 @@
             time.sleep(3)
             raise NoAnswer
         if fault == "late":
-            threading.Timer(random.uniform(0.3, 1.0), self._perform, (path, query, body)).start()
+            threading.Timer(random.uniform(*self.late_s), self._perform, (path, query, body)).start()
             raise NoAnswer
         answer = self._perform(path, query, body)
         if fault == "lose":
@@ -169,7 +173,7 @@
     def _deal(self, group):
         """Gives partitions without a holder to the members with the fewest, and plans an even share."""
         now = time.monotonic()
-        gone = [name for name, (seen, ttl, _) in group.members.items() if now - seen > ttl]
+        gone = [name for name, (seen, ttl, _) in group.members.items() if now - seen > ttl + self.extra_ttl_s]
         for name in gone:
             del group.members[name]
             group.generation += 1
