Emulate announcements that are not of the agent's worker

Workers whose agent does not acknowledge within 1 s, or refuses, call the next agent. A worker answers calls that name another worker with WrongWorker.

--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -33,6 +33,7 @@
     uint32_t mostIsolations = 0;
     uint32_t mostGroupCuts = 0;
     uint32_t mostAgentSeries = 0;
+    uint32_t mostStrayAnnouncements = 0;
     double twoStepShare = 0;
     double askedShare = 0;
     // 0 for the traffic's own deadline.
@@ -84,6 +85,7 @@
     day.urgentSlackPercent = settings.urgentSlackPercent;
     day.queueOrder = *parseQueueOrder(settings.order);
     day.placement = *parsePlacementPolicy(settings.placement);
+    day.workersCallNextAgent = settings.mostStrayAnnouncements > 0;
     day.writesLogs = writesLogs;
     if (settings.entries > 0)
         day.size.entries = settings.entries;
@@ -99,7 +101,8 @@
                              .most = settings.mostTroubles,
                              .mostIsolations = settings.mostIsolations,
                              .mostGroupCuts = settings.mostGroupCuts,
-                             .mostAgentSeries = settings.mostAgentSeries});
+                             .mostAgentSeries = settings.mostAgentSeries,
+                             .mostStrayAnnouncements = settings.mostStrayAnnouncements});
     return day;
 }
 
@@ -249,6 +252,10 @@
         "besides, most groups of one entry and some agents that are cut off from all others and the store")(
         "agent-series", options::value(&settings.mostAgentSeries),
         "besides, most series of restarts, link cuts and hanging runs of one agent")(
+        "stray-announcements", options::value(&settings.mostStrayAnnouncements),
+        "besides, most agents that hear announcements which are not of their worker, or repeated answers of "
+        "it; "
+        "workers whose agent does not acknowledge call the next agent")(
         "deadline-ms", options::value(&settings.deadlineMs),
         "how long clients wait for an answer; the traffic's own if 0")(
         "resubmissions", options::value(&settings.mostResubmissions),
--- a/src/emulator/emulatedworker.cpp
+++ b/src/emulator/emulatedworker.cpp
@@ -17,6 +17,7 @@
 EmulatedWorker::EmulatedWorker(EmulatedWorkerOptions options, WorkOf workOf, EventQueue &events,
                                EmulatedNetwork &network, std::vector<RunEvent> &history)
     : m_options(std::move(options))
+    , m_name("worker-" + std::to_string(m_options.number))
     , m_workOf(std::move(workOf))
     , m_events(events)
     , m_network(network)
@@ -78,8 +79,9 @@
     const bool isLost = draw(trouble().losesAnswers);
     carryOut(
         isLost ? 1 : 0, timeout,
-        [this, answer, isLost, life = m_life, run = call.run, deadline = call.deadline, fence = call.fence] {
-            if (life != m_life) {
+        [this, answer, isLost, life = m_life, run = call.run, deadline = call.deadline, fence = call.fence,
+         named = std::string(call.worker)] {
+            if (life != m_life || !isFor(named)) {
                 answer(OrderAnswer::WrongWorker, std::nullopt);
                 return;
             }
@@ -105,8 +107,9 @@
     const bool isLost = draw(trouble().losesAnswers);
     carryOut(
         isLost ? 1 : 0, timeout,
-        [this, answer, isLost, life = m_life, run = call.run, fence = call.fence] {
-            if (life != m_life) {
+        [this, answer, isLost, life = m_life, run = call.run, fence = call.fence,
+         named = std::string(call.worker)] {
+            if (life != m_life || !isFor(named)) {
                 answer(OrderAnswer::WrongWorker, std::nullopt);
                 return;
             }
@@ -132,8 +135,12 @@
     m_events.after(timeout, [answer] { answer(OrderAnswer::NoAnswer, {}); });
     const bool isLost = draw(trouble().losesAnswers);
     m_events.after(callTime,
-                   [this, answer, isLost, wait = call.wait, deadline = call.deadline,
-                    through = call.endsStored, fence = call.fence] {
+                   [this, answer, isLost, agent, wait = call.wait, deadline = call.deadline,
+                    through = call.endsStored, fence = call.fence, named = std::string(call.worker)] {
+                       if (!isFor(named)) {
+                           answer(OrderAnswer::WrongWorker, {});
+                           return;
+                       }
                        if (fence < m_fence) {
                            answer(OrderAnswer::Fenced, {});
                            return;
@@ -148,12 +155,13 @@
                        m_waiting.push_back({.answerBy = m_events.now() + wait,
                                             .cut = [answer] { answer(OrderAnswer::NoAnswer, {}); },
                                             .answer =
-                                                [this, answer, isLost] {
+                                                [this, answer, isLost, agent] {
                                                     if (isLost)
                                                         return;
-                                                    m_events.after(callTime, [answer, content = lists()] {
-                                                        answer(OrderAnswer::Done, content);
-                                                    });
+                                                    m_events.after(callTime,
+                                                                   [answer, content = nextAnswer(agent)] {
+                                                                       answer(OrderAnswer::Done, content);
+                                                                   });
                                                 }});
                        m_events.after(wait, [this] { answerHolds(); });
                        if (!m_ends.empty())
@@ -185,6 +193,13 @@
     return content;
 }
 
+WorkerLists EmulatedWorker::nextAnswer(uint64_t agent)
+{
+    const std::optional<WorkerLists> former = std::exchange(m_lastAnswer, lists());
+    const bool isSameConnection = std::exchange(m_lastAnswerTo, agent) == agent;
+    return former && isSameConnection && draw(trouble().repeatsAnswers) ? *former : *m_lastAnswer;
+}
+
 void EmulatedWorker::renew(Millis deadline)
 {
     const Millis longest = clock() + m_options.longestLease;
@@ -280,6 +295,7 @@
 {
     for (const auto &[id, run] : m_runs)
         note(RunEventKind::Lost, id);
+    m_formerAnnouncement = announcement();
     ++m_life;
     m_bornAt = m_events.now() - Millis{firstBorn};
     m_sequence = 0;
@@ -291,18 +307,20 @@
     m_lapsedAfterEnd = 0;
     m_endedRuns.clear();
     // The connections are reset.
+    m_lastAnswer.reset();
     for (const WaitingHold &hold : std::exchange(m_waiting, {}))
         hold.cut();
 }
 
-void EmulatedWorker::announceTo(AgentNode &agent)
+WorkerAnnouncement EmulatedWorker::announcement()
 {
-    agent.announced({.worker = "worker-" + std::to_string(m_options.number),
-                     .service = m_options.service,
-                     .zone = m_options.zone,
-                     .capacity = m_options.capacity,
-                     .born = m_bornAt.count,
-                     .sequence = ++m_sequence});
+    return {.worker = m_name,
+            .service = m_options.service,
+            .zone = m_options.zone,
+            .address = m_options.address.text(),
+            .capacity = m_options.capacity,
+            .born = m_bornAt.count,
+            .sequence = ++m_sequence};
 }
 
 } // namespace turmericwell
--- a/src/emulator/emulatedworker.h
+++ b/src/emulator/emulatedworker.h
@@ -33,6 +33,8 @@
     // Share of the calls whose answers are lost, and of those that are carried out seconds later.
     double losesAnswers = 0;
     double late = 0;
+    // Share of the list polls that get the answer to an earlier poll once more, instead of their own.
+    double repeatsAnswers = 0;
     // Runs that start now never end.
     bool hangs = false;
 };
@@ -42,6 +44,7 @@
     uint32_t number = 0;
     uint64_t seed = 1;
     HostNumber host = 0;
+    Address address;
     std::string service;
     std::string zone;
     Resources capacity;
@@ -71,8 +74,10 @@
     void pollLists(const ListPollCall &call, Millis timeout,
                    std::function<void(OrderAnswer, const WorkerLists &)> onDone) override;
 
-    // Announces the worker to the agent that now runs beside it.
-    void announceTo(AgentNode &agent);
+    // The next announcement of this life.
+    WorkerAnnouncement announcement();
+    // The last announcement of the former life; empty before the first crash.
+    const std::optional<WorkerAnnouncement> &formerAnnouncement() const { return m_formerAnnouncement; }
     Millis heartbeatInterval() const { return m_options.heartbeatInterval; }
     void setTrouble(const WorkerTrouble &trouble, Millis until);
     // Everything that runs is lost; the worker starts again under the same name.
@@ -103,15 +108,20 @@
     bool draw(double share);
     void carryOut(double lostShare, Millis timeout, const std::function<void()> &effect,
                   const std::function<void()> &noAnswer);
+    // A call names the worker that it is for; an empty name is for any.
+    bool isFor(std::string_view worker) const { return worker.empty() || worker == m_name; }
     OrderAnswer startNow(const RunId &run, Millis deadline, uint64_t fence);
     OrderAnswer stopNow(const RunId &run, uint64_t fence);
     void renew(Millis deadline);
     void end(const RunId &run, EndKind kind);
     void answerHolds();
     WorkerLists lists() const;
+    // What the next list poll is answered with.
+    WorkerLists nextAnswer(uint64_t agent);
     void note(RunEventKind kind, const RunId &run);
 
     const EmulatedWorkerOptions m_options;
+    const std::string m_name;
     const WorkOf m_workOf;
     EventQueue &m_events;
     EmulatedNetwork &m_network;
@@ -119,6 +129,11 @@
     std::mt19937_64 m_random;
     WorkerTrouble m_trouble;
     Millis m_troubleUntil;
+    std::optional<WorkerAnnouncement> m_formerAnnouncement;
+    // The newest answer to a list poll, and the life of the agent to which it was sent on a connection that
+    // may carry it once more.
+    std::optional<WorkerLists> m_lastAnswer;
+    uint64_t m_lastAnswerTo = 0;
 
     // --- one life ---
     uint32_t m_life = 1;
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -12,6 +12,11 @@
 constexpr Millis leaseCheckInterval = {5};
 constexpr Millis restartDelay = {300};
 constexpr Millis stopGrace = {6'000};
+constexpr uint16_t workerPort = 9'000;
+// An announcement that is not acknowledged for this long goes to the next agent.
+constexpr Millis acknowledgementTimeout = {1'000};
+constexpr Millis strayInterval = {300};
+constexpr uint64_t straySequence = 1;
 constexpr uint32_t mostLogLinesPerSecond = 1'000'000;
 
 // One life of a process.
@@ -66,6 +71,11 @@
     bool m_accepts = true;
 };
 
+static Address workerAddressOf(HostNumber host)
+{
+    return {.host = EmulatedNetwork::addressOf(host).host, .port = workerPort};
+}
+
 Emulation::Emulation(EmulationOptions options)
     : m_options(std::move(options))
     , m_events(emulationStart, static_cast<uint32_t>(m_options.seed))
@@ -81,6 +91,7 @@
             EmulatedWorkerOptions{.number = number,
                                   .seed = m_options.seed + host,
                                   .host = host,
+                                  .address = workerAddressOf(host),
                                   .service = m_options.traffic.service,
                                   .zone = "zone",
                                   .capacity = m_options.workerCapacity},
@@ -106,6 +117,7 @@
             .store = address,
             .peerListen = address,
             .peerAddress = address,
+            .worker = workerAddressOf(hostOf(name)),
             .partitions = m_options.partitions,
             .leastMemberTtl = {1'000},
             .workerLease = {1'000},
@@ -223,13 +235,78 @@
 void Emulation::announceWorker(uint32_t number)
 {
     EmulatedWorker &worker = *m_workers[number];
+    m_events.after(worker.heartbeatInterval(), [this, number] { announceWorker(number); });
+    if (m_options.workersCallNextAgent) {
+        announceToNextAgents(number, 0);
+        return;
+    }
     const HostNumber host = hostOf({fleet::ProcessRole::Agent, number});
     m_network.postTo(host, m_network.lifeOf(host), [this, host, &worker] {
         const auto found = m_processes.find(host);
         if (found != m_processes.end())
-            worker.announceTo(*found->second->agent());
+            found->second->agent()->announced(worker.announcement());
     });
-    m_events.after(worker.heartbeatInterval(), [this, number] { announceWorker(number); });
+}
+
+void Emulation::announceToNextAgents(uint32_t number, uint32_t tries)
+{
+    if (tries >= m_options.size.agents)
+        return;
+    const auto isSettled = std::make_shared<bool>(false);
+    const auto tryNext = [this, number, tries, isSettled] {
+        if (!std::exchange(*isSettled, true))
+            announceToNextAgents(number, tries + 1);
+    };
+    const bool isSent = deliver((number + tries) % m_options.size.agents, m_workers[number]->announcement(),
+                                [this, isSettled, tryNext](AnnouncementOutcome outcome) {
+                                    if (outcome == AnnouncementOutcome::OfAnotherWorker)
+                                        m_events.after(m_network.drawDelay(), tryNext);
+                                    else
+                                        *isSettled = true;
+                                });
+    m_events.after(isSent ? acknowledgementTimeout : m_network.drawDelay(), tryNext);
+}
+
+bool Emulation::deliver(uint32_t agent, const WorkerAnnouncement &announcement,
+                        const std::function<void(AnnouncementOutcome)> &onOutcome)
+{
+    const HostNumber host = hostOf({fleet::ProcessRole::Agent, agent});
+    if (!m_processes.contains(host))
+        return false;
+    m_network.postTo(host, m_network.lifeOf(host), [this, host, announcement, onOutcome] {
+        const auto found = m_processes.find(host);
+        if (found != m_processes.end())
+            onOutcome(found->second->agent()->announced(announcement));
+    });
+    return true;
+}
+
+WorkerAnnouncement Emulation::toAnnouncement(const AnnounceAnotherWorker &stray)
+{
+    using Born = AnnounceAnotherWorker::Born;
+    using CalledAt = AnnounceAnotherWorker::CalledAt;
+    WorkerAnnouncement announcement = m_workers[stray.agent]->announcement();
+    if (!stray.namesCalledWorker)
+        announcement.worker = "stray-" + std::to_string(stray.agent);
+    if (stray.hasUnknownService)
+        announcement.service = "unknown-service";
+    if (stray.born != Born::Present)
+        announcement.born = stray.born == Born::Missing ? 0 : m_events.now().count;
+    if (stray.address == CalledAt::Missing)
+        announcement.address.clear();
+    if (stray.address == CalledAt::AnotherAddress)
+        announcement.address = EmulatedNetwork::addressOf(0).text();
+    announcement.sequence = straySequence;
+    return announcement;
+}
+
+void Emulation::repeatAnnouncement(uint32_t agent, const WorkerAnnouncement &announcement, Millis until)
+{
+    if (m_events.now() > until)
+        return;
+    deliver(agent, announcement, [](AnnouncementOutcome) {});
+    m_events.after(strayInterval,
+                   [this, agent, announcement, until] { repeatAnnouncement(agent, announcement, until); });
 }
 
 void Emulation::beginTrouble(const PlannedTrouble &planned)
@@ -268,6 +345,13 @@
                        m_workers[trouble.worker]->setTrouble(trouble.trouble, until);
                    },
                    [&](const CrashWorker &crash) { m_workers[crash.worker]->crash(); },
+                   [&](const AnnounceAnotherWorker &stray) {
+                       repeatAnnouncement(stray.agent, toAnnouncement(stray), until);
+                   },
+                   [&](const AnnounceFormerLife &former) {
+                       if (const auto &announcement = m_workers[former.worker]->formerAnnouncement())
+                           repeatAnnouncement(former.worker, *announcement, until);
+                   },
                    [&](const DealAnew &) { m_store.dealAnew(); },
                    [&](const Burst &burst) { m_clients.burst(burst.factor, until); },
                    [&](const IsolateEntry &cut) {
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -32,6 +32,8 @@
     uint32_t urgentSlackPercent = 100;
     QueueOrder queueOrder;
     PlacementPolicy placement;
+    // A worker whose agent does not acknowledge an announcement calls the next agent.
+    bool workersCallNextAgent = false;
     // Writes the decision logs to standard output.
     bool writesLogs = false;
 };
@@ -69,6 +71,13 @@
     void pollProcesses();
     void superviseWorkers();
     void announceWorker(uint32_t worker);
+    void announceToNextAgents(uint32_t worker, uint32_t tries);
+    // Hands an announcement to the agent; false if no process is there. `onOutcome` is called once the agent
+    // has read it.
+    bool deliver(uint32_t agent, const WorkerAnnouncement &announcement,
+                 const std::function<void(AnnouncementOutcome)> &onOutcome);
+    WorkerAnnouncement toAnnouncement(const AnnounceAnotherWorker &stray);
+    void repeatAnnouncement(uint32_t agent, const WorkerAnnouncement &announcement, Millis until);
     void beginTrouble(const PlannedTrouble &planned);
     // The processes reach each other only, and not the store.
     void cutOff(std::span<const ProcessName> group, Millis until);
--- a/src/emulator/emulationplan.cpp
+++ b/src/emulator/emulationplan.cpp
@@ -21,6 +21,12 @@
 constexpr Millis mostQuickRestart = {900};
 // Share of the orders that a worker with hanging runs carries out seconds later, if any.
 constexpr double hangingWorkerLateShare = 0.7;
+// Longer than the interval of the announcements, so that the worker calls another agent.
+constexpr Millis leastDeafness = {500};
+constexpr Millis mostDeafness = {5'000};
+constexpr Millis latestStrayAnnouncement = {4'000};
+constexpr double leastRepeatedAnswers = 0.02;
+constexpr double mostRepeatedAnswers = 0.4;
 constexpr Millis leastOutage = {2'500};
 constexpr Millis mostOutage = {5'000};
 
@@ -49,6 +55,8 @@
             result.push_back(groupCut());
         for (int64_t number = whole(0, m_options.mostAgentSeries); number > 0; --number)
             addAgentSeries(result);
+        for (int64_t number = whole(0, m_options.mostStrayAnnouncements); number > 0; --number)
+            addStrayAnnouncement(result);
         std::sort(result.begin(), result.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
         return result;
     }
@@ -103,6 +111,67 @@
         for (int64_t number = whole(leastTroublesOfASeries, mostTroublesOfASeries); number > 0; --number)
             plan.push_back(agentTrouble(agent, {begin + whole(0, seriesLength.count)}));
     }
+    Millis length(Millis least, Millis most) { return {whole(least.count, most.count)}; }
+    AnnounceAnotherWorker anotherWorker(uint32_t agent)
+    {
+        using Born = AnnounceAnotherWorker::Born;
+        using CalledAt = AnnounceAnotherWorker::CalledAt;
+        AnnounceAnotherWorker stray{.agent = agent,
+                                    .namesCalledWorker = chance(0.3),
+                                    .hasUnknownService = chance(0.3),
+                                    .born = static_cast<Born>(whole(0, 2)),
+                                    .address = static_cast<CalledAt>(whole(0, 2))};
+        // Only the worker itself can name both its id and its life.
+        if (stray.namesCalledWorker && stray.born == Born::Present)
+            stray.born = Born::Later;
+        return stray;
+    }
+    // The agent does not acknowledge announcements for a while, so its worker calls the next agent.
+    void addDeafAgent(EmulationPlan &plan, const ProcessName &agent, Millis at)
+    {
+        if (chance(0.5))
+            plan.push_back({.at = at + length({0}, latestStrayAnnouncement),
+                            .trouble = CrashWorker{.worker = agent.index}});
+        const Millis deaf = length(leastDeafness, mostDeafness);
+        if (chance(0.5))
+            plan.push_back({.at = at, .length = deaf, .trouble = PauseProcess{.process = agent}});
+        else
+            plan.push_back({.at = at,
+                            .length = deaf,
+                            .trouble = KillProcess{.process = agent, .losesPower = chance(0.5)}});
+    }
+    void addStrayAnnouncement(EmulationPlan &plan)
+    {
+        const ProcessName agent{fleet::ProcessRole::Agent, worker()};
+        const Millis at = length(m_options.begin, m_options.end);
+        const Millis later = at + length({0}, latestStrayAnnouncement);
+        const Millis lasting = length(leastLength, mostLength);
+        switch (whole(0, 3)) {
+        case 0:
+            addDeafAgent(plan, agent, at);
+            return;
+        case 1:
+            plan.push_back({.at = at, .trouble = CrashWorker{.worker = agent.index}});
+            plan.push_back(
+                {.at = later, .length = lasting, .trouble = AnnounceFormerLife{.worker = agent.index}});
+            break;
+        case 2:
+            plan.push_back({.at = later, .length = lasting, .trouble = anotherWorker(agent.index)});
+            break;
+        default:
+            plan.push_back(
+                {.at = at,
+                 .length = lasting,
+                 .trouble = TroubleWorker{
+                     .worker = agent.index,
+                     .trouble = {.repeatsAnswers = part(leastRepeatedAnswers, mostRepeatedAnswers)}}});
+        }
+        // The agent may be at its start, when it knows no worker yet.
+        if (chance(0.4))
+            plan.push_back({.at = at,
+                            .length = length(leastQuickRestart, mostQuickRestart),
+                            .trouble = KillProcess{.process = agent, .losesPower = chance(0.5)}});
+    }
     int64_t whole(int64_t least, int64_t most)
     {
         return std::uniform_int_distribution<int64_t>(least, most)(m_random);
@@ -216,9 +285,27 @@
         return "fails runs";
     if (trouble.losesAnswers > 0)
         return "loses answers";
+    if (trouble.repeatsAnswers > 0)
+        return "repeats answers to list polls";
     return trouble.late > 0 ? "carries orders out late" : "is slow";
 }
 
+static std::string text(const AnnounceAnotherWorker &stray)
+{
+    using Born = AnnounceAnotherWorker::Born;
+    using CalledAt = AnnounceAnotherWorker::CalledAt;
+    std::string result = stray.namesCalledWorker ? "its worker" : "another worker";
+    if (stray.hasUnknownService)
+        result += ", of an unknown service";
+    if (stray.born == Born::Missing)
+        result += ", without a life";
+    else
+        result += stray.born == Born::Later ? ", of a later life" : ", of the same life";
+    if (stray.address != CalledAt::Missing)
+        result += stray.address == CalledAt::WorkersAddress ? ", at its address" : ", at another address";
+    return result;
+}
+
 std::string troubleText(const Trouble &trouble)
 {
     return std::visit(
@@ -258,6 +345,13 @@
                     names += (names.empty() ? "" : ", ") + text(process);
                 return names + " are cut off from the store and all other processes";
             },
+            [](const AnnounceAnotherWorker &stray) {
+                return "agent-" + std::to_string(stray.agent) + " hears announcements of " + text(stray);
+            },
+            [](const AnnounceFormerLife &former) {
+                return "announcements of the former life of worker-" + std::to_string(former.worker)
+                    + " arrive late";
+            },
             [](const Burst &burst) { return "burst of " + std::to_string(burst.factor) + " times the load"; },
         },
         trouble);
--- a/src/emulator/emulationplan.h
+++ b/src/emulator/emulationplan.h
@@ -69,6 +69,24 @@
 {
     uint32_t worker = 0;
 };
+// A process that is no worker of this deployment announces a worker to the agent, again and again.
+struct AnnounceAnotherWorker
+{
+    // What the announcement says beside what the called worker would say.
+    enum class Born : uint8_t { Missing, Present, Later };
+    enum class CalledAt : uint8_t { Missing, WorkersAddress, AnotherAddress };
+
+    uint32_t agent = 0;
+    bool namesCalledWorker = false;
+    bool hasUnknownService = false;
+    Born born = Born::Later;
+    CalledAt address = CalledAt::Missing;
+};
+// Announcements of the worker's former life arrive late at its agent; none if it has not crashed.
+struct AnnounceFormerLife
+{
+    uint32_t worker = 0;
+};
 struct DealAnew
 {
 };
@@ -93,9 +111,9 @@
     double factor = 1.9;
 };
 
-using Trouble =
-    std::variant<KillProcess, PauseProcess, StopProcess, RestartEntriesInTurn, KillAll, CutLink, TroubleStore,
-                 TroubleWorker, CrashWorker, DealAnew, Burst, IsolateEntry, RestartWithoutStore, CutGroup>;
+using Trouble = std::variant<KillProcess, PauseProcess, StopProcess, RestartEntriesInTurn, KillAll, CutLink,
+                             TroubleStore, TroubleWorker, CrashWorker, DealAnew, Burst, IsolateEntry,
+                             RestartWithoutStore, CutGroup, AnnounceAnotherWorker, AnnounceFormerLife>;
 
 struct PlannedTrouble
 {
@@ -122,6 +140,9 @@
     // Most series of troubles of one agent, besides the other troubles: quick restarts, cuts of a link to an
     // entry, and a worker whose runs hang and which carries orders out late.
     uint32_t mostAgentSeries = 0;
+    // Most agents that hear announcements which are not of their worker, or repeated answers of it, besides
+    // the other troubles.
+    uint32_t mostStrayAnnouncements = 0;
 };
 
 // Equal options give equal plans.
--- a/tests/process/test_emulation.py
+++ b/tests/process/test_emulation.py
@@ -11,6 +11,8 @@
 # for accepted jobs at any entry.
 ISOLATIONS = ("--troubles", "6", "--isolations", "4", "--two-step-share", "0.4", "--asked-share", "0.6", "--kept-share",
               "0.6")
+# Agents hear announcements that are not of their worker, and workers repeat answers to list polls.
+STRAY_ANNOUNCEMENTS = ("--stray-announcements", "4", "--length-s", "10")
 # Seeds that have broken a promise, with their options; each names the cause that was mended.
 REGRESSIONS = (
     ((7, 10, 15, 24), ("--site", "himal"), "a restarted worker had started runs that its agent took for lost"),
@@ -24,11 +26,14 @@
     ((700076,), ("--site", "qalhat", *ISOLATIONS), "the next owner did not dispute the end of a superseded run"),
     ((440038,), ("--site", "qalhat", "--kept-share", "0", "--deadline-ms", "1500", "--resubmissions", "4",
                  "--agent-series", "3"), "a new owner took the runs of short jobs for ended"),
+    ((4, 5), ("--site", "himal", *STRAY_ANNOUNCEMENTS), "an agent took another worker's announcement for a new life"),
+    ((4,), ("--site", "qalhat", *STRAY_ANNOUNCEMENTS), "the same"),
 )
 MORE_DAYS = (
     ("--site", "himal", "--days", "8", "--first-seed", "100", "--troubles", "12"),
     ("--site", "qalhat", "--days", "8", "--first-seed", "200", "--troubles", "12", "--kept-share", "0.7"),
     ("--site", "himal", "--days", "8", "--first-seed", "300", *ISOLATIONS),
+    ("--site", "qalhat", "--days", "8", "--first-seed", "400", "--troubles", "6", *STRAY_ANNOUNCEMENTS),
 )
 
 
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace turmericwell {
 
 BOOST_AUTO_TEST_SUITE(EmulationTest)
@@ -140,6 +142,109 @@
     }
 }
 
+// Guards against two runs of a task at the same time: an agent took the announcement of another worker, whose
+// own agent was down, for a new life of its worker and reported all its runs lost (issue 36).
+BOOST_AUTO_TEST_CASE(announcementOfAnotherWorkerLosesNoRuns)
+{
+    EmulationOptions day = shortDay(1);
+    day.workersCallNextAgent = true;
+    day.plan = {{{500}, {3'000}, KillProcess{.process = {fleet::ProcessRole::Agent, 0}}}};
+    BOOST_TEST(firstBroken(checkPromises(Emulation(day).run(), day)) == "");
+}
+
+// The same for announcements of another program that name a later life, at whatever address.
+BOOST_AUTO_TEST_CASE(announcementOfAnotherWriterLosesNoRuns)
+{
+    using CalledAt = AnnounceAnotherWorker::CalledAt;
+    for (const CalledAt address : {CalledAt::Missing, CalledAt::WorkersAddress, CalledAt::AnotherAddress}) {
+        for (const bool namesCalledWorker : {false, true}) {
+            EmulationOptions day = shortDay(2);
+            day.plan = {{{500},
+                         {2'000},
+                         AnnounceAnotherWorker{
+                             .agent = 3, .namesCalledWorker = namesCalledWorker, .address = address}}};
+            BOOST_TEST_CONTEXT(troubleText(day.plan.front().trouble))
+            BOOST_TEST(firstBroken(checkPromises(Emulation(day).run(), day)) == "");
+        }
+    }
+}
+
+// Guards against recorded seeds that no longer give the days which found a fault.
+BOOST_AUTO_TEST_CASE(strayAnnouncementsAreDrawnBesideTheOtherTroubles)
+{
+    size_t strays = 0;
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        PlanOptions options{.seed = seed, .mostAgentSeries = 2};
+        const EmulationPlan before = drawPlan(options);
+        options.mostStrayAnnouncements = 6;
+        const EmulationPlan after = drawPlan(options);
+        BOOST_TEST_REQUIRE(after.size() >= before.size());
+        strays += after.size() - before.size();
+        for (const PlannedTrouble &planned : before) {
+            const auto isSame = [&](const PlannedTrouble &other) {
+                return other.at == planned.at && other.length == planned.length
+                    && troubleText(other.trouble) == troubleText(planned.trouble);
+            };
+            BOOST_TEST(std::any_of(after.begin(), after.end(), isSame), troubleText(planned.trouble));
+        }
+    }
+    BOOST_TEST(strays > 10U);
+}
+
+// A worker beside an agent process, for calls without an agent.
+struct WorkerFixture
+{
+    WorkerFixture() { network.up(host, io); }
+
+    // Answer to a list poll that names the worker.
+    std::pair<OrderAnswer, WorkerLists> poll(std::string_view named)
+    {
+        std::optional<std::pair<OrderAnswer, WorkerLists>> answered;
+        worker.pollLists({.number = 1, .worker = named}, {1'000},
+                         [&](OrderAnswer answer, const WorkerLists &lists) {
+                             answered = {answer, lists};
+                         });
+        while (!answered) {
+            events.runNext(events.now() + Millis{2'000});
+            io.restart();
+            io.poll();
+        }
+        return *answered;
+    }
+
+    static constexpr HostNumber host = 1;
+    EventQueue events{{1'000'000}, 1};
+    EmulatedNetwork network{{}, events};
+    IoContext io{1};
+    std::vector<RunEvent> history;
+    EmulatedWorker worker{
+        {.number = 7, .host = host}, [](const TaskId &) { return TaskWork{}; }, events, network, history};
+};
+
+// Guards against a worker that answers calls which are for another one: no agent that has taken up a wrong
+// announcement would find out.
+BOOST_FIXTURE_TEST_CASE(workerRefusesCallsThatNameAnotherWorker, WorkerFixture)
+{
+    BOOST_TEST((poll("worker-7").first == OrderAnswer::Done));
+    BOOST_TEST((poll("").first == OrderAnswer::Done));
+    BOOST_TEST((poll("worker-8").first == OrderAnswer::WrongWorker));
+}
+
+// Guards against days in which no answer is repeated although the plan says so, and against answers that pass
+// from a former life or to another process.
+BOOST_FIXTURE_TEST_CASE(workerRepeatsAnswersOnOneConnectionOnly, WorkerFixture)
+{
+    const Millis first = poll("").second.workerClock;
+    worker.setTrouble({.repeatsAnswers = 1}, events.now() + Millis{60'000});
+    BOOST_TEST(poll("").second.workerClock.count == first.count);
+    network.down(host, true);
+    network.up(host, io);
+    const Millis second = poll("").second.workerClock;
+    BOOST_TEST(second.count > first.count);
+    worker.crash();
+    BOOST_TEST(poll("").second.workerClock.count < second.count);
+}
+
 // Guards against a bound that a dispatcher passes: two jobs want all processors at the same time, and there
 // is room for one of them until the deadlines.
 BOOST_AUTO_TEST_CASE(boundIsWhatTheProcessorsCanDoInTime)
