--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -34,6 +34,7 @@
     uint32_t mostGroupCuts = 0;
     uint32_t mostAgentSeries = 0;
     uint32_t mostStrayAnnouncements = 0;
+    uint32_t workerCrashes = 0;
     double twoStepShare = 0;
     double askedShare = 0;
     // 0 for the traffic's own deadline.
@@ -93,16 +94,16 @@
         day.size.agents = settings.agents;
     if (settings.partitions > 0)
         day.partitions = settings.partitions;
-    if (settings.mostTroubles > 0)
-        day.plan = drawPlan({.seed = seed,
-                             .size = day.size,
-                             .begin = firstTrouble,
-                             .end = day.length * troubledPercent / 100,
-                             .most = settings.mostTroubles,
-                             .mostIsolations = settings.mostIsolations,
-                             .mostGroupCuts = settings.mostGroupCuts,
-                             .mostAgentSeries = settings.mostAgentSeries,
-                             .mostStrayAnnouncements = settings.mostStrayAnnouncements});
+    day.plan = drawPlan({.seed = seed,
+                         .size = day.size,
+                         .begin = firstTrouble,
+                         .end = day.length * troubledPercent / 100,
+                         .most = settings.mostTroubles,
+                         .mostIsolations = settings.mostIsolations,
+                         .mostGroupCuts = settings.mostGroupCuts,
+                         .mostAgentSeries = settings.mostAgentSeries,
+                         .mostStrayAnnouncements = settings.mostStrayAnnouncements,
+                         .workerCrashes = settings.workerCrashes});
     return day;
 }
 
@@ -165,6 +166,7 @@
             {"p50_ratio", day.service.medianRatio},
             {"p99_ratio", day.service.p99Ratio},
             {"wasted", day.service.wasted},
+            {"restart_delays_ms", json::value_from(day.service.restartDelays)},
             {"store_calls", day.storeCalls},
             {"messages_per_process_s", day.messagesPerProcess},
             {"broken", std::move(broken)},
@@ -256,6 +258,7 @@
         "besides, most agents that hear announcements which are not of their worker, or repeated answers of "
         "it; "
         "workers whose agent does not acknowledge call the next agent")(
+        "worker-crashes", options::value(&settings.workerCrashes), "besides, number of crashes of workers")(
         "deadline-ms", options::value(&settings.deadlineMs),
         "how long clients wait for an answer; the traffic's own if 0")(
         "resubmissions", options::value(&settings.mostResubmissions),
--- a/src/emulator/emulationcheck.cpp
+++ b/src/emulator/emulationcheck.cpp
@@ -37,9 +37,11 @@
     case Promise::Recovers:
         return "recovers";
     case Promise::AnswersFitCalls:
+        return "answers_fit_calls";
+    case Promise::Attempts:
         break;
     }
-    return "answers_fit_calls";
+    return "attempts";
 }
 
 namespace {
@@ -99,6 +101,7 @@
         std::map<TaskId, std::set<RunHistory::RunAt>> open;
         std::set<TaskId> done;
         std::set<TaskId> ended;
+        std::map<TaskId, uint32_t> failures;
         for (const RunEvent &event : m_record.runs) {
             const RunHistory::RunAt run{event.run, event.worker, event.life};
             if (event.kind == RunEventKind::Confirmed)
@@ -109,10 +112,14 @@
                     ended.insert(event.run.task);
                 if (event.kind == RunEventKind::Done && history.confirmed.contains(run))
                     done.insert(event.run.task);
+                if (event.kind == RunEventKind::Failed && history.confirmed.contains(run))
+                    ++failures[event.run.task];
                 continue;
             }
             checkStart(event, open[event.run.task], done.contains(event.run.task));
             checkOrder(event, ended);
+            if (failures[event.run.task] >= failedRunsAllowed && m_jobs.at(event.run.task.job)->isKept)
+                broken(Promise::Attempts, runText(event, m_record.begin) + " after its last attempt");
             open[event.run.task].insert(run);
             m_started.insert(event.run.task.job);
         }
@@ -251,6 +258,21 @@
     return used > 0 ? wasted / used : 0;
 }
 
+static std::vector<int64_t> restartDelaysOf(const EmulationRecord &record)
+{
+    std::map<TaskId, Millis> lostAt;
+    std::vector<int64_t> delays;
+    for (const RunEvent &event : record.runs) {
+        if (event.kind == RunEventKind::Lost) {
+            lostAt[event.run.task] = event.at;
+        } else if (event.kind == RunEventKind::Started) {
+            if (const auto lost = lostAt.extract(event.run.task))
+                delays.push_back((event.at - lost.mapped()).count);
+        }
+    }
+    return delays;
+}
+
 static Millis objectiveOf(const JobOutcome &job, const EmulationOptions &options)
 {
     const auto longest = static_cast<double>(job.longestTask.count);
@@ -337,6 +359,7 @@
     service.medianRatio = quantiles.p50;
     service.p99Ratio = quantiles.p99;
     service.wasted = wastedShare(record);
+    service.restartDelays = restartDelaysOf(record);
     return service;
 }
 
--- a/src/emulator/emulationcheck.h
+++ b/src/emulator/emulationcheck.h
@@ -27,6 +27,8 @@
     Recovers,
     // An answer names a state that the call may return.
     AnswersFitCalls,
+    // No task of a kept job starts after as many confirmed failures as it has attempts.
+    Attempts,
 };
 
 std::string_view promiseName(Promise promise);
@@ -61,6 +63,9 @@
     double p99Ratio = 0;
     // Processor time of runs that did not end as done, over all.
     double wasted = 0;
+    // Milliseconds from the crash of a worker to the next start of each task that it ran, unless the task
+    // never starts again.
+    std::vector<int64_t> restartDelays;
 
     KindService total() const;
 };
--- a/src/emulator/emulationplan.cpp
+++ b/src/emulator/emulationplan.cpp
@@ -43,7 +43,7 @@
     EmulationPlan plan()
     {
         EmulationPlan result;
-        const auto count = whole(1, static_cast<int64_t>(m_options.most));
+        const int64_t count = m_options.most == 0 ? 0 : whole(1, m_options.most);
         for (int64_t number = 0; number < count; ++number) {
             result.push_back({.at = {whole(m_options.begin.count, m_options.end.count)},
                               .length = {whole(leastLength.count, mostLength.count)},
@@ -57,6 +57,9 @@
             addAgentSeries(result);
         for (int64_t number = whole(0, m_options.mostStrayAnnouncements); number > 0; --number)
             addStrayAnnouncement(result);
+        for (uint32_t number = 0; number < m_options.workerCrashes; ++number)
+            result.push_back(
+                {.at = length(m_options.begin, m_options.end), .trouble = CrashWorker{.worker = worker()}});
         std::sort(result.begin(), result.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
         return result;
     }
--- a/src/emulator/emulationplan.h
+++ b/src/emulator/emulationplan.h
@@ -131,6 +131,7 @@
     // Troubles begin in this span, and all of them have ended a little after it.
     Millis begin = {2'000};
     Millis end = {14'000};
+    // 0 for no other troubles than those of the numbers below.
     uint32_t most = 8;
     // Most entries that are cut off from everything or restarted during an outage of the store, besides the
     // other troubles. With 0 the plan is the one that the same seed gave before there were such troubles.
@@ -143,6 +144,8 @@
     // Most agents that hear announcements which are not of their worker, or repeated answers of it, besides
     // the other troubles.
     uint32_t mostStrayAnnouncements = 0;
+    // Crashes of workers, besides the other troubles.
+    uint32_t workerCrashes = 0;
 };
 
 // Equal options give equal plans.
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -177,9 +177,10 @@
         PlanOptions options{.seed = seed, .mostAgentSeries = 2};
         const EmulationPlan before = drawPlan(options);
         options.mostStrayAnnouncements = 6;
+        options.workerCrashes = 2;
         const EmulationPlan after = drawPlan(options);
-        BOOST_TEST_REQUIRE(after.size() >= before.size());
-        strays += after.size() - before.size();
+        BOOST_TEST_REQUIRE(after.size() >= before.size() + options.workerCrashes);
+        strays += after.size() - before.size() - options.workerCrashes;
         for (const PlannedTrouble &planned : before) {
             const auto isSame = [&](const PlannedTrouble &other) {
                 return other.at == planned.at && other.length == planned.length
@@ -349,6 +350,28 @@
     BOOST_TEST((broken() == std::vector{Promise::AnswersFitCalls}));
 }
 
+BOOST_FIXTURE_TEST_CASE(restartDelayIsCountedFromTheCrash, CheckFixture)
+{
+    record.runs.resize(1);
+    run(RunEventKind::Lost, 250, 1, 0);
+    run(RunEventKind::Started, 1'300, 2, 1);
+    run(RunEventKind::Started, 1'400, 3, 1);
+    BOOST_TEST(measureService(record, options).restartDelays == std::vector<int64_t>{1'050},
+               boost::test_tools::per_element());
+}
+
+// Guards against failed runs that an owner does not count: the task starts again beyond its attempts.
+BOOST_FIXTURE_TEST_CASE(checkSeesAStartAfterTheLastAttempt, CheckFixture)
+{
+    record.runs.clear();
+    for (uint32_t number = 1; number <= failedRunsAllowed + 1; ++number) {
+        run(RunEventKind::Started, 100 * number, number, 0);
+        run(RunEventKind::Failed, 100 * number + 50, number, 0);
+        run(RunEventKind::Confirmed, 100 * number + 60, number, 0);
+    }
+    BOOST_TEST((broken() == std::vector{Promise::Attempts}));
+}
+
 BOOST_FIXTURE_TEST_CASE(checkSeesAnOverfullWorker, CheckFixture)
 {
     record.mostOverfullMilli = 100;
