Emulate orders that the next life of a worker carries out late

A call without an answer may be executed seconds later, and a worker may start again under its name meanwhile.

Off unless asked for.

--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -35,6 +35,7 @@
     uint32_t mostAgentSeries = 0;
     uint32_t mostStrayAnnouncements = 0;
     uint32_t workerCrashes = 0;
+    uint32_t mostLateOrders = 0;
     double twoStepShare = 0;
     double askedShare = 0;
     // 0 for the traffic's own deadline.
@@ -103,7 +104,8 @@
                          .mostGroupCuts = settings.mostGroupCuts,
                          .mostAgentSeries = settings.mostAgentSeries,
                          .mostStrayAnnouncements = settings.mostStrayAnnouncements,
-                         .workerCrashes = settings.workerCrashes});
+                         .workerCrashes = settings.workerCrashes,
+                         .mostLateOrders = settings.mostLateOrders});
     return day;
 }
 
@@ -259,6 +261,8 @@
         "it; "
         "workers whose agent does not acknowledge call the next agent")(
         "worker-crashes", options::value(&settings.workerCrashes), "besides, number of crashes of workers")(
+        "late-orders", options::value(&settings.mostLateOrders),
+        "besides, most workers that crash while orders are on their way, which their next life carries out")(
         "deadline-ms", options::value(&settings.deadlineMs),
         "how long clients wait for an answer; the traffic's own if 0")(
         "resubmissions", options::value(&settings.mostResubmissions),
--- a/src/emulator/emulatedworker.cpp
+++ b/src/emulator/emulatedworker.cpp
@@ -80,8 +80,8 @@
     carryOut(
         isLost ? 1 : 0, timeout,
         [this, answer, isLost, life = m_life, run = call.run, deadline = call.deadline, fence = call.fence,
-         named = std::string(call.worker)] {
-            if (life != m_life || !isFor(named)) {
+         named = std::string(call.worker), outlivesCrash = trouble().lateOrdersOutliveCrash] {
+            if ((life != m_life && !outlivesCrash) || !isFor(named)) {
                 answer(OrderAnswer::WrongWorker, std::nullopt);
                 return;
             }
@@ -108,8 +108,8 @@
     carryOut(
         isLost ? 1 : 0, timeout,
         [this, answer, isLost, life = m_life, run = call.run, fence = call.fence,
-         named = std::string(call.worker)] {
-            if (life != m_life || !isFor(named)) {
+         named = std::string(call.worker), outlivesCrash = trouble().lateOrdersOutliveCrash] {
+            if ((life != m_life && !outlivesCrash) || !isFor(named)) {
                 answer(OrderAnswer::WrongWorker, std::nullopt);
                 return;
             }
--- a/src/emulator/emulatedworker.h
+++ b/src/emulator/emulatedworker.h
@@ -33,6 +33,9 @@
     // Share of the calls whose answers are lost, and of those that are carried out seconds later.
     double losesAnswers = 0;
     double late = 0;
+    // Orders that are on their way for seconds also reach the next life of the worker, which has the same
+    // name.
+    bool lateOrdersOutliveCrash = false;
     // Share of the list polls that get the answer to an earlier poll once more, instead of their own.
     double repeatsAnswers = 0;
     // Runs that start now never end.
--- a/src/emulator/emulationplan.cpp
+++ b/src/emulator/emulationplan.cpp
@@ -27,6 +27,10 @@
 constexpr Millis latestStrayAnnouncement = {4'000};
 constexpr double leastRepeatedAnswers = 0.02;
 constexpr double mostRepeatedAnswers = 0.4;
+constexpr Millis leastLateOrders = {500};
+constexpr Millis mostLateOrders = {2'500};
+constexpr double leastLateShare = 0.1;
+constexpr double mostLateShare = 0.7;
 constexpr Millis leastOutage = {2'500};
 constexpr Millis mostOutage = {5'000};
 
@@ -60,6 +64,8 @@
         for (uint32_t number = 0; number < m_options.workerCrashes; ++number)
             result.push_back(
                 {.at = length(m_options.begin, m_options.end), .trouble = CrashWorker{.worker = worker()}});
+        for (int64_t number = whole(0, m_options.mostLateOrders); number > 0; --number)
+            addLateOrders(result);
         std::sort(result.begin(), result.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
         return result;
     }
@@ -175,6 +181,18 @@
                             .length = length(leastQuickRestart, mostQuickRestart),
                             .trouble = KillProcess{.process = agent, .losesPower = chance(0.5)}});
     }
+    void addLateOrders(EmulationPlan &plan)
+    {
+        const uint32_t number = worker();
+        const Millis at = length(m_options.begin, m_options.end);
+        const Millis lasting = length(leastLateOrders, mostLateOrders);
+        plan.push_back({.at = at,
+                        .length = lasting,
+                        .trouble = TroubleWorker{.worker = number,
+                                                 .trouble = {.late = part(leastLateShare, mostLateShare),
+                                                             .lateOrdersOutliveCrash = true}}});
+        plan.push_back({.at = at + length({0}, lasting), .trouble = CrashWorker{.worker = number}});
+    }
     int64_t whole(int64_t least, int64_t most)
     {
         return std::uniform_int_distribution<int64_t>(least, most)(m_random);
@@ -290,6 +308,8 @@
         return "loses answers";
     if (trouble.repeatsAnswers > 0)
         return "repeats answers to list polls";
+    if (trouble.lateOrdersOutliveCrash)
+        return "carries orders out late, also in its next life";
     return trouble.late > 0 ? "carries orders out late" : "is slow";
 }
 
--- a/src/emulator/emulationplan.h
+++ b/src/emulator/emulationplan.h
@@ -146,6 +146,9 @@
     uint32_t mostStrayAnnouncements = 0;
     // Crashes of workers, besides the other troubles.
     uint32_t workerCrashes = 0;
+    // Most workers that crash while orders are on their way, which their next life carries out, besides the
+    // other troubles.
+    uint32_t mostLateOrders = 0;
 };
 
 // Equal options give equal plans.
--- a/tests/process/test_emulation.py
+++ b/tests/process/test_emulation.py
@@ -28,6 +28,8 @@
                  "--agent-series", "3"), "a new owner took the runs of short jobs for ended"),
     ((4, 5), ("--site", "himal", *STRAY_ANNOUNCEMENTS), "an agent took another worker's announcement for a new life"),
     ((4,), ("--site", "qalhat", *STRAY_ANNOUNCEMENTS), "the same"),
+    ((3, 4), ("--site", "himal", "--troubles", "0", "--late-orders", "6", "--length-s", "8"),
+     "a late order was carried out by the next life of its worker"),
 )
 MORE_DAYS = (
     ("--site", "himal", "--days", "8", "--first-seed", "100", "--troubles", "12"),
