Raise the fencing token when the worker has started again

A start that was on its way while its worker restarted under the same name was carried out by the next life, after the run had been reported as lost and the task had ended elsewhere.

Cause: all lives of a worker got the same fencing token. The name and the deadline, which is on the clock of the former life, do not tell the lives apart either.

Change: startNewLife raises the token and polls the lists at once, so the new life rejects orders of the former one.

--- a/src/worker/workerlives.cpp
+++ b/src/worker/workerlives.cpp
@@ -100,12 +100,18 @@
         if (run.listedFromPoll)
             run.listedFromPoll = m_lastListPoll + 1;
     }
+    // A new life has seen no fencing token and has a new clock, so it would carry out an order to the former
+    // one that is still on its way, as far as neither the name nor the deadline of the order tells them
+    // apart. A call with a higher token makes it reject such an order; it is sent at once.
+    ++m_fence;
+    m_needsListsNow = true;
     m_log.always(now, "worker_life_changed",
                  {{"born", born},
                   {"known", worker().has_value()},
                   {"runs", m_runs.size()},
                   {"retained_runs", listed.size()},
-                  {"lease_left_ms", m_leaseEnd - now}});
+                  {"lease_left_ms", m_leaseEnd - now},
+                  {"fence", m_fence}});
     for (const RunId &id : listed)
         retainFormerRun(id, m_leaseEnd, now);
     rejectQueued(RejectReason::NoWorker, now);
--- a/tests/unit/workerlivestest.cpp
+++ b/tests/unit/workerlivestest.cpp
@@ -71,6 +71,20 @@
     BOOST_TEST(effects.rejected.empty());
 }
 
+// Guards against tasks that run twice at once: a start that was on its way for seconds was carried out by the
+// worker's next life, which has the same name and had seen no higher fencing token, after the run had been
+// reported as lost.
+BOOST_FIXTURE_TEST_CASE(callsToANewLifeHaveAHigherFence, WorkerLivesFixture)
+{
+    startListedRun();
+    const uint64_t former = effects.lastListPoll.fence;
+    advanceTime({20});
+    const uint32_t polls = effects.listPollCount;
+    answerFromLife(11, {5});
+    BOOST_TEST(effects.listPollCount > polls);
+    BOOST_TEST(effects.lastListPoll.fence > former);
+}
+
 // Guards against an agent that never uses its worker: after the announcement of another one, its own worker's
 // counted as outdated, and each call named the other.
 BOOST_AUTO_TEST_CASE(agentThatHeardAnotherWorkerFirstFindsItsOwn)
