Print what an agent did around two runs of one task at once

The decision that led to a second run is often a line of the agent that names no task, for example worker_announced, and had to be looked for in the kept logs.

Equal neighbours are one line.

--- a/tests/process/test_day.py
+++ b/tests/process/test_day.py
@@ -1,4 +1,7 @@
-"""Check of the day's checks: two runs of a task at once and full workers must be reported, and nothing else."""
+"""Check of the day's checks: two runs of a task at once and full workers must be reported, and nothing else.
+
+Also of the lines that are printed of an agent.
+"""
 
 import sys
 import unittest
@@ -9,6 +12,7 @@
 if len(sys.argv) > 1:
     sys.argv.pop(1)  # build directory, not used here
 from lab.daychecks import check_runs, split_stalled  # noqa: E402
+from lab.daytrace import AFTER_MS, BEFORE_MS, lines_around  # noqa: E402
 
 
 def up(worker, cpu=2000):
@@ -44,6 +48,15 @@
         for stall, counted in (({"at": 3.9, "worker": "i-1"}, 0), ({"at": 3.9, "worker": "i-2"}, 1), ({"at": 0.5, "worker": "i-1"}, 1)):
             self.assertEqual(len(split_stalled(pairs, [{"what": "stalled", "for_s": 0.4, **stall}])[0]), counted)
 
+    def test_lines_of_an_agent_are_those_near_the_pair_with_equal_ones_together(self):
+        """The trace must show the decision that led to the pair, which may be hidden by many lines of one kind."""
+        lost = {"event": "run_lost", "cause": "not listed"}
+        rows = [{"wall": 5000 - BEFORE_MS - 1, "event": "started"}, {"wall": 5000 + AFTER_MS + 1, "event": "started"},
+                {"wall": 4990, **lost, "job": "a"}, {"wall": 4991, **lost, "job": "b"}, {"wall": 4980, "what": "unreachable", "how": "reset"},
+                {"wall": 5001, "event": "run_ordered"}, {"wall": 5002, "event": "worker_call_failed", "answer": "wrong worker"}]
+        self.assertEqual(lines_around(rows, 5000), ["   -20 ms worker: unreachable how=reset", "   -10 ms run_lost cause=not listed (2 times)",
+                                                    "    +2 ms worker_call_failed answer=wrong worker"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/lab/day.py
+++ b/tools/lab/day.py
@@ -14,6 +14,7 @@
 from lab.daychecks import check_runs, is_record, split_stalled
 from lab.dayclients import run_clients
 from lab.daysite import Site
+from lab.daytrace import lines_around
 from lab.daytroubles import Troubles
 from lab.dayworkers import Recorder, run_workers
 from lab.fleet import Process
@@ -233,6 +234,14 @@
                 wanted += [(json.loads(line)["wall"], path.stem, line.strip()) for line in lines if job in line and is_record(line)]
         return [f"{wall} {name}: {line}" for wall, name, line in sorted(wanted) if task in line or '"task"' not in line]
 
+    def trace_agent(self, pair):
+        """What the agent of the first run did around the start of the second one."""
+        first, second = pair
+        log = self._events(f"{first['agent']}.log")
+        worker = [row for row in self._events("workers-*.jsonl") if first["worker"] == row.get("worker")
+                  or first["agent"] == row.get("agent")]
+        return [f"    {first['agent']} {line}" for line in lines_around([*log, *worker], second["wall"])]
+
     def report(self):
         kinds = sorted({row["kind"] for _, row in self.plan} - self.not_played)
         print(f"{self.site.name} seed {self.seed}: {self.counts['start']} starts, {len(self.plan)} troubles {kinds}, "
