--- a/tests/process/test_day.py
+++ b/tests/process/test_day.py
@@ -1,8 +1,10 @@
 """Check of the day's checks: two runs of a task at once and full workers must be reported, and nothing else.
 
-Also of the lines that are printed of an agent.
+Also of the plans, the heartbeats of other writers and the lines that are printed of an agent.
 """
 
+import json
+import random
 import sys
 import unittest
 from pathlib import Path
@@ -12,7 +14,15 @@
 if len(sys.argv) > 1:
     sys.argv.pop(1)  # build directory, not used here
 from lab.daychecks import check_runs, split_stalled  # noqa: E402
+from lab.dayheartbeats import foreign_heartbeat, odd_heartbeat  # noqa: E402
+from lab.daysite import LATER_TROUBLES, Site  # noqa: E402
 from lab.daytrace import AFTER_MS, BEFORE_MS, lines_around  # noqa: E402
+from lab.daytroubles import Troubles  # noqa: E402
+
+HEARTBEAT = {"service": "kiosk", "address": "127.0.0.2:8080", "zone": "patan", "version": "v1", "slots": 8, "state": "ready",
+             "coldMs": 0, "capacity": {"cpu": 4000, "memMb": 1024, "gpu": 0}, "labels": ["a"], "clockMs": 9, "seq": 4,
+             "born": 1_700_000_000_000}
+OTHER_ADDRESS = "127.0.0.3:8080"
 
 
 def up(worker, cpu=2000):
@@ -48,6 +58,28 @@
         for stall, counted in (({"at": 3.9, "worker": "i-1"}, 0), ({"at": 3.9, "worker": "i-2"}, 1), ({"at": 0.5, "worker": "i-1"}, 1)):
             self.assertEqual(len(split_stalled(pairs, [{"what": "stalled", "for_s": 0.4, **stall}])[0]), counted)
 
+    def test_foreign_heartbeats_are_well_formed_and_never_those_of_the_worker(self):
+        """A variant that the worker could have sent itself would blame the agent for believing it."""
+        choice, variants = random.Random(1), set()
+        for _ in range(500):
+            variant, data = foreign_heartbeat(choice, "i-1", HEARTBEAT, OTHER_ADDRESS)
+            variants.add(variant)
+            head, body = data.split(b"\r\n\r\n", 1)
+            path = head.split()[1].decode()
+            self.assertNotEqual((path, json.loads(body)), ("/Instances.Heartbeat/i-1", HEARTBEAT))
+            self.assertNotEqual(path, "/Instances.Deregister/i-1")
+        self.assertGreaterEqual(variants, {"other_id", "same_id_later", "same_id_no_born", "unknown_service", "deregister_other_id"})
+
+    def test_odd_heartbeats_state_their_length(self):
+        """A wrong length would make the agent wait for bytes instead of reading the odd ones."""
+        choice, variants = random.Random(1), set()
+        for _ in range(500):
+            variant, data = odd_heartbeat(choice, "i-1", HEARTBEAT)
+            variants.add(variant.split("_")[0])
+            head, body = data.split(b"\r\n\r\n", 1)
+            self.assertTrue(head.endswith(b"Content-Length: %d" % len(body)))
+        self.assertEqual(variants, {"missing", "other", "unknown", "unreadable"})
+
     def test_lines_of_an_agent_are_those_near_the_pair_with_equal_ones_together(self):
         """The trace must show the decision that led to the pair, which may be hidden by many lines of one kind."""
         lost = {"event": "run_lost", "cause": "not listed"}
@@ -57,6 +89,20 @@
         self.assertEqual(lines_around(rows, 5000), ["   -20 ms worker: unreachable how=reset", "   -10 ms run_lost cause=not listed (2 times)",
                                                     "    +2 ms worker_call_failed answer=wrong worker"])
 
+    def test_each_kind_of_the_later_groups_can_be_played(self):
+        """A kind without an action is skipped in silence but for a note."""
+        for group in LATER_TROUBLES.values():
+            for trouble in group:
+                self.assertTrue(hasattr(Troubles, "_" + trouble["kind"]), trouble["kind"])
+
+    def test_groups_of_later_troubles_are_drawn_apart(self):
+        """A recorded seed must keep its plan when a group is added."""
+        site = Site.__new__(Site)
+        site.name, site.troubles = "a", [{"kind": "mute_conns"}]
+        whole = site.plan(1, 30)
+        for kinds in (("mute_conns",), *(tuple(each["kind"] for each in group) for group in LATER_TROUBLES.values())):
+            self.assertEqual([row for row in whole if row[1]["kind"] in kinds], site.plan(1, 30, kinds))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/lab/day.py
+++ b/tools/lab/day.py
@@ -1,6 +1,8 @@
 """A whole day of a site as real processes on loopback: entries, agents, workers, store, clients and troubles."""
 
+import dataclasses
 import json
+import os
 import multiprocessing
 import random
 import subprocess
@@ -27,6 +29,8 @@
 
 class DayProcess(Process):
     was_started = False
+    # The machine is gone for good.
+    is_removed = False
 
     def start(self):
         self.was_started = True
@@ -73,7 +77,9 @@
         self._version = 1
         self._lock = threading.Lock()
         self._links, self._doors, self._worker_ports, self._clients_at = [], {}, {}, []
+        # By the name of the machine that was first at the address.
         self.processes = {}
+        self._removed, self._spares_taken = [], set()
         self._children, self._pipes = [], defaultdict(list)
         for machine in self.site.machines:
             self._add_machine(machine)
@@ -83,14 +89,17 @@
         self._doors[machine.name] = self._ports.next()
         ports["store"] = self._through_proxy(f"store/{machine.name}", f"127.0.0.1:{self._doors[machine.name]}")
         ports["peer_proxy"] = self._through_proxy(f"peer/{machine.name}", f"{machine.ip}:{ports['peer']}")
+        self.processes[machine.name] = self._make_process(machine, ports)
+        self._worker_ports[machine.name] = ports
+        if machine.role == "entry":
+            self._clients_at.append((machine.ip, ports["front"], machine.zone, machine.name))
+
+    def _make_process(self, machine, ports):
         command, settings = self.site.settings(machine, ports)
         path = self.folder / f"{machine.name}.json"
         path.write_text(json.dumps(settings))
         binary = str((self._build / "turmericwell").resolve())
-        self.processes[machine.name] = DayProcess(machine.name, [binary, command], path, path.with_suffix(".log"))
-        self._worker_ports[machine.name] = ports
-        if machine.role == "entry":
-            self._clients_at.append((machine.ip, ports["front"], machine.zone, machine.name))
+        return DayProcess(machine.name, [binary, command], path, path.with_suffix(".log"))
 
     def _through_proxy(self, link, address):
         listen = f"127.0.0.1:{self._ports.next()}"
@@ -114,6 +123,32 @@
     def to_worker(self, name, method, *arguments):
         self._send("workers", (name, method, arguments))
 
+    def next_spare(self):
+        """Name of a machine that has not been added yet, or None."""
+        with self._lock:
+            for machine in self.site.machines:
+                if machine.spare and machine.name not in self._spares_taken:
+                    self._spares_taken.add(machine.name)
+                    return machine.name
+        return None
+
+    def replace(self, name):
+        """Starts a machine with a new name and a new worker at the address of the removed machine `name`."""
+        with self._lock:
+            self._removed.append(self.processes[name])
+            machine = next(m for m in self.site.machines if m.name == name)
+            new_name = f"{name}-{len(self._removed)}"
+            self.processes[name] = self._make_process(dataclasses.replace(machine, name=new_name), self._worker_ports[name])
+        self.processes[name].start()
+        self.to_worker(name, "replace", new_name)
+
+    def rewrite_settings(self, name):
+        """Puts a file with the same settings in the place of the settings file."""
+        path = self.folder / f"{self.processes[name].name}.json"
+        new = path.with_suffix(".new")
+        new.write_text(path.read_text())
+        os.replace(new, path)
+
     def to_store(self, *command):
         self._send("store", command)
 
@@ -187,10 +222,11 @@
         time.sleep(max(0, begin + self.seconds - time.monotonic()))
         troubles.join()
         time.sleep(CALM_S)
-        self.ended_early = [name for name, each in self.processes.items() if each.was_started and each.has_ended()]
+        self.ended_early = [name for name, each in self.processes.items() if each.was_started and each.has_ended()
+                            and not each.is_removed]
 
     def _stop(self):
-        for process in self.processes.values():
+        for process in (*self.processes.values(), *self._removed):
             process.kill()
         for pipes in self._pipes.values():
             for pipe in pipes:
--- a/tools/lab/daysite.py
+++ b/tools/lab/daysite.py
@@ -13,9 +13,15 @@
 # Troubles that a site file does not list: workers that answer twice, connections that go silent for good,
 # workers that start again under their id, and owners that change twice while runs are unknown.
 OWN_TROUBLES = ({"kind": "repeat_answers"}, {"kind": "mute_conns"}, {"kind": "worker_restart"}, {"kind": "takeover_series"})
-# Drawn apart from the others, so that these keep their times: workers that announce themselves to another
-# agent while their own is down.
-LATER_TROUBLES = ({"kind": "announce_elsewhere"},)
+# Each group is drawn apart from the others, under a seed of its own, so that recorded seeds keep their plans.
+# The first: workers that announce themselves to another agent while their own is down.
+# The second: what else an agent and its worker may hear of each other, in the order of DEPLOY.md and PROTOCOL.md.
+LATER_TROUBLES = {
+    "later": ({"kind": "announce_elsewhere"},),
+    "agents": tuple({"kind": kind} for kind in (
+        "foreign_heartbeats", "odd_heartbeats", "late_heartbeats", "machine_removed", "restart_series",
+        "worker_unreachable", "worker_cut", "quota", "suspend", "notices", "hup")),
+}
 
 
 @dataclass
@@ -95,6 +101,7 @@
         self.grace_s = self.data["bounds"]["grace_s"]
         self.beat_s = self.data["discovery"]["beat_ms"] / 1000
         self.drain_s = self.data["bounds"]["drain_ms"] / 1000
+        self.reuse_after_s = self.data["bounds"].get("reuse_after_s", 2)
         self.troubles = [*self.data["troubles"], *OWN_TROUBLES]
 
     def _add_machines(self, group, address_block):
@@ -145,8 +152,9 @@
 
     def plan(self, seed, seconds, only=(), without=()):
         """Rows (at, trouble), in time order; several overlap, and some come in series."""
-        rows = [*self._draw(f"{self.name}/{seed}", self.troubles, seconds, only, without),
-                *self._draw(f"{self.name}/{seed}/later", LATER_TROUBLES, seconds, only, without)]
+        rows = self._draw(f"{self.name}/{seed}", self.troubles, seconds, only, without)
+        for group, troubles in LATER_TROUBLES.items():
+            rows += self._draw(f"{self.name}/{seed}/{group}", troubles, seconds, only, without)
         return sorted(rows, key=lambda pair: pair[0])
 
     @staticmethod
--- a/tools/lab/daytroubles.py
+++ b/tools/lab/daytroubles.py
@@ -6,11 +6,13 @@
 import threading
 import time
 
+from lab.dayagenttroubles import AgentTroubles
+
 # A slow machine runs for a slice, then is paused for the rest of its factor.
 SLOW_SLICE_S = 0.01
 
 
-class Troubles:
+class Troubles(AgentTroubles):
     """Applies one trouble at a time in threads of its own; `day` gives processes and commands."""
 
     def __init__(self, day):
@@ -52,17 +54,18 @@
         process = self.day.processes[name]
         with process.lock:
             if power:
-                self._cut_power(process, away_s)
+                self._cut_power(process, name, away_s)
             else:
                 process.stop_with(number, self.day.site.grace_s)
             time.sleep(away_s)
-            process.start()
+            if not process.is_removed:
+                process.start()
 
-    def _cut_power(self, process, away_s):
+    def _cut_power(self, process, name, away_s):
         """The others see no end of a connection until the machine is back; nothing that it sent arrives late."""
         process.signal(signal.SIGSTOP)
         time.sleep(0.02)
-        self._link("drop", process.name, away_s)
+        self._link("drop", name, away_s)
         process.kill()
 
     def _together(self, names, action, gap_s=0.0):
@@ -135,10 +138,12 @@
                 time.sleep(SLOW_SLICE_S)
 
     def _add_nodes(self, _trouble, _choice):
-        for machine in self.day.site.machines:
-            if machine.spare and not self.day.processes[machine.name].was_started:
-                self.day.processes[machine.name].start()
-                self.day.to_worker(machine.name, "start")
+        while spare := self.day.next_spare():
+            self._add_machine(spare)
+
+    def _add_machine(self, name):
+        self.day.processes[name].start()
+        self.day.to_worker(name, "start")
 
     _scale_out = _add_nodes
 
--- a/tools/lab/dayworkers.py
+++ b/tools/lab/dayworkers.py
@@ -1,15 +1,22 @@
 """Stand-in workers of a day: several in one process, on kept HTTP/1.1 connections, with the faults of real back ends."""
 
 import asyncio
+import dataclasses
 import json
 import random
 import time
 
+from lab.dayheartbeats import foreign_heartbeat, message, odd_heartbeat
+
 # An order that is carried out late waits up to this long.
 LATEST_ORDER_S = 4.0
 LISTED_ENDS = 500
 # A worker process that was late by this much is not taken for one that kept its leases.
 STALL_S = 0.3
+# Lists that nobody asked for during this time are recorded: the leases of all runs have lapsed.
+UNREAD_S = 1.0
+# A late heartbeat is sent until the agent, which may restart just then, has accepted it.
+LATE_HEARTBEAT_TRIES, LATE_HEARTBEAT_GAP_S = 200, 0.01
 STATUS = {200: "OK", 404: "Not Found", 409: "Conflict", 421: "Misdirected Request", 503: "Service Unavailable"}
 
 
@@ -23,7 +30,9 @@
     """One worker with its lives. `faults` holds the active troubles: kind to parameters.
 
     slow: factor; hang; fail; refuse: share of calls; unanswered: share of orders; repeat_answers: share and most seconds;
-    announce_elsewhere: an announcement that its agent does not acknowledge goes to the next agent.
+    announce_elsewhere: an announcement that its agent does not acknowledge goes to the next agent;
+    unreachable: calls are reset, get no answer (silent), or are carried out without an answer (mute);
+    cut: heartbeats arrive only when the cut is over.
     `others` holds the control addresses of the other agents, the next one first.
     """
 
@@ -36,32 +45,43 @@
         self._server = None
         self._writers = set()
         self._lives = 0
+        # The last heartbeat of the former life: (worker, body).
+        self._former = None
+        # Heartbeats that a cut holds up.
+        self._held_up = []
         self.up, self.name = False, None
+        self.is_removed = False
 
     # --- lives ---
 
     async def start(self, same_id=False):
-        if self.up:
+        if self.up or self.is_removed:
             return
         if not (same_id and self._lives):
             self.name = f"i-{self.choice.randrange(1 << 32):08x}"
         self._lives += 1
         self.up, self.state = True, "ready"
+        self.faults.pop("unreachable", None)
         self.born, self._begin = int(time.time() * 1000), time.monotonic()
         # The clock of a worker may be 2 % slow.
         self._pace = self.choice.uniform(0.98, 1.0)
         self._base = self.choice.randrange(500_000)
         self._running, self._ended, self._highest, self._attached = {}, [], {}, 0
         self._deadline = self._last_end = self._sequence = self._fence = 0
+        self._leaves_at, self._last_read = 0, time.monotonic()
         self._changed = asyncio.Condition()
         self._lapse_check = None
         self.record(what="worker_up", worker=self.name, agent=self.machine.name, cpu=self.machine.cpu)
-        self._server = await asyncio.start_server(self._serve, self.machine.ip, self.ports["app"], reuse_address=True)
+        await self._listen()
         asyncio.ensure_future(self._announce_regularly(self._lives))
 
+    async def _listen(self):
+        self._server = await asyncio.start_server(self._serve, self.machine.ip, self.ports["app"], reuse_address=True)
+
     def crash(self):
         if not self.up:
             return
+        self._former = (self.name, self._heartbeat())
         self.up = False
         for task in list(self._running):
             self._cancel(task)
@@ -79,8 +99,73 @@
         for writer in self._writers:
             writer.muted = True
 
+    def remove(self):
+        """The machine is gone for good, unless another one takes its address."""
+        self.crash()
+        self.is_removed = True
+
+    async def replace(self, machine_name):
+        """Another machine at the address of the removed one."""
+        self.machine = dataclasses.replace(self.machine, name=machine_name)
+        self.is_removed = False
+        await self.start()
+
+    async def unreachable(self, how, length_s):
+        """The worker works on, but its agent's calls are refused, reset or not answered."""
+        if not self.up or "unreachable" in self.faults:
+            return
+        life = self._lives
+        self.record(what="unreachable", how=how, for_s=round(length_s, 3), worker=self.name, agent=self.machine.name)
+        self.faults["unreachable"] = how
+        if how == "refuse":
+            self._server.close()
+        if how in ("silent", "mute"):
+            self.mute_connections()
+        else:
+            self.reset_connections()
+        await asyncio.sleep(length_s)
+        self.faults.pop("unreachable", None)
+        if how == "refuse" and self.up and self._lives == life:
+            await self._listen()
+        self.record(what="reachable", worker=self.name, agent=self.machine.name)
+
+    async def cut(self, length_s, is_reborn):
+        """Partitioned from the agent, which hears what was held up when the cut is over."""
+        if not self.up or "cut" in self.faults:
+            return
+        end = time.monotonic() + length_s
+        self.faults["cut"] = True
+        asyncio.ensure_future(self.unreachable("silent", length_s))
+        if is_reborn:
+            await asyncio.sleep(length_s * self.choice.uniform(0.2, 0.8))
+            self.crash()
+            await self.start(self.choice.random() < 0.5)
+            asyncio.ensure_future(self.unreachable("silent", end - time.monotonic()))
+        await asyncio.sleep(end - time.monotonic())
+        del self.faults["cut"]
+        held_up, self._held_up = self._held_up, []
+        self.choice.shuffle(held_up)
+        for data in held_up:
+            await self._deliver_to_agent(data)
+            self.record(what="late_heartbeat", worker=self.name, agent=self.machine.name)
+
+    async def notice(self, length_s, deregisters):
+        """Drains, and then is ready again in the same life."""
+        life = self._lives
+        self.state, self._leaves_at = "draining", time.monotonic() + length_s + 1
+        await self._announce("Heartbeat")
+        await asyncio.sleep(length_s)
+        if not self.up or self._lives != life:
+            return
+        if deregisters:
+            await self._announce("Deregister")
+            await asyncio.sleep(self.choice.uniform(0, 0.5))
+        self.state = "ready"
+        self.record(what="ready_again", worker=self.name, agent=self.machine.name, deregistered=deregisters)
+        await self._announce("Heartbeat")
+
     async def drain(self, drain_s):
-        self.state = "draining"
+        self.state, self._leaves_at = "draining", time.monotonic() + drain_s
         await self._announce("Heartbeat")
         await asyncio.sleep(drain_s + self.choice.uniform(0.2, 4))
         await self._announce("Deregister")
@@ -94,28 +179,60 @@
             await self._announce("Heartbeat")
             await asyncio.sleep(self.beat_s * self.choice.uniform(0.7, 1.0))
 
+    def _heartbeat(self):
+        leaving = {"remainingMs": max(0, int((self._leaves_at - time.monotonic()) * 1000))} if self.state == "draining" else {}
+        return {"service": self.service, "address": f"{self.machine.ip}:{self.ports['app']}",
+                "zone": self.machine.zone, "version": "v1", "slots": 8, "state": self.state, "coldMs": 0,
+                "capacity": {"cpu": self.machine.cpu, "memMb": 32768, "gpu": 0}, "labels": self.machine.labels,
+                "clockMs": self.clock(), "seq": self._sequence, "born": self.born, **leaving}
+
     async def _announce(self, call):
         self._sequence += 1
-        body = json.dumps({"service": self.service, "address": f"{self.machine.ip}:{self.ports['app']}",
-                           "zone": self.machine.zone, "version": "v1", "slots": 8, "state": self.state, "coldMs": 0,
-                           "capacity": {"cpu": self.machine.cpu, "memMb": 32768, "gpu": 0},
-                           "labels": self.machine.labels, "clockMs": self.clock(), "seq": self._sequence,
-                           "born": self.born}).encode()
-        head = (f"POST /Instances.{call}/{self.name} HTTP/1.1\r\nHost: agent\r\nConnection: close\r\n"
-                f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n").encode()
-        if await self._deliver(head + body, self.machine.ip, self.ports["control"]) or "announce_elsewhere" not in self.faults:
+        data = message(call, self.name, self._heartbeat())
+        if await self._deliver_to_agent(data) or "announce_elsewhere" not in self.faults:
             return
         for ip, port in self.others:
-            if await self._deliver(head + body, ip, port):
+            if await self._deliver(data, ip, port):
                 self.record(what="announced_elsewhere", worker=self.name, agent=self.machine.name, to=ip)
                 return
 
+    async def write_as_other(self, group, length_s, gap_s):
+        """Another writer calls the agent's control address until the time is over."""
+        end = time.monotonic() + length_s
+        while time.monotonic() < end:
+            if self.up:
+                other_address = f"{self.others[0][0]}:{self.ports['app']}"
+                variant, data = (foreign_heartbeat(self.choice, self.name, self._heartbeat(), other_address)
+                                 if group == "foreign" else odd_heartbeat(self.choice, self.name, self._heartbeat()))
+                accepted = await self._deliver_to_agent(data)
+                self.record(what="other_writer", variant=variant, accepted=accepted, worker=self.name, agent=self.machine.name)
+            await asyncio.sleep(gap_s * self.choice.uniform(0.2, 1.8))
+
+    async def repeat_former(self, delay_s):
+        """The last heartbeat of the former life arrives late."""
+        if self._former is None:
+            return
+        former, body = self._former
+        await asyncio.sleep(delay_s)
+        for _ in range(LATE_HEARTBEAT_TRIES):
+            if await self._deliver_to_agent(message("Heartbeat", former, body)):
+                self.record(what="late_heartbeat", former=former, worker=self.name, agent=self.machine.name)
+                return
+            await asyncio.sleep(LATE_HEARTBEAT_GAP_S)
+
+    async def _deliver_to_agent(self, data):
+        if "cut" in self.faults:
+            self._held_up.append(data)
+            await asyncio.sleep(1)
+            return False
+        return await self._deliver(data, self.machine.ip, self.ports["control"])
+
     @staticmethod
-    async def _deliver(message, ip, port):
-        """True if the agent acknowledges the message within a second."""
+    async def _deliver(data, ip, port):
+        """True if the agent acknowledges the call within a second."""
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(ip, port), 1)
-            writer.write(message)
+            writer.write(data)
             answer = await asyncio.wait_for(reader.read(4096), 1)
             writer.close()
         except (OSError, asyncio.TimeoutError):
@@ -188,6 +305,9 @@
                 if writer.muted or life != self._lives or not self.up:
                     await asyncio.sleep(60)
                     return
+                if self.faults.get("unreachable") == "reset":
+                    writer.transport.abort()
+                    return
                 answer = await self._answer(path, headers, body)
                 if answer is None or writer.muted:
                     await asyncio.sleep(60)
@@ -219,12 +339,22 @@
 
     async def _answer(self, path, headers, body):
         """(status, body), or None to leave the call without an answer."""
+        if "unreachable" in self.faults:
+            if self.faults["unreachable"] == "mute":
+                await self._answer_in_time(path, headers, {**body, "waitMs": 0})
+            return None
         if self.choice.random() < self.faults.get("refuse", 0):
             return 503, {}
         if path != "/hold" and self.choice.random() < self.faults.get("unanswered", 0):
             delay = self.choice.choice((0, self.choice.uniform(0.05, LATEST_ORDER_S)))
             asyncio.get_running_loop().call_later(delay, self._carry_out_late, path, headers, body, self._lives)
             return None
+        answer = await self._answer_in_time(path, headers, body)
+        if path == "/hold" and answer[0] == 200:
+            self._record_unread()
+        return answer
+
+    async def _answer_in_time(self, path, headers, body):
         if path == "/hold":
             return await self._hold(headers, body)
         answer = self._perform(path, headers, body)
@@ -280,6 +410,12 @@
             asyncio.get_running_loop().call_later(delay, self._end, task, self._running[task]["run"], "stopped")
         return self._reject(200)
 
+    def _record_unread(self):
+        now = time.monotonic()
+        if now - self._last_read > UNREAD_S:
+            self.record(what="unread", for_s=round(now - self._last_read, 3), worker=self.name, agent=self.machine.name)
+        self._last_read = now
+
     async def _hold(self, headers, body):
         rejection = self._fenced(headers, body)
         if rejection:
