Use up the numbers of rejected appends that may still arrive

Cause: after a confirmation of the ownership the number of the next append is too high for such a store. The queue repeated the rejected append with the expected number and went on. A late attempt with the rejected number was then carried out, and the store took the next append with this number for its repeat and stored nothing. Evidence: the two new tests fail before. The fault was found by reading; no log of users shows it. Change: the records of a rejected append are also appended under the numbers up to the rejected one, so a late attempt is the repeat, and the outcome is reported after that. emptyAppendsThatTheStoreDoesNotCountDoNotEndTheQueue expects this one append more; what it checked before it still checks. The stand-in store gets both behaviours as options, off by default.

--- a/src/store/appendqueue.cpp
+++ b/src/store/appendqueue.cpp
@@ -97,7 +97,7 @@
 {
     switch (answer.status) {
     case StoreStatus::Done:
-        finishBatch(AppendOutcome::Stored);
+        handleStored();
         return;
     case StoreStatus::Fenced:
         m_log.always(Clock::now(), "append_fenced",
@@ -107,11 +107,15 @@
     case StoreStatus::WrongSequence:
         // An earlier attempt to append the same batch has been carried out.
         if (m_uncertain && answer.expectedSequence == m_sequence + 1) {
-            finishBatch(AppendOutcome::Stored);
+            handleStored();
             return;
         }
         if (m_lastRecordSequence && answer.expectedSequence == *m_lastRecordSequence + 1) {
             // The store does not count empty appends.
+            if (!m_batch.empty()) {
+                m_rejectedSequence = std::max(m_rejectedSequence, m_sequence);
+                m_uncertain = true;
+            }
             m_sequence = answer.expectedSequence;
             retry();
             return;
@@ -136,6 +140,19 @@
     }
 }
 
+void AppendQueue::handleStored()
+{
+    if (m_sequence >= m_rejectedSequence) {
+        finishBatch(AppendOutcome::Stored);
+        return;
+    }
+    // If a delayed attempt with a rejected number were carried out now, the store would take the next batch
+    // with that number for its repeat and not store it. So these numbers are used up for the same records.
+    m_lastRecordSequence = m_sequence;
+    ++m_sequence;
+    send();
+}
+
 void AppendQueue::finishBatch(AppendOutcome outcome)
 {
     if (m_failures > 0)
--- a/src/store/appendqueue.h
+++ b/src/store/appendqueue.h
@@ -7,6 +7,9 @@
 // The store takes an append with the epoch and sequence number of an earlier one for a repeat and stores
 // nothing. Each queue therefore numbers its appends from a random start: a queue whose epoch has been used by
 // another queue, for example one of a former process, receives WrongSequence and counts as superseded.
+//
+// A store may not count appends without records. The number of the next append is then too high; the append
+// is rejected and repeated with the expected number.
 #pragma once
 
 #include "net/timers.h"
@@ -81,6 +84,8 @@
     bool mustSendEmpty() const { return m_opening || !m_confirmations.empty(); }
     void send();
     void handleAnswer(const AppendAnswer &answer);
+    // The append in flight has been stored under its present number.
+    void handleStored();
     void finishBatch(AppendOutcome outcome);
     void dropExpired(Millis now);
     void retry();
@@ -107,6 +112,9 @@
     // Number of the last append that contained records; the store may expect its successor although empty
     // appends were sent since.
     std::optional<uint64_t> m_lastRecordSequence;
+    // Highest number under which an append with records was rejected because the store had not counted empty
+    // appends; 0 if there was none. A delayed attempt with that number may still be carried out.
+    uint64_t m_rejectedSequence = 0;
     uint32_t m_failures = 0;
     Millis m_sentAt;
     Millis m_batchStartedAt;
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -251,6 +251,32 @@
         self.assertEqual(len(epochs), len(set(epochs)), epochs)
         self.assert_sound(fleet)
 
+    # Guards against tasks that run again because the store does not hold their ends: a store that counts no empty appends
+    # rejected an append after a confirmation of the ownership, the append was repeated with the expected number, and a
+    # second attempt with the rejected number arrived late. The store then took the next append for a repeat.
+    def test_rejected_append_that_arrives_again_hides_no_record(self):
+        fleet = self.fleet(cpu=64000)
+        fleet.store.counts_empty_appends = False
+        fleet.store.rejected_again_s = 0.04
+        accepted = []
+        for first in (1, 101, 201):
+            accepted += self.submit_all(fleet, 24, first=first, tasks=1)
+            # After a pause an entry confirms the ownership of its partitions.
+            for entry in fleet.entries:
+                entry.signal(STOP)
+                time.sleep(0.8)
+                entry.signal(CONTINUE)
+                time.sleep(0.1)
+        accepted += self.submit_all(fleet, 24, first=301, tasks=1)
+        self.assertGreater(fleet.store.rejected_appends, 0)
+        # The next owners know only what the store holds.
+        for entry in fleet.entries:
+            entry.kill()
+            entry.start()
+        for job in accepted:
+            fleet.wait_for_state(job, "completed")
+        self.assert_sound(fleet)
+
     # Guards against two owners that act at the same time when the store reassigns all partitions.
     def test_partitions_reassigned_under_load(self):
         fleet = self.fleet(entries=3, task_ms=lambda task: 150)
--- a/tests/unit/appendqueuetest.cpp
+++ b/tests/unit/appendqueuetest.cpp
@@ -177,8 +177,69 @@
     BOOST_TEST(!isInUse);
     BOOST_TEST(store.calls[4].sequence == last + 1);
     store.answer({.status = StoreStatus::Done});
+    // The rejected number is used up for the same record, see the next test.
+    waitForCall(6);
+    store.answer({.status = StoreStatus::Done});
+    BOOST_TEST_REQUIRE(outcomes.size() == 2U);
+    BOOST_TEST((outcomes[1] == AppendOutcome::Stored));
+}
+
+// Guards against accepted jobs that are not stored: an append was rejected because the store had not counted
+// a confirmation, and was repeated with the expected number. An earlier attempt with the rejected number
+// arrived late and was carried out, and the store took the next append with that number for its repeat.
+BOOST_FIXTURE_TEST_CASE(delayedAttemptWithARejectedNumberHidesNoLaterRecord, AppendQueueFixture)
+{
+    add("a");
+    waitForCall(2);
+    store.answer({.status = StoreStatus::Done});
+    const uint64_t last = store.calls[1].sequence;
+    queue.confirm([] {});
+    waitForCall(3);
+    store.answer({.status = StoreStatus::Done});
+    add("b");
+    waitForCall(4);
+    const uint64_t rejected = store.calls[3].sequence;
+    // This attempt reaches the store after the next two.
+    store.answer({.status = StoreStatus::NoAnswer});
+    waitForCall(5);
+    store.answer({.status = StoreStatus::WrongSequence, .expectedSequence = last + 1});
+    waitForCall(6);
+    BOOST_TEST(store.calls[5].sequence == last + 1);
+    store.answer({.status = StoreStatus::Done});
+    add("c");
+    waitForCall(7);
+    BOOST_TEST(store.calls[6].sequence == rejected);
+    BOOST_TEST_REQUIRE(store.calls[6].records.size() == 1U);
+    BOOST_TEST(store.calls[6].records[0].key == "b");
+    BOOST_TEST(outcomes.size() == 1U);
+    store.answer({.status = StoreStatus::Done});
     BOOST_TEST_REQUIRE(outcomes.size() == 2U);
     BOOST_TEST((outcomes[1] == AppendOutcome::Stored));
+    waitForCall(8);
+    BOOST_TEST(store.calls[7].sequence == rejected + 1);
+    BOOST_TEST(store.calls[7].records[0].key == "c");
+}
+
+// Guards against endless repeats: empty appends use up no number of a store that does not count them.
+BOOST_FIXTURE_TEST_CASE(rejectedConfirmationIsRepeatedOnce, AppendQueueFixture)
+{
+    add("a");
+    waitForCall(2);
+    store.answer({.status = StoreStatus::Done});
+    const uint64_t last = store.calls[1].sequence;
+    uint32_t confirmations = 0;
+    for (size_t calls = 3; calls <= 4; ++calls) {
+        queue.confirm([&confirmations] { ++confirmations; });
+        waitForCall(calls);
+        if (calls == 4) {
+            store.answer({.status = StoreStatus::WrongSequence, .expectedSequence = last + 1});
+            waitForCall(5);
+        }
+        store.answer({.status = StoreStatus::Done});
+    }
+    BOOST_TEST(confirmations == 2U);
+    BOOST_TEST(store.calls.size() == 5U);
+    BOOST_TEST(queue.isIdle());
 }
 
 // Guards against queues of the same epoch that number their appends alike.
--- a/tools/lab/storestandin.py
+++ b/tools/lab/storestandin.py
@@ -17,7 +17,7 @@
     def __init__(self):
         self.records = []
         self.newest = {}
-        # By producer: epoch, next sequence number, answers of the last appends.
+        # By producer: epoch, next sequence number (None if any will do), answers of the last appends.
         self.producers = {}
 
 
@@ -45,6 +45,11 @@
         self.late_s = (0.3, 1.0)
         # Time by which members of a group are kept beyond their time to live.
         self.extra_ttl_s = 0
+        # Appends without records use up a sequence number.
+        self.counts_empty_appends = True
+        # Time, in seconds, after which an append that was rejected for its number arrives once more; 0 for never.
+        self.rejected_again_s = 0
+        self.rejected_appends = 0
         # Calls on these topics are refused; the other calls are as `fault` says.
         self.refused_topics = set()
         self.calls = {}
@@ -132,22 +137,30 @@
                 offset = self._add(partition, self._decode(body))
                 return 200, {"offset": offset, "end": len(partition.records)}
             epoch, sequence = int(query["epoch"]), int(query["seq"])
-            known = partition.producers.setdefault(producer, [epoch, sequence, {}])
+            known = partition.producers.setdefault(producer, [epoch, None, {}])
             if epoch < known[0]:
                 return 409, {"reason": "fenced"}
             if epoch > known[0]:
-                known[:] = [epoch, sequence, {}]
+                known[:] = [epoch, None, {}]
             if sequence in known[2]:
                 return known[2][sequence]
-            if sequence != known[1]:
+            if known[1] not in (None, sequence):
+                self._note_rejected(query, body)
                 return 409, {"reason": "seq", "seq": known[1]}
             offset = self._add(partition, self._decode(body))
             answer = 200, {"offset": offset, "end": len(partition.records)}
-            known[1] += 1
+            if not body and not self.counts_empty_appends:
+                return answer
+            known[1] = sequence + 1
             known[2][sequence] = answer
             known[2].pop(sequence - REMEMBERED_APPENDS, None)
             return answer
 
+    def _note_rejected(self, query, body):
+        self.rejected_appends += 1
+        if self.rejected_again_s and "again" not in query:
+            threading.Timer(self.rejected_again_s, self._append, ({**query, "again": ""}, body)).start()
+
     def _read(self, query, _body):
         start = int(query["from"])
         end = time.monotonic() + int(query.get("waitMs", 0)) / 1000
