Play a worker that fails its agent's calls just before the agent is killed

No kind played calls that fail in the moment before a kill.

Change: reset_then_kill makes a worker refuse, reset or not answer its agent's calls, kills the agent up to 0.1 s later, and has both back after 3.2 to 3.8 s.

--- a/tools/lab/dayagenttroubles.py
+++ b/tools/lab/dayagenttroubles.py
@@ -81,6 +81,15 @@
             self.day.to_worker(name, "unreachable", how, length_s)
         time.sleep(length_s)
 
+    def _reset_then_kill(self, _trouble, choice):
+        """The calls to the worker fail up to 0.1 s before its agent is killed; both are back after the same time."""
+        how, length_s = choice.choice(("refuse", "reset", "silent", "mute")), choice.uniform(*AWAY_S)
+        names, gap_s = self._agents(choice, 0.15), choice.uniform(0, 0.1)
+        for name in names:
+            self.day.to_worker(name, "unreachable", how, length_s)
+        time.sleep(gap_s)
+        self._together(names, lambda name: self._restart(name, signal.SIGKILL, length_s - gap_s))
+
     def _worker_cut(self, _trouble, choice):
         """Workers are partitioned from their agents; some crash behind the cut and start again."""
         length_s, is_reborn = choice.choice((0.8, 2, choice.uniform(*AWAY_S))), choice.random() < 0.5
--- a/tools/lab/daysite.py
+++ b/tools/lab/daysite.py
@@ -20,7 +20,7 @@
     "later": ({"kind": "announce_elsewhere"},),
     "agents": tuple({"kind": kind} for kind in (
         "foreign_heartbeats", "odd_heartbeats", "late_heartbeats", "machine_removed", "restart_series",
-        "worker_unreachable", "worker_cut", "quota", "suspend", "notices", "hup")),
+        "worker_unreachable", "reset_then_kill", "worker_cut", "quota", "suspend", "notices", "hup")),
 }
 
 
