Order the stop of a stalled run again when its agent reports the run

Cause: the owner orders one stop for a run that is to be moved. If the agent's process is gone by then, the stop is lost with the connection, and the run that the next process reports was taken as running, without another stop.

Change: adoptRun orders the stop again if the reported run is the current one and its stop has been ordered.

--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -324,6 +324,9 @@
         return;
     }
     m_effects.sendRunSize(agent, run, *job->spec.steps[task->step]);
+    // The stop of a run that is to be moved may have been lost with the connection or the agent's process.
+    if (task->stopOrdered && isCurrentRun(*task, agent, run))
+        m_effects.stop(agent, number, epoch, run);
     if (task->phase == TaskPhase::Running)
         return;
     task->phase = TaskPhase::Running;
--- a/tests/process/test_emulation.py
+++ b/tests/process/test_emulation.py
@@ -30,6 +30,8 @@
     ((4,), ("--site", "qalhat", *STRAY_ANNOUNCEMENTS), "the same"),
     ((3, 4), ("--site", "himal", "--troubles", "0", "--late-orders", "6", "--length-s", "8"),
      "a late order was carried out by the next life of its worker"),
+    ((610002,), ("--site", "qalhat", "--kept-share", "0.5", "--agent-series", "3", "--group-cuts", "2", "--length-s", "10"),
+     "the stop of a stalled run was lost with its agent's process"),
 )
 MORE_DAYS = (
     ("--site", "himal", "--days", "8", "--first-seed", "100", "--troubles", "12"),
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -537,6 +537,26 @@
     BOOST_TEST(effects.starts[1].agent == good);
 }
 
+// Guards against an accepted job that never completes: the stop of its stalled run was lost with the agent's
+// process, and the run that the next process reported was neither stopped nor moved again (turmericwell
+// emulate
+// --site qalhat --first-seed 610002 --kept-share 0.5 --agent-series 3 --group-cuts 2 --length-s 10).
+BOOST_FIXTURE_TEST_CASE(stopOfAStalledRunIsRepeatedWhenTheAgentReportsTheRun, JobSchedulerFixture)
+{
+    load();
+    submitAndStart(1, 1);
+    const RecordedEffects::Start stalled = effects.starts[0];
+    now += Millis{1'000};
+    scheduler.advance(now);
+    BOOST_TEST_REQUIRE(effects.stops.size() == 1U);
+    scheduler.agentDisconnected(stalled.agent);
+    scheduler.claimReport(stalled.agent, 0, *scheduler.epochOf(0), std::span(&stalled.run, 1), {}, now);
+    BOOST_TEST_REQUIRE(effects.stops.size() == 2U);
+    BOOST_TEST((effects.stops[1].run == stalled.run));
+    end(stalled, EndKind::Stopped);
+    BOOST_TEST(effects.starts.size() == 2U);
+}
+
 // Guards against work that is discarded because a task exceeds its declared run time.
 BOOST_FIXTURE_TEST_CASE(longRunStaysOnASoundWorker, JobSchedulerFixture)
 {
