Give the stored record of the scheduler's tests a name of its own

Cause: turmericwell::StoredRecord was defined twice, in the submission records and in the fixture of the job scheduler's tests. Without inlining the linker keeps one destructor for both, and membershipownership/jobIsCompleteOnlyWithAllResults crashed in a build of the unit tests with -O0.

Change: the fixture's type is RecordedWrite.

--- a/tests/unit/jobschedulerfixture.h
+++ b/tests/unit/jobschedulerfixture.h
@@ -9,7 +9,7 @@
 
 namespace turmericwell {
 
-struct StoredRecord
+struct RecordedWrite
 {
     JobId job = 0;
     std::string value;
@@ -40,7 +40,7 @@
     void endDisputed(AgentNumber, const RunId &run) override { disputed.push_back(run); }
     void sendRunSize(AgentNumber, const RunId &run, const StepSpec &) override { sized.push_back(run); }
 
-    std::vector<StoredRecord> records;
+    std::vector<RecordedWrite> records;
     std::vector<Start> starts;
     std::vector<Start> stops;
     std::vector<RunId> confirmed;
@@ -107,8 +107,8 @@
 
     void storeAll(StoreOutcome outcome = StoreOutcome::Stored)
     {
-        std::vector<StoredRecord> records = std::exchange(effects.records, {});
-        for (StoredRecord &record : records)
+        std::vector<RecordedWrite> records = std::exchange(effects.records, {});
+        for (RecordedWrite &record : records)
             record.onDone(outcome, now);
         scheduler.advance(now);
     }
