Let agents that cannot report tell new owners when former runs have ended

Cause: a new owner waits for the reports of all agents, or 2.5 s. Two agents whose workers have left are restarted as well, accept the claims of all partitions 0.34 s after their start, cannot report without their workers' lists, and are gone 0.68 s after their start. Their connections end 1.2 s later, so each partition waited 2.5 s.

Change: an agent that has accepted a claim, has never had an answer of its worker and has failed to get one twice sends LeaseBound, the time left until the leases of the former runs have ended (1.12 s after its start). Until then it renews no lease and starts nothing, even if the worker answers: the report on the worker's runs may not reach the owner. The owner counts from the arrival of the message, adds 2% and 1 ms, and then waits for that agent no longer. Bounds of another epoch or an older claim are not used, and a bound is forgotten with the connection, with the next claim and with a suspension. After a lost connection the 2.5 s stay, since a new process of the agent's name knows no epochs.

A new emulated test gives bounds while the former runs go on; it fails if the agent renews the lease before its bound.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -314,4 +314,10 @@
     link->send(fleet::ClaimReportT(report));
 }
 
+void AgentNode::sendLeaseBound(EntryNumber entry, const fleet::LeaseBoundT &bound)
+{
+    if (const NodeLinkPtr link = linkOf(entry))
+        link->send(fleet::LeaseBoundT(bound));
+}
+
 } // namespace turmericwell
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -54,6 +54,7 @@
     void sendEnded(EntryNumber entry, const RunId &run, EndKind kind, std::string_view checkpoint) override;
     void sendLost(EntryNumber entry, const RunId &run, LostCause cause) override;
     void sendClaimReport(EntryNumber entry, const fleet::ClaimReportT &report) override;
+    void sendLeaseBound(EntryNumber entry, const fleet::LeaseBoundT &bound) override;
 
 private:
     struct Entry
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -334,6 +334,8 @@
         m_scheduler.runRejected(agent, fromWire(rejected->run), rejected->reason, now);
     } else if (const fleet::ClaimReportT *claim = envelope.body.AsClaimReport()) {
         receivedClaimReport(agent, *claim, now);
+    } else if (const fleet::LeaseBoundT *bound = envelope.body.AsLeaseBound()) {
+        m_scheduler.leaseBound(agent, *bound, now);
     }
     if (resourcesChanged)
         advanceSoon();
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -179,6 +179,9 @@
     // Changes nothing if the report is of another epoch or cannot be read.
     void claimReport(AgentNumber agent, uint32_t partition, uint64_t epoch, std::span<const RunId> running,
                      std::span<const AgentEnd> ended, Millis now);
+    // The agent cannot report yet, and tells by when the former runs that it may have will have ended. The time
+    // counts from the arrival of the message, which is later than its writing.
+    void leaseBound(AgentNumber agent, const fleet::LeaseBoundT &bound, Millis now);
     // The connection to the agent is lost. It receives no orders until it has reported again.
     void agentDisconnected(AgentNumber agent);
     // None of the runs that this entry ordered from the agent exists any longer.
@@ -338,6 +341,9 @@
         // Number of the newest claim at each agent. An agent in `reported` has reported on it.
         std::map<AgentNumber, uint64_t> claims;
         std::set<AgentNumber> reported;
+        // For agents that have accepted the newest claim and cannot report yet: when the runs of former owners
+        // there will have ended.
+        std::map<AgentNumber, Millis> leaseEnds;
         std::set<AgentNumber> excluded;
         std::set<AgentNumber> expected;
         bool allAgentsKnown = false;
@@ -417,6 +423,8 @@
 
     // --- jobscheduleragents.cpp: claims, lost agents, reconciliation ---
     void reconcilePartition(uint32_t number, Partition &partition, Millis now);
+    // True if no run of a former owner can exist at the agent, or its report names those that do.
+    static bool isAccountedFor(const Partition &partition, AgentNumber agent, Millis now);
     // Why a report on a claim may not be used; empty if it may.
     std::string_view claimReportProblem(uint32_t number, uint64_t epoch, std::span<const RunId> running,
                                         std::span<const AgentEnd> ended) const;
--- a/src/jobs/jobscheduleragents.cpp
+++ b/src/jobs/jobscheduleragents.cpp
@@ -6,10 +6,16 @@
 
 namespace turmericwell {
 
+// The steady clocks of two instances differ by at most this share.
+constexpr int64_t clockDifferencePercent = 2;
+// A bound counts in whole milliseconds on either side.
+constexpr Millis clockGranularity = {1};
+
 uint64_t JobScheduler::claimSent(AgentNumber agent, uint32_t number)
 {
     Partition &partition = m_partitions.at(number);
     partition.reported.erase(agent);
+    partition.leaseEnds.erase(agent);
     partition.claims[agent] = ++m_lastClaim;
     return m_lastClaim;
 }
@@ -87,10 +93,38 @@
     partition.reported.insert(agent);
 }
 
+void JobScheduler::leaseBound(AgentNumber agent, const fleet::LeaseBoundT &bound, Millis now)
+{
+    const auto found = m_partitions.find(bound.partition);
+    const bool isUsable = found != m_partitions.end() && found->second.epoch == bound.epoch
+        && found->second.loaded && !found->second.suspended && bound.claim != 0
+        && isNewestClaim(agent, bound.partition, bound.claim);
+    m_log.always(now, isUsable ? "lease_bound_received" : "lease_bound_outdated",
+                 {{"agent", agent},
+                  {"partition", bound.partition},
+                  {"epoch", bound.epoch},
+                  {"claim", bound.claim},
+                  {"lease_left_ms", bound.lease_left_ms},
+                  {"loaded_ms_ago", isUsable ? now - found->second.loadedAt : Millis{0}}});
+    if (!isUsable)
+        return;
+    const Millis left = std::clamp(Millis{bound.lease_left_ms}, Millis{0}, m_options.reconciliationTimeout);
+    found->second.leaseEnds[agent] = now + left + left * clockDifferencePercent / 100 + clockGranularity;
+}
+
+bool JobScheduler::isAccountedFor(const Partition &partition, AgentNumber agent, Millis now)
+{
+    if (partition.reported.contains(agent))
+        return true;
+    const auto leaseEnd = partition.leaseEnds.find(agent);
+    return leaseEnd != partition.leaseEnds.end() && now > leaseEnd->second;
+}
+
 void JobScheduler::agentDisconnected(AgentNumber agent)
 {
     for (auto &[number, partition] : m_partitions) {
         partition.reported.erase(agent);
+        partition.leaseEnds.erase(agent);
         partition.claims.erase(agent);
     }
 }
@@ -166,10 +200,11 @@
 
 void JobScheduler::reconcilePartition(uint32_t number, Partition &partition, Millis now)
 {
-    const bool allReported = partition.allAgentsKnown
-        && std::includes(partition.reported.begin(), partition.reported.end(), partition.expected.begin(),
-                         partition.expected.end());
-    if (!allReported && now - partition.loadedAt < m_options.reconciliationTimeout)
+    const size_t unreported = unreportedAgents(partition);
+    const bool allAccountedFor = partition.allAgentsKnown
+        && std::all_of(partition.expected.begin(), partition.expected.end(),
+                       [&](AgentNumber agent) { return isAccountedFor(partition, agent, now); });
+    if (!allAccountedFor && now - partition.loadedAt < m_options.reconciliationTimeout)
         return;
     partition.reconciled = true;
     uint32_t restarted = 0;
@@ -187,7 +222,9 @@
     }
     m_log.always(now, "partition_located",
                  {{"partition", number},
-                  {"all_agents_reported", allReported},
+                  {"all_agents_reported", partition.allAgentsKnown && unreported == 0},
+                  {"unreported_agents", unreported},
+                  {"by_lease_bounds", allAccountedFor && unreported > 0},
                   {"after_ms", now - partition.loadedAt},
                   {"tasks_without_run", restarted}});
 }
--- a/src/jobs/jobschedulerpartitions.cpp
+++ b/src/jobs/jobschedulerpartitions.cpp
@@ -132,6 +132,7 @@
     if (found == m_partitions.end() || std::exchange(found->second.suspended, true))
         return;
     found->second.reported.clear();
+    found->second.leaseEnds.clear();
     found->second.claims.clear();
     for (auto &[id, job] : m_jobs) {
         if (job.partition == number)
--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -30,7 +30,8 @@
 
 std::optional<RejectReason> WorkerManager::rejectReason() const
 {
-    if (!worker() || !m_listsKnown || m_listPollFailures >= failuresUntilUnusable || m_lapseForced)
+    const bool isLeaseLapsing = m_lapseForced || m_promisedLeaseEnd;
+    if (!worker() || !m_listsKnown || m_listPollFailures >= failuresUntilUnusable || isLeaseLapsing)
         return RejectReason::NoWorker;
     if (worker()->draining || m_draining)
         return RejectReason::Draining;
@@ -378,6 +379,10 @@
         m_listsKnown = true;
         m_reportChanged = true;
     }
+    if (m_promisedLeaseEnd && now > *m_promisedLeaseEnd) {
+        m_promisedLeaseEnd.reset();
+        m_reportChanged = true;
+    }
     if (now > m_leaseEnd)
         leaseLapsed(now);
     expireFormerRuns(now);
@@ -390,6 +395,7 @@
     }
     startQueued(now);
     reportClaims(now);
+    sendLeaseBounds(now);
     sendListPolls(now);
     if (worker() && m_offer.isTurnOver(freeResources().cpuMilli, worker()->capacity.cpuMilli, now))
         m_offer.passTurn(connectedOwners(), now);
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -13,6 +13,8 @@
 //   has been announced or has answered shows neither. Lists show that only if their clock is later than the
 //   newest one that was known when they were requested (a worker may answer a list poll a second time, and
 //   the second answer is read as that to a later list poll), and only if the list of ends is not full.
+// - Once an owner has been told by when the runs of its worker will have ended, no lease is renewed and no
+//   run is started before that time.
 // - No run is started whose end might not fit into the worker's list of ends.
 // - An order is never dropped without notifying the owner that sent it, if that owner is connected: it
 //   would wait for a run that does not exist. Orders that a claim drops are missing in the report on the
@@ -47,6 +49,7 @@
     // The run has ended unseen.
     virtual void sendLost(EntryNumber entry, const RunId &run, LostCause cause) = 0;
     virtual void sendClaimReport(EntryNumber entry, const fleet::ClaimReportT &report) = 0;
+    virtual void sendLeaseBound(EntryNumber entry, const fleet::LeaseBoundT &bound) = 0;
 };
 
 struct RunOrder
@@ -175,6 +178,8 @@
         Millis lastContact;
         // The answer to the owner's claim has not been sent yet.
         bool reportDue = false;
+        // The owner has been told by when the runs that it may not order again yet will have ended.
+        bool leaseBoundSent = false;
         // Number of the owner's newest claim.
         uint64_t claimNumber = 0;
     };
@@ -235,6 +240,8 @@
     void rejectClaim(EntryNumber entry, uint32_t partition, uint64_t epoch);
     void dropQueued(uint32_t partition);
     void reportClaims(Millis now);
+    // Tells the owners whose claims cannot be answered by when the runs on the worker will have ended.
+    void sendLeaseBounds(Millis now);
     // Stops the runs of unresponsive owners.
     void checkOwners(Millis now);
     std::map<uint32_t, EntryNumber> connectedOwners() const;
@@ -311,6 +318,9 @@
     std::optional<uint64_t> m_restartSuspectedUntilPoll;
     // On the clock of this process: after this time no run exists on the worker unless the lease is renewed.
     Millis m_leaseEnd;
+    // Set from telling an owner that all runs on the worker will have ended by this time until then: no lease
+    // is renewed and no run is started.
+    std::optional<Millis> m_promisedLeaseEnd;
     // List polls in flight, by number. Their answers may arrive out of order.
     std::map<uint64_t, ListPoll> m_listPolls;
     uint64_t m_lastListPoll = 0;
--- a/src/worker/workerowners.cpp
+++ b/src/worker/workerowners.cpp
@@ -74,6 +74,7 @@
     owner.entry = entry;
     owner.lastContact = std::max(owner.lastContact, m_contacts[entry]);
     owner.reportDue = true;
+    owner.leaseBoundSent = false;
     owner.claimNumber = number;
     // The new owner will order again the runs that have not been started.
     dropQueued(partition);
@@ -145,6 +146,35 @@
     }
 }
 
+// A process that has never had an answer of the worker has renewed no lease and started no run, so the runs
+// that it cannot see end with the leases that a former process was granted. An owner that has been told so
+// does not depend on a later report, which never comes if this instance disappears together with its worker.
+void WorkerManager::sendLeaseBounds(Millis now)
+{
+    const bool hasHeardOfWorker = m_clockSampledAt.count != 0;
+    if (m_listsKnown || hasHeardOfWorker || m_listPollFailures < failuresUntilUnusable)
+        return;
+    for (auto &[partition, owner] : m_owners) {
+        if (!owner.reportDue || !owner.entry || owner.leaseBoundSent)
+            continue;
+        owner.leaseBoundSent = true;
+        m_promisedLeaseEnd = m_leaseEnd;
+        fleet::LeaseBoundT bound;
+        bound.partition = partition;
+        bound.epoch = owner.epoch;
+        bound.claim = owner.claimNumber;
+        bound.lease_left_ms = (m_leaseEnd - now).count;
+        m_log.always(now, "lease_bound_sent",
+                     {{"partition", partition},
+                      {"epoch", owner.epoch},
+                      {"claim", owner.claimNumber},
+                      {"lease_left_ms", bound.lease_left_ms},
+                      {"started_ms_ago", now - m_startedAt},
+                      {"failed_polls", m_listPollFailures}});
+        m_effects.sendLeaseBound(*owner.entry, bound);
+    }
+}
+
 void WorkerManager::endStored(const RunId &run)
 {
     // The worker can be used again once its list of ends has room.
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -121,6 +121,38 @@
     }
 }
 
+// Guards against two runs of a task at the same time: all processes restart while two workers work on and do
+// not answer, so their agents tell the new owners by when the former runs will have ended. Then one agent
+// loses power, and the other one is cut off from the entries and hears of its worker again.
+BOOST_AUTO_TEST_CASE(formerRunsEndWithTheLeaseBound)
+{
+    constexpr Millis killedAt = {2'300};
+    for (const int64_t cutAfter : {450, 600, 750, 900}) {
+        EmulationOptions day = *emulatedSite("qalhat");
+        day.seed = static_cast<uint64_t>(cutAfter);
+        day.length = {6'000};
+        day.traffic.keptShare = 0;
+        day.traffic.deadline = {1'500};
+        day.traffic.mostResubmissions = 4;
+        const Millis cutAt = killedAt + Millis{cutAfter};
+        for (const uint32_t worker : {0U, 1U}) {
+            day.plan.push_back({{1'000}, {1'200}, TroubleWorker{worker, {.hangs = true}}});
+            day.plan.push_back(
+                {{2'200}, cutAt - Millis{2'150}, TroubleWorker{worker, {.losesAnswers = 1, .late = 0.3}}});
+        }
+        day.plan.push_back({killedAt, {100}, KillAll{}});
+        day.plan.push_back(
+            {cutAt, {3'000}, KillProcess{.process = {fleet::ProcessRole::Agent, 0}, .losesPower = true}});
+        for (uint32_t entry = 0; entry < day.size.entries; ++entry)
+            day.plan.push_back(
+                {cutAt,
+                 {3'000},
+                 CutLink{.from = {fleet::ProcessRole::Agent, 1}, .to = {fleet::ProcessRole::Entry, entry}}});
+        BOOST_TEST_CONTEXT("cut " << cutAfter << " ms after the restart")
+        BOOST_TEST(firstBroken(checkPromises(Emulation(day).run(), day)) == "");
+    }
+}
+
 // Guards against two runs of a task at the same time: an agent that was silent for 6 s had lost its
 // registration and was in use again, so entries that started later did not know it and did not wait for its
 // runs.
--- a/tests/unit/workermanagerfixture.h
+++ b/tests/unit/workermanagerfixture.h
@@ -46,6 +46,11 @@
         claims.push_back(std::make_unique<fleet::ClaimReportT>(report));
     }
 
+    void sendLeaseBound(EntryNumber, const fleet::LeaseBoundT &bound) override
+    {
+        leaseBounds.push_back(bound);
+    }
+
     std::vector<RunId> starts;
     std::vector<RunId> stops;
     uint32_t listPollCount = 0;
@@ -59,6 +64,7 @@
     // Causes of the ends that are Lost.
     std::vector<LostCause> lostCauses;
     std::vector<std::unique_ptr<fleet::ClaimReportT>> claims;
+    std::vector<fleet::LeaseBoundT> leaseBounds;
 };
 
 // An agent whose worker has four processors, and one entry that owns the only partition at epoch 5.
