--- a/src/worker/calledworker.cpp
+++ b/src/worker/calledworker.cpp
@@ -10,6 +10,10 @@
 // worker has started again after its time of day had gone back.
 constexpr uint32_t earlierListsUntilBelieved = 4;
 
+// An announcement that overtakes others arrives once. More in a row whose numbers rise show that the higher
+// number was another writer's.
+constexpr uint32_t lowerSequencesUntilBelieved = 3;
+
 static bool isSameLife(const WorkerAnnouncement &a, const WorkerAnnouncement &b)
 {
     return a.worker == b.worker && a.born == b.born;
@@ -54,12 +58,23 @@
 {
     if (!isConsistent(*m_announcement, announcement))
         return AnnouncementOutcome::OfAnotherWorker;
-    if (announcement.sequence < m_announcement->sequence)
+    if (announcement.sequence < m_announcement->sequence && !isBackInSequence(announcement))
         return AnnouncementOutcome::Outdated;
+    m_lowerSequences = 0;
     m_announcement = announcement;
     return AnnouncementOutcome::Accepted;
 }
 
+bool CalledWorker::isBackInSequence(const WorkerAnnouncement &announcement)
+{
+    const bool rises = m_lowerSequences > 0 && announcement.sequence > m_lowerSequence;
+    m_lowerSequences = rises ? m_lowerSequences + 1 : 1;
+    m_lowerSequence = announcement.sequence;
+    // A late announcement must not end a drain.
+    const bool endsDrain = m_announcement->draining && !announcement.draining;
+    return m_lowerSequences >= lowerSequencesUntilBelieved && !endsDrain;
+}
+
 AnnouncementOutcome CalledWorker::propose(const WorkerAnnouncement &announcement, uint64_t nextPoll)
 {
     const bool isRepeated = m_candidate && isSameLife(*m_candidate, announcement);
--- a/src/worker/calledworker.h
+++ b/src/worker/calledworker.h
@@ -59,6 +59,9 @@
 private:
     bool isAddressedHere(const WorkerAnnouncement &announcement) const;
     AnnouncementOutcome update(const WorkerAnnouncement &announcement);
+    // True if an announcement of the known life with a lower sequence number than the known one is the
+    // newest.
+    bool isBackInSequence(const WorkerAnnouncement &announcement);
     AnnouncementOutcome propose(const WorkerAnnouncement &announcement, uint64_t nextPoll);
     void adoptCandidate();
     void startLife(int64_t born);
@@ -75,6 +78,9 @@
     uint64_t m_candidateFromPoll = 0;
     // The announcement whose worker was named in a call that another worker answered.
     std::optional<WorkerAnnouncement> m_denied;
+    // Newest announcement of the known life with a lower sequence number, and how many in a row have risen.
+    uint64_t m_lowerSequence = 0;
+    uint32_t m_lowerSequences = 0;
     // Life that the newest lists have shown; 0 if none was shown.
     int64_t m_life = 0;
     bool m_listsSeen = false;
--- a/src/worker/workerlives.cpp
+++ b/src/worker/workerlives.cpp
@@ -13,17 +13,17 @@
 void WorkerManager::logAnnouncement(std::string_view event, const WorkerAnnouncement &announcement,
                                     std::string_view cause, Millis now)
 {
-    m_log.always(now, event,
-                 {{"worker", announcement.worker},
-                  {"service", announcement.service},
-                  {"address", announcement.address},
-                  {"born", announcement.born},
-                  {"sequence", announcement.sequence},
-                  {"draining", announcement.draining},
-                  {"cpu_milli", announcement.capacity.cpuMilli},
-                  {"cause", cause},
-                  {"known_worker", worker() ? std::string_view(worker()->worker) : std::string_view()},
-                  {"runs", m_runs.size()}});
+    m_log.write(now, event,
+                {{"worker", announcement.worker},
+                 {"service", announcement.service},
+                 {"address", announcement.address},
+                 {"born", announcement.born},
+                 {"sequence", announcement.sequence},
+                 {"draining", announcement.draining},
+                 {"cpu_milli", announcement.capacity.cpuMilli},
+                 {"cause", cause},
+                 {"known_worker", worker() ? std::string_view(worker()->worker) : std::string_view()},
+                 {"runs", m_runs.size()}});
 }
 
 AnnouncementOutcome WorkerManager::announced(const WorkerAnnouncement &announcement, Millis now)
@@ -64,8 +64,8 @@
 {
     const bool isAnotherKnown = worker().has_value();
     if (!m_calledWorker.deregistered(name, born)) {
-        m_log.always(now, "deregistration_ignored",
-                     {{"worker", name}, {"born", born}, {"another_known", isAnotherKnown}});
+        m_log.write(now, "deregistration_ignored",
+                    {{"worker", name}, {"born", born}, {"another_known", isAnotherKnown}});
         return !isAnotherKnown;
     }
     m_log.always(now, "worker_deregistered", {{"worker", name}, {"runs", m_runs.size()}});
@@ -186,7 +186,7 @@
     if (isNewWorker)
         workerAdopted(now);
     else if (hadCandidate && !m_calledWorker.hasCandidate())
-        m_log.always(now, "announcement_refuted", {{"born", lists.born}, {"worker", poll.worker}});
+        m_log.write(now, "announcement_refuted", {{"born", lists.born}, {"worker", poll.worker}});
     return true;
 }
 
--- a/tests/unit/workerlivesreviewtest.cpp
+++ b/tests/unit/workerlivesreviewtest.cpp
@@ -196,6 +196,27 @@
     BOOST_TEST(manager.report().usable);
 }
 
+// Guards against a worker whose later announcements, for example that it drains, are ignored: another
+// writer's under its name and birth had a higher sequence number.
+BOOST_AUTO_TEST_CASE(highSequenceOfAnotherWriterIsForgotten)
+{
+    CalledWorker called("");
+    const auto announce = [&](uint64_t sequence, bool draining) {
+        return called.announced(WorkerManagerFixture::announcement(10, draining, sequence), 1);
+    };
+    announce(1, false);
+    announce(1'000'000, false);
+    // One that arrives late is not believed.
+    BOOST_TEST((announce(2, false) == AnnouncementOutcome::Outdated));
+    announce(3, true);
+    BOOST_TEST((announce(4, true) == AnnouncementOutcome::Accepted));
+    BOOST_TEST(called.announcement()->draining);
+    // Late ones do not end a drain.
+    announce(100, true);
+    for (const uint64_t late : {5, 6, 7, 8})
+        BOOST_TEST((announce(late, false) == AnnouncementOutcome::Outdated));
+}
+
 // Guards against a worker that is never used again: another one was believed at first and deregistered, and
 // then all announcements with an earlier birth counted as outdated.
 BOOST_AUTO_TEST_CASE(deregistrationOfAnUnconfirmedWorkerExcludesNoOther)
