--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -179,8 +179,8 @@
     // Changes nothing if the report is of another epoch or cannot be read.
     void claimReport(AgentNumber agent, uint32_t partition, uint64_t epoch, std::span<const RunId> running,
                      std::span<const AgentEnd> ended, Millis now);
-    // The agent cannot report yet, and tells by when the former runs that it may have will have ended. The time
-    // counts from the arrival of the message, which is later than its writing.
+    // The agent cannot report yet, and tells by when the former runs that it may have will have ended. The
+    // time counts from the arrival of the message, which is later than its writing.
     void leaseBound(AgentNumber agent, const fleet::LeaseBoundT &bound, Millis now);
     // The connection to the agent is lost. It receives no orders until it has reported again.
     void agentDisconnected(AgentNumber agent);
@@ -341,8 +341,8 @@
         // Number of the newest claim at each agent. An agent in `reported` has reported on it.
         std::map<AgentNumber, uint64_t> claims;
         std::set<AgentNumber> reported;
-        // For agents that have accepted the newest claim and cannot report yet: when the runs of former owners
-        // there will have ended.
+        // For agents that have accepted the newest claim and cannot report yet: when the runs of former
+        // owners there will have ended.
         std::map<AgentNumber, Millis> leaseEnds;
         std::set<AgentNumber> excluded;
         std::set<AgentNumber> expected;
