--- a/src/worker/workerlives.cpp
+++ b/src/worker/workerlives.cpp
@@ -102,9 +102,8 @@
     }
     // A new life has seen no fencing token and has a new clock, so it would carry out an order to the former
     // one that is still on its way, as far as neither the name nor the deadline of the order tells them
-    // apart. A call with a higher token makes it reject such an order; it is sent at once.
+    // apart. The next call, which has a higher token, makes it reject such an order.
     ++m_fence;
-    m_needsListsNow = true;
     m_log.always(now, "worker_life_changed",
                  {{"born", born},
                   {"known", worker().has_value()},
--- a/tests/unit/workerlivestest.cpp
+++ b/tests/unit/workerlivestest.cpp
@@ -79,8 +79,10 @@
     startListedRun();
     const uint64_t former = effects.lastListPoll.fence;
     advanceTime({20});
-    const uint32_t polls = effects.listPollCount;
     answerFromLife(11, {5});
+    const uint32_t polls = effects.listPollCount;
+    constexpr Millis latestNextPoll = {60};
+    advanceTime(latestNextPoll);
     BOOST_TEST(effects.listPollCount > polls);
     BOOST_TEST(effects.lastListPoll.fence > former);
 }
