--- a/tests/process/test_emulation.py
+++ b/tests/process/test_emulation.py
@@ -33,6 +33,8 @@
     ((610002,), ("--site", "qalhat", "--kept-share", "0.5", "--agent-series", "3", "--group-cuts", "2", "--length-s", "10"),
      "the stop of a stalled run was lost with its agent's process"),
 )
+# Seeds that show a fault which is not mended yet; they are named and not played. KNOWN-RED.txt has what was seen.
+KNOWN_RED = (("himal", 800033), ("qalhat", 800033))
 MORE_DAYS = (
     ("--site", "himal", "--days", "8", "--first-seed", "100", "--troubles", "12"),
     ("--site", "qalhat", "--days", "8", "--first-seed", "200", "--troubles", "12", "--kept-share", "0.7"),
@@ -47,6 +49,11 @@
 
 
 class EmulationTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        for site, seed in KNOWN_RED:
+            print(f"known red, not played: emulated day {seed} of {site}, see KNOWN-RED.txt", flush=True)
+
     # Guards against the faults that these days have shown; later changes of the decisions change the days.
     def test_days_that_found_a_fault(self):
         for seeds, options, cause in REGRESSIONS:
