--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -33,6 +33,9 @@
     uint32_t mostIsolations = 0;
     uint32_t mostGroupCuts = 0;
     uint32_t mostAgentSeries = 0;
+    uint32_t mostStrayAnnouncements = 0;
+    uint32_t workerCrashes = 0;
+    uint32_t mostLateOrders = 0;
     double twoStepShare = 0;
     double askedShare = 0;
     // 0 for the traffic's own deadline.
@@ -84,6 +87,7 @@
     day.urgentSlackPercent = settings.urgentSlackPercent;
     day.queueOrder = *parseQueueOrder(settings.order);
     day.placement = *parsePlacementPolicy(settings.placement);
+    day.workersCallNextAgent = settings.mostStrayAnnouncements > 0;
     day.writesLogs = writesLogs;
     if (settings.entries > 0)
         day.size.entries = settings.entries;
@@ -91,15 +95,17 @@
         day.size.agents = settings.agents;
     if (settings.partitions > 0)
         day.partitions = settings.partitions;
-    if (settings.mostTroubles > 0)
-        day.plan = drawPlan({.seed = seed,
-                             .size = day.size,
-                             .begin = firstTrouble,
-                             .end = day.length * troubledPercent / 100,
-                             .most = settings.mostTroubles,
-                             .mostIsolations = settings.mostIsolations,
-                             .mostGroupCuts = settings.mostGroupCuts,
-                             .mostAgentSeries = settings.mostAgentSeries});
+    day.plan = drawPlan({.seed = seed,
+                         .size = day.size,
+                         .begin = firstTrouble,
+                         .end = day.length * troubledPercent / 100,
+                         .most = settings.mostTroubles,
+                         .mostIsolations = settings.mostIsolations,
+                         .mostGroupCuts = settings.mostGroupCuts,
+                         .mostAgentSeries = settings.mostAgentSeries,
+                         .mostStrayAnnouncements = settings.mostStrayAnnouncements,
+                         .workerCrashes = settings.workerCrashes,
+                         .mostLateOrders = settings.mostLateOrders});
     return day;
 }
 
@@ -162,6 +168,7 @@
             {"p50_ratio", day.service.medianRatio},
             {"p99_ratio", day.service.p99Ratio},
             {"wasted", day.service.wasted},
+            {"restart_delays_ms", json::value_from(day.service.restartDelays)},
             {"store_calls", day.storeCalls},
             {"messages_per_process_s", day.messagesPerProcess},
             {"broken", std::move(broken)},
@@ -249,6 +256,13 @@
         "besides, most groups of one entry and some agents that are cut off from all others and the store")(
         "agent-series", options::value(&settings.mostAgentSeries),
         "besides, most series of restarts, link cuts and hanging runs of one agent")(
+        "stray-announcements", options::value(&settings.mostStrayAnnouncements),
+        "besides, most agents that hear announcements which are not of their worker, or repeated answers of "
+        "it; "
+        "workers whose agent does not acknowledge call the next agent")(
+        "worker-crashes", options::value(&settings.workerCrashes), "besides, number of crashes of workers")(
+        "late-orders", options::value(&settings.mostLateOrders),
+        "besides, most workers that crash while orders are on their way, which their next life carries out")(
         "deadline-ms", options::value(&settings.deadlineMs),
         "how long clients wait for an answer; the traffic's own if 0")(
         "resubmissions", options::value(&settings.mostResubmissions),
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace turmericwell {
 
 BOOST_AUTO_TEST_SUITE(EmulationTest)
@@ -121,6 +123,38 @@
     }
 }
 
+// Guards against two runs of a task at the same time: all processes restart while two workers work on and do
+// not answer, so their agents tell the new owners by when the former runs will have ended. Then one agent
+// loses power, and the other one is cut off from the entries and hears of its worker again.
+BOOST_AUTO_TEST_CASE(formerRunsEndWithTheLeaseBound)
+{
+    constexpr Millis killedAt = {2'300};
+    for (const int64_t cutAfter : {450, 600, 750, 900}) {
+        EmulationOptions day = *emulatedSite("qalhat");
+        day.seed = static_cast<uint64_t>(cutAfter);
+        day.length = {6'000};
+        day.traffic.keptShare = 0;
+        day.traffic.deadline = {1'500};
+        day.traffic.mostResubmissions = 4;
+        const Millis cutAt = killedAt + Millis{cutAfter};
+        for (const uint32_t worker : {0U, 1U}) {
+            day.plan.push_back({{1'000}, {1'200}, TroubleWorker{worker, {.hangs = true}}});
+            day.plan.push_back(
+                {{2'200}, cutAt - Millis{2'150}, TroubleWorker{worker, {.losesAnswers = 1, .late = 0.3}}});
+        }
+        day.plan.push_back({killedAt, {100}, KillAll{}});
+        day.plan.push_back(
+            {cutAt, {3'000}, KillProcess{.process = {fleet::ProcessRole::Agent, 0}, .losesPower = true}});
+        for (uint32_t entry = 0; entry < day.size.entries; ++entry)
+            day.plan.push_back(
+                {cutAt,
+                 {3'000},
+                 CutLink{.from = {fleet::ProcessRole::Agent, 1}, .to = {fleet::ProcessRole::Entry, entry}}});
+        BOOST_TEST_CONTEXT("cut " << cutAfter << " ms after the restart")
+        BOOST_TEST(firstBroken(checkPromises(Emulation(day).run(), day)) == "");
+    }
+}
+
 // Guards against two runs of a task at the same time: an agent that was silent for 6 s had lost its
 // registration and was in use again, so entries that started later did not know it and did not wait for its
 // runs.
@@ -140,6 +174,110 @@
     }
 }
 
+// Guards against two runs of a task at the same time: an agent took the announcement of another worker, whose
+// own agent was down, for a new life of its worker and reported all its runs lost (issue 36).
+BOOST_AUTO_TEST_CASE(announcementOfAnotherWorkerLosesNoRuns)
+{
+    EmulationOptions day = shortDay(1);
+    day.workersCallNextAgent = true;
+    day.plan = {{{500}, {3'000}, KillProcess{.process = {fleet::ProcessRole::Agent, 0}}}};
+    BOOST_TEST(firstBroken(checkPromises(Emulation(day).run(), day)) == "");
+}
+
+// The same for announcements of another program that name a later life, at whatever address.
+BOOST_AUTO_TEST_CASE(announcementOfAnotherWriterLosesNoRuns)
+{
+    using CalledAt = AnnounceAnotherWorker::CalledAt;
+    for (const CalledAt address : {CalledAt::Missing, CalledAt::WorkersAddress, CalledAt::AnotherAddress}) {
+        for (const bool namesCalledWorker : {false, true}) {
+            EmulationOptions day = shortDay(2);
+            day.plan = {{{500},
+                         {2'000},
+                         AnnounceAnotherWorker{
+                             .agent = 3, .namesCalledWorker = namesCalledWorker, .address = address}}};
+            BOOST_TEST_CONTEXT(troubleText(day.plan.front().trouble))
+            BOOST_TEST(firstBroken(checkPromises(Emulation(day).run(), day)) == "");
+        }
+    }
+}
+
+// Guards against recorded seeds that no longer give the days which found a fault.
+BOOST_AUTO_TEST_CASE(strayAnnouncementsAreDrawnBesideTheOtherTroubles)
+{
+    size_t strays = 0;
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        PlanOptions options{.seed = seed, .mostAgentSeries = 2};
+        const EmulationPlan before = drawPlan(options);
+        options.mostStrayAnnouncements = 6;
+        options.workerCrashes = 2;
+        const EmulationPlan after = drawPlan(options);
+        BOOST_TEST_REQUIRE(after.size() >= before.size() + options.workerCrashes);
+        strays += after.size() - before.size() - options.workerCrashes;
+        for (const PlannedTrouble &planned : before) {
+            const auto isSame = [&](const PlannedTrouble &other) {
+                return other.at == planned.at && other.length == planned.length
+                    && troubleText(other.trouble) == troubleText(planned.trouble);
+            };
+            BOOST_TEST(std::any_of(after.begin(), after.end(), isSame), troubleText(planned.trouble));
+        }
+    }
+    BOOST_TEST(strays > 10U);
+}
+
+// A worker beside an agent process, for calls without an agent.
+struct WorkerFixture
+{
+    WorkerFixture() { network.up(host, io); }
+
+    // Answer to a list poll that names the worker.
+    std::pair<OrderAnswer, WorkerLists> poll(std::string_view named)
+    {
+        std::optional<std::pair<OrderAnswer, WorkerLists>> answered;
+        worker.pollLists({.number = 1, .worker = named}, {1'000},
+                         [&](OrderAnswer answer, const WorkerLists &lists) {
+                             answered = {answer, lists};
+                         });
+        while (!answered) {
+            events.runNext(events.now() + Millis{2'000});
+            io.restart();
+            io.poll();
+        }
+        return *answered;
+    }
+
+    static constexpr HostNumber host = 1;
+    EventQueue events{{1'000'000}, 1};
+    EmulatedNetwork network{{}, events};
+    IoContext io{1};
+    std::vector<RunEvent> history;
+    EmulatedWorker worker{
+        {.number = 7, .host = host}, [](const TaskId &) { return TaskWork{}; }, events, network, history};
+};
+
+// Guards against a worker that answers calls which are for another one: no agent that has taken up a wrong
+// announcement would find out.
+BOOST_FIXTURE_TEST_CASE(workerRefusesCallsThatNameAnotherWorker, WorkerFixture)
+{
+    BOOST_TEST((poll("worker-7").first == OrderAnswer::Done));
+    BOOST_TEST((poll("").first == OrderAnswer::Done));
+    BOOST_TEST((poll("worker-8").first == OrderAnswer::WrongWorker));
+}
+
+// Guards against days in which no answer is repeated although the plan says so, and against answers that pass
+// from a former life or to another process.
+BOOST_FIXTURE_TEST_CASE(workerRepeatsAnswersOnOneConnectionOnly, WorkerFixture)
+{
+    const Millis first = poll("").second.workerClock;
+    worker.setTrouble({.repeatsAnswers = 1}, events.now() + Millis{60'000});
+    BOOST_TEST(poll("").second.workerClock.count == first.count);
+    network.down(host, true);
+    network.up(host, io);
+    const Millis second = poll("").second.workerClock;
+    BOOST_TEST(second.count > first.count);
+    worker.crash();
+    BOOST_TEST(poll("").second.workerClock.count < second.count);
+}
+
 // Guards against a bound that a dispatcher passes: two jobs want all processors at the same time, and there
 // is room for one of them until the deadlines.
 BOOST_AUTO_TEST_CASE(boundIsWhatTheProcessorsCanDoInTime)
@@ -244,6 +382,28 @@
     BOOST_TEST((broken() == std::vector{Promise::AnswersFitCalls}));
 }
 
+BOOST_FIXTURE_TEST_CASE(restartDelayIsCountedFromTheCrash, CheckFixture)
+{
+    record.runs.resize(1);
+    run(RunEventKind::Lost, 250, 1, 0);
+    run(RunEventKind::Started, 1'300, 2, 1);
+    run(RunEventKind::Started, 1'400, 3, 1);
+    BOOST_TEST(measureService(record, options).restartDelays == std::vector<int64_t>{1'050},
+               boost::test_tools::per_element());
+}
+
+// Guards against failed runs that an owner does not count: the task starts again beyond its attempts.
+BOOST_FIXTURE_TEST_CASE(checkSeesAStartAfterTheLastAttempt, CheckFixture)
+{
+    record.runs.clear();
+    for (uint32_t number = 1; number <= failedRunsAllowed + 1; ++number) {
+        run(RunEventKind::Started, 100 * number, number, 0);
+        run(RunEventKind::Failed, 100 * number + 50, number, 0);
+        run(RunEventKind::Confirmed, 100 * number + 60, number, 0);
+    }
+    BOOST_TEST((broken() == std::vector{Promise::Attempts}));
+}
+
 BOOST_FIXTURE_TEST_CASE(checkSeesAnOverfullWorker, CheckFixture)
 {
     record.mostOverfullMilli = 100;
--- a/tools/lab/storestandin.py
+++ b/tools/lab/storestandin.py
@@ -17,7 +17,7 @@
     def __init__(self):
         self.records = []
         self.newest = {}
-        # By producer: epoch, next sequence number, answers of the last appends.
+        # By producer: epoch, next sequence number (None if any will do), answers of the last appends.
         self.producers = {}
 
 
@@ -41,6 +41,15 @@
         self.parts = parts
         self.append_s = append_ms / 1000
         self.fault = lambda path, door: ""
+        # Bounds of the delay, in seconds, after which the store carries out a call that the fault "late" affects.
+        self.late_s = (0.3, 1.0)
+        # Time by which members of a group are kept beyond their time to live.
+        self.extra_ttl_s = 0
+        # Appends without records use up a sequence number.
+        self.counts_empty_appends = True
+        # Time, in seconds, after which an append that was rejected for its number arrives once more; 0 for never.
+        self.rejected_again_s = 0
+        self.rejected_appends = 0
         # Calls on these topics are refused; the other calls are as `fault` says.
         self.refused_topics = set()
         self.calls = {}
@@ -97,7 +106,7 @@
             time.sleep(3)
             raise NoAnswer
         if fault == "late":
-            threading.Timer(random.uniform(0.3, 1.0), self._perform, (path, query, body)).start()
+            threading.Timer(random.uniform(*self.late_s), self._perform, (path, query, body)).start()
             raise NoAnswer
         answer = self._perform(path, query, body)
         if fault == "lose":
@@ -128,22 +137,30 @@
                 offset = self._add(partition, self._decode(body))
                 return 200, {"offset": offset, "end": len(partition.records)}
             epoch, sequence = int(query["epoch"]), int(query["seq"])
-            known = partition.producers.setdefault(producer, [epoch, sequence, {}])
+            known = partition.producers.setdefault(producer, [epoch, None, {}])
             if epoch < known[0]:
                 return 409, {"reason": "fenced"}
             if epoch > known[0]:
-                known[:] = [epoch, sequence, {}]
+                known[:] = [epoch, None, {}]
             if sequence in known[2]:
                 return known[2][sequence]
-            if sequence != known[1]:
+            if known[1] not in (None, sequence):
+                self._note_rejected(query, body)
                 return 409, {"reason": "seq", "seq": known[1]}
             offset = self._add(partition, self._decode(body))
             answer = 200, {"offset": offset, "end": len(partition.records)}
-            known[1] += 1
+            if not body and not self.counts_empty_appends:
+                return answer
+            known[1] = sequence + 1
             known[2][sequence] = answer
             known[2].pop(sequence - REMEMBERED_APPENDS, None)
             return answer
 
+    def _note_rejected(self, query, body):
+        self.rejected_appends += 1
+        if self.rejected_again_s and "again" not in query:
+            threading.Timer(self.rejected_again_s, self._append, ({**query, "again": ""}, body)).start()
+
     def _read(self, query, _body):
         start = int(query["from"])
         end = time.monotonic() + int(query.get("waitMs", 0)) / 1000
@@ -169,7 +186,7 @@
     def _deal(self, group):
         """Gives partitions without a holder to the members with the fewest, and plans an even share."""
         now = time.monotonic()
-        gone = [name for name, (seen, ttl, _) in group.members.items() if now - seen > ttl]
+        gone = [name for name, (seen, ttl, _) in group.members.items() if now - seen > ttl + self.extra_ttl_s]
         for name in gone:
             del group.members[name]
             group.generation += 1
