--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -538,9 +538,8 @@
 }
 
 // Guards against an accepted job that never completes: the stop of its stalled run was lost with the agent's
-// process, and the run that the next process reported was neither stopped nor moved again (turmericwell
-// emulate
-// --site qalhat --first-seed 610002 --kept-share 0.5 --agent-series 3 --group-cuts 2 --length-s 10).
+// process, and the run that the next process reported was neither stopped nor moved again. The emulated day
+// 610002 of qalhat showed it.
 BOOST_FIXTURE_TEST_CASE(stopOfAStalledRunIsRepeatedWhenTheAgentReportsTheRun, JobSchedulerFixture)
 {
     load();
