--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -196,7 +196,8 @@
 class Network:
     """Links between the processes. While `is_cut(source, destination)` holds, nothing passes, in either direction.
 
-    Bytes are held up as by a partition; they arrive later if their connection still stands. The first message of a
+    Bytes are held up as by a partition; they arrive later if their connection still stands. A connection that is opened
+    during a cut is accepted here, since a stand-in cannot drop its opening packet, and stays silent. The first message of a
     connection between two processes of the system contains the sender's name, by which the source is known.
     """
 
