--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -32,12 +32,14 @@
     uint32_t mostTroubles = 8;
     uint32_t mostIsolations = 0;
     uint32_t mostGroupCuts = 0;
+    uint32_t mostZoneCuts = 0;
     uint32_t mostAgentSeries = 0;
     uint32_t mostStrayAnnouncements = 0;
     uint32_t workerCrashes = 0;
     uint32_t mostLateOrders = 0;
     double twoStepShare = 0;
     double askedShare = 0;
+    double longTaskShare = 0;
     // 0 for the traffic's own deadline.
     uint32_t deadlineMs = 0;
     uint32_t mostResubmissions = 0;
@@ -68,6 +70,8 @@
 // Troubles begin in the first part of the day, so that the rest shows the recovery.
 constexpr int64_t troubledPercent = 60;
 constexpr Millis firstTrouble = {1'000};
+// Jobs of two steps with the longest tasks end in this time, also if a trouble has interrupted them.
+constexpr Millis finishOfLongTasks = {45'000};
 
 EmulationOptions dayOptions(const EmulateSettings &settings, uint64_t seed, bool writesLogs)
 {
@@ -79,6 +83,9 @@
     day.traffic.keptShare = settings.keptShare;
     day.traffic.twoStepShare = settings.twoStepShare;
     day.traffic.askedShare = settings.askedShare;
+    day.traffic.longTaskShare = settings.longTaskShare;
+    if (settings.longTaskShare > 0)
+        day.finish = finishOfLongTasks;
     day.traffic.mostResubmissions = settings.mostResubmissions;
     if (settings.deadlineMs > 0)
         day.traffic.deadline = {settings.deadlineMs};
@@ -102,6 +109,7 @@
                          .most = settings.mostTroubles,
                          .mostIsolations = settings.mostIsolations,
                          .mostGroupCuts = settings.mostGroupCuts,
+                         .mostZoneCuts = settings.mostZoneCuts,
                          .mostAgentSeries = settings.mostAgentSeries,
                          .mostStrayAnnouncements = settings.mostStrayAnnouncements,
                          .workerCrashes = settings.workerCrashes,
@@ -254,8 +262,10 @@
         "time between the start of the processes and the traffic")(
         "group-cuts", options::value(&settings.mostGroupCuts),
         "besides, most groups of one entry and some agents that are cut off from all others and the store")(
-        "agent-series", options::value(&settings.mostAgentSeries),
-        "besides, most series of restarts, link cuts and hanging runs of one agent")(
+        "zone-cuts", options::value(&settings.mostZoneCuts),
+        "besides, most groups of any number of entries and agents that are cut off from all others and the "
+        "store")("agent-series", options::value(&settings.mostAgentSeries),
+                 "besides, most series of restarts, link cuts and hanging runs of one agent")(
         "stray-announcements", options::value(&settings.mostStrayAnnouncements),
         "besides, most agents that hear announcements which are not of their worker, or repeated answers of "
         "it; "
@@ -271,6 +281,8 @@
         "share of the jobs that have a second step, which depends on the first")(
         "asked-share", options::value(&settings.askedShare),
         "share of the kept jobs that a client asks for, at any entry, some seconds later")(
+        "long-task-share", options::value(&settings.longTaskShare),
+        "share of the kept jobs whose tasks run for 3 to 9 s")(
         "slack-percent", options::value(&settings.admissionSlackPercent),
         "share of a job's slack that the predicted wait may take")(
         "queue-allowance-percent", options::value(&settings.queueAllowancePercent),
--- a/src/emulator/emulatedclients.cpp
+++ b/src/emulator/emulatedclients.cpp
@@ -14,6 +14,8 @@
 constexpr double msPerSecond = 1'000;
 constexpr int64_t mostRunTimeFactor = 4;
 constexpr uint32_t memoryOfTaskMb = 64;
+constexpr int64_t leastLongTaskMs = 3'000;
+constexpr int64_t mostLongTaskMs = 9'000;
 static constexpr const char *emulatedHost = "emulated";
 
 EmulatedClients::EmulatedClients(EmulatedTraffic traffic, uint64_t seed, EventQueue &events,
@@ -99,11 +101,30 @@
     outcome.job = job;
     outcome.kind = number;
     outcome.isKept = draw() < m_traffic.keptShare;
+    if (m_traffic.longTaskShare > 0 && outcome.isKept && draw() < m_traffic.longTaskShare)
+        makeTasksLong(outcome, work);
     outcome.sentAt = m_events.now();
     outcome.deadlineSince = outcome.sentAt;
     submit(job);
 }
 
+void EmulatedClients::makeTasksLong(JobOutcome &outcome, Work &work)
+{
+    outcome.work = 0;
+    outcome.longestTask = {};
+    for (uint32_t step = 0; step < outcome.steps; ++step) {
+        Millis longest;
+        for (uint32_t task = 0; task < work.tasksPerStep; ++task) {
+            Millis &runTime = work.runTimes[step * work.tasksPerStep + task];
+            runTime = {std::uniform_int_distribution<int64_t>(leastLongTaskMs, mostLongTaskMs)(m_random)};
+            longest = std::max(longest, runTime);
+            outcome.work += runTime.count * work.cpuMilli;
+        }
+        outcome.longestTask += longest;
+    }
+    work.estimateMs = static_cast<uint32_t>(mostLongTaskMs);
+}
+
 std::unique_ptr<JobSpec> EmulatedClients::specOf(const JobOutcome &outcome) const
 {
     const JobKind &kind = m_traffic.kinds[outcome.kind];
--- a/src/emulator/emulatedclients.h
+++ b/src/emulator/emulatedclients.h
@@ -43,6 +43,8 @@
     double twoStepShare = 0;
     // Share of the kept jobs that a client asks for, at any entry, some seconds after they were accepted.
     double askedShare = 0;
+    // Share of the kept jobs whose tasks run for seconds, much longer than any lease.
+    double longTaskShare = 0;
     // Standard deviations of the logarithms: run times around the mean, declared run times around the real
     // ones.
     double runTimeSpread = 0.4;
@@ -122,6 +124,8 @@
 
     void scheduleArrival(uint32_t kind);
     void arrive(uint32_t kind);
+    // Draws run times of seconds in place of those of the job's kind.
+    void makeTasksLong(JobOutcome &outcome, Work &work);
     void submit(JobId job);
     void cancel(JobId job);
     void ask(JobId job);
--- a/src/emulator/emulationplan.cpp
+++ b/src/emulator/emulationplan.cpp
@@ -59,6 +59,8 @@
             result.push_back(groupCut());
         for (int64_t number = whole(0, m_options.mostAgentSeries); number > 0; --number)
             addAgentSeries(result);
+        for (int64_t number = whole(0, m_options.mostZoneCuts); number > 0; --number)
+            addZoneCut(result);
         for (int64_t number = whole(0, m_options.mostStrayAnnouncements); number > 0; --number)
             addStrayAnnouncement(result);
         for (uint32_t number = 0; number < m_options.workerCrashes; ++number)
@@ -95,6 +97,34 @@
                 .length = {whole(leastIsolation.count, mostIsolation.count)},
                 .trouble = CutGroup{.processes = std::move(group)}};
     }
+    // A random range of consecutive processes of the role; its end wraps round.
+    void addRange(std::vector<ProcessName> &group, fleet::ProcessRole role, uint32_t all, int64_t least)
+    {
+        const int64_t count = whole(least, all);
+        const int64_t first = whole(0, all - 1);
+        for (int64_t number = 0; number < count; ++number)
+            group.push_back({role, static_cast<uint32_t>((first + number) % all)});
+    }
+    void addZoneCut(EmulationPlan &plan)
+    {
+        std::vector<ProcessName> group;
+        addRange(group, fleet::ProcessRole::Entry, m_options.size.entries, 1);
+        addRange(group, fleet::ProcessRole::Agent, m_options.size.agents, 0);
+        const Millis at = length(m_options.begin, m_options.end);
+        const Millis lasting = length(leastIsolation, mostIsolation);
+        plan.push_back({.at = at, .length = lasting, .trouble = CutGroup{.processes = std::move(group)}});
+        const Millis meanwhile = at + length({0}, lasting);
+        if (chance(0.3))
+            plan.push_back({.at = meanwhile, .trouble = StopProcess{.process = entry()}});
+        if (chance(0.3))
+            plan.push_back({.at = meanwhile,
+                            .length = length(leastLength, mostLength),
+                            .trouble = KillProcess{.process = entry(), .losesPower = chance(0.5)}});
+        if (chance(0.3))
+            plan.push_back({.at = meanwhile,
+                            .length = length(leastOutage, mostOutage),
+                            .trouble = TroubleStore{.trouble = StoreRefuses{}}});
+    }
     PlannedTrouble agentTrouble(const ProcessName &agent, Millis at)
     {
         const Millis length{whole(leastOutage.count, mostOutage.count)};
--- a/src/emulator/emulationplan.h
+++ b/src/emulator/emulationplan.h
@@ -138,6 +138,10 @@
     uint32_t mostIsolations = 0;
     // Most groups of one entry and some agents that are cut off from the rest, besides the other troubles.
     uint32_t mostGroupCuts = 0;
+    // Most groups of any number of entries and agents that are cut off from the rest and the store, as zones
+    // are, besides the other troubles. An entry on either side may be restarted, and the store may fail,
+    // meanwhile.
+    uint32_t mostZoneCuts = 0;
     // Most series of troubles of one agent, besides the other troubles: quick restarts, cuts of a link to an
     // entry, and a worker whose runs hang and which carries orders out late.
     uint32_t mostAgentSeries = 0;
