Let only answers of every entry stand in for the store, not a majority

Cause: an entry whose membership had lapsed went on as an owner while it reached most registered entries. A majority says nothing about the store, which gives the partitions to whoever reaches it; and the new owner's wait for agents that it cannot reach counted from the end of loading, not from when the former owner can last have kept a run alive. Log of the case before the change: "membership_lapsed" with "reaches_most_entries":true on the cut side, then "partition_located" with "unreported_agents":3 on the other.

Change: EntryPresence records when each other entry was last heard. An owner goes on without the store only while each of them has answered a ping of the last second, and for at most 20 s; entries report the partitions that they open before they answer the next ping. A new owner's time limit counts from formerOwnersEnd: the end of loading if all other entries have answered since the opening, about 1 s after the opening if one that knows this entry has not, 20 s if it may not know it. It also needs a read of the member list that was sent after the opening. Entries out of reach for 6 s are marked as lost in the member list, so that a replaced machine does not stop all work in the next outage. A process that was paused notices it before its answer to a ping keeps runs alive.

Why this works: whoever is given a partition says so before it answers, so an owner that has heard all others less than a second ago had no successor then; and the successor knows that bound.

--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -16,21 +16,54 @@
 
 void EntryNode::memberFound(const Member &member)
 {
-    if (member.identity.name == m_self.name)
+    if (member.identity.name == m_self.name) {
+        selfFound(member);
         return;
+    }
+    if (member.identity.role == fleet::ProcessRole::Entry) {
+        entryFound(member);
+        return;
+    }
     Contact &contact = m_contacts[member.identity.name];
     contact.member = member;
     contact.foundAt = Clock::now();
-    const bool isAgent = member.identity.role == fleet::ProcessRole::Agent;
-    if (isAgent) {
-        const AgentNumber number =
-            m_presence.registered(member.identity.name, member.identity.incarnation, contact.foundAt);
-        if (wantsAgent(member.identity.name))
-            m_presence.setWanted(number, true, contact.foundAt);
+    const AgentNumber number =
+        m_presence.registered(member.identity.name, member.identity.incarnation, contact.foundAt);
+    if (wantsAgent(member.identity.name))
+        m_presence.setWanted(number, true, contact.foundAt);
+    dial(member.identity.name);
+}
+
+void EntryNode::entryFound(const Member &member)
+{
+    const Millis now = Clock::now();
+    const std::string &name = member.identity.name;
+    Contact &contact = m_contacts[name];
+    contact.member = member;
+    if (member.isLost) {
+        m_log.always(now, "entry_marked_lost", {{"entry", name}, {"connected", m_peers.contains(name)}});
+        m_entries.lost(name, now);
+        if (m_peers.contains(name) && isAmongFirstEntries())
+            m_members.restore(member);
+    } else {
+        contact.foundAt = now;
+        m_entries.registered(name, now);
     }
     // Of two entries, the one with the lexicographically lower name dials; agents never dial.
-    if (isAgent || m_self.name < member.identity.name)
-        dial(member.identity.name);
+    if (m_self.name < name)
+        dial(name);
+}
+
+void EntryNode::selfFound(const Member &member)
+{
+    const Millis now = Clock::now();
+    if (member.isLost) {
+        m_log.always(now, "own_registration_lost", {});
+        m_entries.selfLost();
+        m_registration.start();
+    } else if (member.identity.incarnation == m_self.incarnation) {
+        m_entries.selfRegistered(now);
+    }
 }
 
 void EntryNode::memberRemoved(const std::string &name)
@@ -41,6 +74,8 @@
     const std::optional<AgentNumber> number = m_presence.find(name);
     if (number)
         m_presence.removed(*number, Clock::now());
+    else
+        m_entries.lost(name, Clock::now());
     // Another entry has lost its connection to this agent and removed the registration, but the agent is
     // alive.
     if (number && m_presence.isActive(*number)) {
@@ -128,7 +163,8 @@
 
 void EntryNode::updateMemberships(Millis now)
 {
-    if (!m_members.isSynced() || !m_operatorRecordsKnown || isStopping())
+    // An entry that may become an owner must be known to those that watch the other entries.
+    if (!m_members.isSynced() || !m_entries.isSelfRegistered() || !m_operatorRecordsKnown || isStopping())
         return;
     std::vector<EntryCapacity> others;
     for (const auto &[name, contact] : m_contacts) {
@@ -158,21 +194,6 @@
     refreshAgentLinks(now);
 }
 
-bool EntryNode::reachesMostEntries() const
-{
-    if (!m_members.isSynced())
-        return false;
-    size_t registered = 1;
-    size_t reached = 1;
-    for (const auto &[name, contact] : m_contacts) {
-        if (contact.member.identity.role != fleet::ProcessRole::Entry)
-            continue;
-        ++registered;
-        reached += m_peers.contains(name) ? 1 : 0;
-    }
-    return reached * 2 > registered;
-}
-
 bool EntryNode::isAmongFirstEntries() const
 {
     constexpr int64_t entriesThatAct = 3;
@@ -220,6 +241,24 @@
         if (number && m_presence.isActive(*number) && !m_presence.isRegistered(*number))
             m_members.restore(contact.member);
     }
+    expireEntries(now);
+}
+
+void EntryNode::expireEntries(Millis now)
+{
+    if (!isAmongFirstEntries())
+        return;
+    for (const auto &[name, unreachedFor] : m_entries.unreachable(now)) {
+        const auto contact = m_contacts.find(name);
+        if (contact == m_contacts.end())
+            continue;
+        std::optional<Millis> &sentAt = contact->second.removalSentAt;
+        if (sentAt && now - *sentAt < removalRetryInterval)
+            continue;
+        sentAt = now;
+        m_log.always(now, "entry_expired", {{"entry", name}, {"unreached_ms", unreachedFor}});
+        m_members.markLost(contact->second.member);
+    }
 }
 
 void EntryNode::updateAgentPresence(Millis now)
@@ -233,7 +272,7 @@
         return;
     const std::set<AgentNumber> candidates = m_presence.mayHoldRuns(now);
     for (const uint32_t partition : unreconciled)
-        m_scheduler.setExpectedAgents(partition, expectedAgents(partition, candidates), m_members.isSynced());
+        updateTakeover(partition, candidates);
 }
 
 } // namespace turmericwell
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -18,6 +18,12 @@
 // meantime.
 constexpr Millis pauseLimit = {700};
 
+static Millis memberTtl(const FleetSettings &settings)
+{
+    constexpr Millis leastTtl = {1'000};
+    return std::max(settings.leastMemberTtl, leastTtl);
+}
+
 EntryNode::EntryNode(IoContext &io, LinkNetwork &network, const FleetSettings &settings, uint64_t incarnation,
                      StoreApi &store, StoreTransport &transport, StructuredLog &log)
     : m_io(io)
@@ -36,8 +42,10 @@
                    .order = settings.queueOrder,
                    .urgentSlackPercent = settings.urgentSlackPercent},
                   m_pool, *this, log)
-    , m_owner({.member = settings.name, .memberTtl = std::max(settings.leastMemberTtl, Millis{1'000})}, store,
-              io, log, m_scheduler,
+    , m_owner({.member = settings.name,
+               .memberTtl = memberTtl(settings),
+               .withoutStoreLimit = EntryPresence::withoutStoreLimit},
+              store, io, log, m_scheduler,
               {.onOpening = [this](uint32_t partition) { partitionOpening(partition); },
                .onLoaded = [this](uint32_t partition,
                                   std::optional<uint32_t> level) { partitionLoaded(partition, level); },
@@ -59,6 +67,7 @@
                                 [this](const FrameLinkPtr &link) {
                                     connected(std::make_shared<NodeLink>(m_io, link, m_self), {});
                                 }))
+    , m_entries(memberTtl(settings))
     , m_lastActive(Clock::now())
 {
     m_transport.setRelay([this](const HttpRequest &request, Millis timeout, StoreTransport::Done onDone) {
@@ -161,7 +170,8 @@
                      },
                  .onMessage = [this](const NodeLinkPtr &from,
                                      fleet::EnvelopeT &envelope) { received(from, envelope); },
-                 .onPong = [](const NodeLinkPtr &, Millis, const fleet::PongT &) {},
+                 .onPong = [this](const NodeLinkPtr &from, Millis sentAt,
+                                  const fleet::PongT &) { peerAnswered(from, sentAt); },
                  .onClosed =
                      [this, dialledName, guard = m_timers.guard()](const NodeLinkPtr &from,
                                                                    const std::string &reason) {
@@ -176,6 +186,9 @@
                      },
                  .makePong =
                      [this] {
+                         // The answer keeps runs alive, so a pause of this process is to be noticed before
+                         // it.
+                         checkOwnership(Clock::now());
                          fleet::PongT pong;
                          const auto &zones = m_pool.evacuatedZones();
                          pong.evacuated_zones.assign(zones.begin(), zones.end());
@@ -199,7 +212,30 @@
     if (peer.link && peer.link != link)
         peer.link->close("replaced by a newer connection");
     peer.link = link;
+    peer.reportedAt = Clock::now();
+    m_entries.connected(hello.node, peer.reportedAt);
     sendReport();
+    pingPeersSoon();
+}
+
+void EntryNode::peerAnswered(const NodeLinkPtr &link, Millis pingSentAt)
+{
+    const auto peer = m_peers.find(link->peer().node);
+    if (peer != m_peers.end() && peer->second.link == link && pingSentAt > peer->second.reportedAt)
+        m_entries.answered(peer->first, pingSentAt);
+}
+
+void EntryNode::pingPeersSoon()
+{
+    if (std::exchange(m_peerPingPending, true))
+        return;
+    // Times are compared in whole milliseconds, so the ping must not bear the time of the report before it.
+    constexpr Millis afterReport = {2};
+    m_timers.after(afterReport, [this] {
+        m_peerPingPending = false;
+        for (const auto &[name, peer] : m_peers)
+            peer.link->ping();
+    });
 }
 
 void EntryNode::agentConnected(const NodeLinkPtr &link, const fleet::HelloT &hello)
@@ -241,6 +277,7 @@
     } else if (const auto peer = m_peers.find(name); peer != m_peers.end() && peer->second.link == link) {
         const bool ownedPartitions = !peer->second.report.partitions.empty();
         m_peers.erase(peer);
+        m_entries.disconnected(name, now);
         updatePeersWaiting();
         if (ownedPartitions && isAmongFirstEntries())
             checkLostEntry(name);
@@ -400,7 +437,7 @@
         m_owner.confirmOwnership();
     }
     m_lastActive = now;
-    m_owner.checkMemberships(reachesMostEntries(), now);
+    m_owner.checkMemberships(m_entries, now);
 }
 
 void EntryNode::tick()
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -5,6 +5,7 @@
 #include "config/queuetable.h"
 #include "fleet/agentpresence.h"
 #include "fleet/agentsubset.h"
+#include "fleet/entrypresence.h"
 #include "fleet/fleetsettings.h"
 #include "fleet/memberlist.h"
 #include "fleet/membershipplan.h"
@@ -94,6 +95,9 @@
     {
         NodeLinkPtr link;
         fleet::EntryReportT report;
+        // When this entry sent its first report on the connection. The peer has handled it before it answers
+        // a ping that was sent later.
+        Millis reportedAt;
     };
 
     // A registered process and the state of the connection to it.
@@ -133,6 +137,9 @@
     void receivedFromAgent(AgentNumber agent, fleet::EnvelopeT &envelope);
     static AgentEnd toAgentEnd(const fleet::RunEndT &end);
     void receivedFromEntry(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
+    void peerAnswered(const NodeLinkPtr &link, Millis pingSentAt);
+    // Asks all connected entries for an answer that is newer than the reports sent before.
+    void pingPeersSoon();
     void claim(AgentNumber agent, uint32_t partition, uint64_t epoch);
     fleet::EntryReportT makeReport() const;
     void sendReport();
@@ -153,6 +160,9 @@
 
     // --- entrymembers.cpp: other processes of the system ---
     void memberFound(const Member &member);
+    void entryFound(const Member &member);
+    // Called when the registration of this process has been read.
+    void selfFound(const Member &member);
     void memberRemoved(const std::string &name);
     void forgetMember(const std::string &name);
     // Dials the process again after a backoff, or forgets an agent whose registration has been removed.
@@ -174,6 +184,8 @@
     // Removes the registrations of agents that cannot be reached, and restores those of agents that another
     // entry has removed although they are alive.
     void expireMembers(Millis now);
+    // Marks the registrations of entries that cannot be reached as lost.
+    void expireEntries(Millis now);
 
     // --- entrysubsets.cpp: the agents of the owned partitions ---
     void partitionOpening(uint32_t partition);
@@ -182,8 +194,6 @@
     // Tells the agents that this entry's pongs no longer keep the partition's runs alive.
     void releaseAtAgents(uint32_t partition, uint64_t epoch);
     void partitionResumed(uint32_t partition);
-    // True if this entry is connected to most of the registered entries, itself included.
-    bool reachesMostEntries() const;
     // Level of the agent subsets that fits the number of registered agents.
     uint32_t wantedLevel(uint32_t currentLevel) const;
     bool isReached(const std::string &agent, uint32_t partition) const;
@@ -198,6 +208,8 @@
     // while.
     void refreshAgentLinks(Millis now);
     std::set<AgentNumber> expectedAgents(uint32_t partition, const std::set<AgentNumber> &candidates) const;
+    // Tells the scheduler whose reports a partition that was taken over waits for, and until when.
+    void updateTakeover(uint32_t partition, const std::set<AgentNumber> &candidates);
 
     // --- storerelay.cpp: store calls relayed through another entry ---
     bool relayStoreCall(const HttpRequest &request, Millis timeout, StoreTransport::Done onDone);
@@ -231,6 +243,7 @@
     bool m_operatorRecordsKnown = false;
     std::map<std::string, Contact> m_contacts;
     AgentPresence m_presence;
+    EntryPresence m_entries;
     // Of the partitions that this entry opens or owns.
     std::map<uint32_t, PartitionSubset> m_subsets;
     // Links of the connected agents.
@@ -248,6 +261,7 @@
     std::vector<uint8_t> m_lastReport;
     Millis m_lastReportAt;
     bool m_advancePending = false;
+    bool m_peerPingPending = false;
     // When checkOwnership was last called. A longer gap than pauseLimit shows that the process was paused.
     Millis m_lastActive;
     // Set after a pause of the process: no task is started until the store has confirmed all memberships in
--- a/src/fleet/entrysubsets.cpp
+++ b/src/fleet/entrysubsets.cpp
@@ -10,6 +10,10 @@
     // Connections to the agents that the partition probably needs are made while its records are loaded.
     m_subsets.insert_or_assign(partition, PartitionSubset(wantedLevel(0)));
     refreshAgentLinks(Clock::now());
+    // A former owner that goes on without the store closes the partition when it hears of this.
+    sendReport();
+    pingPeersSoon();
+    m_members.isCurrentSince(Clock::now());
 }
 
 void EntryNode::partitionLoaded(uint32_t partition, std::optional<uint32_t> storedLevel)
@@ -18,8 +22,7 @@
     m_subsets.insert_or_assign(partition, PartitionSubset(storedLevel));
     advanceSubset(partition, now);
     refreshAgentLinks(now);
-    m_scheduler.setExpectedAgents(partition, expectedAgents(partition, m_presence.mayHoldRuns(now)),
-                                  m_members.isSynced());
+    updateTakeover(partition, m_presence.mayHoldRuns(now));
     claimAtAgents(partition);
     sendReport();
 }
@@ -122,6 +125,20 @@
     return result;
 }
 
+void EntryNode::updateTakeover(uint32_t partition, const std::set<AgentNumber> &candidates)
+{
+    const std::optional<Millis> openedAt = m_owner.openedAt(partition);
+    if (!openedAt)
+        return;
+    // A process that registered before the partition was opened, and has not been read, may be a former
+    // owner, or an agent that holds its runs.
+    const bool allMembersKnown = m_members.isCurrentSince(*openedAt);
+    m_scheduler.setExpectedAgents(partition, expectedAgents(partition, candidates), allMembersKnown);
+    m_scheduler.setFormerOwnersEnd(partition,
+                                   allMembersKnown ? m_entries.formerOwnersEnd(*openedAt)
+                                                   : *openedAt + EntryPresence::withoutStoreLimit);
+}
+
 void EntryNode::updatePlacement(uint32_t partition)
 {
     const PartitionSubset &subset = m_subsets.at(partition);
--- a/src/fleet/memberlist.cpp
+++ b/src/fleet/memberlist.cpp
@@ -20,11 +20,14 @@
 std::string encodeMember(const Member &member)
 {
     const bool isEntry = member.identity.role == fleet::ProcessRole::Entry;
-    return json::serialize(json::object{{"role", isEntry ? entryRoleName : agentRoleName},
-                                        {"address", member.address.text()},
-                                        {"zone", member.identity.zone},
-                                        {"processors", member.processors},
-                                        {"incarnation", member.identity.incarnation}});
+    json::object object{{"role", isEntry ? entryRoleName : agentRoleName},
+                        {"address", member.address.text()},
+                        {"zone", member.identity.zone},
+                        {"processors", member.processors},
+                        {"incarnation", member.identity.incarnation}};
+    if (member.isLost)
+        object["lost"] = true;
+    return json::serialize(object);
 }
 
 std::optional<Member> decodeMember(std::string_view name, std::string_view value)
@@ -48,6 +51,8 @@
     if (const json::value *processors = object.if_contains("processors");
         processors && processors->is_number())
         member.processors = std::clamp(processors->to_number<double>(), 0.0, maxProcessors);
+    if (const json::value *lost = object.if_contains("lost"); lost && lost->is_bool())
+        member.isLost = lost->get_bool();
     return member;
 }
 
@@ -120,7 +125,24 @@
 
 void MemberList::restore(const Member &member)
 {
-    write(member.identity.name, encodeMember(member));
+    Member present = member;
+    present.isLost = false;
+    write(present.identity.name, encodeMember(present));
+}
+
+void MemberList::markLost(const Member &member)
+{
+    Member lost = member;
+    lost.isLost = true;
+    write(lost.identity.name, encodeMember(lost));
+}
+
+bool MemberList::isCurrentSince(Millis time)
+{
+    if (m_follower.currentAt() >= time)
+        return true;
+    m_follower.checkCurrent();
+    return false;
 }
 
 } // namespace turmericwell
--- a/src/fleet/memberlist.h
+++ b/src/fleet/memberlist.h
@@ -19,6 +19,8 @@
     Address address;
     // Entries: processor time relative to a typical processor, by which partitions are shared out.
     double processors = 0.125;
+    // Entries: the other entries have not reached the process for a while. It registers again if it is alive.
+    bool isLost = false;
 };
 
 std::string encodeMember(const Member &member);
@@ -58,8 +60,14 @@
     // single attempt: callers go by what is read from the store, and repeat the call until it shows there.
     void remove(const std::string &name);
     void restore(const Member &member);
+    // Keeps the registration of an entry that cannot be reached, marked as lost. Unlike a removal, the mark
+    // is also read by entries that start later.
+    void markLost(const Member &member);
     // All registrations have been read at least once.
     bool isSynced() const { return m_synced; }
+    // True if all registrations that were written before this time have been read. If not, the store is
+    // asked, and the call is to be repeated.
+    bool isCurrentSince(Millis time);
 
 private:
     void write(const std::string &name, std::string value);
--- a/src/fleet/nodelink.cpp
+++ b/src/fleet/nodelink.cpp
@@ -52,15 +52,20 @@
               + " ms");
         return;
     }
-    fleet::PingT ping;
-    ping.sent_ms = now.count;
-    send(ping);
+    ping();
     m_timers.after(pingInterval, [weak = weak_from_this()] {
         if (const NodeLinkPtr self = weak.lock())
             self->checkPeer();
     });
 }
 
+void NodeLink::ping()
+{
+    fleet::PingT ping;
+    ping.sent_ms = Clock::now().count;
+    send(ping);
+}
+
 void NodeLink::received(std::span<const uint8_t> payload)
 {
     // An error while one message is handled ends the connection that brought it, not the process.
--- a/src/fleet/nodelink.h
+++ b/src/fleet/nodelink.h
@@ -61,6 +61,8 @@
         m_link->sendLater(encodeFleetMessage(std::move(body)));
     }
     void flush() { m_link->flush(); }
+    // Pings the peer at once, besides the regular pings.
+    void ping();
     const fleet::HelloT &peer() const { return m_peer; }
     // Time at which this side last answered a ping of the peer.
     Millis lastPongSent() const { return m_lastPongSent; }
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -182,8 +182,15 @@
     });
 }
 
-void PartitionOwner::checkMemberships(bool reachesMostEntries, Millis now)
+std::optional<Millis> PartitionOwner::openedAt(uint32_t partition) const
 {
+    const auto found = m_owned.find(partition);
+    return found == m_owned.end() ? std::nullopt : std::optional(found->second.openedAt);
+}
+
+void PartitionOwner::checkMemberships(const EntryPresence &entries, Millis now)
+{
+    const bool allEntriesHeard = entries.isEachHeardSince(now - EntryPresence::evidenceAge);
     for (auto &[partition, owned] : m_owned) {
         const Millis age = now - m_memberships[owned.membership]->lastJoinSentAt();
         if (!owned.membershipLapsed && age >= m_options.memberTtl) {
@@ -193,13 +200,28 @@
                          {{"partition", partition},
                           {"epoch", owned.epoch},
                           {"last_join_ms", age},
-                          {"reaches_most_entries", reachesMostEntries}});
+                          {"all_entries_heard", allEntriesHeard}});
         }
-        if (owned.membershipLapsed && !reachesMostEntries)
-            setSuspended(partition, true);
+        const bool mayGoOn = allEntriesHeard && age < m_options.withoutStoreLimit;
+        if (!owned.membershipLapsed || mayGoOn || owned.suspended)
+            continue;
+        logSuspension(partition, entries, age, now);
+        setSuspended(partition, true);
     }
 }
 
+void PartitionOwner::logSuspension(uint32_t partition, const EntryPresence &entries, Millis sinceLastJoin,
+                                   Millis now)
+{
+    const std::vector<std::string> unheard = entries.unheardSince(now - EntryPresence::evidenceAge);
+    m_log.always(now, "ownership_unproven",
+                 {{"partition", partition},
+                  {"epoch", m_owned.at(partition).epoch},
+                  {"last_join_ms", sinceLastJoin},
+                  {"unheard_entries", unheard.size()},
+                  {"unheard_entry", unheard.empty() ? std::string() : unheard.front()}});
+}
+
 void PartitionOwner::setSuspended(uint32_t partition, bool suspended)
 {
     Owned &owned = m_owned.at(partition);
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -10,6 +10,7 @@
 // among members, so an entry with more processor time joins with several memberships.
 #pragma once
 
+#include "fleet/entrypresence.h"
 #include "fleet/membershipplan.h"
 #include "jobs/jobscheduler.h"
 #include "store/appendqueue.h"
@@ -24,6 +25,8 @@
 {
     std::string member;
     Millis memberTtl = {1'500};
+    // An entry whose memberships have ended goes on as an owner for at most this long after its last join.
+    Millis withoutStoreLimit = {20'000};
 };
 
 class PartitionOwner
@@ -58,10 +61,12 @@
     // which the store may assign it to another entry, memberTtl after the last answered join was sent, until
     // the store has confirmed it after a new join.
     //
-    // If this entry does not reach most of the registered entries, they may reach the store and the agents,
-    // and one of them may own the partition: it is suspended until the store has confirmed the ownership.
-    // Otherwise the store is taken to be down for all.
-    void checkMemberships(bool reachesMostEntries, Millis now);
+    // Such a partition is suspended until the store has confirmed the ownership, unless each other entry has
+    // told lately that it has not taken the partition over. Entries that are out of reach may reach the
+    // store, and be given the partition by it, however few they are.
+    void checkMemberships(const EntryPresence &entries, Millis now);
+    // When the store assigned the partition to this entry; nullopt if it has not.
+    std::optional<Millis> openedAt(uint32_t partition) const;
     // Called when another entry owns the partition with a higher epoch than the given one.
     void superseded(uint32_t partition, uint64_t epoch);
     // Ends the memberships of another entry.
@@ -108,6 +113,8 @@
     void open(uint32_t partition, uint32_t membership, uint64_t epoch);
     void confirm(uint32_t partition);
     void setSuspended(uint32_t partition, bool suspended);
+    // Logs that the partition is suspended, and what lacked to go on without the store.
+    void logSuspension(uint32_t partition, const EntryPresence &entries, Millis sinceLastJoin, Millis now);
     void leaveAll(const std::string &member, uint32_t memberships, std::function<void()> onDone);
     // Ends one membership of the former process, retrying until the store has answered.
     void leaveFormer(uint32_t membership, const std::function<void()> &onDone);
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -190,6 +190,9 @@
     // reported. If allKnown is false the set is incomplete, and the partition is reconciled only after
     // reconciliationTimeout.
     void setExpectedAgents(uint32_t partition, std::set<AgentNumber> agents, bool allKnown);
+    // Sets the time from which no former owner keeps runs of the partition alive. reconciliationTimeout
+    // counts from then, or from the end of loading if that is later.
+    void setFormerOwnersEnd(uint32_t partition, Millis end);
     // True if the agent has reported its runs of the partition to this owner.
     bool hasReported(uint32_t partition, AgentNumber agent) const;
     // Partitions that are loaded and not reconciled yet.
@@ -347,6 +350,7 @@
         std::set<AgentNumber> excluded;
         std::set<AgentNumber> expected;
         bool allAgentsKnown = false;
+        Millis formerOwnersEnd;
     };
 
     // A job's position in a queue: its sort key, then its identifier.
--- a/src/jobs/jobscheduleragents.cpp
+++ b/src/jobs/jobscheduleragents.cpp
@@ -157,6 +157,12 @@
     found->second.allAgentsKnown = allKnown;
 }
 
+void JobScheduler::setFormerOwnersEnd(uint32_t number, Millis end)
+{
+    if (const auto found = m_partitions.find(number); found != m_partitions.end())
+        found->second.formerOwnersEnd = end;
+}
+
 bool JobScheduler::hasReported(uint32_t number, AgentNumber agent) const
 {
     const auto found = m_partitions.find(number);
@@ -204,7 +210,8 @@
     const bool allAccountedFor = partition.allAgentsKnown
         && std::all_of(partition.expected.begin(), partition.expected.end(),
                        [&](AgentNumber agent) { return isAccountedFor(partition, agent, now); });
-    if (!allAccountedFor && now - partition.loadedAt < m_options.reconciliationTimeout)
+    const Millis lastOrderAt = std::max(partition.loadedAt, partition.formerOwnersEnd);
+    if (!allAccountedFor && now - lastOrderAt < m_options.reconciliationTimeout)
         return;
     partition.reconciled = true;
     uint32_t restarted = 0;
@@ -226,6 +233,7 @@
                   {"unreported_agents", unreported},
                   {"by_lease_bounds", allAccountedFor && unreported > 0},
                   {"after_ms", now - partition.loadedAt},
+                  {"former_owners_ended_ms", now - partition.formerOwnersEnd},
                   {"tasks_without_run", restarted}});
 }
 
--- a/src/store/topicfollower.cpp
+++ b/src/store/topicfollower.cpp
@@ -3,6 +3,10 @@
 
 namespace turmericwell {
 
+constexpr Millis currentCheckTimeout = {600};
+// Pause after an answer that shows records which are still on their way to this reader, or after a failure.
+constexpr Millis currentCheckRetry = {20};
+
 TopicFollower::TopicFollower(TopicFollowerOptions options, StoreApi &store, IoContext &io, StructuredLog &log,
                              Handlers handlers)
     : m_options(std::move(options))
@@ -16,6 +20,7 @@
 {
     m_loadedKeys.clear();
     m_loadEnd.reset();
+    m_isLoaded = false;
     loadPage({});
 }
 
@@ -65,6 +70,7 @@
     }
     m_keys = std::exchange(m_loadedKeys, {});
     m_nextOffset = *m_loadEnd;
+    m_isLoaded = true;
     m_handlers.onSynced();
     readChanges();
 }
@@ -105,6 +111,27 @@
     readChanges();
 }
 
+void TopicFollower::checkCurrent()
+{
+    const Millis now = Clock::now();
+    if (!m_isLoaded || now < m_nextCheckAt)
+        return;
+    m_nextCheckAt = now + currentCheckTimeout;
+    m_store.read({.topic = m_options.topic, .from = m_nextOffset}, currentCheckTimeout,
+                 [this, now, guard = m_timers.guard()](const ReadAnswer &answer) {
+                     if (!guard.expired())
+                         currentChecked(answer, now);
+                 });
+}
+
+void TopicFollower::currentChecked(const ReadAnswer &answer, Millis sentAt)
+{
+    m_nextCheckAt = Clock::now() + currentCheckRetry;
+    // Records that are not delivered yet reach this reader by its own read.
+    if (answer.status == StoreStatus::Done && m_isLoaded && answer.end <= m_nextOffset)
+        m_currentAt = std::max(m_currentAt, sentAt);
+}
+
 void TopicFollower::deliver(const StoreRecord &record)
 {
     if (record.key.empty()) {
--- a/src/store/topicfollower.h
+++ b/src/store/topicfollower.h
@@ -37,6 +37,11 @@
                   Handlers handlers);
 
     void start();
+    // Asks the store whether all records have been delivered. Does nothing while an earlier question is open
+    // or has just failed; to be called again until currentAt is late enough.
+    void checkCurrent();
+    // All records that were written before this time have been delivered.
+    Millis currentAt() const { return m_currentAt; }
 
 private:
     void loadPage(const std::string &after);
@@ -44,6 +49,7 @@
     void continueLoading(const std::string &after);
     void readChanges();
     void changesRead(const ReadAnswer &answer);
+    void currentChecked(const ReadAnswer &answer, Millis sentAt);
     // Passes the record on. A record that cannot be applied is logged and skipped, so that it does not keep
     // this reader from the records behind it.
     void deliver(const StoreRecord &record);
@@ -60,6 +66,11 @@
     // End of the topic when the first page was read; later changes are read from the log.
     std::optional<uint64_t> m_loadEnd;
     uint64_t m_nextOffset = 0;
+    // The newest records have been read and m_nextOffset is valid.
+    bool m_isLoaded = false;
+    Millis m_currentAt;
+    // Earliest time of the next question of checkCurrent.
+    Millis m_nextCheckAt;
     uint32_t m_failures = 0;
     Backoff m_backoff{{50}, {400}};
 };
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -123,6 +123,71 @@
     }
 }
 
+// Guards against two runs of a task at the same time (review/6): an availability zone with most of the
+// entries was cut off from the store, and they went on beside the entry to which the store gave their
+// partitions. The first seed is that of turmericwell emulate --zone-cuts 2 --troubles 0 --kept-share 0.6
+// --long-task-share 0.03 --load 0.4
+// --length-s 16.
+BOOST_AUTO_TEST_CASE(zoneWithMostEntriesRunsNothingBesideTheNewOwner)
+{
+    EmulationOptions day = *emulatedSite("himal");
+    day.seed = 42'004;
+    day.traffic.keptShare = 0.6;
+    day.traffic.longTaskShare = 0.03;
+    day.traffic.load = 0.4;
+    day.length = {16'000};
+    day.plan = drawPlan({.seed = day.seed,
+                         .size = day.size,
+                         .begin = {1'000},
+                         .end = day.length * 60 / 100,
+                         .most = 0,
+                         .mostZoneCuts = 2});
+    BOOST_TEST(firstBroken(checkPromises(Emulation(day).run(), day)) == "");
+}
+
+// Guards against two runs of a task at the same time: as before, and the only entry on the store's side is
+// restarted, so that it does not know for how long the others count on hearing of it.
+BOOST_AUTO_TEST_CASE(entryThatRestartsBesideACutWaitsForTheFormerOwners)
+{
+    for (const int64_t restartAt : {1'000, 2'500, 4'000}) {
+        EmulationOptions day = *emulatedSite("himal");
+        day.seed = static_cast<uint64_t>(restartAt);
+        day.traffic.keptShare = 0.6;
+        day.traffic.longTaskShare = 0.1;
+        day.traffic.load = 0.3;
+        day.length = {16'000};
+        CutGroup zone;
+        for (uint32_t entry = 1; entry < day.size.entries; ++entry)
+            zone.processes.push_back({fleet::ProcessRole::Entry, entry});
+        for (uint32_t agent = 0; agent < 6; ++agent)
+            zone.processes.push_back({fleet::ProcessRole::Agent, agent});
+        day.plan = {{{restartAt}, {500}, KillProcess{.process = {fleet::ProcessRole::Entry, 0}}},
+                    {{2'000}, {9'000}, zone}};
+        BOOST_TEST_CONTEXT("restarted at " << restartAt << " ms")
+        BOOST_TEST(firstBroken(checkPromises(Emulation(day).run(), day)) == "");
+    }
+}
+
+// Guards against an outage of the store that stops accepted work although no entry can have taken it over.
+BOOST_AUTO_TEST_CASE(outageOfTheStoreLetsAcceptedWorkGoOn)
+{
+    EmulationOptions day = *emulatedSite("himal");
+    day.seed = 42'900;
+    day.traffic.keptShare = 0.5;
+    day.traffic.cancelledShare = 0;
+    day.traffic.longTaskShare = 0.2;
+    day.traffic.load = 0.3;
+    day.length = {9'000};
+    day.plan = {{{2'000}, {6'500}, TroubleStore{.trouble = StoreIsSilent{}}}};
+    const EmulationRecord record = Emulation(day).run();
+    BOOST_TEST(firstBroken(checkPromises(record, day)) == "");
+    const auto isStopped = [&](const RunEvent &event) {
+        return event.at - record.begin >= day.plan.front().at
+            && (event.kind == RunEventKind::Stopped || event.kind == RunEventKind::Lapsed);
+    };
+    BOOST_TEST(std::count_if(record.runs.begin(), record.runs.end(), isStopped) == 0);
+}
+
 // Guards against two runs of a task at the same time: all processes restart while two workers work on and do
 // not answer, so their agents tell the new owners by when the former runs will have ended. Then one agent
 // loses power, and the other one is cut off from the entries and hears of its worker again.
--- a/tests/unit/partitionownertest.cpp
+++ b/tests/unit/partitionownertest.cpp
@@ -73,6 +73,14 @@
 
 struct OwnerFixture
 {
+    // One other entry, which last answered a ping at the given time.
+    static EntryPresence otherHeardAt(Millis time)
+    {
+        EntryPresence entries({1'500});
+        entries.registered("entry-2", {0});
+        entries.answered("entry-2", time);
+        return entries;
+    }
 
     void pass(Millis time)
     {
@@ -244,9 +252,10 @@
     pass({300});
     store.refusesJoins = true;
     const Millis lastJoin = owner.lastJoinSentAt();
-    owner.checkMemberships(true, lastJoin + Millis{1'499});
+    const EntryPresence heard = otherHeardAt(lastJoin + Millis{1'499});
+    owner.checkMemberships(heard, lastJoin + Millis{1'499});
     BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotKnown));
-    owner.checkMemberships(true, lastJoin + Millis{1'500});
+    owner.checkMemberships(heard, lastJoin + Millis{1'500});
     BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotReady));
     // An append that is accepted does not show that the partition is still assigned to this entry a moment
     // later.
@@ -266,13 +275,15 @@
     pass({300});
     store.refusesJoins = true;
     const Millis lastJoin = owner.lastJoinSentAt();
-    owner.checkMemberships(false, lastJoin + Millis{1'499});
+    const EntryPresence unheard = otherHeardAt(lastJoin);
+    owner.checkMemberships(unheard, lastJoin + Millis{1'499});
     BOOST_TEST(scheduler.isServing(partition));
-    owner.checkMemberships(false, lastJoin + Millis{1'500});
+    owner.checkMemberships(unheard, lastJoin + Millis{1'500});
     BOOST_TEST(!scheduler.isServing(partition));
     BOOST_TEST(!suspended.empty());
-    // Neither contact with some of the others nor an answer of the store to an append is enough.
-    owner.checkMemberships(true, lastJoin + Millis{1'600});
+    // Neither contact with the others nor an answer of the store to an append is enough: another entry may
+    // have owned the partition meanwhile.
+    owner.checkMemberships(otherHeardAt(lastJoin + Millis{1'600}), lastJoin + Millis{1'600});
     owner.confirmOwnership();
     pass({300});
     BOOST_TEST(!scheduler.isServing(partition));
@@ -290,11 +301,25 @@
 {
     pass({300});
     store.refusesJoins = true;
-    owner.checkMemberships(true, owner.lastJoinSentAt() + Millis{10'000});
+    const Millis later = owner.lastJoinSentAt() + Millis{10'000};
+    owner.checkMemberships(otherHeardAt(later), later);
     BOOST_TEST(scheduler.isServing(0));
     BOOST_TEST(suspended.empty());
 }
 
+// Guards against two runs of a task at the same time: an entry that has started since the last join, and that
+// this one has not heard of, may own the partition. It waits for as long as a former owner may go on.
+BOOST_FIXTURE_TEST_CASE(entryWithoutTheStoreGivesUpInTheEnd, PartitionOwnerFixture)
+{
+    pass({300});
+    store.refusesJoins = true;
+    const Millis limit = owner.lastJoinSentAt() + EntryPresence::withoutStoreLimit;
+    owner.checkMemberships(otherHeardAt(limit), limit - Millis{1});
+    BOOST_TEST(scheduler.isServing(0));
+    owner.checkMemberships(otherHeardAt(limit), limit);
+    BOOST_TEST(!scheduler.isServing(0));
+}
+
 // Guards against a second run of a task: a level that cannot be read must not count as "no orders were
 // placed".
 BOOST_FIXTURE_TEST_CASE(unreadableSubsetLevelCoversAllAgents, PartitionOwnerFixture)
