Dispute failed ends of runs that were ordered again

Cause: isDisputed passed over all ends but `Done`. A failed end that was not known when the task was ordered again was confirmed like any other, so the worker's account held a start after the last allowed attempt.

Change: a failed end of a superseded run is disputed as a successful one is; it is confirmed after a lapse of the lease. It still counts for the job.

--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -78,7 +78,9 @@
 
 bool JobScheduler::isDisputed(const AgentEnd &end, const Job *job, const Task *task) const
 {
-    if (end.kind != EndKind::Done)
+    // Of a failed end, too, the worker may not count that it was confirmed: the task was started again
+    // without it, perhaps after its last allowed attempt.
+    if (end.kind != EndKind::Done && end.kind != EndKind::Failed)
         return false;
     if (task) {
         // Runs that a former owner ordered are known only from the stored record.
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -99,6 +99,58 @@
     BOOST_TEST(effects.disputed.size() == 1U);
 }
 
+// Guards against a start after the last allowed attempt (review/7): the only allowed run failed while its
+// agent was cut off, the task was ordered again, and the failed end was confirmed later. It arrives while the
+// second run is at work, after the job, or at the next owner.
+BOOST_FIXTURE_TEST_CASE(failedEndOfARunThatWasOrderedAgainIsDisputed, JobSchedulerFixture)
+{
+    load();
+    JobSpec spec = job(1, 1, false);
+    spec.attempts = 1;
+    submit(std::move(spec));
+    storeAll();
+    startAll();
+    const RecordedEffects::Start first = effects.starts[0];
+    scheduler.agentGone(first.agent, now);
+    scheduler.advance(now);
+    const std::string record = effects.records.back().value;
+    storeAll();
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    JobSchedulerFixture next(2);
+    next.scheduler.loadRecord(0, 1, record, next.now);
+    next.load(false);
+    next.end(first, EndKind::Failed);
+    BOOST_TEST(next.effects.disputed.size() == 1U);
+    end(first, EndKind::Failed);
+    BOOST_TEST_REQUIRE(effects.disputed.size() == 1U);
+    BOOST_TEST((effects.disputed[0] == first.run));
+}
+
+BOOST_FIXTURE_TEST_CASE(failedEndOfARunThatWasOrderedAgainIsDisputedAfterTheJob, JobSchedulerFixture)
+{
+    load();
+    submitAndStart(1, 1);
+    const RecordedEffects::Start first = effects.starts[0];
+    scheduler.agentGone(first.agent, now);
+    scheduler.advance(now);
+    storeAll();
+    startAll();
+    end(effects.starts.back(), EndKind::Done);
+    storeAll();
+    end(first, EndKind::Failed);
+    BOOST_TEST(effects.disputed.size() == 1U);
+}
+
+// Guards against lapses of leases that nobody needs: a failed end that is the task's present run is
+// confirmed.
+BOOST_FIXTURE_TEST_CASE(failedEndOfThePresentRunIsNotDisputed, JobSchedulerFixture)
+{
+    load();
+    submitAndStart(1, 1);
+    end(effects.starts[0], EndKind::Failed);
+    BOOST_TEST(effects.disputed.empty());
+}
+
 // Guards against an undisputed end of a superseded run after a change of owner: the new owner knows of the
 // second run only from the stored record.
 BOOST_FIXTURE_TEST_CASE(nextOwnerDisputesAnEndAfterTheJob, JobSchedulerFixture)
