Remember the cancel of a job that its new owner does not know yet

Cause: a new owner knows a best-effort job from its waiting submission and from the agents' reports. A cancel that comes before both was answered and forgotten; the submission then started the job, or took over its runs.

Change: the owner remembers such cancels for as long as ended jobs (at most 20,000): runs that are reported are stopped at once, and a later submission is answered as that of a cancelled job, or refused if the job has to be kept. The job is still shown as unknown, since nobody may have submitted it. An entry that has the cancel answered also ends the submissions of that job that wait there, so that they do not go to the next owner.

Evidence: "cancel_without_effect" with "known":false, followed by "job_accepted" of the same job at the new owner.

--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -156,8 +156,25 @@
                      {"reason", reply.reason},
                      {"retry_after_ms", reply.retryAfter}});
     }
+    const bool isCancelled = found->second.call.kind == fleet::CallKind::Cancel
+        && (reply.status == fleet::CallStatus::Done || reply.status == fleet::CallStatus::NotKnown);
+    const JobId job = found->second.call.job;
     m_calls.erase(found);
     onDone(reply);
+    if (isCancelled)
+        endCancelledSubmissions(job);
+}
+
+void EntryNode::endCancelledSubmissions(JobId job)
+{
+    std::vector<uint64_t> submissions;
+    for (const auto &[id, pending] : m_calls) {
+        const bool isBestEffort = pending.call.spec && pending.call.spec->best_effort;
+        if (pending.call.job == job && pending.call.kind == fleet::CallKind::Submit && isBestEffort)
+            submissions.push_back(id);
+    }
+    for (const uint64_t id : submissions)
+        finish(id, {.status = fleet::CallStatus::NotKnown, .reason = "the job was cancelled"});
 }
 
 void EntryNode::performForPeer(const NodeLinkPtr &link, fleet::JobCallT &message)
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -222,6 +222,9 @@
     void answered(uint64_t id, uint64_t attempt, JobReply reply);
     void finish(uint64_t id, const JobReply &reply);
     void expire(uint64_t id);
+    // Ends the submissions of a cancelled best-effort job that wait here: another owner would run the job
+    // again.
+    void endCancelledSubmissions(JobId job);
     NodeLinkPtr ownerLink(uint32_t partition) const;
     void performForPeer(const NodeLinkPtr &link, fleet::JobCallT &message);
 
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -10,6 +10,8 @@
 
 constexpr Millis minRetryAfter = {1'000};
 constexpr int64_t wholePercent = 100;
+// Bounds the memory for identifiers that were never submitted; the oldest are forgotten.
+constexpr size_t mostUnknownCancelledJobs = 20'000;
 
 uint32_t partitionOf(JobId job, uint32_t partitions)
 {
@@ -166,6 +168,14 @@
         onDone(endedReply(spec.best_effort, ended->second.phase));
         return;
     }
+    if (m_unknownCancelled.contains(spec.id)) {
+        // A job that has to be kept has never been accepted, or it would be known.
+        onDone(spec.best_effort ? endedReply(true, JobPhase::Cancelled)
+                                : JobReply{.status = fleet::CallStatus::Refused,
+                                           .retryAfter = minRetryAfter,
+                                           .reason = "the job was cancelled before it was submitted"});
+        return;
+    }
     if (Job *known = findJob(spec.id)) {
         if (known->accepted && !known->spec.best_effort)
             onDone({.status = fleet::CallStatus::Done, .running = known->anyStarted});
@@ -256,7 +266,11 @@
     if (!job) {
         const JobReply reply = query(id);
         m_log.write(now, "cancel_without_effect",
-                    {{"job", jobIdText(id)}, {"known", reply.status == fleet::CallStatus::Done}});
+                    {{"job", jobIdText(id)},
+                     {"known", reply.status == fleet::CallStatus::Done},
+                     {"located", m_partitions.at(partitionOf(id, m_options.partitions)).reconciled}});
+        if (reply.status == fleet::CallStatus::NotKnown)
+            cancelUnknown(id, now);
         onDone(reply);
         return;
     }
@@ -265,6 +279,23 @@
         endJob(*job, JobPhase::Cancelled);
 }
 
+void JobScheduler::cancelUnknown(JobId id, Millis now)
+{
+    const UnknownCancelledJob cancelled{.partition = partitionOf(id, m_options.partitions),
+                                        .evictAt = now + m_options.retention};
+    if (!m_unknownCancelled.insert_or_assign(id, cancelled).second)
+        return;
+    m_unknownCancelledOrder.push_back(id);
+    if (m_unknownCancelledOrder.size() > mostUnknownCancelledJobs) {
+        m_unknownCancelled.erase(m_unknownCancelledOrder.front());
+        m_unknownCancelledOrder.pop_front();
+    }
+    for (auto &[run, orphan] : m_orphans) {
+        if (run.task.job == id)
+            orphan.stopAt = now;
+    }
+}
+
 std::map<std::string, uint32_t> JobScheduler::pendingByQueue() const
 {
     std::map<std::string, uint32_t> result;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -322,6 +322,14 @@
         Millis evictAt;
     };
 
+    // A job that was cancelled while this owner did not know it. Its submission may be on its way: an entry
+    // submits the jobs of a failed owner again.
+    struct UnknownCancelledJob
+    {
+        uint32_t partition = 0;
+        Millis evictAt;
+    };
+
     // A run whose job is unknown to this owner. If the job is submitted again, it adopts the run.
     struct Orphan
     {
@@ -372,6 +380,8 @@
     // Longest predicted wait with which a job of this slack is admitted.
     Millis allowedWait(const JobSpec &spec, Millis slack, Millis now);
     static int64_t waitingCpuMilli(const Job &job);
+    // Records that the job must not run, and stops runs of it that agents have reported.
+    void cancelUnknown(JobId id, Millis now);
     Job &addJob(JobSpec spec, uint32_t partition, Millis now);
     struct RecordWrite
     {
@@ -471,6 +481,9 @@
     // Ended jobs, oldest first.
     std::deque<JobId> m_endedOrder;
     std::unordered_map<JobId, GivenUpJob> m_givenUp;
+    std::unordered_map<JobId, UnknownCancelledJob> m_unknownCancelled;
+    // The same jobs, oldest first.
+    std::deque<JobId> m_unknownCancelledOrder;
     // Queue of the jobs with waiting tasks that can still meet their deadline, by queueKey, and of those that
     // cannot, by acceptedAt.
     JobQueue m_onTime;
--- a/src/jobs/jobschedulerpartitions.cpp
+++ b/src/jobs/jobschedulerpartitions.cpp
@@ -174,6 +174,8 @@
     }
     std::erase_if(m_ended, [&](const auto &item) { return item.second.partition == number; });
     std::erase_if(m_givenUp, [&](const auto &item) { return item.second.partition == number; });
+    std::erase_if(m_unknownCancelled, [&](const auto &item) { return item.second.partition == number; });
+    std::erase_if(m_unknownCancelledOrder, [&](JobId id) { return !m_unknownCancelled.contains(id); });
     std::erase_if(m_orphans, [&](const auto &item) {
         return partitionOf(item.first.task.job, m_options.partitions) == number;
     });
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -312,8 +312,9 @@
     Job *job = findJob(run.task.job);
     Task *task = job ? findTask(*job, run.task) : nullptr;
     if (!job && !m_ended.contains(run.task.job)) {
+        const Millis grace = m_unknownCancelled.contains(run.task.job) ? Millis{0} : orphanGracePeriod;
         const auto [orphan, isNew] =
-            m_orphans.try_emplace(run, Orphan{.agent = agent, .stopAt = now + orphanGracePeriod});
+            m_orphans.try_emplace(run, Orphan{.agent = agent, .stopAt = now + grace});
         // An earlier stop did not reach the agent, or the run would not be reported.
         if (!isNew && std::exchange(orphan->second.stopped, false))
             orphan->second.stopAt = now;
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -873,6 +873,44 @@
     BOOST_TEST(effects.starts.size() == 1U);
 }
 
+// Guards against a job that runs after its cancel was answered (review/8): the new owner of a partition does
+// not know a best-effort job yet whose submission waits at another entry, and its runs may be reported before
+// or after that.
+BOOST_FIXTURE_TEST_CASE(jobThatWasCancelledBeforeItIsKnownDoesNotRun, JobSchedulerFixture)
+{
+    load(false);
+    const RunId before{.task = {.job = 1, .index = 0}, .number = 1};
+    const RunId after{.task = {.job = 1, .index = 1}, .number = 1};
+    scheduler.claimReport(1, 0, 1, std::span(&before, 1), {}, now);
+    std::vector<JobReply> cancelled;
+    scheduler.cancel(1, now, [&](const JobReply &reply) { cancelled.push_back(reply); });
+    BOOST_TEST_REQUIRE(cancelled.size() == 1U);
+    BOOST_TEST((cancelled[0].status == fleet::CallStatus::NotKnown));
+    scheduler.claimReport(2, 0, 1, std::span(&after, 1), {}, now);
+    submit(job(1, 3, true));
+    BOOST_TEST_REQUIRE(replies.size() == 1U);
+    BOOST_TEST((replies[0].status == fleet::CallStatus::NotKnown));
+    BOOST_TEST(effects.starts.empty());
+    BOOST_TEST_REQUIRE(effects.stops.size() == 2U);
+    BOOST_TEST((effects.stops[0].run == before));
+    BOOST_TEST((effects.stops[1].run == after));
+    // Nobody has submitted the job, so it is not shown.
+    BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotKnown));
+}
+
+// Guards against the same for a job that has to be kept: its submission may arrive after its cancel, and is
+// told that it does not run.
+BOOST_FIXTURE_TEST_CASE(keptJobThatWasCancelledBeforeItsSubmissionIsRefused, JobSchedulerFixture)
+{
+    load();
+    scheduler.cancel(1, now, [](const JobReply &) {});
+    submit(job(1, 1, false));
+    BOOST_TEST_REQUIRE(replies.size() == 1U);
+    BOOST_TEST((replies[0].status == fleet::CallStatus::Refused));
+    BOOST_TEST(effects.records.empty());
+    BOOST_TEST(effects.starts.empty());
+}
+
 // Guards against a start beyond the allowed attempts: the failed runs of the second step were reported before
 // the ends that open the step.
 BOOST_FIXTURE_TEST_CASE(failuresOfAStepThatIsNotOpenYetCount, JobSchedulerFixture)
