Place the other steps of a job if one step fits on no worker

Cause: placeTasks left the loop over all tasks of the job at the first one that could not be placed, because the tasks of a job are similar. Only those of one step are: steps differ in their size and in the label that they require.

Change: after a task that cannot be placed, only the other tasks of its step are passed over. A pass now tries at most one task more for each step of an unplaceable job.

--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -195,15 +195,18 @@
 bool JobScheduler::placeTasks(Job &job, Millis now)
 {
     bool all = true;
+    // Tasks stand in the order of their steps.
+    std::optional<uint32_t> unplaceableStep;
     for (Task &task : job.tasks) {
         if (task.phase == TaskPhase::Unreconciled || task.awaitsRecord)
             all = false;
-        if (task.phase != TaskPhase::Waiting || task.awaitsRecord)
+        if (task.phase != TaskPhase::Waiting || task.awaitsRecord || task.step == unplaceableStep)
             continue;
-        // The tasks of a job are similar: if one does not fit on any worker, the others rarely do.
+        // The tasks of a step are similar: if one does not fit on any worker, the others rarely do. Another
+        // step may need other workers.
         if (!placeTask(job, task, now)) {
             all = false;
-            break;
+            unplaceableStep = task.step;
         }
     }
     if (all)
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -898,6 +898,31 @@
     BOOST_TEST((scheduler.query(1).status == fleet::CallStatus::NotKnown));
 }
 
+// Guards against ready tasks that stand still beside free workers (review/9): a step whose only workers are
+// in an evacuated zone came before them in their job.
+BOOST_FIXTURE_TEST_CASE(stepThatNoWorkerCanTakeHoldsBackNoOtherStep, JobSchedulerFixture)
+{
+    load();
+    WorkerState special = workerWith(4'000);
+    special.zone = "thamel";
+    special.labels = {"b"};
+    pool.report(2, special);
+    JobSpec spec = job(1, 2, false);
+    spec.steps.front()->required_label = "b";
+    spec.steps.push_back(std::make_unique<StepSpec>(*job(2, 2, false).steps.front()));
+    submit(std::move(spec));
+    pool.setEvacuatedZones({"thamel"});
+    storeAll();
+    BOOST_TEST_REQUIRE(effects.starts.size() == 2U);
+    for (const RecordedEffects::Start &start : effects.starts) {
+        BOOST_TEST(start.run.task.step == 1U);
+        BOOST_TEST(start.agent == 1U);
+    }
+    pool.setEvacuatedZones({});
+    scheduler.advance(now);
+    BOOST_TEST(effects.starts.size() == 4U);
+}
+
 // Guards against the same for a job that has to be kept: its submission may arrive after its cancel, and is
 // told that it does not run.
 BOOST_FIXTURE_TEST_CASE(keptJobThatWasCancelledBeforeItsSubmissionIsRefused, JobSchedulerFixture)
