Answer open requests before a planned stop ends

Cause: the phase Ended is reached 0.8 s before the end of the grace period, whether requests are open or not, and stopped the process. The calls that waited for the end of a job got no last answer.

Change: StopSchedule has a phase Answering, which begins 0.2 s before Ended. All open calls, and those that still arrive, get their last answer: 504 if the call may have been carried out, 503 if it has not.

--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -12,6 +12,7 @@
 // Time reserved for delivering the answer to the client.
 constexpr Millis answerMargin = {60};
 constexpr Millis leastRetryAfter = {1'000};
+constexpr std::string_view noAnswerInTime = "no answer from the owner in time";
 
 void EntryNode::call(JobCall call, JobReplyHandler onDone)
 {
@@ -25,7 +26,7 @@
                    .deadline = now + wait,
                    .ownerDeadline = now + ownerWait,
                    .onDone = std::move(onDone)};
-    m_timers.after(wait, [this, id] { expire(id); });
+    m_timers.after(wait, [this, id] { expire(id, noAnswerInTime); });
     route(id);
 }
 
@@ -131,7 +132,7 @@
     finish(id, reply);
 }
 
-void EntryNode::expire(uint64_t id)
+void EntryNode::expire(uint64_t id, std::string_view cause)
 {
     const auto found = m_calls.find(id);
     if (found == m_calls.end())
@@ -141,7 +142,16 @@
     finish(id,
            {.status = mayBeDone ? fleet::CallStatus::Unknown : fleet::CallStatus::NotReady,
             .retryAfter = leastRetryAfter,
-            .reason = mayBeDone ? "no answer from the owner in time" : "the owner is not known"});
+            .reason = mayBeDone ? std::string(cause) : "the owner is not known"});
+}
+
+void EntryNode::expireAll()
+{
+    std::vector<uint64_t> open;
+    for (const auto &[id, pending] : m_calls)
+        open.push_back(id);
+    for (const uint64_t id : open)
+        expire(id, "the entry is stopping");
 }
 
 void EntryNode::finish(uint64_t id, const JobReply &reply)
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -128,6 +128,9 @@
             sendReport();
         });
     }
+    // Calls that come in meanwhile are answered as well.
+    if (phase == StopPhase::Answering)
+        expireAll();
     m_stopHandlers.onPhase(phase);
     if (phase != StopPhase::Ended)
         m_timers.after(stopCheckInterval, [this] { advanceStop(); });
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -221,7 +221,10 @@
     void perform(JobCall &call, JobReplyHandler onDone);
     void answered(uint64_t id, uint64_t attempt, JobReply reply);
     void finish(uint64_t id, const JobReply &reply);
-    void expire(uint64_t id);
+    // Gives the call its last answer. The cause is the reason of a call that may have been carried out.
+    void expire(uint64_t id, std::string_view cause);
+    // Gives all open calls their last answer: the process ends before their wait is over.
+    void expireAll();
     // Ends the submissions of a cancelled best-effort job that wait here: another owner would run the job
     // again.
     void endCancelledSubmissions(JobId job);
--- a/src/fleet/stopschedule.cpp
+++ b/src/fleet/stopschedule.cpp
@@ -17,8 +17,11 @@
     const Millis drained = m_begin + (m_releases ? drainTime : longestDrainTime);
     if (m_phase == StopPhase::Draining && now >= drained)
         m_phase = StopPhase::Closing;
+    if (m_phase == StopPhase::Closing && now >= end - answerTime)
+        m_phase = StopPhase::Answering;
     const bool isDone = state.openRequests == 0 && !state.ownsPartitions;
-    if (m_phase == StopPhase::Closing && (isDone || now >= end))
+    const bool mayEnd = m_phase == StopPhase::Closing || m_phase == StopPhase::Answering;
+    if (mayEnd && (isDone || now >= end))
         m_phase = StopPhase::Ended;
     return m_phase;
 }
--- a/src/fleet/stopschedule.h
+++ b/src/fleet/stopschedule.h
@@ -18,6 +18,8 @@
     Draining,
     // Open requests are still answered; new connections are refused.
     Closing,
+    // Requests that are still open are answered without an outcome, and the answers are written.
+    Answering,
     Ended,
 };
 
@@ -28,6 +30,8 @@
         return "draining";
     case StopPhase::Closing:
         return "closing";
+    case StopPhase::Answering:
+        return "answering";
     case StopPhase::Ended:
         break;
     }
@@ -63,6 +67,8 @@
     static constexpr Millis longestDrainTime = {2'800};
     // Part of the grace period reserved for shutting down the process.
     static constexpr Millis endMargin = {800};
+    // Time before that for writing the last answers.
+    static constexpr Millis answerTime = {200};
     // Part of the grace period reserved for storing records and leaving the group.
     static constexpr Millis releaseTime = {1'000};
 
--- a/tests/unit/stopscheduletest.cpp
+++ b/tests/unit/stopscheduletest.cpp
@@ -77,6 +77,20 @@
     BOOST_TEST((schedule.advance({.hasSuccessor = true}, begin + Millis{3'100}) == StopPhase::Ended));
 }
 
+// Guards against a request that is cut off without an answer (review/10): one that is still open near the end
+// of the grace period gets its last answer while there is time to write it.
+BOOST_AUTO_TEST_CASE(openRequestsAreAnsweredBeforeTheEnd)
+{
+    StopSchedule schedule(begin, grace);
+    const StopState busy{.hasSuccessor = true, .openRequests = 1};
+    schedule.advance(busy, begin);
+    schedule.advance(busy, begin + Millis{2'300});
+    BOOST_TEST((schedule.advance(busy, begin + Millis{4'950}) == StopPhase::Closing));
+    BOOST_TEST((schedule.advance(busy, begin + Millis{5'000}) == StopPhase::Answering));
+    BOOST_TEST((schedule.advance(busy, begin + Millis{5'150}) == StopPhase::Answering));
+    BOOST_TEST((schedule.advance({.hasSuccessor = true}, begin + Millis{5'160}) == StopPhase::Ended));
+}
+
 // Guards against an owner that retains its partitions because the successor was lost while taking them over.
 BOOST_AUTO_TEST_CASE(releaseIsNotReverted)
 {
