Count an agent's contact with an entry from its own greeting

What callers could see: two runs of a task at the same time (one of the open orders of events of design.md, 8.3).

Cause: an agent counted the arrival of an entry's greeting as contact with it, the entry the arrival of the agent's. A greeting that was under way for longer let the agent keep runs alive beyond the 2.5 s after which the entry takes them for ended.

Change: the agent counts from when it sent its own greeting, which the entry cannot have received earlier.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -128,7 +128,9 @@
     entry.name = hello.node;
     entry.reportPolicy.markChanged();
     m_log.always(now, "peer_connected", {{"peer", hello.node}, {"incarnation", hello.incarnation}});
-    m_workerManager.entryConnected(number, now);
+    // The entry counts the contact from the arrival of this side's greeting, which is later than its sending.
+    // The arrival of the entry's greeting here says nothing of when the entry was alive.
+    m_workerManager.entryConnected(number, link->startedAt());
     sendReport(number, entry, m_workerManager.report(), now);
 }
 
--- a/src/fleet/nodelink.cpp
+++ b/src/fleet/nodelink.cpp
@@ -12,7 +12,8 @@
     : m_timers(io)
     , m_link(std::move(link))
     , m_self(self)
-    , m_peerAliveAt(Clock::now())
+    , m_startedAt(Clock::now())
+    , m_peerAliveAt(m_startedAt)
 { }
 
 void NodeLink::start(Handlers handlers)
--- a/src/fleet/nodelink.h
+++ b/src/fleet/nodelink.h
@@ -64,6 +64,8 @@
     // Pings the peer at once, besides the regular pings.
     void ping();
     const fleet::HelloT &peer() const { return m_peer; }
+    // Time at which this side sent its greeting. The peer's greeting may have been under way for longer.
+    Millis startedAt() const { return m_startedAt; }
     // Time at which this side last answered a ping of the peer.
     Millis lastPongSent() const { return m_lastPongSent; }
 
@@ -79,6 +81,7 @@
     fleet::HelloT m_peer;
     bool m_introduced = false;
     bool m_closed = false;
+    const Millis m_startedAt;
     // Latest time at which the peer is known to have been alive: when this side sent the newest ping that the
     // peer has answered.
     Millis m_peerAliveAt;
