--- a/src/standin/frametracker.cpp
+++ b/src/standin/frametracker.cpp
@@ -3,6 +3,7 @@
 
 #include "net/framelink.h"
 #include "proto/codec.h"
+#include "proto/fleetcodec.h"
 
 #include <algorithm>
 
@@ -35,15 +36,26 @@
 
 void FrameTracker::nameSender()
 {
-    m_sender.emplace();
-    const auto message = decodeMessage(m_first);
+    m_sender = m_kind == StreamKind::FleetFrames ? fleetGreetingName(m_first) : greetingName(m_first);
+    m_first.clear();
+}
+
+std::string FrameTracker::greetingName(std::span<const uint8_t> frame)
+{
+    const auto message = decodeMessage(frame);
     if (!message)
-        return;
+        return {};
     if (const wire::HelloT *hello = (*message)->body.AsHello())
-        m_sender = hello->agent;
-    else if (const wire::PeerHelloT *peer = (*message)->body.AsPeerHello())
-        m_sender = peer->entry;
-    m_first.clear();
+        return hello->agent;
+    const wire::PeerHelloT *peer = (*message)->body.AsPeerHello();
+    return peer ? peer->entry : std::string();
+}
+
+std::string FrameTracker::fleetGreetingName(std::span<const uint8_t> frame)
+{
+    const auto message = decodeFleetMessage(frame);
+    const fleet::HelloT *hello = message ? message->body.AsHello() : nullptr;
+    return hello ? hello->node : std::string();
 }
 
 } // namespace turmericwell
--- a/src/standin/proxylink.cpp
+++ b/src/standin/proxylink.cpp
@@ -1,8 +1,6 @@
 // Forwarding of both directions of a connection, with faults.
 #include "standin/proxylink.h"
 
-#include "standin/frametracker.h"
-
 #include <array>
 #include <boost/asio/write.hpp>
 #include <deque>
@@ -32,8 +30,12 @@
 public:
     ProxyConnection(ProxyLink &link, tcp::socket socket)
         : m_link(&link)
-        , m_up{.direction = Direction::Up, .from = std::move(socket)}
-        , m_down{.direction = Direction::Down, .from = tcp::socket(link.m_io)}
+        , m_up{.direction = Direction::Up,
+               .from = std::move(socket),
+               .frames = FrameTracker(link.m_settings.stream)}
+        , m_down{.direction = Direction::Down,
+                 .from = tcp::socket(link.m_io),
+                 .frames = FrameTracker(link.m_settings.stream)}
         , m_upTimer(link.m_io)
         , m_downTimer(link.m_io)
     { }
@@ -84,7 +86,7 @@
         std::array<uint8_t, chunkBytes> buffer{};
         std::deque<Chunk> held = {};
         size_t heldBytes = 0;
-        FrameTracker frames = {};
+        FrameTracker frames;
         bool writing = false;
         bool reading = false;
         bool ended = false;
@@ -146,15 +148,15 @@
         pipe.held.push_back({.bytes = {bytes.begin(), bytes.end()},
                              .due = now + m_link->m_faults.delay(subject(pipe.direction), now)});
         pipe.heldBytes += count;
-        if (m_link->m_settings.framed && pipe.direction == Direction::Up && m_peer.empty()
-            && pipe.frames.sender())
+        if (hasFrames() && pipe.direction == Direction::Up && m_peer.empty() && pipe.frames.sender())
             m_peer = *pipe.frames.sender();
         forward(pipe);
         read(pipe);
     }
 
     // The opening frame is held until it is whole, so that faults for one process apply from its first byte.
-    bool isNamed() const { return !m_link->m_settings.framed || m_up.frames.sender().has_value(); }
+    bool isNamed() const { return !hasFrames() || m_up.frames.sender().has_value(); }
+    bool hasFrames() const { return m_link->m_settings.stream != StreamKind::Opaque; }
 
     void forward(Pipe &pipe)
     {
--- a/src/standin/proxylink.h
+++ b/src/standin/proxylink.h
@@ -4,6 +4,7 @@
 #include "net/address.h"
 #include "net/framelink.h"
 #include "standin/faultset.h"
+#include "standin/frametracker.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -18,8 +19,8 @@
     std::string name;
     Address listen;
     Address to;
-    // The stream carries frames of the system's own protocol; the first one names the process that dialled.
-    bool framed = false;
+    // With frames, the first one names the process that dialled.
+    StreamKind stream = StreamKind::Opaque;
 };
 
 class ProxyConnection;
--- a/src/standin/proxystandin.cpp
+++ b/src/standin/proxystandin.cpp
@@ -50,12 +50,12 @@
         if (!listen || !to)
             return "listen and to must be IP:PORT";
         const json::value *framed = object.if_contains("framed");
+        const bool hasFrames = framed && framed->is_bool() && framed->get_bool();
+        StreamKind stream = hasFrames ? StreamKind::Frames : StreamKind::Opaque;
+        if (text("framed") == "fleet")
+            stream = StreamKind::FleetFrames;
         m_links.push_back(std::make_unique<ProxyLink>(
-            m_io,
-            ProxyLinkSettings{.name = text("name"),
-                              .listen = *listen,
-                              .to = *to,
-                              .framed = framed && framed->is_bool() && framed->get_bool()},
+            m_io, ProxyLinkSettings{.name = text("name"), .listen = *listen, .to = *to, .stream = stream},
             m_faults));
         return {};
     }
--- a/tools/lab/day.py
+++ b/tools/lab/day.py
@@ -20,11 +20,14 @@
 from lab.daytroubles import Troubles
 from lab.dayworkers import Recorder, run_workers
 from lab.fleet import Process
+from lab.groupcut import peer_link
 from lab.storestandin import StoreStandin
 
 WORKER_PROCESSES, CLIENT_PROCESSES = 4, 2
 # Waits after the last trouble, so that runs and clients come to an end.
 CALM_S = 6
+# Kept jobs of a day on which zones are cut off; their tasks take seconds.
+KEPT_PER_S = 1.0
 
 
 class DayProcess(Process):
@@ -70,6 +73,8 @@
         self.site = Site(site_file, block)
         self.site.rate *= rate
         self.plan = self.site.plan(seed, seconds, only, without) if only != ("calm",) else []
+        if any(trouble["kind"] == "zone_cut" for _, trouble in self.plan):
+            self.site.kept_per_s = KEPT_PER_S
         self.folder = Path(tempfile.mkdtemp(prefix="day-"))
         self.note_file = Recorder(self.folder / "day.jsonl")
         self._ports = PortBlocks()
@@ -103,7 +108,9 @@
 
     def _through_proxy(self, link, address):
         listen = f"127.0.0.1:{self._ports.next()}"
-        self._links.append({"name": link, "listen": listen, "to": address})
+        part, _, name = link.partition("/")
+        opaque = {"name": link, "listen": listen, "to": address}
+        self._links.append(peer_link(name, listen, address) if part == "peer" else opaque)
         return listen
 
     # --- commands of the troubles ---
@@ -161,8 +168,8 @@
             config = self.site.configuration(self._version, idle)
         self.to_store("write", "keyed.op", "config", config)
 
-    def add_fault(self, fault):
-        http_call(self._proxy_port, "POST", "/control", {"add": [fault]}, timeout=10)
+    def add_fault(self, *faults):
+        http_call(self._proxy_port, "POST", "/control", {"add": faults}, timeout=10)
 
     # --- run ---
 
--- a/tools/lab/dayclients.py
+++ b/tools/lab/dayclients.py
@@ -30,6 +30,15 @@
             self.open.add(task)
             task.add_done_callback(self.open.discard)
 
+    async def run_kept(self, seconds):
+        """Submits the jobs that have to be kept, beside the site's own."""
+        rate, end = self.site.kept_per_s * self.share, asyncio.get_running_loop().time() + seconds
+        while rate and asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(self.choice.expovariate(rate))
+            task = asyncio.ensure_future(self._job(self.site.kept_class))
+            self.open.add(task)
+            task.add_done_callback(self.open.discard)
+
     def _class(self):
         if self.settings["class"] and self.choice.random() < 0.5:
             return next(each for each in self.site.classes if each.name == self.settings["class"])
@@ -41,8 +50,8 @@
         near = [door for door in self.doors if door[2] == zone]
         return self.choice.choice(near or self.doors)
 
-    async def _job(self):
-        kind, job = self._class(), f"{self.choice.getrandbits(64):016x}"
+    async def _job(self, kind=None):
+        kind, job = kind or self._class(), f"{self.choice.getrandbits(64):016x}"
         body = json.dumps(kind.draw(self.choice, self.choice.random() < self.settings["hopeless"])).encode()
         door = self._door()
         for send in range(MOST_SENDS):
@@ -93,7 +102,7 @@
         record = Recorder(path)
         clients = Clients(site, doors, share, seed, record)
         commands = asyncio.ensure_future(take_commands(pipe, clients.settings.update))
-        await clients.run(seconds)
+        await asyncio.gather(clients.run(seconds), clients.run_kept(seconds))
         if clients.open:
             await asyncio.wait(list(clients.open), timeout=8)
         commands.cancel()
--- a/tools/lab/daysite.py
+++ b/tools/lab/daysite.py
@@ -21,7 +21,14 @@
     "agents": tuple({"kind": kind} for kind in (
         "foreign_heartbeats", "odd_heartbeats", "late_heartbeats", "machine_removed", "restart_series",
         "worker_unreachable", "reset_then_kill", "worker_cut", "quota", "suspend", "notices", "hup")),
+    "zones": ({"kind": "zone_cut"},),
 }
+# Seconds between the troubles of a group; the groups that are not named use the first. Cuts of zones that overlap without
+# a pause leave nothing at work that they could meet.
+PAUSES_S = {"": (0.3, 3.5), "zones": (6, 12)}
+# Jobs that have to be kept, with two steps of long tasks. No site sends them; they are what a cut between zones meets.
+KEPT_CLASS = {"name": "kept", "work_ms": {"mean": 5000, "spread": 0.3, "max": 9000}, "attempts": 3, "priority": 1,
+              "deadline_ms": 1500, "jobs": {"width": {"mean": 2}, "cpu": {"mean": 1000}, "stretch": 3}}
 
 
 @dataclass
@@ -38,6 +45,8 @@
     stretch: float
     deadline_ms: int
     best_effort: bool
+    # Each step depends on the one before it.
+    steps: int = 1
 
     @property
     def prefix(self):
@@ -51,7 +60,8 @@
         spec = {"work": round(work), "fail": 1 if hopeless else self.error_share, "cpu": cpu}
         estimate = work * math.exp(choice.gauss(0, self.estimate_error))
         step = {"count": width, "cpu": cpu, "memMb": 64, "estimateMs": max(1, round(estimate))}
-        return {"spec": json.dumps(spec), "steps": [step], **({"bestEffort": True} if self.best_effort else {})}
+        steps = [step, *[{**step, "after": [number]} for number in range(self.steps - 1)]]
+        return {"spec": json.dumps(spec), "steps": steps, **({"bestEffort": True} if self.best_effort else {})}
 
 
 @dataclass
@@ -97,6 +107,10 @@
         self.rate = sum(row["per_s"] for row in self.traffic)
         mix = self.traffic[0]["mix"]
         self.classes = [self._job_class(row, mix.get(row["name"], 0) / sum(mix.values())) for row in self.data["classes"]]
+        self.kept_class = self._job_class(KEPT_CLASS, 0)
+        self.kept_class.steps = 2
+        # Kept jobs a second; none unless a trouble of the day asks for them.
+        self.kept_per_s = 0
         self.resend_s = self.data["timing"]["resend_ms"] / 1000
         self.grace_s = self.data["bounds"]["grace_s"]
         self.beat_s = self.data["discovery"]["beat_ms"] / 1000
@@ -130,7 +144,8 @@
     def configuration(self, version, idle=0):
         routes = [{"name": each.name, "host": HOST, "pathPrefix": each.prefix, "routeType": "non_idempotent",
                    "timeoutMs": each.deadline_ms, "targetLatencyMs": 60, "priority": each.priority,
-                   "service": self.service, "attempts": each.attempts, "stretch": each.stretch} for each in self.classes]
+                   "service": self.service, "attempts": each.attempts, "stretch": each.stretch}
+                  for each in [*self.classes, self.kept_class]]
         routes += [{**routes[0], "name": f"idle-{n}", "pathPrefix": f"/idle-{n}/"} for n in range(idle)]
         return json.dumps({"version": version, "routes": routes, "services": [{"name": self.service}],
                            "limits": {}}).encode()
@@ -154,11 +169,11 @@
         """Rows (at, trouble), in time order; several overlap, and some come in series."""
         rows = self._draw(f"{self.name}/{seed}", self.troubles, seconds, only, without)
         for group, troubles in LATER_TROUBLES.items():
-            rows += self._draw(f"{self.name}/{seed}/{group}", troubles, seconds, only, without)
+            rows += self._draw(f"{self.name}/{seed}/{group}", troubles, seconds, only, without, PAUSES_S.get(group))
         return sorted(rows, key=lambda pair: pair[0])
 
     @staticmethod
-    def _draw(seed, troubles, seconds, only, without):
+    def _draw(seed, troubles, seconds, only, without, pause_s=None):
         choice = random.Random(seed)
         kinds = [each for each in troubles if (not only or each["kind"] in only) and each["kind"] not in without]
         rows, at = [], 2.0
@@ -166,10 +181,10 @@
             return rows
         while at < seconds - 2:
             trouble = choice.choice(kinds)
-            repeats = choice.choice((1, 1, 1, 2, 3))
+            repeats = 1 if pause_s else choice.choice((1, 1, 1, 2, 3))
             for repeat in range(repeats):
                 row = {**trouble, "for_s": min(trouble.get("for_s", choice.uniform(2, 6)) * choice.uniform(0.3, 1.2), seconds / 3),
                        "draw": choice.random()}
                 rows.append((at + repeat * choice.uniform(0.5, 2.5), row))
-            at += choice.uniform(0.3, 3.5)
+            at += choice.uniform(*(pause_s or PAUSES_S[""]))
         return [(at, row) for at, row in rows if at < seconds]
--- a/tools/lab/daytroubles.py
+++ b/tools/lab/daytroubles.py
@@ -7,6 +7,7 @@
 import time
 
 from lab.dayagenttroubles import AgentTroubles
+from lab.groupcut import group_cut
 
 # A slow machine runs for a slice, then is paused for the rest of its factor.
 SLOW_SLICE_S = 0.01
@@ -161,6 +162,18 @@
             self._link("drop", name, trouble["for_s"])
         time.sleep(trouble["for_s"])
 
+    def _zone_cut(self, trouble, choice):
+        """Zones, most of them or few, that reach neither the others nor the store."""
+        zones = choice.sample(self.day.site.zones, choice.randint(1, len(self.day.site.zones) - 1))
+        machines = self.day.site.machines
+        inside = [machine.name for machine in machines if machine.zone in zones]
+        outside = [machine.name for machine in machines if machine.zone not in zones]
+        with self._lock:
+            self._number += 1
+            fault_id = f"f{self._number}"
+        self.day.add_fault(*group_cut(inside, outside, trouble["for_s"], fault_id))
+        time.sleep(trouble["for_s"])
+
     def _core_cut(self, trouble, choice):
         how = trouble.get("how", "")
         for name in self._names({"count": 1, **trouble, "on": "core"}, choice):
--- a/tools/lab/fleet.py
+++ b/tools/lab/fleet.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from lab.cluster import PortBlocks, http_call, wait_until
+from lab.groupcut import group_cut, peer_link
 from lab.storestandin import StoreStandin
 from lab.workerstandin import WorkerStandin
 
@@ -123,7 +124,9 @@
         if self._links is None:
             return address
         listen = self._address()
-        self._links.append({"name": link, "listen": listen, "to": address})
+        part, _, name = link.partition("/")
+        opaque = {"name": link, "listen": listen, "to": address}
+        self._links.append(peer_link(name, listen, address) if part == "peer" else opaque)
         return listen
 
     def _process(self, binary, role, settings):
@@ -147,10 +150,15 @@
                                         f"127.0.0.1:{self._proxy_port}", "--plan", str(plan)])
         wait_until(lambda: http_call(self._proxy_port, "POST", "/control", {})[0] == 200, 20, "the proxy")
 
-    def disturb(self, fault):
-        """Adds a fault to the links that it names; see src/standin/faultset.h."""
-        status, _ = http_call(self._proxy_port, "POST", "/control", {"add": [fault]}, timeout=10)
-        assert status == 200, fault
+    def disturb(self, *faults):
+        """Adds faults to the links that they name; see src/standin/faultset.h."""
+        status, _ = http_call(self._proxy_port, "POST", "/control", {"add": faults}, timeout=10)
+        assert status == 200, faults
+
+    def cut_off(self, names, length_s):
+        """Cuts the named processes off from all others and the store."""
+        others = [process.name for process in [*self.entries, *self.agents] if process.name not in names]
+        self.disturb(*group_cut(names, others, length_s, f"cut/{'/'.join(names)}"))
 
     def start(self):
         if self._links:
@@ -186,8 +194,10 @@
         finally:
             connection.close()
 
-    def submit(self, job, tasks=2, entry=0, best_effort=False, estimate=500, timeout=10):
-        body = {"spec": "s", "steps": [{"count": tasks, "cpu": 1000, "memMb": 64, "estimateMs": estimate}]}
+    def submit(self, job, tasks=2, entry=0, best_effort=False, estimate=500, timeout=10, steps=1):
+        """Each step depends on the one before it."""
+        step = {"count": tasks, "cpu": 1000, "memMb": 64, "estimateMs": estimate}
+        body = {"spec": "s", "steps": [step, *[{**step, "after": [number]} for number in range(steps - 1)]]}
         if best_effort:
             body["bestEffort"] = True
         return self.call("POST", job, body, entry, timeout)
--- a/tools/lab/soak.py
+++ b/tools/lab/soak.py
@@ -14,6 +14,12 @@
 WORKER_FAULTS = ("lose", "late", "repeat")
 # Lower seeds draw only from the first two worker faults, so that recorded seeds keep their plans.
 FIRST_SEED_WITH_REPEATS = 10_000
+# From this seed on, groups of processes are cut off, and some kept jobs have two steps of long tasks.
+FIRST_SEED_WITH_GROUP_CUTS = 50_000
+GROUP_CUT_S = (2.0, 7.0)
+LONG_TASK_MS = (2_500, 6_000)
+# A long job comes after this many others.
+LONG_JOB_INTERVAL = 15
 LATEST_RECOVERY_S = 12
 LATEST_COMPLETION_S = 30
 CANCEL_BOUND_S = 3
@@ -53,7 +59,19 @@
         else:
             plan.append(PlannedFault(at, draw.choice(("deal_anew", "configure", "kill_all")), "all", weight))
         at += draw.uniform(0.05, 0.9)
-    return plan
+    if seed >= FIRST_SEED_WITH_GROUP_CUTS:
+        plan += draw_group_cuts(random.Random(f"{seed}/cuts"), seconds, entries, agents)
+    return sorted(plan, key=lambda fault: fault.at)
+
+
+def draw_group_cuts(draw, seconds, entries, agents):
+    """Groups of any size that reach neither the others nor the store, with most of the entries or few."""
+    cuts = []
+    for _ in range(draw.choice((1, 1, 2))):
+        group = [f"entry-{n}" for n in draw.sample(range(entries), draw.randint(1, entries))]
+        group += [f"agent-{n}" for n in draw.sample(range(agents), draw.randint(0, agents))]
+        cuts.append(PlannedFault(draw.uniform(0.5, seconds), "group_cut", ",".join(group), draw.uniform(*GROUP_CUT_S)))
+    return cuts
 
 
 class Soak:
@@ -79,6 +97,8 @@
 
     @staticmethod
     def _task_ms(task):
+        if task.startswith("c"):
+            return random.Random(task).randint(*LONG_TASK_MS)
         return 30 + sum(task.encode()) * 37 % 500
 
     def run(self):
@@ -120,9 +140,13 @@
         while not self._stopping.is_set():
             number += 1
             best_effort = self._draw.random() < 0.5
-            job = ("b" if best_effort else "a") + f"{number:015x}"
+            long_job = self.seed >= FIRST_SEED_WITH_GROUP_CUTS and number % LONG_JOB_INTERVAL == 0
+            best_effort = best_effort and not long_job
+            job = ("c" if long_job else "b" if best_effort else "a") + f"{number:015x}"
             arguments = {"tasks": self._draw.randint(1, 4), "entry": self._draw.randrange(self._entries),
                          "best_effort": best_effort, "timeout": 4}
+            if long_job:
+                arguments.update(estimate=LONG_TASK_MS[1], steps=2)
             cancel = not best_effort and self._draw.random() < 0.1
             again = self._draw.random() < 0.3
             self._start_thread(self._submit, job, arguments, cancel, again)
@@ -169,6 +193,9 @@
         elif kind == "store":
             door = "all" if fault.target == "all" else self._fleet.door_of(fault.target)
             self._hold(self._store_faults, door, what, fault.length)
+        elif fault.kind == "group_cut":
+            self._fleet.cut_off(fault.target.split(","), fault.length)
+            time.sleep(fault.length)
         elif kind == "worker":
             self._hold(self._worker_faults, fault.target, what, fault.length)
         elif fault.kind == "deal_anew":
@@ -257,7 +284,7 @@
 
     def _check_runs(self):
         history = sorted(self._fleet.history)
-        kept = [row for row in history if row[2].startswith("a")]
+        kept = [row for row in history if row[2].startswith(("a", "c"))]
         for rows, after_done in ((kept, True), (history, False)):
             for at, task, run, worker in self._fleet.overlapping_runs(after_done, rows):
                 self.problems.append(f"task {task} ran twice: run {run} on {worker} at {at:.2f}")
