Wait for agents that are removed while their partition is taken over

Cause, found by reading: a new owner that a former one may not know waits for it for 20 s, but for agents out of reach only until their registrations are removed, about 7 s after the opening. A former owner on their side may still keep their runs alive then. It needs an entry of a new name beside a cut that holds all others.

Change: an agent whose registration is removed after the opening stays expected in that partition, so that the time limit decides. checkMemberships looks at the other entries only once a membership has lapsed; it is called for each answer to a ping and each batch of events.

--- a/src/fleet/agentpresence.cpp
+++ b/src/fleet/agentpresence.cpp
@@ -27,10 +27,22 @@
 {
     Agent &agent = m_agents.at(number);
     agent.isRegistered = false;
+    agent.removedAt = now;
     if (!agent.leaving)
         agent.lastContact = std::max(agent.lastContact, now - contactExpiry + goneAfter);
 }
 
+std::set<AgentNumber> AgentPresence::removedSince(Millis time) const
+{
+    std::set<AgentNumber> result;
+    for (const auto &[number, agent] : m_agents) {
+        const bool isOutOfReach = agent.wanted && !agent.connected && !agent.leaving;
+        if (isOutOfReach && !agent.isRegistered && agent.removedAt >= time)
+            result.insert(number);
+    }
+    return result;
+}
+
 void AgentPresence::setWanted(AgentNumber number, bool wanted, Millis now)
 {
     Agent &agent = m_agents.at(number);
--- a/src/fleet/agentpresence.h
+++ b/src/fleet/agentpresence.h
@@ -62,6 +62,9 @@
     // Called when the registration of the agent has been removed. The entry that removed it may be the one
     // that was cut off, so the agent may hold runs for goneAfter from then on.
     void removed(AgentNumber agent, Millis now);
+    // The wanted agents without a connection whose registration was removed at this time or later, and that
+    // have not left. The removal shows that an entry does not reach them, not that nothing runs there.
+    std::set<AgentNumber> removedSince(Millis time) const;
     bool isRegistered(AgentNumber agent) const { return m_agents.at(agent).isRegistered; }
     size_t wantedCount() const;
     // Connected agents that have not been wanted for at least connectionLinger.
@@ -77,6 +80,7 @@
         // Process of the newest registration.
         uint64_t incarnation = 0;
         bool isRegistered = true;
+        Millis removedAt;
         bool wanted = false;
         Millis unwantedSince;
         bool connected = false;
--- a/src/fleet/entrysubsets.cpp
+++ b/src/fleet/entrysubsets.cpp
@@ -133,7 +133,10 @@
     // A process that registered before the partition was opened, and has not been read, may be a former
     // owner, or an agent that holds its runs.
     const bool allMembersKnown = m_members.isCurrentSince(*openedAt);
-    m_scheduler.setExpectedAgents(partition, expectedAgents(partition, candidates), allMembersKnown);
+    // An agent that no entry on this side has reached since may be at work for a former owner.
+    std::set<AgentNumber> mayHoldRuns = m_presence.removedSince(*openedAt);
+    mayHoldRuns.insert(candidates.begin(), candidates.end());
+    m_scheduler.setExpectedAgents(partition, expectedAgents(partition, mayHoldRuns), allMembersKnown);
     m_scheduler.setFormerOwnersEnd(partition,
                                    allMembersKnown ? m_entries.formerOwnersEnd(*openedAt)
                                                    : *openedAt + EntryPresence::withoutStoreLimit);
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -190,10 +190,12 @@
 
 void PartitionOwner::checkMemberships(const EntryPresence &entries, Millis now)
 {
-    const bool allEntriesHeard = entries.isEachHeardSince(now - EntryPresence::evidenceAge);
     for (auto &[partition, owned] : m_owned) {
         const Millis age = now - m_memberships[owned.membership]->lastJoinSentAt();
-        if (!owned.membershipLapsed && age >= m_options.memberTtl) {
+        if (!owned.membershipLapsed && age < m_options.memberTtl)
+            continue;
+        const bool allEntriesHeard = entries.isEachHeardSince(now - EntryPresence::evidenceAge);
+        if (!owned.membershipLapsed) {
             owned.membershipLapsed = true;
             m_scheduler.setOwnershipConfirmed(partition, false);
             m_log.always(now, "membership_lapsed",
@@ -203,7 +205,7 @@
                           {"all_entries_heard", allEntriesHeard}});
         }
         const bool mayGoOn = allEntriesHeard && age < m_options.withoutStoreLimit;
-        if (!owned.membershipLapsed || mayGoOn || owned.suspended)
+        if (mayGoOn || owned.suspended)
             continue;
         logSuspension(partition, entries, age, now);
         setSuspended(partition, true);
--- a/tests/unit/agentpresencetest.cpp
+++ b/tests/unit/agentpresencetest.cpp
@@ -43,6 +43,28 @@
     BOOST_TEST(!presence.mayHoldRuns(expired + AgentPresence::goneAfter).contains(agent));
 }
 
+// Guards against two runs of a task: a former owner that does not know the new one goes on for longer than it
+// takes to remove the registration of an agent on its side.
+BOOST_AUTO_TEST_CASE(agentThatIsRemovedDuringATakeoverIsStillWaitedFor)
+{
+    AgentPresence presence;
+    const AgentNumber agent = presence.registered("agent-1", 1, start);
+    presence.setWanted(agent, true, start);
+    const Millis opened = start + Millis{100};
+    const Millis removed = opened + Millis{5'000};
+    presence.removed(agent, removed);
+    const Millis later = removed + AgentPresence::contactExpiry;
+    BOOST_TEST(!presence.mayHoldRuns(later).contains(agent));
+    BOOST_TEST(presence.removedSince(opened).contains(agent));
+    // Partitions that are opened after the removal do not wait for it.
+    BOOST_TEST(presence.removedSince(removed + Millis{1}).empty());
+    presence.connected(agent, later);
+    BOOST_TEST(presence.removedSince(opened).empty());
+    presence.setLeaving(agent);
+    presence.disconnected(agent, later, later);
+    BOOST_TEST(presence.removedSince(opened).empty());
+}
+
 // Guards against waiting for a process that has left: its registration may be read again.
 BOOST_AUTO_TEST_CASE(repeatedRegistrationOfALeavingAgentIsNotWaitedFor)
 {
