--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -221,26 +221,6 @@
     pingPeersSoon();
 }
 
-void EntryNode::peerAnswered(const NodeLinkPtr &link, Millis pingSentAt)
-{
-    const auto peer = m_peers.find(link->peer().node);
-    if (peer != m_peers.end() && peer->second.link == link && pingSentAt > peer->second.reportedAt)
-        m_entries.answered(peer->first, pingSentAt);
-}
-
-void EntryNode::pingPeersSoon()
-{
-    if (std::exchange(m_peerPingPending, true))
-        return;
-    // Times are compared in whole milliseconds, so the ping must not bear the time of the report before it.
-    constexpr Millis afterReport = {2};
-    m_timers.after(afterReport, [this] {
-        m_peerPingPending = false;
-        for (const auto &[name, peer] : m_peers)
-            peer.link->ping();
-    });
-}
-
 void EntryNode::agentConnected(const NodeLinkPtr &link, const fleet::HelloT &hello)
 {
     const std::optional<AgentNumber> number = m_presence.find(hello.node);
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -137,9 +137,6 @@
     void receivedFromAgent(AgentNumber agent, fleet::EnvelopeT &envelope);
     static AgentEnd toAgentEnd(const fleet::RunEndT &end);
     void receivedFromEntry(const NodeLinkPtr &link, fleet::EnvelopeT &envelope);
-    void peerAnswered(const NodeLinkPtr &link, Millis pingSentAt);
-    // Asks all connected entries for an answer that is newer than the reports sent before.
-    void pingPeersSoon();
     void claim(AgentNumber agent, uint32_t partition, uint64_t epoch);
     fleet::EntryReportT makeReport() const;
     void sendReport();
@@ -176,6 +173,9 @@
     void updateMemberships(Millis now);
     // Of many entries that notice a loss at the same time, only a few act on it.
     bool isAmongFirstEntries() const;
+    void peerAnswered(const NodeLinkPtr &link, Millis pingSentAt);
+    // Asks all connected entries for an answer that is newer than the reports sent before.
+    void pingPeersSoon();
     // Closes the partitions that the reporting peer owns with a higher epoch.
     void closeSuperseded(const fleet::EntryReportT &report);
     // Ends the memberships of an entry that cannot be reached, so that its partitions get a new owner soon.
--- a/src/fleet/entrypresence.cpp
+++ b/src/fleet/entrypresence.cpp
@@ -79,7 +79,7 @@
             continue;
         const bool knowsThisEntry = m_selfRegisteredAt && entry.heardAt > *m_selfRegisteredAt;
         Millis entryEnd = openedAt + (knowsThisEntry ? m_knownEntryLimit : withoutStoreLimit);
-        // Its last join was before the mark, which it would have read and removed otherwise.
+        // Its last join was before the mark, which it would have read and replaced otherwise.
         if (entry.lostAt)
             entryEnd = std::min(entryEnd, *entry.lostAt + withoutStoreLimit);
         end = std::max(end, entryEnd);
--- a/src/fleet/entrysubsets.cpp
+++ b/src/fleet/entrysubsets.cpp
@@ -13,6 +13,7 @@
     // A former owner that goes on without the store closes the partition when it hears of this.
     sendReport();
     pingPeersSoon();
+    // Asks for registrations that have not been read, while the records are loaded.
     m_members.isCurrentSince(Clock::now());
 }
 
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -78,8 +78,7 @@
 
 bool JobScheduler::isDisputed(const AgentEnd &end, const Job *job, const Task *task) const
 {
-    // Of a failed end, too, the worker may not count that it was confirmed: the task was started again
-    // without it, perhaps after its last allowed attempt.
+    // A confirmed failure counts as an attempt, and the task may have been started again after its last one.
     if (end.kind != EndKind::Done && end.kind != EndKind::Failed)
         return false;
     if (task) {
