Count the end of a lost entry from its mark, not from the reading of the mark

Cause: a restarted process takes an entry that is marked as lost for lost since its own start, and waits 20 s for it. Change: the mark says whether the lost entry knew its writer; then it has given up 1.05 s after the mark at the latest. Entries do not answer a lost entry before its mark is replaced.

--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -41,8 +41,10 @@
     Contact &contact = m_contacts[name];
     contact.member = member;
     if (member.isLost) {
-        m_log.always(now, "entry_marked_lost", {{"entry", name}, {"connected", m_peers.contains(name)}});
-        m_entries.lost(name, now);
+        m_log.always(
+            now, "entry_marked_lost",
+            {{"entry", name}, {"connected", m_peers.contains(name)}, {"knew_writer", member.lostKnewWriter}});
+        m_entries.lost(name, member.lostKnewWriter, now);
         if (m_peers.contains(name) && isAmongFirstEntries())
             m_members.restore(member);
     } else {
@@ -75,7 +77,7 @@
     if (number)
         m_presence.removed(*number, Clock::now());
     else
-        m_entries.lost(name, Clock::now());
+        m_entries.lost(name, false, Clock::now());
     // Another entry has lost its connection to this agent and removed the registration, but the agent is
     // alive.
     if (number && m_presence.isActive(*number)) {
@@ -277,7 +279,7 @@
             continue;
         sentAt = now;
         m_log.always(now, "entry_expired", {{"entry", name}, {"unreached_ms", unreachedFor}});
-        m_members.markLost(contact->second.member);
+        m_members.markLost(contact->second.member, m_entries.knowsThisEntry(name));
     }
 }
 
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -211,6 +211,14 @@
         agentConnected(link, hello);
         return;
     }
+    // New owners count from the mark that this entry is lost. An answer to its pings would let it go on
+    // without the store, so it gets none before the mark has been replaced.
+    if (const auto contact = m_contacts.find(hello.node);
+        contact != m_contacts.end() && contact->second.member.isLost) {
+        m_members.restore(contact->second.member);
+        link->close("marked as lost");
+        return;
+    }
     Peer &peer = m_peers[hello.node];
     if (peer.link && peer.link != link)
         peer.link->close("replaced by a newer connection");
--- a/src/fleet/entrypresence.cpp
+++ b/src/fleet/entrypresence.cpp
@@ -21,11 +21,28 @@
     entry.lastContact = now;
 }
 
-void EntryPresence::lost(const std::string &name, Millis now)
+void EntryPresence::lost(const std::string &name, bool knewWriter, Millis now)
 {
     Entry &entry = m_entries[name];
-    if (!entry.connected && !entry.lostAt)
+    if (entry.connected)
+        return;
+    if (!entry.lostAt) {
         entry.lostAt = now;
+        entry.lostKnewWriter = false;
+    }
+    // A later mark by another entry only adds evidence; it is counted from the first one that was read.
+    entry.lostKnewWriter = entry.lostKnewWriter || knewWriter;
+}
+
+bool EntryPresence::knowsThisEntry(const Entry &entry) const
+{
+    return m_selfRegisteredAt && entry.heardAt > *m_selfRegisteredAt;
+}
+
+bool EntryPresence::knowsThisEntry(const std::string &name) const
+{
+    const auto found = m_entries.find(name);
+    return found != m_entries.end() && knowsThisEntry(found->second);
 }
 
 void EntryPresence::selfRegistered(Millis now)
@@ -77,11 +94,12 @@
     for (const auto &[name, entry] : m_entries) {
         if (entry.heardAt > openedAt)
             continue;
-        const bool knowsThisEntry = m_selfRegisteredAt && entry.heardAt > *m_selfRegisteredAt;
-        Millis entryEnd = openedAt + (knowsThisEntry ? m_knownEntryLimit : withoutStoreLimit);
+        Millis entryEnd = openedAt + (knowsThisEntry(entry) ? m_knownEntryLimit : withoutStoreLimit);
         // Its last join was before the mark, which it would have read and replaced otherwise.
-        if (entry.lostAt)
-            entryEnd = std::min(entryEnd, *entry.lostAt + withoutStoreLimit);
+        if (entry.lostAt) {
+            const Millis limit = entry.lostKnewWriter ? m_knownEntryLimit : withoutStoreLimit;
+            entryEnd = std::min(entryEnd, *entry.lostAt + limit);
+        }
         end = std::max(end, entryEnd);
     }
     return end;
--- a/src/fleet/entrypresence.h
+++ b/src/fleet/entrypresence.h
@@ -35,7 +35,11 @@
     // Called when a registration of another entry has been read.
     void registered(const std::string &name, Millis now);
     // Called when a registration that is marked as lost has been read, or a removal. A connection refutes it.
-    void lost(const std::string &name, Millis now);
+    // knewWriter: the lost entry knew the one that wrote the mark, and had not heard it for `expiry`. Without
+    // the store it has then given up, also if the mark was read much later, by a process that it never knew.
+    void lost(const std::string &name, bool knewWriter, Millis now);
+    // True if the entry has answered since it can have read the registration of this process.
+    bool knowsThisEntry(const std::string &name) const;
     // Called when the registration of this process has been read, and when it has been read that it is lost.
     void selfRegistered(Millis now);
     void selfLost() { m_selfRegisteredAt.reset(); }
@@ -58,12 +62,17 @@
     std::vector<std::pair<std::string, Millis>> unreachable(Millis now) const;
 
 private:
+    struct Entry;
+    bool knowsThisEntry(const Entry &entry) const;
+
     struct Entry
     {
         bool connected = false;
         // When the mark was read that the entry is lost. Reset by a newer registration and by a connection;
         // an entry without the mark may take partitions over.
         std::optional<Millis> lostAt;
+        // The mark was written by an entry that the lost one knew.
+        bool lostKnewWriter = false;
         // Time of the last registration, connection or disconnection.
         Millis lastContact;
         // When this entry sent the newest ping that the other one has answered; 0 if none.
--- a/src/fleet/memberlist.cpp
+++ b/src/fleet/memberlist.cpp
@@ -25,8 +25,10 @@
                         {"zone", member.identity.zone},
                         {"processors", member.processors},
                         {"incarnation", member.identity.incarnation}};
-    if (member.isLost)
+    if (member.isLost) {
         object["lost"] = true;
+        object["knewWriter"] = member.lostKnewWriter;
+    }
     return json::serialize(object);
 }
 
@@ -53,6 +55,8 @@
         member.processors = std::clamp(processors->to_number<double>(), 0.0, maxProcessors);
     if (const json::value *lost = object.if_contains("lost"); lost && lost->is_bool())
         member.isLost = lost->get_bool();
+    if (const json::value *knew = object.if_contains("knewWriter"); knew && knew->is_bool())
+        member.lostKnewWriter = knew->get_bool();
     return member;
 }
 
@@ -145,13 +149,15 @@
 {
     Member present = member;
     present.isLost = false;
+    present.lostKnewWriter = false;
     write(present.identity.name, encodeMember(present));
 }
 
-void MemberList::markLost(const Member &member)
+void MemberList::markLost(const Member &member, bool knewWriter)
 {
     Member lost = member;
     lost.isLost = true;
+    lost.lostKnewWriter = knewWriter;
     write(lost.identity.name, encodeMember(lost));
 }
 
--- a/src/fleet/memberlist.h
+++ b/src/fleet/memberlist.h
@@ -21,6 +21,8 @@
     double processors = 0.125;
     // Entries: the other entries have not reached the process for a while. It registers again if it is alive.
     bool isLost = false;
+    // With isLost: the process knew the one that wrote the mark.
+    bool lostKnewWriter = false;
 };
 
 std::string encodeMember(const Member &member);
@@ -68,7 +70,7 @@
     void restore(const Member &member);
     // Keeps the registration of an entry that cannot be reached, marked as lost. Unlike a removal, the mark
     // is also read by entries that start later.
-    void markLost(const Member &member);
+    void markLost(const Member &member, bool knewWriter);
     // All registrations have been read at least once.
     bool isSynced() const { return m_synced; }
     // True if all registrations that were written before this time have been read. If not, the store is
--- a/tests/unit/entrypresencetest.cpp
+++ b/tests/unit/entrypresencetest.cpp
@@ -54,7 +54,7 @@
     const Millis lost = start + Millis{8'000};
     entries.disconnected("entry-3", start + Millis{200});
     BOOST_TEST(entries.unreachable(start + Millis{200} + EntryPresence::expiry).size() == 1U);
-    entries.lost("entry-3", lost);
+    entries.lost("entry-3", true, lost);
     BOOST_TEST(entries.unreachable(lost).empty());
     hear("entry-2", lost);
     BOOST_TEST(entries.isEachHeardSince(lost - Millis{1}));
@@ -67,7 +67,7 @@
 // connection is lost.
 BOOST_AUTO_TEST_CASE(markOfAConnectedEntryDoesNotCount)
 {
-    entries.lost("entry-3", start + Millis{300});
+    entries.lost("entry-3", true, start + Millis{300});
     entries.disconnected("entry-3", start + Millis{400});
     hear("entry-2", start + Millis{5'000});
     BOOST_TEST(!entries.isEachHeardSince(start + Millis{4'000}));
@@ -104,12 +104,38 @@
     const Millis end = opened + EntryPresence::withoutStoreLimit;
     BOOST_TEST((restarted.formerOwnersEnd(opened) == end));
     // Its mark bounds the wait, for entries that start later as well.
-    restarted.lost("entry-2", start + Millis{100});
+    restarted.lost("entry-2", false, start + Millis{100});
     BOOST_TEST((restarted.formerOwnersEnd(opened) == start + Millis{100} + EntryPresence::withoutStoreLimit));
     const Millis muchLater = start + EntryPresence::withoutStoreLimit + Millis{5'000};
     BOOST_TEST((restarted.formerOwnersEnd(muchLater) == muchLater));
 }
 
+// Guards against partitions that stand still for 20 s after a restart of all processes: an entry that was
+// replaced long before is found marked as lost, and each new process took it for lost since its own start.
+BOOST_AUTO_TEST_CASE(lostEntryThatKnewTheWriterOfItsMarkIsNotWaitedFor)
+{
+    EntryPresence restarted(memberTtl);
+    restarted.lost("entry-2", true, start);
+    restarted.selfRegistered(start + Millis{10});
+    const Millis opened = start + Millis{400};
+    const Millis end = restarted.formerOwnersEnd(opened);
+    // Its membership may have been confirmed right before the mark was read.
+    BOOST_TEST((end >= start + memberTtl));
+    BOOST_TEST((end < start + Millis{1'200}));
+}
+
+// Guards against two owners: a mark of an entry that the lost one did not know is no evidence that it has
+// given up without the store.
+BOOST_AUTO_TEST_CASE(onlyEntriesThatHaveHeardThisOneKnowIt)
+{
+    BOOST_TEST(entries.knowsThisEntry("entry-2"));
+    EntryPresence restarted(memberTtl);
+    restarted.registered("entry-2", start);
+    restarted.selfRegistered(start);
+    BOOST_TEST(!restarted.knowsThisEntry("entry-2"));
+    BOOST_TEST(!restarted.knowsThisEntry("entry-9"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
