--- a/src/fleet/memberlist.cpp
+++ b/src/fleet/memberlist.cpp
@@ -25,8 +25,10 @@
                         {"zone", member.identity.zone},
                         {"processors", member.processors},
                         {"incarnation", member.identity.incarnation}};
-    if (member.isLost)
+    if (member.isLost) {
         object["lost"] = true;
+        object["knewWriter"] = member.lostKnewWriter;
+    }
     return json::serialize(object);
 }
 
@@ -53,6 +55,8 @@
         member.processors = std::clamp(processors->to_number<double>(), 0.0, maxProcessors);
     if (const json::value *lost = object.if_contains("lost"); lost && lost->is_bool())
         member.isLost = lost->get_bool();
+    if (const json::value *knew = object.if_contains("knewWriter"); knew && knew->is_bool())
+        member.lostKnewWriter = knew->get_bool();
     return member;
 }
 
@@ -63,28 +67,46 @@
     , m_log(log)
 { }
 
-void Registration::start()
+void Registration::start(std::function<void()> onRegistered)
 {
+    const uint64_t attempt = ++m_attempt;
     const AppendCall call{.topic = membersTopic,
                           .records = {{.key = m_self.identity.name, .value = encodeMember(m_self)}}};
-    m_store.append(call, registrationTimeout, [this, guard = m_timers.guard()](const AppendAnswer &answer) {
-        if (guard.expired())
-            return;
-        if (answer.status == StoreStatus::Done) {
-            m_log.always(Clock::now(), "registered",
-                         {{"address", m_self.address.text()}, {"failures", m_failures}});
-            return;
-        }
-        if (++m_failures == 1)
-            m_log.always(Clock::now(), "registration_failed", {{"status", static_cast<int>(answer.status)}});
-        m_timers.after(m_backoff.next(), [this] { start(); });
-    });
+    m_store.append(call, registrationTimeout,
+                   [this, attempt, onRegistered = std::move(onRegistered),
+                    guard = m_timers.guard()](const AppendAnswer &answer) {
+                       if (guard.expired() || attempt != m_attempt)
+                           return;
+                       if (answer.status == StoreStatus::Done) {
+                           m_log.always(Clock::now(), "registered",
+                                        {{"address", m_self.address.text()}, {"failures", m_failures}});
+                           if (onRegistered)
+                               onRegistered();
+                           return;
+                       }
+                       if (++m_failures == 1)
+                           m_log.always(Clock::now(), "registration_failed",
+                                        {{"status", static_cast<int>(answer.status)}});
+                       m_timers.after(m_backoff.next(), [this, attempt, onRegistered] {
+                           if (attempt == m_attempt)
+                               start(onRegistered);
+                       });
+                   });
 }
 
-void Registration::withdraw(std::function<void()> onDone)
+void Registration::withdraw(std::function<void(bool)> onDone)
 {
+    ++m_attempt;
     m_store.append({.topic = membersTopic, .records = {{.key = m_self.identity.name}}}, registrationTimeout,
-                   [onDone = std::move(onDone)](const AppendAnswer &) { onDone(); });
+                   [onDone = std::move(onDone)](const AppendAnswer &answer) {
+                       onDone(answer.status == StoreStatus::Done);
+                   });
+}
+
+void Registration::raiseIncarnation()
+{
+    const auto wall = static_cast<uint64_t>(std::max<int64_t>(0, Clock::wall().count));
+    m_self.identity.incarnation = std::max(m_self.identity.incarnation + 1, wall);
 }
 
 MemberList::MemberList(StoreApi &store, IoContext &io, StructuredLog &log, Handlers handlers)
@@ -127,13 +149,15 @@
 {
     Member present = member;
     present.isLost = false;
+    present.lostKnewWriter = false;
     write(present.identity.name, encodeMember(present));
 }
 
-void MemberList::markLost(const Member &member)
+void MemberList::markLost(const Member &member, bool knewWriter)
 {
     Member lost = member;
     lost.isLost = true;
+    lost.lostKnewWriter = knewWriter;
     write(lost.identity.name, encodeMember(lost));
 }
 
--- a/src/fleet/memberlist.h
+++ b/src/fleet/memberlist.h
@@ -21,6 +21,8 @@
     double processors = 0.125;
     // Entries: the other entries have not reached the process for a while. It registers again if it is alive.
     bool isLost = false;
+    // With isLost: the process knew the one that wrote the mark.
+    bool lostKnewWriter = false;
 };
 
 std::string encodeMember(const Member &member);
@@ -31,9 +33,13 @@
 {
 public:
     Registration(Member self, StoreApi &store, IoContext &io, StructuredLog &log);
-    void start();
-    // Removes the registration with a single attempt; onDone is called whether or not it succeeds.
-    void withdraw(std::function<void()> onDone);
+    // onRegistered is called once the store has accepted the registration.
+    void start(std::function<void()> onRegistered = {});
+    // Removes the registration with a single attempt, and gives up one that has not been accepted yet.
+    void withdraw(std::function<void(bool isRemoved)> onDone);
+    // The process has left and is about to register again. Readers take a higher incarnation for a process
+    // that has not left.
+    void raiseIncarnation();
 
 private:
     Member m_self;
@@ -41,6 +47,8 @@
     Timers m_timers;
     StructuredLog &m_log;
     uint32_t m_failures = 0;
+    // Number of the latest call of start() or withdraw(); a retry of an earlier one is dropped.
+    uint64_t m_attempt = 0;
     Backoff m_backoff{{100}, {1'000}};
 };
 
@@ -62,7 +70,7 @@
     void restore(const Member &member);
     // Keeps the registration of an entry that cannot be reached, marked as lost. Unlike a removal, the mark
     // is also read by entries that start later.
-    void markLost(const Member &member);
+    void markLost(const Member &member, bool knewWriter);
     // All registrations have been read at least once.
     bool isSynced() const { return m_synced; }
     // True if all registrations that were written before this time have been read. If not, the store is
