--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -82,6 +82,12 @@
     // would cause a longer delay are excluded, unless slack is 0 or less.
     Millis estimate;
     Millis slack;
+    // Expected run time on a worker of speed 1 near the task's data; 0 if unknown. On a worker off the rack
+    // with the data the run takes farFactor times as long.
+    Millis expectedNear = {};
+    double farFactor = 1;
+    // Time until the job's deadline; 0 or less if it has passed or is unknown.
+    Millis untilDue = {};
     // Agents that may be chosen; null for all agents.
     const std::set<AgentNumber> *eligible = nullptr;
     // Agents that may not be chosen although they are eligible; null for none.
