Learn worker speeds, place tasks by them, and move long runs by evidence

Cause: at light load 3 to 5% of the jobs were late, because workers of lasting different speeds looked alike, and because 3% of the tasks have 7 times the work and were moved although they take as long elsewhere. Change: the agent estimates its worker's speed by a decaying median of the logarithms of expected to actual run times, and sends it with the reports that are due anyway. WorkerPool scores the probability that a task ends on time, from the queue's distribution of run times. checkRunByEvidence weighs stalled, slow and sound worker. Everything is off unless learnWorkerSpeeds or moveLongRuns is set.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -30,7 +30,8 @@
     , m_workerManager({.partitions = settings.partitions,
                        .workerAddress = settings.worker.text(),
                        .lease = settings.workerLease,
-                       .queueAllowancePercent = settings.queueAllowancePercent},
+                       .queueAllowancePercent = settings.queueAllowancePercent,
+                       .learnWorkerSpeeds = settings.learnWorkerSpeeds},
                       incarnation, Clock::now(), *this, log)
     , m_registration({.identity = m_self, .address = settings.peerAddress}, store, io, log)
     , m_listener(network.listen(settings.peerListen, [this](const FrameLinkPtr &link) {
@@ -185,7 +186,8 @@
             .size = {message.cpu_milli, message.memory_mb, message.accelerators},
             .priority = message.priority,
             .slack = {message.slack_ms},
-            .bestEffort = message.best_effort};
+            .bestEffort = message.best_effort,
+            .expected = {message.expected_ms}};
 }
 
 void AgentNode::received(EntryNumber entry, fleet::EnvelopeT &envelope)
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -36,11 +36,14 @@
     , m_transport(transport)
     , m_log(log)
     , m_timers(io)
-    , m_pool(settings.placement)
+    , m_pool(settings.placement, settings.learnWorkerSpeeds)
     , m_scheduler({.partitions = settings.partitions,
                    .admissionSlackPercent = settings.admissionSlackPercent,
                    .order = settings.queueOrder,
-                   .urgentSlackPercent = settings.urgentSlackPercent},
+                   .urgentSlackPercent = settings.urgentSlackPercent,
+                   .learnWorkerSpeeds = settings.learnWorkerSpeeds,
+                   .moveLongRuns = settings.moveLongRuns,
+                   .farFactor = settings.farFactor},
                   m_pool, *this, log)
     , m_owner({.member = settings.name,
                .memberTtl = memberTtl(settings),
@@ -141,6 +144,9 @@
     metrics.set("jobs_active", static_cast<double>(m_scheduler.activeJobs()));
     metrics.set("waiting_cpu_milli", static_cast<double>(m_scheduler.waitingCpuMilli()));
     metrics.set("partitions_owned", static_cast<double>(m_scheduler.owned().size()));
+    metrics.set("workers_with_known_speed", static_cast<double>(m_pool.workersWithKnownSpeed()));
+    metrics.set("runs_moved_total", static_cast<double>(m_scheduler.movedRuns()));
+    metrics.set("runs_left_total", static_cast<double>(m_scheduler.leftRuns()));
     metrics.set("configuration_version", static_cast<double>(m_queues.version()));
 }
 
@@ -340,7 +346,9 @@
             .capacity = {report.cpu_milli, report.memory_mb, report.accelerators},
             .free = {report.free_cpu_milli, report.free_memory_mb, report.free_accelerators},
             .queuedCpuMilli = report.queued_cpu_milli,
-            .ordersReceived = report.orders};
+            .ordersReceived = report.orders,
+            .speedPermille = report.speed_permille,
+            .speedSamples = report.speed_samples};
 }
 
 void EntryNode::receivedFromAgent(AgentNumber agent, fleet::EnvelopeT &envelope)
@@ -350,7 +358,13 @@
     if (envelope.body.AsLeaving()) {
         m_presence.setLeaving(agent);
     } else if (fleet::WorkerReportT *report = envelope.body.AsWorkerReport()) {
-        m_pool.report(agent, toWorkerState(*report));
+        if (!WorkerPool::isValidSpeed(report->speed_permille))
+            m_log.write(now, "worker_speed_rejected",
+                        {{"worker", report->worker},
+                         {"agent", agent},
+                         {"speed_permille", report->speed_permille},
+                         {"samples", report->speed_samples}});
+        m_pool.report(agent, toWorkerState(*report), now);
     } else if (const fleet::RunEndT *end = envelope.body.AsRunEnd()) {
         m_scheduler.runEnded(agent, toAgentEnd(*end), now);
     } else if (const fleet::RunStartedT *started = envelope.body.AsRunStarted()) {
@@ -465,6 +479,7 @@
     order.priority = request.spec->priority;
     order.slack_ms = request.slack.count;
     order.best_effort = request.spec->best_effort;
+    order.expected_ms = static_cast<uint32_t>(request.expected.count);
     link->send(std::move(order));
 }
 
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -4,6 +4,8 @@
 
 #include "net/settingsreader.h"
 
+#include <array>
+
 namespace turmericwell {
 
 static FleetSettings readCommon(JsonReader &reader)
@@ -24,9 +26,17 @@
     settings.stopGrace = reader.millis("stopGraceMs", {6'000}, {.least = 500, .most = 600'000});
     settings.logLinesPerSecond =
         static_cast<uint32_t>(reader.integer("logLinesPerSecond", 800, {.least = 10, .most = 1'000'000}));
+    settings.learnWorkerSpeeds = reader.boolean("learnWorkerSpeeds", false);
     return settings;
 }
 
+static LongRunPolicy readLongRunPolicy(JsonReader &reader)
+{
+    constexpr std::array<std::string_view, 2> names = {"by-ratio", "by-evidence"};
+    const std::string name = reader.word("moveLongRuns", names[0], names);
+    return parseLongRunPolicy(name).value_or(LongRunPolicy());
+}
+
 FleetSettings parseFleetEntrySettings(const std::string &file, std::string_view text, Problems &problems)
 {
     const boost::json::value value = parseJsonText(file, text, problems);
@@ -40,6 +50,9 @@
     settings.processorSpeed = reader.number("processorSpeed", settings.processorSpeed, 0.01, 1'024);
     settings.admissionSlackPercent = static_cast<uint32_t>(
         reader.integer("admissionSlackPercent", settings.admissionSlackPercent, {.least = 1, .most = 1'000}));
+    constexpr double greatestFarFactor = 100;
+    settings.farFactor = reader.number("farFactor", settings.farFactor, 1, greatestFarFactor);
+    settings.moveLongRuns = readLongRunPolicy(reader);
     settings.urgentSlackPercent = static_cast<uint32_t>(
         reader.integer("urgentSlackPercent", settings.urgentSlackPercent, {.least = 0, .most = 1'000}));
     reader.finish();
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -44,6 +44,12 @@
     // Entries: order of the waiting jobs, and policy for choosing a worker.
     QueueOrder queueOrder;
     PlacementPolicy placement;
+    // Both: estimate the workers' speeds at the agents, and use them at the entries.
+    bool learnWorkerSpeeds = false;
+    // Entries: when a run beyond its expected time is moved to another worker.
+    LongRunPolicy moveLongRuns;
+    // Entries: factor by which a task takes longer off the rack with its data.
+    double farFactor = 1;
     // Agents: size of the start orders that may wait at the agent beyond the worker's free resources, in
     // percent of the worker's processors.
     uint32_t queueAllowancePercent = 10;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -18,6 +18,7 @@
 //   estimates nor the waits of their clients show that no run of an earlier submission exists.
 #pragma once
 
+#include "jobs/longruns.h"
 #include "jobs/policies.h"
 #include "jobs/runtimes.h"
 #include "jobs/urgentslack.h"
@@ -64,6 +65,8 @@
     const StepSpec *step = nullptr;
     std::string_view checkpoint;
     Millis slack;
+    // Expected run time on a worker of speed 1, including the factor for remote data; 0 if unknown.
+    Millis expected = {};
 };
 
 // Side effects of JobScheduler, implemented by the entry process.
@@ -127,6 +130,11 @@
     // The predicted wait must also be within this percentage of the wait that is allowed for more urgent
     // jobs; 0 disables the limit.
     uint32_t urgentSlackPercent = 100;
+    // Whether the agents estimate the speeds of their workers from the expected run times in the orders.
+    bool learnWorkerSpeeds = false;
+    LongRunPolicy moveLongRuns;
+    // Factor by which a task takes longer off the rack with its data.
+    double farFactor = 1;
     // How long ended jobs can be queried before they are deleted.
     Millis retention = {150'000};
 };
@@ -211,6 +219,9 @@
     // Processors that tasks waiting at the other entries require, as those entries report them.
     void setPeersWaitingCpuMilli(int64_t amount) { m_peersWaitingCpuMilli = amount; }
     size_t activeJobs() const { return m_jobs.size(); }
+    // Runs that were moved, and runs that took long and were not.
+    uint64_t movedRuns() const { return m_movedRuns; }
+    uint64_t leftRuns() const { return m_leftRuns; }
 
 private:
     enum class TaskPhase : uint8_t {
@@ -459,11 +470,36 @@
     size_t placeInOrder(std::span<const QueueKey> jobs, uint32_t &budget, Millis now);
     bool placeTasks(Job &job, Millis now);
     bool placeTask(Job &job, Task &task, Millis now);
+    // What the task needs, apart from the workers that it may use.
+    PlacementNeeds placementNeeds(const Job &job, const Task &task, Millis now) const;
     Millis objective(const JobSpec &spec) const;
     Millis remainingCriticalPath(const Job &job) const;
     void storeProgress(Millis now);
+
+    // --- jobschedulerlongruns.cpp: runs that take long ---
+    struct AgentRuns
+    {
+        uint32_t count = 0;
+        // Probability that the runs take as long as they do if the worker is sound.
+        double likelihood = 1;
+    };
+
+    bool movesByEvidence() const { return std::holds_alternative<MoveByEvidence>(m_options.moveLongRuns); }
+    // Estimated run time on a worker of speed 1 near the data.
+    double estimateOf(const Job &job, const Task &task) const;
+    double farFactorOf(const Task &task, const StepSpec &step) const;
+    // Estimated run time on the task's worker without its present slowness.
+    double expectedHere(const Job &job, const Task &task) const;
+    RunRatios &ratiosOf(const std::string &queue);
+    const RunRatios &ratiosOf(const std::string &queue) const;
+    void recordRunTime(const Job &job, const Task &task, Millis took, Millis now);
     void checkRuns(Millis now);
-    void checkRun(Job &job, Task &task, Millis now);
+    void checkRunByRatio(Job &job, Task &task, Millis now);
+    void checkRunByEvidence(Job &job, Task &task, Millis now);
+    WorkerEvidence evidenceOf(const Job &job, const Task &task, Millis now) const;
+    // The runs of this owner, by agent.
+    void collectRuns(Millis now);
+    void moveRun(Job &job, Task &task);
     void expireJobs(Millis now);
     void purge(Millis now);
 
@@ -472,6 +508,11 @@
     JobEffects &m_effects;
     StructuredLog &m_log;
     RunTimes m_runTimes;
+    std::map<std::string, RunRatios, std::less<>> m_runRatios;
+    // Running tasks by agent, as of the last check.
+    std::map<AgentNumber, AgentRuns> m_agentRuns;
+    uint64_t m_movedRuns = 0;
+    uint64_t m_leftRuns = 0;
     UrgentSlack m_urgentSlack;
     std::map<uint32_t, Partition> m_partitions;
     std::unordered_map<JobId, Job> m_jobs;
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -15,13 +15,6 @@
 
 constexpr Millis rejectionRetryAfter = {1'000};
 constexpr Millis progressInterval = {100};
-constexpr Millis runCheckInterval = {30};
-// A run is slow if it exceeds this multiple of its estimate. Estimates are off by tens of percent.
-constexpr double slowRunFactor = 2.5;
-// A run that exceeds this multiple of its estimate is moved even if its worker does not appear slow.
-constexpr double longRunFactor = 6;
-constexpr Millis minSlowRunTime = {80};
-constexpr uint32_t maxMoveDoublings = 16;
 constexpr Millis purgeInterval = {1'000};
 // Limits the cost of a dispatch pass under overload: it ends after this many jobs with a task that could not
 // be placed.
@@ -133,6 +126,25 @@
     }
 }
 
+PlacementNeeds JobScheduler::placementNeeds(const Job &job, const Task &task, Millis now) const
+{
+    const StepSpec &step = *job.spec.steps[task.step];
+    const Millis estimate = {m_runTimes.estimateMs(job.spec.queue, step.estimate_ms)};
+    const Millis slack = job.latestStart - now;
+    return {.service = job.spec.service,
+            .size = {step.cpu_milli, step.memory_mb, step.accelerators},
+            .requiredLabel = step.required_label,
+            .dataRack = step.data_rack,
+            .workerLimit = step.worker_limit,
+            .estimate = estimate,
+            .slack = slack,
+            .expectedNear = estimate,
+            .farFactor = step.data_rack.empty() ? 1 : m_options.farFactor,
+            .untilDue = slack + estimate + dispatchOverhead,
+            .stretch = std::max(1.0, job.spec.stretch),
+            .ratios = &ratiosOf(job.spec.queue)};
+}
+
 bool JobScheduler::placeTask(Job &job, Task &task, Millis now)
 {
     const StepSpec &step = *job.spec.steps[task.step];
@@ -147,23 +159,15 @@
                 ++siblings[other.agent];
         }
     }
-    const uint32_t estimate = m_runTimes.estimateMs(job.spec.queue, step.estimate_ms);
-    const Resources size{step.cpu_milli, step.memory_mb, step.accelerators};
     // A late task may go to any worker with free resources. Once a run of the task has been moved, the
     // avoided workers stay excluded even if the task is late.
     const bool mayAvoid = job.latestStart >= now || task.moves > 0;
-    const std::optional<AgentNumber> agent = m_pool.choose({.service = job.spec.service,
-                                                            .size = size,
-                                                            .requiredLabel = step.required_label,
-                                                            .dataRack = step.data_rack,
-                                                            .workerLimit = step.worker_limit,
-                                                            .siblings = &siblings,
-                                                            .estimate = {estimate},
-                                                            .slack = job.latestStart - now,
-                                                            .eligible = &partition.reported,
-                                                            .excluded = &partition.excluded,
-                                                            .avoided = mayAvoid ? &task.avoided : nullptr},
-                                                           now);
+    PlacementNeeds needs = placementNeeds(job, task, now);
+    needs.siblings = &siblings;
+    needs.eligible = &partition.reported;
+    needs.excluded = &partition.excluded;
+    needs.avoided = mayAvoid ? &task.avoided : nullptr;
+    const std::optional<AgentNumber> agent = m_pool.choose(needs, now);
     if (!agent)
         return false;
     job.anyOrdered = true;
@@ -172,7 +176,7 @@
     task.stopOrdered = false;
     job.hasRepeatedRuns = job.hasRepeatedRuns || task.run > 0;
     task.run = std::max(task.run, job.runBase) + 1;
-    m_pool.orderSent(*agent, size);
+    m_pool.orderSent(*agent, needs.size);
     const RunId run = runId(job, task);
     m_log.write(now, "run_ordered",
                 {{"job", jobIdText(job.spec.id)},
@@ -188,7 +192,10 @@
                      .spec = &job.spec,
                      .step = &step,
                      .checkpoint = task.checkpoint,
-                     .slack = job.latestStart - now});
+                     .slack = job.latestStart - now,
+                     .expected = m_options.learnWorkerSpeeds
+                         ? Millis{std::llround(estimateOf(job, task) * farFactorOf(task, step))}
+                         : Millis{0}});
     return true;
 }
 
@@ -263,63 +270,6 @@
         m_waitingCpuMilli += waitingCpuMilli(m_jobs.at(id));
 }
 
-// Load pattern: workers that become slow or stall while they run tasks. A run that exceeds a multiple of its
-// estimate is stopped and restarted on another worker, if one that is not slow has free resources. The
-// multiple doubles with each move, so that a task that is inherently long is not moved forever.
-void JobScheduler::checkRun(Job &job, Task &task, Millis now)
-{
-    const StepSpec &step = *job.spec.steps[task.step];
-    const uint32_t estimate = std::max(1U, m_runTimes.estimateMs(job.spec.queue, step.estimate_ms));
-    const Millis elapsed = now - task.startedAt;
-    const double timeRatio = static_cast<double>(elapsed.count) / estimate;
-    if (timeRatio < slowRunFactor || elapsed < minSlowRunTime)
-        return;
-    if (!task.slowReported) {
-        task.slowReported = true;
-        m_pool.recordTimeRatio(task.agent, slowRunFactor, now);
-    }
-    const double factor = m_pool.slowness(task.agent, now) > 1 ? slowRunFactor : longRunFactor;
-    const uint32_t doublings = std::min(task.moves, maxMoveDoublings);
-    if (task.stopOrdered || timeRatio < factor * static_cast<double>(1U << doublings))
-        return;
-    const Partition &partition = m_partitions.at(job.partition);
-    const PlacementNeeds needs{.service = job.spec.service,
-                               .size = {step.cpu_milli, step.memory_mb, step.accelerators},
-                               .requiredLabel = step.required_label,
-                               .eligible = &partition.reported,
-                               .excluded = &partition.excluded};
-    const std::optional<AgentNumber> other = m_pool.choose(needs, now);
-    if (!other || *other == task.agent || m_pool.slowness(*other, now) > 1)
-        return;
-    ++task.moves;
-    task.avoided.insert(task.agent);
-    task.stopOrdered = true;
-    m_log.write(now, "run_moved",
-                {{"job", jobIdText(job.spec.id)},
-                 {"task", taskIdText(runId(job, task).task)},
-                 {"run", task.run},
-                 {"elapsed_ms", elapsed},
-                 {"estimate_ms", estimate},
-                 {"slowness", m_pool.slowness(task.agent, now)}});
-    m_effects.stop(task.agent, job.partition, partition.epoch, runId(job, task));
-}
-
-void JobScheduler::checkRuns(Millis now)
-{
-    if (now < m_nextRunCheck)
-        return;
-    m_nextRunCheck = now + runCheckInterval;
-    for (auto &[id, job] : m_jobs) {
-        if (job.phase != JobPhase::Active || !isServing(job.partition))
-            continue;
-        for (Task &task : job.tasks) {
-            if (task.phase == TaskPhase::Running)
-                checkRun(job, task, now);
-        }
-    }
-    expireJobs(now);
-}
-
 void JobScheduler::expireJobs(Millis now)
 {
     std::vector<JobId> expired;
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -145,11 +145,7 @@
         const Millis took = now - task.startedAt;
         m_log.observe("run_ms", took);
         m_runTimes.observeTurnover(job.spec.service, step.cpu_milli, took);
-        const uint32_t estimate = std::max(1U, m_runTimes.estimateMs(job.spec.queue, step.estimate_ms));
-        m_pool.recordTimeRatio(task.agent, static_cast<double>(took.count) / estimate, now);
-        // Run times on a slow worker are not representative of the queue.
-        if (m_pool.slowness(task.agent, now) == 1)
-            m_runTimes.observe(job.spec.queue, step.estimate_ms, took);
+        recordRunTime(job, task, took, now);
     }
     task.phase = TaskPhase::Done;
     task.checkpoint.clear();
@@ -247,7 +243,7 @@
     const bool isCurrent = isCurrentRun(*task, agent, run);
     if (isCurrent) {
         const StepSpec &step = *job->spec.steps[task->step];
-        m_pool.runEnded(agent, {step.cpu_milli, step.memory_mb, step.accelerators});
+        m_pool.runEnded(agent, {step.cpu_milli, step.memory_mb, step.accelerators}, now);
     }
     if (!end.checkpoint.empty())
         task->checkpoint = end.checkpoint;
--- a/src/jobs/policies.cpp
+++ b/src/jobs/policies.cpp
@@ -23,4 +23,13 @@
     return std::nullopt;
 }
 
+std::optional<LongRunPolicy> parseLongRunPolicy(std::string_view name)
+{
+    if (name == "by-ratio")
+        return MoveByRatio{};
+    if (name == "by-evidence")
+        return MoveByEvidence{};
+    return std::nullopt;
+}
+
 } // namespace turmericwell
--- a/src/jobs/policies.h
+++ b/src/jobs/policies.h
@@ -34,8 +34,19 @@
 };
 using PlacementPolicy = std::variant<MostFreeShare, LeastFreeShare, AnyFitting>;
 
+// Moves a run that exceeds a fixed multiple of its estimate.
+struct MoveByRatio
+{
+};
+// Weighs the evidence that the run's worker is stalled or slow against the run times of the queue.
+struct MoveByEvidence
+{
+};
+using LongRunPolicy = std::variant<MoveByRatio, MoveByEvidence>;
+
 // Parse the names that settings and command lines use; nullopt if the name is unknown.
 std::optional<QueueOrder> parseQueueOrder(std::string_view name);
 std::optional<PlacementPolicy> parsePlacementPolicy(std::string_view name);
+std::optional<LongRunPolicy> parseLongRunPolicy(std::string_view name);
 
 } // namespace turmericwell
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -18,7 +18,37 @@
 // The slowness of a worker without new runs is assumed to decay with this half-life.
 constexpr Millis slownessHalfLife = {1'500};
 
-void WorkerPool::report(AgentNumber agent, WorkerState state)
+// Load pattern: workers of lasting different speeds. With few runs the error of the estimates, which are off
+// by tens of percent, is as large as the differences; this many runs are assumed at the median.
+constexpr double assumedMedianRuns = 4;
+constexpr Millis speedRefreshInterval = {250};
+// Time from the end of a run to the answer to the client, and for the order.
+constexpr Millis orderOverhead = {10};
+// Weight of the probability that the task ends on time. The free share of a worker counts up to 1, so that
+// a difference of a few percent decides.
+constexpr double onTimeWeight = 30;
+// A task waits for another worker while that is possible, rather than being late with more than this
+// probability.
+constexpr double mostLateShare = 0.8;
+// Fast workers are kept free for the tasks that need them: a factor of two in speed weighs as much as this
+// share of free processors.
+constexpr double fastWorkerPrice = 0.5;
+// With medians of three ratios, a single long task does not make a worker look slow, so that fewer ratios
+// need to be averaged.
+constexpr double medianSmoothingFactor = 0.5;
+
+void WorkerPool::recordActivity(Worker &worker, const WorkerState &next, Millis now)
+{
+    const Resources &before = worker.state.free;
+    const bool hasEnded = worker.state.worker != next.worker || next.free.memoryMb > before.memoryMb
+        || next.free.accelerators > before.accelerators;
+    const int64_t used = std::max<int64_t>(0, worker.state.capacity.cpuMilli - before.cpuMilli);
+    const Millis passed = std::max(Millis{0}, now - worker.activitySince);
+    worker.quietCpuMs = hasEnded ? 0 : worker.quietCpuMs + static_cast<double>(used * passed.count);
+    worker.activitySince = now;
+}
+
+void WorkerPool::report(AgentNumber agent, WorkerState state, Millis now)
 {
     Worker &worker = m_workers[agent];
     const uint64_t notReceived = worker.ordersSent - std::min(worker.ordersSent, state.ordersReceived);
@@ -30,23 +60,111 @@
         worker.failuresInRow = 0;
         worker.avoidUntil = {};
         worker.timeRatio = 1;
+        worker.earlierRatios = {1, 1};
+    } else if (!isValidSpeed(state.speedPermille)) {
+        state.speedPermille = worker.state.speedPermille;
+        state.speedSamples = worker.state.speedSamples;
     }
+    if (!isValidSpeed(state.speedPermille))
+        state.speedPermille = 0;
+    recordActivity(worker, state, now);
+    const bool hasOtherSpeed = worker.state.speedPermille != state.speedPermille
+        || worker.state.speedSamples != state.speedSamples;
     worker.state = std::move(state);
+    if (m_learnsSpeeds && hasOtherSpeed) {
+        Speeds &speeds = m_speeds[worker.state.service];
+        speeds.changed = true;
+        updateRelativeSpeed(worker, speeds.median);
+    }
     raiseFreeBound(worker);
 }
 
+void WorkerPool::updateRelativeSpeed(Worker &worker, double median)
+{
+    const WorkerState &state = worker.state;
+    worker.logSpeed = 0;
+    if (median > 0 && state.speedPermille > 0) {
+        const double weight = state.speedSamples / (state.speedSamples + assumedMedianRuns);
+        worker.logSpeed = weight * std::log2(state.speedPermille / median);
+    }
+    worker.inverseSpeed = std::exp2(-worker.logSpeed);
+}
+
+void WorkerPool::refreshSpeeds(Speeds &speeds, std::string_view service, Millis now)
+{
+    if (!speeds.changed || now < speeds.nextRefresh)
+        return;
+    speeds.changed = false;
+    speeds.nextRefresh = now + speedRefreshInterval;
+    std::vector<uint32_t> known;
+    for (const auto &[agent, worker] : m_workers) {
+        if (worker.state.service == service && worker.state.speedPermille > 0)
+            known.push_back(worker.state.speedPermille);
+    }
+    speeds.median = 0;
+    if (!known.empty()) {
+        const auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+        std::nth_element(known.begin(), middle, known.end());
+        speeds.median = *middle;
+    }
+    for (auto &[agent, worker] : m_workers) {
+        if (worker.state.service == service)
+            updateRelativeSpeed(worker, speeds.median);
+    }
+}
+
+double WorkerPool::relativeSpeed(AgentNumber agent) const
+{
+    const auto found = m_workers.find(agent);
+    return found == m_workers.end() ? 1 : 1 / found->second.inverseSpeed;
+}
+
+size_t WorkerPool::workersWithKnownSpeed() const
+{
+    return static_cast<size_t>(std::count_if(m_workers.begin(), m_workers.end(), [](const auto &item) {
+        return item.second.state.speedPermille > 0;
+    }));
+}
+
+bool WorkerPool::isNear(const Worker &worker, std::string_view dataRack)
+{
+    const auto &labels = worker.state.labels;
+    return dataRack.empty() || std::find(labels.begin(), labels.end(), dataRack) != labels.end();
+}
+
+bool WorkerPool::isNear(AgentNumber agent, std::string_view dataRack) const
+{
+    const auto found = m_workers.find(agent);
+    return dataRack.empty() || (found != m_workers.end() && isNear(found->second, dataRack));
+}
+
+WorkerActivity WorkerPool::activity(AgentNumber agent, Millis now) const
+{
+    const auto found = m_workers.find(agent);
+    // Without the time of a report nothing is known.
+    if (found == m_workers.end() || found->second.activitySince.count == 0)
+        return {};
+    const Worker &worker = found->second;
+    const int64_t used = std::max<int64_t>(0, worker.state.capacity.cpuMilli - worker.state.free.cpuMilli);
+    const Millis passed = std::max(Millis{0}, now - worker.activitySince);
+    return {.usedCpuMilli = used,
+            .quietCpuMs = worker.quietCpuMs + static_cast<double>(used * passed.count)};
+}
+
 void WorkerPool::raiseFreeBound(const Worker &worker)
 {
     int64_t &bound = m_maxFreeMilli[worker.state.service];
     bound = std::max(bound, freeResources(worker).cpuMilli);
 }
 
-void WorkerPool::runEnded(AgentNumber agent, const Resources &size)
+void WorkerPool::runEnded(AgentNumber agent, const Resources &size, Millis now)
 {
     const auto found = m_workers.find(agent);
     if (found == m_workers.end())
         return;
     found->second.state.free += size;
+    found->second.quietCpuMs = 0;
+    found->second.activitySince = std::max(found->second.activitySince, now);
     raiseFreeBound(found->second);
 }
 
@@ -78,7 +196,16 @@
     if (found == m_workers.end())
         return;
     Worker &worker = found->second;
-    worker.timeRatio += timeRatioSmoothingFactor * (std::min(timeRatio, maxTimeRatio) - worker.timeRatio);
+    timeRatio = std::min(timeRatio, maxTimeRatio);
+    if (m_learnsSpeeds) {
+        const auto [second, third] = worker.earlierRatios;
+        const double median =
+            std::max(std::min(timeRatio, second), std::min(std::max(timeRatio, second), third));
+        worker.earlierRatios = {timeRatio, second};
+        worker.timeRatio += medianSmoothingFactor * (median - worker.timeRatio);
+    } else {
+        worker.timeRatio += timeRatioSmoothingFactor * (timeRatio - worker.timeRatio);
+    }
     worker.timeRatioUpdatedAt = now;
 }
 
@@ -109,6 +236,51 @@
                       m_policy);
 }
 
+std::optional<double> WorkerPool::slownessScore(const PlacementNeeds &needs, double slow)
+{
+    if (slow > 1 && needs.slack.count > 0
+        && static_cast<double>(needs.estimate.count) * (slow - 1) > static_cast<double>(needs.slack.count))
+        return std::nullopt;
+    return 1 - slow;
+}
+
+// Probability that a task ends on time if it takes `factor` times as long as on a worker of speed 1 near its
+// data. Its deadline grows with its actual work.
+static double onTimeShare(const PlacementNeeds &needs, double factor)
+{
+    const auto expected = static_cast<double>(needs.expectedNear.count);
+    const double room =
+        static_cast<double>((needs.untilDue - orderOverhead).count) - needs.stretch * expected;
+    const double excess = (factor - needs.stretch) * expected;
+    if (excess <= 0)
+        return room >= 0 ? 1 : needs.ratios->shareAbove(room / std::min(excess, -1.0));
+    return room <= 0 ? 0 : 1 - needs.ratios->shareAbove(room / excess);
+}
+
+std::optional<double> WorkerPool::speedScore(const Worker &worker, const PlacementNeeds &needs, double slow,
+                                             bool isNearData)
+{
+    const double factor = worker.inverseSpeed * slow;
+    const double onTimeNear = onTimeShare(needs, factor);
+    if (needs.slack.count > 0 && factor > needs.stretch && onTimeNear < 1 - mostLateShare)
+        return std::nullopt;
+    const double onTime =
+        isNearData || needs.farFactor <= 1 ? onTimeNear : onTimeShare(needs, factor * needs.farFactor);
+    // A task that is hardly on time on this worker prefers fast ones, any other leaves them free.
+    return onTimeWeight * onTime - (slow - 1) - fastWorkerPrice * worker.logSpeed * (2 * onTime - 1);
+}
+
+bool WorkerPool::usesSpeedsFor(const PlacementNeeds &needs, Millis now)
+{
+    if (!m_learnsSpeeds || needs.expectedNear.count <= 0 || !needs.ratios)
+        return false;
+    const auto speeds = m_speeds.find(needs.service);
+    if (speeds == m_speeds.end())
+        return false;
+    refreshSpeeds(speeds->second, needs.service, now);
+    return speeds->second.median > 0;
+}
+
 std::optional<AgentNumber> WorkerPool::choose(const PlacementNeeds &needs, Millis now)
 {
     const auto bound = m_maxFreeMilli.find(needs.service);
@@ -117,6 +289,7 @@
     std::optional<AgentNumber> best;
     double bestScore = 0;
     int64_t maxFree = 0;
+    const bool usesSpeeds = usesSpeedsFor(needs, now);
     const bool mayAvoid = needs.avoided && !needs.avoided->empty() && canEverFit(needs);
     for (const auto &[agent, worker] : m_workers) {
         const Resources available = freeResources(worker);
@@ -132,16 +305,14 @@
                 continue;
         }
         const double slow = slowness(worker, now);
-        if (slow > 1 && needs.slack.count > 0
-            && static_cast<double>(needs.estimate.count) * (slow - 1)
-                > static_cast<double>(needs.slack.count))
+        const bool isNearData = isNear(worker, needs.dataRack);
+        const std::optional<double> bySpeed =
+            usesSpeeds ? speedScore(worker, needs, slow, isNearData) : slownessScore(needs, slow);
+        if (!bySpeed)
             continue;
-        double score = placementScore(worker, available);
-        const auto &labels = worker.state.labels;
-        if (!needs.dataRack.empty()
-            && std::find(labels.begin(), labels.end(), needs.dataRack) != labels.end())
+        double score = placementScore(worker, available) + *bySpeed;
+        if (!needs.dataRack.empty() && isNearData)
             score += 1;
-        score -= slow - 1;
         if (worker.avoidUntil > now)
             score -= 4;
         if (!best || score > bestScore) {
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -6,9 +6,11 @@
 #pragma once
 
 #include "jobs/policies.h"
+#include "jobs/runratios.h"
 #include "jobs/taskid.h"
 #include "turmericwell/millis.h"
 
+#include <array>
 #include <deque>
 #include <map>
 #include <optional>
@@ -64,6 +66,9 @@
     int64_t queuedCpuMilli = 0;
     // Number of start orders that the agent had received from this entry when it reported.
     uint64_t ordersReceived = 0;
+    // Speed of the worker in thousandths, and the number of runs that it is based on; 0 if unknown.
+    uint32_t speedPermille = 0;
+    uint32_t speedSamples = 0;
 };
 
 struct PlacementNeeds
@@ -86,8 +91,12 @@
     // with the data the run takes farFactor times as long.
     Millis expectedNear = {};
     double farFactor = 1;
-    // Time until the job's deadline; 0 or less if it has passed or is unknown.
+    // Time until the task must end for its job to meet its deadline, which is `stretch` times the work plus a
+    // constant; 0 or less if it has passed.
     Millis untilDue = {};
+    double stretch = 1;
+    // Run time ratios of the job's queue; null if unknown.
+    const RunRatios *ratios = nullptr;
     // Agents that may be chosen; null for all agents.
     const std::set<AgentNumber> *eligible = nullptr;
     // Agents that may not be chosen although they are eligible; null for none.
@@ -96,14 +105,33 @@
     const std::set<AgentNumber> *avoided = nullptr;
 };
 
+// What has happened on a worker since a run was last seen to end there.
+struct WorkerActivity
+{
+    int64_t usedCpuMilli = 0;
+    // Processors in use, integrated over the time, in thousandths of a core times milliseconds.
+    double quietCpuMs = 0;
+};
+
 class WorkerPool
 {
 public:
-    explicit WorkerPool(PlacementPolicy policy = {})
+    // Reported speeds outside this range are ignored, in thousandths.
+    static constexpr uint32_t minSpeedPermille = 50;
+    static constexpr uint32_t maxSpeedPermille = 20'000;
+
+    // With learnsSpeeds the choice depends on the speeds that the agents report.
+    explicit WorkerPool(PlacementPolicy policy = {}, bool learnsSpeeds = false)
         : m_policy(policy)
+        , m_learnsSpeeds(learnsSpeeds)
     { }
 
-    void report(AgentNumber agent, WorkerState state);
+    // A speed that is out of range changes nothing; the former one stays in use.
+    void report(AgentNumber agent, WorkerState state, Millis now = {});
+    static bool isValidSpeed(uint32_t permille)
+    {
+        return permille == 0 || (permille >= minSpeedPermille && permille <= maxSpeedPermille);
+    }
     void remove(AgentNumber agent);
     void setEvacuatedZones(std::set<std::string> zones) { m_evacuated = std::move(zones); }
     const std::set<std::string> &evacuatedZones() const { return m_evacuated; }
@@ -112,15 +140,21 @@
     std::optional<AgentNumber> choose(const PlacementNeeds &needs, Millis now);
     void orderSent(AgentNumber agent, const Resources &size);
     // Releases the resources of the run ahead of the agent's next report.
-    void runEnded(AgentNumber agent, const Resources &size);
+    void runEnded(AgentNumber agent, const Resources &size, Millis now = {});
     // Records a failed run. After repeated failures the worker is avoided for some time, unless no better one
     // fits.
     void runFailed(AgentNumber agent, Millis now);
     void runSucceeded(AgentNumber agent);
-    // Records that a run took, or has taken so far, this multiple of its estimate.
+    // Records that a run took, or has taken so far, this multiple of the run time expected on the worker.
     void recordTimeRatio(AgentNumber agent, double timeRatio, Millis now);
     // Average ratio of run time to estimate on the worker; 1 if the worker is not slow.
     double slowness(AgentNumber agent, Millis now) const;
+    // Speed of the worker relative to the median of its service's workers; 1 if unknown.
+    double relativeSpeed(AgentNumber agent) const;
+    size_t workersWithKnownSpeed() const;
+    // True if the data are on no particular rack, or on that of the worker.
+    bool isNear(AgentNumber agent, std::string_view dataRack) const;
+    WorkerActivity activity(AgentNumber agent, Millis now) const;
 
     // Total and free processors of all usable workers of a service, in thousandths of a core.
     int64_t capacityMilli(std::string_view service) const;
@@ -144,10 +178,36 @@
         // Moving average of the ratio of run time to estimate, and the time of its last update.
         double timeRatio = 1;
         Millis timeRatioUpdatedAt;
+        // The two ratios before the newest one.
+        std::array<double, 2> earlierRatios = {1, 1};
+        // Inverse of the relative speed, and the relative speed's binary logarithm.
+        double inverseSpeed = 1;
+        double logSpeed = 0;
+        Millis activitySince;
+        double quietCpuMs = 0;
+    };
+
+    // Speeds of the workers of a service.
+    struct Speeds
+    {
+        double median = 0;
+        bool changed = true;
+        Millis nextRefresh;
     };
 
     static double slowness(const Worker &worker, Millis now);
     double placementScore(const Worker &worker, const Resources &available);
+    // The medians are refreshed at intervals, so that a decision needs no pass over all workers for them.
+    void refreshSpeeds(Speeds &speeds, std::string_view service, Millis now);
+    bool usesSpeedsFor(const PlacementNeeds &needs, Millis now);
+    static void updateRelativeSpeed(Worker &worker, double median);
+    static bool isNear(const Worker &worker, std::string_view dataRack);
+    // Score of the worker's speed for the task, to be added to that of its free resources; nullopt if it
+    // should wait for another one.
+    static std::optional<double> speedScore(const Worker &worker, const PlacementNeeds &needs, double slow,
+                                            bool isNearData);
+    static std::optional<double> slownessScore(const PlacementNeeds &needs, double slow);
+    static void recordActivity(Worker &worker, const WorkerState &next, Millis now);
 
     bool admissible(const Worker &worker, const PlacementNeeds &needs) const;
     Resources freeResources(const Worker &worker) const;
@@ -157,10 +217,12 @@
     void raiseFreeBound(const Worker &worker);
 
     const PlacementPolicy m_policy;
+    const bool m_learnsSpeeds;
     std::map<AgentNumber, Worker> m_workers;
     // Upper bound of the free processors of any worker, by service. Placing a task does not lower the bound;
     // an unsuccessful search does.
     std::map<std::string, int64_t, std::less<>> m_maxFreeMilli;
+    std::map<std::string, Speeds, std::less<>> m_speeds;
     std::set<std::string> m_evacuated;
     std::minstd_rand m_random{1};
 };
--- a/src/worker/workerlists.cpp
+++ b/src/worker/workerlists.cpp
@@ -96,11 +96,21 @@
     }
 }
 
+void WorkerManager::recordSpeed(const Run &run, EndKind kind, Millis now)
+{
+    const bool isUndisturbed = kind == EndKind::Done && run.phase == RunPhase::Running;
+    const bool isMeasured = run.startedAt.count != 0 && run.order.expected.count > 0;
+    if (m_options.learnWorkerSpeeds && isUndisturbed && isMeasured)
+        m_speed.runCompleted(run.order.expected, now - run.startedAt, now);
+}
+
 void WorkerManager::recordEnd(const ListedEnd &listed, Millis now)
 {
     const Owner &owner = ownerOf(listed.run);
     const auto run = m_runs.find(listed.run);
     const bool bestEffort = run != m_runs.end() && run->second.order.bestEffort;
+    if (run != m_runs.end())
+        recordSpeed(run->second, listed.kind, now);
     recordRecentEnd(listed.run);
     m_runs.erase(listed.run);
     m_formerRuns.erase(listed.run);
--- a/src/worker/workerlives.cpp
+++ b/src/worker/workerlives.cpp
@@ -131,6 +131,11 @@
     m_lapseForced = false;
     m_newestLists = {};
     m_newestClock = {};
+    m_speed.reset();
+    m_speedEstimate = {};
+    // Until the lists show where these runs are, their starts are no evidence of the new life's speed.
+    for (auto &[id, run] : m_runs)
+        run.startedAt = {};
     for (auto &[number, poll] : m_listPolls)
         poll.clockBefore = {};
     m_listsKnown = false;
--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -4,12 +4,14 @@
 #include "jobs/jobscheduler.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace turmericwell {
 
 // A worker's clock may run slow by this share.
 constexpr int64_t clockErrorPercent = 2;
 constexpr Millis leaseMargin = {100};
+constexpr double permille = 1'000;
 constexpr Millis firstStopRetry = {20};
 constexpr uint32_t maxStopRetryDoublings = 4;
 // A rejected fencing token is raised by this much, which exceeds a clock jump of several seconds.
@@ -219,6 +221,7 @@
         run.listedFromPoll = m_lastListPoll + 1;
         if (run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
+            run.startedAt = now;
             if (owner.entry)
                 m_effects.sendStarted(*owner.entry, id);
         }
@@ -394,6 +397,7 @@
         if (run.phase == RunPhase::Stopping && now >= run.nextStop)
             sendStop(run, now);
     }
+    m_speedEstimate = m_speed.estimate(now);
     startQueued(now);
     reportClaims(now);
     sendLeaseBounds(now);
@@ -424,6 +428,11 @@
     report.free_memory_mb = static_cast<int32_t>(free.memoryMb);
     report.free_accelerators = static_cast<int32_t>(free.accelerators);
     report.queued_cpu_milli = queuedResources().cpuMilli;
+    // A change of the speed makes no report due: it is sent with the next one.
+    if (m_speedEstimate.speed > 0) {
+        report.speed_permille = static_cast<uint32_t>(std::lround(m_speedEstimate.speed * permille));
+        report.speed_samples = static_cast<uint32_t>(std::lround(m_speedEstimate.samples));
+    }
     return report;
 }
 
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -24,6 +24,7 @@
 #include "observe/structuredlog.h"
 #include "worker/calledworker.h"
 #include "worker/capacityoffer.h"
+#include "worker/speedestimator.h"
 #include "worker/workerstate.h"
 
 #include <deque>
@@ -63,6 +64,8 @@
     uint32_t priority = 0;
     Millis slack;
     bool bestEffort = false;
+    // Expected run time on a worker of speed 1; 0 if unknown.
+    Millis expected = {};
 };
 
 struct WorkerManagerOptions
@@ -96,6 +99,8 @@
     // Each answer of a worker lists all ends that it may not discard yet. Above this number, the lease is
     // made to lapse so that disputed ends can be discarded, at the cost of the active runs.
     size_t maxRetainedEnds = 64;
+    // Estimates the worker's speed from its ended runs, and reports it.
+    bool learnWorkerSpeeds = false;
 };
 
 class WorkerManager
@@ -167,6 +172,8 @@
         bool stopWanted = false;
         // The worker has accepted the stop, so it ends the run at once.
         bool stopAccepted = false;
+        // When the worker answered that it had started the run; 0 if this process has not seen that.
+        Millis startedAt = {};
         // The run may belong to the worker's former life, where it may be at work until this time.
         std::optional<Millis> formerLeaseEnd;
     };
@@ -280,6 +287,8 @@
     void sendListPoll(Millis wait, Millis now);
     void recordRecentEnd(const RunId &run);
     void recordEnd(const ListedEnd &listed, Millis now);
+    // Adds the run to the samples of the worker's speed if it ended undisturbed.
+    void recordSpeed(const Run &run, EndKind kind, Millis now);
     // True if the end may be confirmed to the worker, which then discards it.
     bool mayConfirm(uint64_t number, const End &end) const;
     uint64_t endsStoredThrough() const;
@@ -355,6 +364,9 @@
     std::map<EntryNumber, uint64_t> m_ordersReceived;
     std::set<std::string> m_evacuated;
     CapacityOffer m_offer;
+    // Speed of the worker's present life.
+    SpeedEstimator m_speed;
+    SpeedEstimate m_speedEstimate;
     bool m_reportChanged = true;
     bool m_draining = false;
 
