Test worker speeds and long runs, and correct both decisions

Cause: the first rule took every running task's elapsed time as evidence against its worker, and a long task was recorded as slow twice. Change: only overdue runs count, and only while nothing ends on the worker; weak slowness weighs less; until long tasks have ended, a few percent of them are assumed.

--- a/src/jobs/jobschedulerlongruns.cpp
+++ b/src/jobs/jobschedulerlongruns.cpp
@@ -18,8 +18,11 @@
 constexpr double maxLearnedRatio = 3;
 // A run that ends after this multiple of its expected time, and was not moved, counts as left.
 constexpr double leftRunFactor = 2;
-// The evidence of several runs of one worker is limited, since their lengths are not independent.
-constexpr double leastLikelihood = 1e-3;
+// A run that takes longer than all but this share of its queue is overdue. Long tasks are running for a
+// greater part of the time than their share of the tasks, so that this share of the runs on a sound worker
+// may be overdue at any time.
+constexpr double overdueShare = 0.05;
+constexpr double overdueShareOfRunning = 0.2;
 
 double JobScheduler::estimateOf(const Job &job, const Task &task) const
 {
@@ -57,7 +60,9 @@
     const StepSpec &step = *job.spec.steps[task.step];
     const double estimate = estimateOf(job, task);
     const double ratio = static_cast<double>(took.count) / expectedHere(job, task);
-    m_pool.recordTimeRatio(task.agent, ratio, now);
+    // A run that was recorded as slow while it was running counts once.
+    if (!m_options.learnWorkerSpeeds || !task.slowReported)
+        m_pool.recordTimeRatio(task.agent, ratio, now);
     if (ratio >= leftRunFactor && took >= minSlowRunTime)
         ++m_leftRuns;
     // Run times on a slow worker are not representative of the queue.
@@ -131,7 +136,8 @@
             ++runs.count;
             const double ratio = static_cast<double>((now - task.startedAt).count) / expectedHere(job, task);
             const double share = ratiosOf(job.spec.queue).shareAbove(ratio);
-            runs.likelihood = std::max(leastLikelihood, runs.likelihood * share);
+            if (share < overdueShare)
+                runs.likelihood *= overdueShareOfRunning;
         }
     }
 }
@@ -153,8 +159,8 @@
     if (const auto runs = m_agentRuns.find(task.agent); runs != m_agentRuns.end() && runs->second.count > 1) {
         // Without the run in question, whose own time is weighed apart from the evidence.
         const double ratio = static_cast<double>((now - task.startedAt).count) / expectedHere(job, task);
-        const double own = ratiosOf(job.spec.queue).shareAbove(ratio);
-        evidence.otherRunsLikelihood = std::min(1.0, runs->second.likelihood / own);
+        const bool isOverdue = ratiosOf(job.spec.queue).shareAbove(ratio) < overdueShare;
+        evidence.otherRunsLikelihood = runs->second.likelihood / (isOverdue ? overdueShareOfRunning : 1);
     }
     return evidence;
 }
--- a/src/jobs/longruns.cpp
+++ b/src/jobs/longruns.cpp
@@ -11,7 +11,10 @@
 // Prior probabilities that a worker has stalled or is slow in a way that has not been noticed.
 constexpr double stallPrior = 0.002;
 constexpr double unseenSlownessPrior = 0.01;
-constexpr double knownSlownessPrior = 0.5;
+constexpr double maxSlownessPrior = 0.5;
+// Slowness that is taken for a fact; less may be an error of the estimates, and none is reported below.
+constexpr double certainSlowness = 2.5;
+constexpr double leastSlowness = 1.5;
 constexpr double unseenSlowness = 3;
 // Each move makes it less likely that a worker is at fault again.
 constexpr double priorAfterMove = 0.1;
@@ -79,7 +82,9 @@
     const double mean = std::max(1.0, static_cast<double>(worker.meanRunTime.count));
     const double quiet = std::max(0.0, static_cast<double>(worker.quiet.count));
     const double byQuiet = std::pow(1 + quiet / mean, std::max(0.0, worker.otherRuns));
-    const double byRuns = 1 / std::max(1 / maxEvidence, worker.otherRunsLikelihood);
+    // While runs end there, the worker as a whole has not stalled.
+    const double byRuns =
+        std::pow(1 / std::max(1 / maxEvidence, worker.otherRunsLikelihood), std::min(1.0, quiet / mean));
     return std::min(maxEvidence, std::max(byQuiet, byRuns));
 }
 
@@ -94,9 +99,11 @@
     LongRunDecision decision{.queueShare = ratios.shareAbove(ratio)};
 
     const double stalled = stallPrior * std::pow(priorAfterMove, run.moves) * evidenceOfStall(worker);
-    const double slow =
-        (isKnownSlow ? knownSlownessPrior : unseenSlownessPrior) * ratios.shareAbove(ratioIfSlow);
-    const double sound = (isKnownSlow ? 1 - knownSlownessPrior : 1) * decision.queueShare;
+    const double certainty =
+        std::clamp((worker.slowness - leastSlowness) / (certainSlowness - leastSlowness), 0.0, 1.0);
+    const double slownessPrior = std::max(unseenSlownessPrior, maxSlownessPrior * certainty);
+    const double slow = slownessPrior * ratios.shareAbove(ratioIfSlow);
+    const double sound = (1 - slownessPrior) * decision.queueShare;
     const double sum = stalled + slow + sound;
     decision.workerAtFault = (stalled + slow) / sum;
 
--- a/src/jobs/runratios.cpp
+++ b/src/jobs/runratios.cpp
@@ -14,6 +14,10 @@
 // errors of declared run times.
 constexpr double initialWeight = 30;
 constexpr double initialDeviation = 0.45;
+// Until long tasks have ended, a few percent of the runs are assumed to have several times the usual work.
+constexpr double initialLongWeight = 1.5;
+constexpr double longFrom = 4;
+constexpr double longTo = 11;
 // Runs longer than any of the samples are possible, but ever less likely.
 constexpr double unseenWeight = 0.5;
 constexpr double unseenFrom = 4;
@@ -30,6 +34,8 @@
     for (size_t bin = 0; bin < binCount; ++bin) {
         const double from = first + step * static_cast<double>(bin);
         m_bins.at(bin) = initialWeight * (upperTail(from) - upperTail(from + step));
+        if (ratioOf(bin) > longFrom && ratioOf(bin) < longTo)
+            m_bins.at(bin) += initialLongWeight / std::log2(longTo / longFrom) / binsPerOctave;
     }
     updateAbove();
 }
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -25,8 +25,8 @@
 // Time from the end of a run to the answer to the client, and for the order.
 constexpr Millis orderOverhead = {10};
 // Weight of the probability that the task ends on time. The free share of a worker counts up to 1, so that
-// a difference of a few percent decides.
-constexpr double onTimeWeight = 30;
+// a difference of one percent decides.
+constexpr double onTimeWeight = 100;
 // A task waits for another worker while that is possible, rather than being late with more than this
 // probability.
 constexpr double mostLateShare = 0.8;
@@ -68,8 +68,8 @@
     if (!isValidSpeed(state.speedPermille))
         state.speedPermille = 0;
     recordActivity(worker, state, now);
-    const bool hasOtherSpeed = worker.state.speedPermille != state.speedPermille
-        || worker.state.speedSamples != state.speedSamples;
+    const bool hasOtherSpeed =
+        worker.state.speedPermille != state.speedPermille || worker.state.speedSamples != state.speedSamples;
     worker.state = std::move(state);
     if (m_learnsSpeeds && hasOtherSpeed) {
         Speeds &speeds = m_speeds[worker.state.service];
@@ -147,8 +147,7 @@
     const Worker &worker = found->second;
     const int64_t used = std::max<int64_t>(0, worker.state.capacity.cpuMilli - worker.state.free.cpuMilli);
     const Millis passed = std::max(Millis{0}, now - worker.activitySince);
-    return {.usedCpuMilli = used,
-            .quietCpuMs = worker.quietCpuMs + static_cast<double>(used * passed.count)};
+    return {.usedCpuMilli = used, .quietCpuMs = worker.quietCpuMs + static_cast<double>(used * passed.count)};
 }
 
 void WorkerPool::raiseFreeBound(const Worker &worker)
