--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -27,6 +27,9 @@
 // Weight of the probability that the task ends on time. The free share of a worker counts up to 1, so that
 // a difference of one percent decides.
 constexpr double onTimeWeight = 100;
+// Learned speeds are off by some percent, since workers do not get the same mix of tasks. A task has to be on
+// time with this error.
+constexpr double speedError = 1.06;
 // A task waits for another worker while that is possible, rather than being late with more than this
 // probability.
 constexpr double mostLateShare = 0.8;
@@ -259,7 +262,7 @@
 std::optional<double> WorkerPool::speedScore(const Worker &worker, const PlacementNeeds &needs, double slow,
                                              bool isNearData)
 {
-    const double factor = worker.inverseSpeed * slow;
+    const double factor = worker.inverseSpeed * slow * speedError;
     const double onTimeNear = onTimeShare(needs, factor);
     if (needs.slack.count > 0 && factor > needs.stretch && onTimeNear < 1 - mostLateShare)
         return std::nullopt;
--- a/tests/unit/workerspeedstest.cpp
+++ b/tests/unit/workerspeedstest.cpp
@@ -1,4 +1,5 @@
 // Tests of the workers' speeds: the agent's estimate, its report, and the choice of a worker by speed.
+#include "fleet/fleetsettings.h"
 #include "worker/speedestimator.h"
 #include "workermanagerfixture.h"
 
@@ -252,6 +253,11 @@
     report(1, 600);
     report(2, 1'000);
     report(3, 1'600);
+    // No task of the queue has several times the usual work.
+    std::normal_distribution<double> error(0, 0.4);
+    std::minstd_rand random(1);
+    for (int run = 0; run < 1'000; ++run)
+        ratios.observe(std::exp(error(random)));
     const auto longTasks = choices(needs(760));
     BOOST_TEST(!longTasks.contains(1));
     const auto shortTasks = choices(needs(51));
@@ -335,6 +341,35 @@
     BOOST_TEST(pool.slowness(2, now + Millis{4'000}) == 1);
 }
 
+// Guards against wrong settings that are taken for others: each is reported with its key.
+BOOST_AUTO_TEST_CASE(wrongSettingsAreReported)
+{
+    const std::string common =
+        R"({"name": "n", "zone": "z", "store": "127.0.0.1:1", "peerListen": "127.0.0.1:2",
+        "metricsListen": "127.0.0.1:3", "clientListen": "127.0.0.1:4", "readyListen": "127.0.0.1:5")";
+    const auto parse = [&](const std::string &more, Problems &problems) {
+        return parseFleetEntrySettings("entry.json", common + more + "}", problems);
+    };
+    Problems problems;
+    FleetSettings settings = parse("", problems);
+    BOOST_TEST(problems.empty());
+    BOOST_TEST(!settings.learnWorkerSpeeds);
+    BOOST_TEST(std::holds_alternative<MoveByRatio>(settings.moveLongRuns));
+    settings =
+        parse(R"(, "learnWorkerSpeeds": true, "moveLongRuns": "by-evidence", "farFactor": 3)", problems);
+    BOOST_TEST(problems.empty());
+    BOOST_TEST(settings.learnWorkerSpeeds);
+    BOOST_TEST(std::holds_alternative<MoveByEvidence>(settings.moveLongRuns));
+    BOOST_TEST(settings.farFactor == 3);
+    for (const auto &[key, value] : {std::pair{"learnWorkerSpeeds", "1"},
+                                     std::pair{"moveLongRuns", "\"never\""}, std::pair{"farFactor", "0.5"}}) {
+        problems.clear();
+        parse(std::string(", \"") + key + "\": " + value, problems);
+        BOOST_TEST_REQUIRE(problems.size() == 1U);
+        BOOST_TEST(problems[0].key == key);
+    }
+}
+
 // Prints the time per decision. It has no bound here, since it depends on the machine.
 BOOST_AUTO_TEST_CASE(timePerDecision)
 {
