--- a/src/jobs/longruns.cpp
+++ b/src/jobs/longruns.cpp
@@ -106,6 +106,9 @@
     const double sound = (1 - slownessPrior) * decision.queueShare;
     const double sum = stalled + slow + sound;
     decision.workerAtFault = (stalled + slow) / sum;
+    // Most runs are left, at the cost of a few look-ups.
+    if (decision.workerAtFault < leastFault)
+        return decision;
 
     const auto valueOfMove = [&](double above) {
         return expectedValue(run, ratios, above, 0, run.expectedElsewhereMs, restartMs);
--- a/src/jobs/runratios.cpp
+++ b/src/jobs/runratios.cpp
@@ -61,7 +61,13 @@
 
 double RunRatios::ratioOf(size_t bin)
 {
-    return std::exp2(firstOctave + (static_cast<double>(bin) + 0.5) / binsPerOctave);
+    static const std::array<double, binCount> ratios = [] {
+        std::array<double, binCount> result{};
+        for (size_t number = 0; number < binCount; ++number)
+            result.at(number) = std::exp2(firstOctave + (static_cast<double>(number) + 0.5) / binsPerOctave);
+        return result;
+    }();
+    return ratios.at(bin);
 }
 
 double RunRatios::shareAbove(double ratio) const
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -30,6 +30,8 @@
 // Learned speeds are off by some percent, since workers do not get the same mix of tasks. A task has to be on
 // time with this error.
 constexpr double speedError = 1.06;
+// A worker with repeated failures is chosen only if no other one has room.
+constexpr double avoidancePenalty = 4;
 // A task waits for another worker while that is possible, rather than being late with more than this
 // probability.
 constexpr double mostLateShare = 0.8;
@@ -43,8 +45,12 @@
 void WorkerPool::recordActivity(Worker &worker, const WorkerState &next, Millis now)
 {
     const Resources &before = worker.state.free;
+    // Scarce processors are shown to one entry at a time as free, and to the others as not, so that their rise
+    // from 0 is no sign of an end, unless the runs use nothing else.
+    const bool usesMemory = before.memoryMb < worker.state.capacity.memoryMb;
+    const bool hasMoreCpu = next.free.cpuMilli > before.cpuMilli && (before.cpuMilli > 0 || !usesMemory);
     const bool hasEnded = worker.state.worker != next.worker || next.free.memoryMb > before.memoryMb
-        || next.free.accelerators > before.accelerators;
+        || next.free.accelerators > before.accelerators || hasMoreCpu;
     const int64_t used = std::max<int64_t>(0, worker.state.capacity.cpuMilli - before.cpuMilli);
     const Millis passed = std::max(Millis{0}, now - worker.activitySince);
     worker.quietCpuMs = hasEnded ? 0 : worker.quietCpuMs + static_cast<double>(used * passed.count);
@@ -316,7 +322,7 @@
         if (!needs.dataRack.empty() && isNearData)
             score += 1;
         if (worker.avoidUntil > now)
-            score -= 4;
+            score -= usesSpeeds ? onTimeWeight : avoidancePenalty;
         if (!best || score > bestScore) {
             best = agent;
             bestScore = score;
