Let tasks wait for a worker near their data when that pays off

Cause: a task whose rack is full is placed on another rack at once. There it takes a multiple of its run time, is late where the multiple is 3, and uses processor time that others need. Runs far from their data also counted as slow and entered the estimates of run times.

Far runs are expected to take farFactor times as long.

--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -40,7 +40,10 @@
     , m_scheduler({.partitions = settings.partitions,
                    .admissionSlackPercent = settings.admissionSlackPercent,
                    .order = settings.queueOrder,
-                   .urgentSlackPercent = settings.urgentSlackPercent},
+                   .urgentSlackPercent = settings.urgentSlackPercent,
+                   .placementWait = settings.placementWait ? PlacementWaitPolicy{ExpectedGain{}}
+                                                           : PlacementWaitPolicy{NeverWait{}},
+                   .farFactor = settings.farFactor},
                   m_pool, *this, log)
     , m_owner({.member = settings.name,
                .memberTtl = memberTtl(settings),
--- a/src/fleet/fleetmetrics.h
+++ b/src/fleet/fleetmetrics.h
@@ -18,6 +18,11 @@
     MetricDescription{"run_ms", MetricKind::Summary, "Time from the start of a run to its end, in ms."},
     MetricDescription{"append_ms", MetricKind::Summary,
                       "Duration of an append to the store, including retries, in ms."},
+    MetricDescription{"placement_waits_total", MetricKind::Counter,
+                      "Waits of tasks for free resources near their data, by how they ended.", "outcome"},
+    MetricDescription{
+        "placement_wait_ms", MetricKind::Summary,
+        "Time that a task waited for free resources near its data before it was placed, in ms."},
     MetricDescription{"jobs_active", MetricKind::Gauge,
                       "Jobs in this entry's partitions that have not ended."},
     MetricDescription{"waiting_cpu_milli", MetricKind::Gauge,
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -6,6 +6,8 @@
 
 namespace turmericwell {
 
+constexpr double mostFarFactor = 100;
+
 static FleetSettings readCommon(JsonReader &reader)
 {
     constexpr int64_t mostPartitions = 1'024;
@@ -42,6 +44,8 @@
         reader.integer("admissionSlackPercent", settings.admissionSlackPercent, {.least = 1, .most = 1'000}));
     settings.urgentSlackPercent = static_cast<uint32_t>(
         reader.integer("urgentSlackPercent", settings.urgentSlackPercent, {.least = 0, .most = 1'000}));
+    settings.placementWait = reader.boolean("placementWait", settings.placementWait);
+    settings.farFactor = reader.number("farFactor", settings.farFactor, 1, mostFarFactor);
     reader.finish();
     return settings;
 }
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -44,6 +44,10 @@
     // Entries: order of the waiting jobs, and policy for choosing a worker.
     QueueOrder queueOrder;
     PlacementPolicy placement;
+    // Entries: whether tasks may wait for free resources near their data, and the factor by which a run takes
+    // longer far from its data.
+    bool placementWait = false;
+    double farFactor = 1;
     // Agents: size of the start orders that may wait at the agent beyond the worker's free resources, in
     // percent of the worker's processors.
     uint32_t queueAllowancePercent = 10;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -24,6 +24,7 @@
     , m_pool(pool)
     , m_effects(effects)
     , m_log(log)
+    , m_placementWait(options.placementWait)
 { }
 
 static std::string_view unsupportedFeature(const JobSpec &spec)
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -18,6 +18,7 @@
 //   estimates nor the waits of their clients show that no run of an earlier submission exists.
 #pragma once
 
+#include "jobs/placementwait.h"
 #include "jobs/policies.h"
 #include "jobs/runtimes.h"
 #include "jobs/urgentslack.h"
@@ -31,6 +32,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -129,6 +131,12 @@
     uint32_t urgentSlackPercent = 100;
     // How long ended jobs can be queried before they are deleted.
     Millis retention = {150'000};
+    // Whether tasks wait for free resources near their data, and the factor by which a run takes longer far
+    // from its data (at least 1).
+    PlacementWaitPolicy placementWait;
+    double farFactor = 1;
+    // Limits the cost of a pass: further tasks are placed without a wait.
+    uint32_t mostRackWaits = 256;
 };
 
 class JobScheduler
@@ -249,6 +257,10 @@
         bool stopOrdered = false;
         // The current run has been recorded as slow in the worker pool.
         bool slowReported = false;
+        // The current run is on a worker that is not on the rack with the task's data.
+        bool isFar = false;
+        // Since when the task has waited for free resources near its data; nullopt if it does not wait.
+        std::optional<Millis> nearWaitSince;
     };
 
     struct UnstoredEnd
@@ -457,8 +469,48 @@
     // Goes through the jobs in order until `budget` of them could not be placed. Returns the number of jobs
     // looked at.
     size_t placeInOrder(std::span<const QueueKey> jobs, uint32_t &budget, Millis now);
+    // Returns false if a task could not be placed. Tasks that wait for a rack do not count.
     bool placeTasks(Job &job, Millis now);
-    bool placeTask(Job &job, Task &task, Millis now);
+    enum class Placement : uint8_t {
+        Placed,
+        // No worker that fits the task has free resources.
+        NoRoom,
+        // The task waits for resources near its data although others are free.
+        WaitsForRack,
+    };
+    Placement placeTask(Job &job, Task &task, Millis now);
+    // --- jobschedulerlocality.cpp: placement near the data ---
+    // What this owner knows of a rack for the tasks of a partition.
+    struct RackView
+    {
+        RackRoom room;
+        Millis takenAt;
+        // The following values are of one pass over the queue.
+        uint64_t pass = 0;
+        // Smallest task, by its processors, for which no worker of the rack had free resources.
+        int64_t noRoomFrom = INT64_MAX;
+    };
+    // Partition, service, rack and required label.
+    using RackViewKey = std::tuple<uint32_t, std::string, std::string, std::string>;
+
+    bool isFar(const StepSpec &step, AgentNumber agent) const;
+    // Expected time of the task's present run.
+    Millis expectedTime(const Job &job, const Task &task) const;
+    // Time that the task's present run would have taken near its data.
+    Millis nearTime(const Task &task, Millis took) const;
+    RackView &rackView(const Job &job, const StepSpec &step, Millis now);
+    // True if the task waits without a search for a worker: none on its rack had free resources for a task of
+    // this size earlier in the pass.
+    bool waitsForRack(const Job &job, Task &task, Millis now);
+    // True if the task waits for its rack instead of being placed on this worker.
+    bool waitsForRack(const Job &job, Task &task, AgentNumber found, Millis now);
+    // Processors of the task and of the following ones of its step that are not placed.
+    static int64_t unplacedCpuMilli(const Job &job, const Task &task);
+    bool decidesToWait(const Job &job, Task &task, bool hasNearRoom, Millis now);
+    // Ends the task's wait, if it waits. Returns how long it has waited.
+    Millis endRackWait(const Job &job, Task &task, AgentNumber placedAt, Millis now);
+    // Processors given back by a run that has ended.
+    void processorsReleased(AgentNumber agent, const StepSpec &step, Millis now);
     Millis objective(const JobSpec &spec) const;
     Millis remainingCriticalPath(const Job &job) const;
     void storeProgress(Millis now);
@@ -473,6 +525,13 @@
     StructuredLog &m_log;
     RunTimes m_runTimes;
     UrgentSlack m_urgentSlack;
+    PlacementWait m_placementWait;
+    std::map<RackViewKey, RackView> m_rackViews;
+    // Processors of the tasks that wait for a rack, by service and rack, in the present pass over the queue.
+    std::map<std::pair<std::string, std::string>, int64_t> m_rackWaitingCpuMilli;
+    uint64_t m_pass = 0;
+    // Number of decisions to wait for a rack in the present pass.
+    uint32_t m_rackWaits = 0;
     std::map<uint32_t, Partition> m_partitions;
     std::unordered_map<JobId, Job> m_jobs;
     uint64_t m_lastSerial = 0;
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -92,6 +92,10 @@
     job.queued = false;
     m_onTime.erase({job.queueKey, job.spec.id});
     m_late.erase({job.acceptedAt, job.spec.id});
+    for (Task &task : job.tasks) {
+        if (std::exchange(task.nearWaitSince, std::nullopt))
+            m_log.count("placement_waits_total", "unplaced");
+    }
 }
 
 void JobScheduler::demoteLate(Millis now)
@@ -133,12 +137,14 @@
     }
 }
 
-bool JobScheduler::placeTask(Job &job, Task &task, Millis now)
+JobScheduler::Placement JobScheduler::placeTask(Job &job, Task &task, Millis now)
 {
     const StepSpec &step = *job.spec.steps[task.step];
     const Partition &partition = m_partitions.at(job.partition);
     if (!partition.mayPlace)
-        return false;
+        return Placement::NoRoom;
+    if (waitsForRack(job, task, now))
+        return Placement::WaitsForRack;
     std::map<AgentNumber, uint32_t> siblings;
     if (step.worker_limit > 0) {
         for (const Task &other : job.tasks) {
@@ -165,7 +171,11 @@
                                                             .avoided = mayAvoid ? &task.avoided : nullptr},
                                                            now);
     if (!agent)
-        return false;
+        return Placement::NoRoom;
+    if (waitsForRack(job, task, *agent, now))
+        return Placement::WaitsForRack;
+    const Millis rackWait = endRackWait(job, task, *agent, now);
+    task.isFar = isFar(step, *agent);
     job.anyOrdered = true;
     task.phase = TaskPhase::Ordered;
     task.agent = *agent;
@@ -180,6 +190,8 @@
                  {"run", run.number},
                  {"agent", *agent},
                  {"worker", m_pool.find(*agent)->worker},
+                 {"far", task.isFar},
+                 {"rack_wait_ms", rackWait},
                  {"slack_ms", job.latestStart - now}});
     m_effects.start({.agent = *agent,
                      .partition = job.partition,
@@ -189,12 +201,13 @@
                      .step = &step,
                      .checkpoint = task.checkpoint,
                      .slack = job.latestStart - now});
-    return true;
+    return Placement::Placed;
 }
 
 bool JobScheduler::placeTasks(Job &job, Millis now)
 {
     bool all = true;
+    bool anyWaitsForRack = false;
     // Tasks stand in the order of their steps.
     std::optional<uint32_t> unplaceableStep;
     for (Task &task : job.tasks) {
@@ -204,12 +217,14 @@
             continue;
         // The tasks of a step are similar: if one does not fit on any worker, the others rarely do. Another
         // step may need other workers.
-        if (!placeTask(job, task, now)) {
+        const Placement placement = placeTask(job, task, now);
+        anyWaitsForRack = anyWaitsForRack || placement == Placement::WaitsForRack;
+        if (placement == Placement::NoRoom) {
             all = false;
             unplaceableStep = task.step;
         }
     }
-    if (all)
+    if (all && !anyWaitsForRack)
         dequeue(job);
     return all;
 }
@@ -255,6 +270,9 @@
     const bool alsoBehind = now >= m_nextPassBehind;
     if (alsoBehind)
         m_nextPassBehind = now + passBehindInterval;
+    ++m_pass;
+    m_rackWaits = 0;
+    m_rackWaitingCpuMilli.clear();
     uint32_t budget = maxUnplacedJobs;
     placeQueued(m_onTime, budget, m_onTimeResumeAt, alsoBehind, now);
     placeQueued(m_late, budget, m_lateResumeAt, alsoBehind, now);
@@ -269,9 +287,9 @@
 void JobScheduler::checkRun(Job &job, Task &task, Millis now)
 {
     const StepSpec &step = *job.spec.steps[task.step];
-    const uint32_t estimate = std::max(1U, m_runTimes.estimateMs(job.spec.queue, step.estimate_ms));
+    const int64_t estimate = std::max<int64_t>(1, expectedTime(job, task).count);
     const Millis elapsed = now - task.startedAt;
-    const double timeRatio = static_cast<double>(elapsed.count) / estimate;
+    const double timeRatio = static_cast<double>(elapsed.count) / static_cast<double>(estimate);
     if (timeRatio < slowRunFactor || elapsed < minSlowRunTime)
         return;
     if (!task.slowReported) {
@@ -354,6 +372,9 @@
     if (now < m_nextPurge)
         return;
     m_nextPurge = now + purgeInterval;
+    m_placementWait.purge(now);
+    std::erase_if(m_rackViews,
+                  [&](const auto &item) { return now - item.second.takenAt > PlacementWait::retention; });
     std::erase_if(m_givenUp, [&](const auto &item) { return item.second.evictAt <= now; });
     while (!m_unknownCancelledOrder.empty()) {
         const auto oldest = m_unknownCancelled.find(m_unknownCancelledOrder.front());
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -145,11 +145,14 @@
         const Millis took = now - task.startedAt;
         m_log.observe("run_ms", took);
         m_runTimes.observeTurnover(job.spec.service, step.cpu_milli, took);
-        const uint32_t estimate = std::max(1U, m_runTimes.estimateMs(job.spec.queue, step.estimate_ms));
-        m_pool.recordTimeRatio(task.agent, static_cast<double>(took.count) / estimate, now);
+        const auto expectedMs = static_cast<double>(std::max<int64_t>(1, expectedTime(job, task).count));
+        const double ratio = static_cast<double>(took.count) / expectedMs;
+        m_pool.recordTimeRatio(task.agent, ratio, now);
         // Run times on a slow worker are not representative of the queue.
-        if (m_pool.slowness(task.agent, now) == 1)
-            m_runTimes.observe(job.spec.queue, step.estimate_ms, took);
+        if (m_pool.slowness(task.agent, now) == 1) {
+            m_runTimes.observe(job.spec.queue, step.estimate_ms, nearTime(task, took));
+            m_placementWait.runObserved(job.spec.queue, ratio, now);
+        }
     }
     task.phase = TaskPhase::Done;
     task.checkpoint.clear();
@@ -248,6 +251,7 @@
     if (isCurrent) {
         const StepSpec &step = *job->spec.steps[task->step];
         m_pool.runEnded(agent, {step.cpu_milli, step.memory_mb, step.accelerators});
+        processorsReleased(agent, step, now);
     }
     if (!end.checkpoint.empty())
         task->checkpoint = end.checkpoint;
@@ -335,6 +339,7 @@
     task->agent = agent;
     task->run = run.number;
     task->startedAt = now;
+    task->isFar = isFar(*job->spec.steps[task->step], agent);
     job->anyOrdered = true;
     job->anyStarted = true;
 }
--- a/src/jobs/policies.h
+++ b/src/jobs/policies.h
@@ -2,6 +2,8 @@
 // first alternative of each variant is the default; the simpler ones serve as baselines for comparison.
 #pragma once
 
+#include "turmericwell/millis.h"
+
 #include <optional>
 #include <string_view>
 #include <variant>
@@ -34,6 +36,25 @@
 };
 using PlacementPolicy = std::variant<MostFreeShare, LeastFreeShare, AnyFitting>;
 
+// Places a task far from its data as soon as no worker near it has free resources.
+struct NeverWait
+{
+};
+// Waits for workers near the data as long as any of them is usable.
+struct AlwaysWait
+{
+};
+// Delay scheduling: waits at most this time for workers near the data.
+struct FixedDelay
+{
+    Millis delay;
+};
+// Waits as long as the expected gain, with its uncertainty, exceeds that of a placement far from the data.
+struct ExpectedGain
+{
+};
+using PlacementWaitPolicy = std::variant<NeverWait, AlwaysWait, FixedDelay, ExpectedGain>;
+
 // Parse the names that settings and command lines use; nullopt if the name is unknown.
 std::optional<QueueOrder> parseQueueOrder(std::string_view name);
 std::optional<PlacementPolicy> parsePlacementPolicy(std::string_view name);
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -233,6 +233,24 @@
     });
 }
 
+RackRoom WorkerPool::rackRoom(const PlacementNeeds &needs) const
+{
+    RackRoom room;
+    for (const auto &[agent, worker] : m_workers) {
+        if (!admissible(worker, needs) || !isEligible(agent, needs))
+            continue;
+        ++room.workers;
+        room.capacityMilli += worker.state.capacity.cpuMilli;
+        room.freeMilli += std::max<int64_t>(0, freeResources(worker).cpuMilli);
+        const auto &labels = worker.state.labels;
+        if (std::find(labels.begin(), labels.end(), needs.dataRack) == labels.end())
+            continue;
+        ++room.rackWorkers;
+        room.largestOnRackMilli = std::max(room.largestOnRackMilli, worker.state.capacity.cpuMilli);
+    }
+    return room;
+}
+
 const WorkerState *WorkerPool::find(AgentNumber agent) const
 {
     const auto found = m_workers.find(agent);
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -90,6 +90,18 @@
     const std::set<AgentNumber> *avoided = nullptr;
 };
 
+// The workers that a task may use, and how many of them are on the rack with its data.
+struct RackRoom
+{
+    uint32_t rackWorkers = 0;
+    uint32_t workers = 0;
+    // Processors of the largest worker on the rack, and total and free processors of all workers, in
+    // thousandths of a core.
+    int64_t largestOnRackMilli = 0;
+    int64_t capacityMilli = 0;
+    int64_t freeMilli = 0;
+};
+
 class WorkerPool
 {
 public:
@@ -124,6 +136,8 @@
     // Whether the task would fit on any usable worker that is not avoided, if that worker were empty.
     bool canEverFit(const PlacementNeeds &needs) const;
     const WorkerState *find(AgentNumber agent) const;
+    // Looks at all workers; not to be called for each task.
+    RackRoom rackRoom(const PlacementNeeds &needs) const;
 
 private:
     struct Worker
--- a/src/observe/structuredlog.cpp
+++ b/src/observe/structuredlog.cpp
@@ -166,6 +166,12 @@
         m_metrics->observe(summary, static_cast<double>(sample.count));
 }
 
+void StructuredLog::count(std::string_view counter, std::string_view labelValue) const
+{
+    if (m_metrics)
+        m_metrics->count(counter, labelValue);
+}
+
 void StructuredLog::write(Millis now, std::string_view event, std::initializer_list<LogField> fields)
 {
     if (m_metrics)
--- a/tests/unit/jobschedulerfixture.h
+++ b/tests/unit/jobschedulerfixture.h
@@ -51,7 +51,8 @@
 // One partition and two agents, each with a worker of four processors.
 struct JobSchedulerFixture
 {
-    explicit JobSchedulerFixture(uint64_t epoch = 1)
+    explicit JobSchedulerFixture(uint64_t epoch = 1, JobSchedulerOptions options = {.partitions = 1})
+        : scheduler(options, pool, effects, log)
     {
         scheduler.openPartition(0, epoch);
         for (AgentNumber agent = 1; agent <= 2; ++agent)
@@ -137,7 +138,7 @@
     StructuredLog log;
     WorkerPool pool;
     RecordedEffects effects;
-    JobScheduler scheduler{{.partitions = 1}, pool, effects, log};
+    JobScheduler scheduler;
     std::vector<JobReply> replies;
 };
 
