--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -43,6 +43,8 @@
                    .urgentSlackPercent = settings.urgentSlackPercent,
                    .learnWorkerSpeeds = settings.learnWorkerSpeeds,
                    .moveLongRuns = settings.moveLongRuns,
+                   .placementWait = settings.placementWait ? PlacementWaitPolicy{ExpectedGain{}}
+                                                           : PlacementWaitPolicy{NeverWait{}},
                    .farFactor = settings.farFactor},
                   m_pool, *this, log)
     , m_owner({.member = settings.name,
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -48,7 +48,9 @@
     bool learnWorkerSpeeds = false;
     // Entries: when a run beyond its expected time is moved to another worker.
     LongRunPolicy moveLongRuns;
-    // Entries: factor by which a task takes longer off the rack with its data.
+    // Entries: whether tasks may wait for free resources near their data, and the factor by which a run takes
+    // longer far from its data.
+    bool placementWait = false;
     double farFactor = 1;
     // Agents: size of the start orders that may wait at the agent beyond the worker's free resources, in
     // percent of the worker's processors.
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -19,6 +19,7 @@
 #pragma once
 
 #include "jobs/longruns.h"
+#include "jobs/placementwait.h"
 #include "jobs/policies.h"
 #include "jobs/runtimes.h"
 #include "jobs/urgentslack.h"
@@ -32,6 +33,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -133,10 +135,14 @@
     // Whether the agents estimate the speeds of their workers from the expected run times in the orders.
     bool learnWorkerSpeeds = false;
     LongRunPolicy moveLongRuns;
-    // Factor by which a task takes longer off the rack with its data.
-    double farFactor = 1;
     // How long ended jobs can be queried before they are deleted.
     Millis retention = {150'000};
+    // Whether tasks wait for free resources near their data, and the factor by which a run takes longer far
+    // from its data (at least 1).
+    PlacementWaitPolicy placementWait;
+    double farFactor = 1;
+    // Limits the cost of a pass: further tasks are placed without a wait.
+    uint32_t mostRackWaits = 256;
 };
 
 class JobScheduler
@@ -260,6 +266,10 @@
         bool stopOrdered = false;
         // The current run has been recorded as slow in the worker pool.
         bool slowReported = false;
+        // The current run is on a worker that is not on the rack with the task's data.
+        bool isFar = false;
+        // Since when the task has waited for free resources near its data; nullopt if it does not wait.
+        std::optional<Millis> nearWaitSince;
     };
 
     struct UnstoredEnd
@@ -468,10 +478,46 @@
     // Goes through the jobs in order until `budget` of them could not be placed. Returns the number of jobs
     // looked at.
     size_t placeInOrder(std::span<const QueueKey> jobs, uint32_t &budget, Millis now);
+    // Returns false if a task could not be placed. Tasks that wait for a rack do not count.
     bool placeTasks(Job &job, Millis now);
-    bool placeTask(Job &job, Task &task, Millis now);
     // What the task needs, apart from the workers that it may use.
     PlacementNeeds placementNeeds(const Job &job, const Task &task, Millis now) const;
+    enum class Placement : uint8_t {
+        Placed,
+        // No worker that fits the task has free resources.
+        NoRoom,
+        // The task waits for resources near its data although others are free.
+        WaitsForRack,
+    };
+    Placement placeTask(Job &job, Task &task, Millis now);
+    // --- jobschedulerlocality.cpp: placement near the data ---
+    // What this owner knows of a rack for the tasks of a partition.
+    struct RackView
+    {
+        RackRoom room;
+        Millis takenAt;
+        // The following values are of one pass over the queue.
+        uint64_t pass = 0;
+        // Smallest task, by its processors, for which no worker of the rack had free resources.
+        int64_t noRoomFrom = INT64_MAX;
+    };
+    // Partition, service, rack and required label.
+    using RackViewKey = std::tuple<uint32_t, std::string, std::string, std::string>;
+
+    bool isFar(const StepSpec &step, AgentNumber agent) const;
+    RackView &rackView(const Job &job, const StepSpec &step, Millis now);
+    // True if the task waits without a search for a worker: none on its rack had free resources for a task of
+    // this size earlier in the pass.
+    bool waitsForRack(const Job &job, Task &task, Millis now);
+    // True if the task waits for its rack instead of being placed on this worker.
+    bool waitsForRack(const Job &job, Task &task, AgentNumber found, Millis now);
+    // Processors of the task and of the following ones of its step that are not placed.
+    static int64_t unplacedCpuMilli(const Job &job, const Task &task);
+    bool decidesToWait(const Job &job, Task &task, bool hasNearRoom, Millis now);
+    // Ends the task's wait, if it waits. Returns how long it has waited.
+    Millis endRackWait(const Job &job, Task &task, AgentNumber placedAt, Millis now);
+    // Processors given back by a run that has ended.
+    void processorsReleased(AgentNumber agent, const StepSpec &step, Millis now);
     Millis objective(const JobSpec &spec) const;
     Millis remainingCriticalPath(const Job &job) const;
     void storeProgress(Millis now);
@@ -487,7 +533,7 @@
     bool movesByEvidence() const { return std::holds_alternative<MoveByEvidence>(m_options.moveLongRuns); }
     // Estimated run time on a worker of speed 1 near the data.
     double estimateOf(const Job &job, const Task &task) const;
-    double farFactorOf(const Task &task, const StepSpec &step) const;
+    double farFactorOf(const Task &task) const;
     // Estimated run time on the task's worker without its present slowness.
     double expectedHere(const Job &job, const Task &task) const;
     RunRatios &ratiosOf(const std::string &queue);
@@ -514,6 +560,13 @@
     uint64_t m_movedRuns = 0;
     uint64_t m_leftRuns = 0;
     UrgentSlack m_urgentSlack;
+    PlacementWait m_placementWait;
+    std::map<RackViewKey, RackView> m_rackViews;
+    // Processors of the tasks that wait for a rack, by service and rack, in the present pass over the queue.
+    std::map<std::pair<std::string, std::string>, int64_t> m_rackWaitingCpuMilli;
+    uint64_t m_pass = 0;
+    // Number of decisions to wait for a rack in the present pass.
+    uint32_t m_rackWaits = 0;
     std::map<uint32_t, Partition> m_partitions;
     std::unordered_map<JobId, Job> m_jobs;
     uint64_t m_lastSerial = 0;
--- a/src/jobs/jobschedulerlongruns.cpp
+++ b/src/jobs/jobschedulerlongruns.cpp
@@ -30,17 +30,14 @@
     return std::max(1U, m_runTimes.estimateMs(job.spec.queue, step.estimate_ms));
 }
 
-double JobScheduler::farFactorOf(const Task &task, const StepSpec &step) const
+double JobScheduler::farFactorOf(const Task &task) const
 {
-    // Without speeds the estimates contain the runs on all racks as they are.
-    const bool isNear = !m_options.learnWorkerSpeeds || m_pool.isNear(task.agent, step.data_rack);
-    return isNear ? 1 : m_options.farFactor;
+    return task.isFar ? m_options.farFactor : 1;
 }
 
 double JobScheduler::expectedHere(const Job &job, const Task &task) const
 {
-    const StepSpec &step = *job.spec.steps[task.step];
-    return estimateOf(job, task) * farFactorOf(task, step) / m_pool.relativeSpeed(task.agent);
+    return estimateOf(job, task) * farFactorOf(task) / m_pool.relativeSpeed(task.agent);
 }
 
 RunRatios &JobScheduler::ratiosOf(const std::string &queue)
@@ -68,10 +65,12 @@
     // Run times on a slow worker are not representative of the queue.
     if (m_pool.slowness(task.agent, now) != 1)
         return;
+    m_placementWait.runObserved(job.spec.queue, ratio, now);
     if (m_options.learnWorkerSpeeds || movesByEvidence())
         ratiosOf(job.spec.queue).observe(ratio);
     if (!m_options.learnWorkerSpeeds) {
-        m_runTimes.observe(job.spec.queue, step.estimate_ms, took);
+        const double near = static_cast<double>(took.count) / farFactorOf(task);
+        m_runTimes.observe(job.spec.queue, step.estimate_ms, {std::llround(near)});
         return;
     }
     const double learned = estimate * std::min(ratio, maxLearnedRatio);
@@ -93,7 +92,7 @@
 void JobScheduler::checkRunByRatio(Job &job, Task &task, Millis now)
 {
     const StepSpec &step = *job.spec.steps[task.step];
-    const uint32_t estimate = std::max(1U, m_runTimes.estimateMs(job.spec.queue, step.estimate_ms));
+    const double estimate = estimateOf(job, task) * farFactorOf(task);
     const Millis elapsed = now - task.startedAt;
     const double timeRatio = static_cast<double>(elapsed.count) / estimate;
     if (timeRatio < slowRunFactor || elapsed < minSlowRunTime)
@@ -120,7 +119,7 @@
                  {"task", taskIdText(runId(job, task).task)},
                  {"run", task.run},
                  {"elapsed_ms", elapsed},
-                 {"estimate_ms", estimate},
+                 {"estimate_ms", std::llround(estimate)},
                  {"slowness", m_pool.slowness(task.agent, now)}});
     moveRun(job, task);
 }
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -244,6 +244,7 @@
     if (isCurrent) {
         const StepSpec &step = *job->spec.steps[task->step];
         m_pool.runEnded(agent, {step.cpu_milli, step.memory_mb, step.accelerators}, now);
+        processorsReleased(agent, step, now);
     }
     if (!end.checkpoint.empty())
         task->checkpoint = end.checkpoint;
@@ -331,6 +332,7 @@
     task->agent = agent;
     task->run = run.number;
     task->startedAt = now;
+    task->isFar = isFar(*job->spec.steps[task->step], agent);
     job->anyOrdered = true;
     job->anyStarted = true;
 }
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -45,8 +45,8 @@
 void WorkerPool::recordActivity(Worker &worker, const WorkerState &next, Millis now)
 {
     const Resources &before = worker.state.free;
-    // Scarce processors are shown to one entry at a time as free, and to the others as not, so that their rise
-    // from 0 is no sign of an end, unless the runs use nothing else.
+    // Scarce processors are shown to one entry at a time as free, and to the others as not, so that their
+    // rise from 0 is no sign of an end, unless the runs use nothing else.
     const bool usesMemory = before.memoryMb < worker.state.capacity.memoryMb;
     const bool hasMoreCpu = next.free.cpuMilli > before.cpuMilli && (before.cpuMilli > 0 || !usesMemory);
     const bool hasEnded = worker.state.worker != next.worker || next.free.memoryMb > before.memoryMb
@@ -412,6 +412,24 @@
     });
 }
 
+RackRoom WorkerPool::rackRoom(const PlacementNeeds &needs) const
+{
+    RackRoom room;
+    for (const auto &[agent, worker] : m_workers) {
+        if (!admissible(worker, needs) || !isEligible(agent, needs))
+            continue;
+        ++room.workers;
+        room.capacityMilli += worker.state.capacity.cpuMilli;
+        room.freeMilli += std::max<int64_t>(0, freeResources(worker).cpuMilli);
+        const auto &labels = worker.state.labels;
+        if (std::find(labels.begin(), labels.end(), needs.dataRack) == labels.end())
+            continue;
+        ++room.rackWorkers;
+        room.largestOnRackMilli = std::max(room.largestOnRackMilli, worker.state.capacity.cpuMilli);
+    }
+    return room;
+}
+
 const WorkerState *WorkerPool::find(AgentNumber agent) const
 {
     const auto found = m_workers.find(agent);
