--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -89,7 +89,7 @@
         }
         for (const auto &[number, entry] : m_entries)
             entry.link->send(fleet::LeavingT());
-        m_registration.withdraw([onDone = std::move(onDone)](bool) { onDone(); });
+        withdrawBefore(deadline, std::move(onDone));
         return;
     }
     m_timers.after(drainCheckInterval, [this, deadline, onDone] { checkDrained(deadline, onDone); });
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -98,6 +98,9 @@
     // New owners then do not wait for this agent, also if it ends before they start.
     void leaveWithoutWorker();
     void withdrawUntilRemoved();
+    // Repeats the withdrawal until the store has accepted it or the deadline has come. The instance may be
+    // gone for good after the stop, and new owners would then wait for its report.
+    void withdrawBefore(Millis deadline, std::function<void()> onDone);
     void rejoin();
     void closeLinks(const std::string &reason);
 
--- a/src/fleet/agentregistration.cpp
+++ b/src/fleet/agentregistration.cpp
@@ -7,7 +7,7 @@
 
 namespace turmericwell {
 
-constexpr Millis withdrawalRetryDelay = {1'000};
+constexpr Millis withdrawalRetryDelay = {250};
 
 void AgentNode::updateRegistration()
 {
@@ -65,6 +65,20 @@
     });
 }
 
+void AgentNode::withdrawBefore(Millis deadline, std::function<void()> onDone)
+{
+    m_registration.withdraw([this, deadline, onDone = std::move(onDone),
+                             guard = m_timers.guard()](bool isRemoved) {
+        if (guard.expired())
+            return;
+        if (isRemoved || Clock::now() + withdrawalRetryDelay >= deadline) {
+            onDone();
+            return;
+        }
+        m_timers.after(withdrawalRetryDelay, [this, deadline, onDone] { withdrawBefore(deadline, onDone); });
+    });
+}
+
 void AgentNode::rejoin()
 {
     m_log.always(Clock::now(), "agent_rejoining", {});
--- a/tests/unit/agentregistrationtest.cpp
+++ b/tests/unit/agentregistrationtest.cpp
@@ -109,6 +109,7 @@
                      .peerAddress = {"127.0.0.1", 7'000},
                      .partitions = 1,
                      .workerLease = {1'000},
+                     .stopGrace = {6'000},
                      .leaveWithoutWorker = {3'000}},
                     1,
                     store,
@@ -202,6 +203,35 @@
     BOOST_TEST(store.isRemoved());
 }
 
+// Guards against registrations of instances that are gone for good: an agent is stopped while the store is
+// down, and every new owner would wait for its report.
+BOOST_AUTO_TEST_CASE(plannedStopRepeatsTheWithdrawal)
+{
+    startWithWorker();
+    bool isDone = false;
+    agent.beginStop([&] { isDone = true; });
+    pass({100});
+    BOOST_TEST_REQUIRE(store.isRemoved());
+    store.answerAll(StoreStatus::NoAnswer);
+    pass({1'000});
+    BOOST_TEST(!isDone);
+    store.answerAll(StoreStatus::Done);
+    BOOST_TEST(isDone);
+}
+
+// Guards against a stop that outlasts its grace period because the store stays down.
+BOOST_AUTO_TEST_CASE(plannedStopEndsWithoutTheStore)
+{
+    startWithWorker();
+    bool isDone = false;
+    agent.beginStop([&] { isDone = true; });
+    for (int passed = 0; passed < 50 && !isDone; ++passed) {
+        pass({100});
+        store.answerAll(StoreStatus::NoAnswer);
+    }
+    BOOST_TEST(isDone);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
