Search a sample of the workers instead of all if their speeds are known

Cause: with 5,300 workers a decision took 274 us, and the limit is 10 us. Change: with more than 128 workers, the rack of the data by an index of the labels, and 64 others from a random one on; all only if none of these will do.

--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -42,11 +42,31 @@
 // need to be averaged.
 constexpr double medianSmoothingFactor = 0.5;
 
+// With more workers than this, a sample of them is searched first: a decision must not cost more with more
+// workers. The sample is large enough to contain workers of each speed with room.
+constexpr size_t maxScannedWorkers = 128;
+constexpr size_t sampledWorkers = 64;
+constexpr size_t maxRackWorkers = 32;
+
+void WorkerPool::updateLabels(AgentNumber agent, const std::vector<std::string> &before,
+                              const std::vector<std::string> &after)
+{
+    if (before == after)
+        return;
+    for (const std::string &label : before) {
+        const auto found = m_byLabel.find(label);
+        if (found != m_byLabel.end() && found->second.erase(agent) > 0 && found->second.empty())
+            m_byLabel.erase(found);
+    }
+    for (const std::string &label : after)
+        m_byLabel[label].insert(agent);
+}
+
 void WorkerPool::recordActivity(Worker &worker, const WorkerState &next, Millis now)
 {
     const Resources &before = worker.state.free;
-    // Scarce processors are shown to one entry at a time as free, and to the others as not, so that their rise
-    // from 0 is no sign of an end, unless the runs use nothing else.
+    // Scarce processors are shown to one entry at a time as free, and to the others as not, so that their
+    // rise from 0 is no sign of an end, unless the runs use nothing else.
     const bool usesMemory = before.memoryMb < worker.state.capacity.memoryMb;
     const bool hasMoreCpu = next.free.cpuMilli > before.cpuMilli && (before.cpuMilli > 0 || !usesMemory);
     const bool hasEnded = worker.state.worker != next.worker || next.free.memoryMb > before.memoryMb
@@ -77,6 +97,7 @@
     if (!isValidSpeed(state.speedPermille))
         state.speedPermille = 0;
     recordActivity(worker, state, now);
+    updateLabels(agent, worker.state.labels, state.labels);
     const bool hasOtherSpeed =
         worker.state.speedPermille != state.speedPermille || worker.state.speedSamples != state.speedSamples;
     worker.state = std::move(state);
@@ -178,7 +199,13 @@
 
 void WorkerPool::remove(AgentNumber agent)
 {
-    m_workers.erase(agent);
+    const auto found = m_workers.find(agent);
+    if (found == m_workers.end())
+        return;
+    updateLabels(agent, found->second.state.labels, {});
+    if (const auto speeds = m_speeds.find(found->second.state.service); speeds != m_speeds.end())
+        speeds->second.changed = true;
+    m_workers.erase(found);
 }
 
 bool WorkerPool::admissible(const Worker &worker, const PlacementNeeds &needs) const
@@ -289,48 +316,74 @@
     return speeds->second.median > 0;
 }
 
+void WorkerPool::consider(Search &search, AgentNumber agent, const Worker &worker)
+{
+    const PlacementNeeds &needs = search.needs;
+    if (!admissible(worker, needs) || !isEligible(agent, needs))
+        return;
+    const Resources available = freeResources(worker);
+    if (!available.holds(needs.size) || (search.mayAvoid && isAvoided(agent, needs)))
+        return;
+    if (needs.workerLimit > 0 && needs.siblings) {
+        const auto placed = needs.siblings->find(agent);
+        if (placed != needs.siblings->end() && placed->second >= needs.workerLimit)
+            return;
+    }
+    const double slow = slowness(worker, search.now);
+    const bool isNearData = isNear(worker, needs.dataRack);
+    const std::optional<double> bySpeed =
+        search.usesSpeeds ? speedScore(worker, needs, slow, isNearData) : slownessScore(needs, slow);
+    if (!bySpeed)
+        return;
+    double score = placementScore(worker, available) + *bySpeed;
+    if (!needs.dataRack.empty() && isNearData)
+        score += 1;
+    if (worker.avoidUntil > search.now)
+        score -= search.usesSpeeds ? onTimeWeight : avoidancePenalty;
+    if (!search.best || score > search.bestScore) {
+        search.best = agent;
+        search.bestScore = score;
+    }
+}
+
+void WorkerPool::considerSome(Search &search)
+{
+    if (const auto rack = m_byLabel.find(search.needs.dataRack); rack != m_byLabel.end()) {
+        size_t left = maxRackWorkers;
+        for (auto agent = rack->second.begin(); agent != rack->second.end() && left > 0; ++agent, --left)
+            consider(search, *agent, m_workers.at(*agent));
+    }
+    std::uniform_int_distribution<AgentNumber> any(m_workers.begin()->first, m_workers.rbegin()->first);
+    auto item = m_workers.lower_bound(any(m_random));
+    for (size_t left = sampledWorkers; left > 0; --left) {
+        consider(search, item->first, item->second);
+        if (++item == m_workers.end())
+            item = m_workers.begin();
+    }
+}
+
 std::optional<AgentNumber> WorkerPool::choose(const PlacementNeeds &needs, Millis now)
 {
     const auto bound = m_maxFreeMilli.find(needs.service);
     if (bound == m_maxFreeMilli.end() || bound->second < needs.size.cpuMilli)
         return std::nullopt;
-    std::optional<AgentNumber> best;
-    double bestScore = 0;
-    int64_t maxFree = 0;
-    const bool usesSpeeds = usesSpeedsFor(needs, now);
     const bool mayAvoid = needs.avoided && !needs.avoided->empty() && canEverFit(needs);
+    Search search{.needs = needs, .now = now, .usesSpeeds = usesSpeedsFor(needs, now), .mayAvoid = mayAvoid};
+    if (search.usesSpeeds && m_workers.size() > maxScannedWorkers) {
+        considerSome(search);
+        const bool isLikelyOnTime = search.bestScore > onTimeWeight / 2;
+        if (search.best && (isLikelyOnTime || needs.slack.count <= 0))
+            return search.best;
+    }
+    int64_t maxFree = 0;
     for (const auto &[agent, worker] : m_workers) {
-        const Resources available = freeResources(worker);
         if (worker.state.service == needs.service)
-            maxFree = std::max(maxFree, available.cpuMilli);
-        if (!admissible(worker, needs) || !isEligible(agent, needs))
-            continue;
-        if (!available.holds(needs.size) || (mayAvoid && isAvoided(agent, needs)))
-            continue;
-        if (needs.workerLimit > 0 && needs.siblings) {
-            const auto placed = needs.siblings->find(agent);
-            if (placed != needs.siblings->end() && placed->second >= needs.workerLimit)
-                continue;
-        }
-        const double slow = slowness(worker, now);
-        const bool isNearData = isNear(worker, needs.dataRack);
-        const std::optional<double> bySpeed =
-            usesSpeeds ? speedScore(worker, needs, slow, isNearData) : slownessScore(needs, slow);
-        if (!bySpeed)
-            continue;
-        double score = placementScore(worker, available) + *bySpeed;
-        if (!needs.dataRack.empty() && isNearData)
-            score += 1;
-        if (worker.avoidUntil > now)
-            score -= usesSpeeds ? onTimeWeight : avoidancePenalty;
-        if (!best || score > bestScore) {
-            best = agent;
-            bestScore = score;
-        }
+            maxFree = std::max(maxFree, freeResources(worker).cpuMilli);
+        consider(search, agent, worker);
     }
-    if (!best)
+    if (!search.best)
         bound->second = maxFree;
-    return best;
+    return search.best;
 }
 
 void WorkerPool::orderSent(AgentNumber agent, const Resources &size)
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -187,6 +187,17 @@
         double quietCpuMs = 0;
     };
 
+    // State of a search for the best worker.
+    struct Search
+    {
+        const PlacementNeeds &needs;
+        Millis now;
+        bool usesSpeeds = false;
+        bool mayAvoid = false;
+        std::optional<AgentNumber> best;
+        double bestScore = 0;
+    };
+
     // Speeds of the workers of a service.
     struct Speeds
     {
@@ -195,6 +206,13 @@
         Millis nextRefresh;
     };
 
+    // Scores the worker if the task may be placed on it.
+    void consider(Search &search, AgentNumber agent, const Worker &worker);
+    // Considers workers on the rack with the data, and others from a random one on.
+    void considerSome(Search &search);
+    void updateLabels(AgentNumber agent, const std::vector<std::string> &before,
+                      const std::vector<std::string> &after);
+
     static double slowness(const Worker &worker, Millis now);
     double placementScore(const Worker &worker, const Resources &available);
     // The medians are refreshed at intervals, so that a decision needs no pass over all workers for them.
@@ -219,6 +237,7 @@
     const PlacementPolicy m_policy;
     const bool m_learnsSpeeds;
     std::map<AgentNumber, Worker> m_workers;
+    std::map<std::string, std::set<AgentNumber>, std::less<>> m_byLabel;
     // Upper bound of the free processors of any worker, by service. Placing a task does not lower the bound;
     // an unsuccessful search does.
     std::map<std::string, int64_t, std::less<>> m_maxFreeMilli;
--- a/tests/unit/workerspeedstest.cpp
+++ b/tests/unit/workerspeedstest.cpp
@@ -370,6 +370,69 @@
     }
 }
 
+// Guards against workers that a search among many does not find: the only one with room, and the one on the
+// rack with the data.
+BOOST_FIXTURE_TEST_CASE(workerIsFoundAmongMany, SpeedsFixture)
+{
+    constexpr AgentNumber workers = 1'000;
+    const auto stateOf = [](AgentNumber agent, int64_t freeMilli) {
+        return WorkerState{.usable = true,
+                           .worker = "w",
+                           .service = "kiosk",
+                           .labels = {"rack" + std::to_string(agent)},
+                           .capacity = {4'000, 1'000, 0},
+                           .free = {freeMilli, 1'000, 0},
+                           .speedPermille = 1'000,
+                           .speedSamples = 100};
+    };
+    for (AgentNumber agent = 1; agent <= workers; ++agent)
+        pool.report(agent, stateOf(agent, agent == 700 ? 4'000 : 500), now);
+    for (int decision = 0; decision < 20; ++decision)
+        BOOST_TEST((pool.choose(needs(100), now) == AgentNumber{700}));
+    for (AgentNumber agent = 1; agent <= workers; ++agent)
+        pool.report(agent, stateOf(agent, 4'000), now);
+    PlacementNeeds wanted = needs(100);
+    wanted.dataRack = "rack321";
+    wanted.farFactor = 3;
+    BOOST_TEST((pool.choose(wanted, now) == AgentNumber{321}));
+    pool.remove(321);
+    BOOST_TEST(pool.choose(wanted, now).has_value());
+}
+
+// Guards against a stalled worker that seems active, and against an active one that seems stalled.
+BOOST_FIXTURE_TEST_CASE(activityShowsEnds, SpeedsFixture)
+{
+    const auto reportFree = [&](int64_t cpuMilli, int64_t memoryMb) {
+        pool.report(1,
+                    {.usable = true,
+                     .worker = "w",
+                     .service = "kiosk",
+                     .capacity = {4'000, 1'000, 0},
+                     .free = {cpuMilli, memoryMb, 0}},
+                    now);
+    };
+    reportFree(2'000, 800);
+    now += Millis{100};
+    BOOST_TEST(pool.activity(1, now).quietCpuMs == 200'000);
+    // Another run starts; nothing ends.
+    reportFree(0, 600);
+    // Scarce processors are offered to this entry.
+    reportFree(300, 600);
+    now += Millis{100};
+    BOOST_TEST(pool.activity(1, now).quietCpuMs > 500'000);
+    reportFree(300, 700);
+    BOOST_TEST(pool.activity(1, now).quietCpuMs == 0);
+    // Runs without memory.
+    reportFree(1'000, 1'000);
+    now += Millis{100};
+    reportFree(2'000, 1'000);
+    BOOST_TEST(pool.activity(1, now).quietCpuMs == 0);
+    now += Millis{100};
+    BOOST_TEST(pool.activity(1, now).quietCpuMs > 0);
+    pool.runEnded(1, {500, 0, 0}, now);
+    BOOST_TEST(pool.activity(1, now).quietCpuMs == 0);
+}
+
 // Prints the time per decision. It has no bound here, since it depends on the machine.
 BOOST_AUTO_TEST_CASE(timePerDecision)
 {
