--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -52,6 +52,8 @@
     uint32_t urgentSlackPercent = 100;
     std::string order = "latest-start";
     std::string placement = "most-free";
+    bool learnWorkerSpeeds = false;
+    std::string moveLongRuns = "by-ratio";
 };
 
 struct DayResult
@@ -94,6 +96,8 @@
     day.urgentSlackPercent = settings.urgentSlackPercent;
     day.queueOrder = *parseQueueOrder(settings.order);
     day.placement = *parsePlacementPolicy(settings.placement);
+    day.learnWorkerSpeeds = settings.learnWorkerSpeeds;
+    day.moveLongRuns = *parseLongRunPolicy(settings.moveLongRuns);
     day.workersCallNextAgent = settings.mostStrayAnnouncements > 0;
     day.writesLogs = writesLogs;
     if (settings.entries > 0)
@@ -291,6 +295,9 @@
         "part of the wait allowed to more urgent jobs that a job may add to; 0 for no limit")(
         "order", options::value(&settings.order), "latest-start (default) or arrival")(
         "placement", options::value(&settings.placement), "most-free (default), least-free or any")(
+        "learn-worker-speeds", options::bool_switch(&settings.learnWorkerSpeeds),
+        "agents estimate the speeds of their workers, and entries place tasks by them")(
+        "move-long-runs", options::value(&settings.moveLongRuns), "by-ratio (default) or by-evidence")(
         "json", options::bool_switch(&asJson), "prints one JSON object a day")(
         "log", options::bool_switch(&writesLogs), "writes the decision logs of all processes");
     const CommandLine line =
@@ -306,6 +313,10 @@
         std::cerr << "turmericwell emulate: --order or --placement is not known\n";
         return ExitCode::BadUsage;
     }
+    if (!parseLongRunPolicy(settings.moveLongRuns)) {
+        std::cerr << "turmericwell emulate: --move-long-runs is not known\n";
+        return ExitCode::BadUsage;
+    }
     if (writesLogs && settings.days > 1) {
         std::cerr << "turmericwell emulate: --log needs a single day\n";
         return ExitCode::BadUsage;
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -126,6 +126,8 @@
             .urgentSlackPercent = m_options.urgentSlackPercent,
             .queueOrder = m_options.queueOrder,
             .placement = m_options.placement,
+            .learnWorkerSpeeds = m_options.learnWorkerSpeeds,
+            .moveLongRuns = m_options.moveLongRuns,
             .queueAllowancePercent = m_options.queueAllowancePercent};
 }
 
