--- a/tests/unit/schedulersimulation.h
+++ b/tests/unit/schedulersimulation.h
@@ -6,8 +6,11 @@
 #include "jobs/jobscheduler.h"
 #include "worker/speedestimator.h"
 
+#include <algorithm>
+#include <cmath>
 #include <map>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace turmericwell {
