--- a/tools/lab/fleet.py
+++ b/tools/lab/fleet.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import resource
 import signal
 import subprocess
 import tempfile
@@ -35,13 +36,19 @@
         self._process = None
         self._started_at = 0
         self._paused_at = None
+        # Limit of open descriptors for the next start; None for that of this process.
+        self.most_descriptors = None
 
     def start(self):
         self._started_at = time.monotonic()
         self._paused_at = None
         with open(self._log, "ab") as log:
             self._process = subprocess.Popen([*self._command, "--settings", str(self._settings)], stdout=log,
-                                             stderr=subprocess.STDOUT)
+                                             stderr=subprocess.STDOUT, preexec_fn=self._limit_descriptors)
+
+    def _limit_descriptors(self):
+        if self.most_descriptors:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.most_descriptors, self.most_descriptors))
 
     def signal(self, number):
         if number == STOP:
@@ -62,6 +69,13 @@
     def has_ended(self):
         return self._process.poll() is not None
 
+    def pid(self):
+        return self._process.pid
+
+    def port(self, setting):
+        """The port of an address in the settings."""
+        return int(json.loads(Path(self._settings).read_text())[setting].rpartition(":")[2])
+
     def kill(self):
         if self._process and self._process.poll() is None:
             self._process.kill()
