Bound what clients and other processes can make a process hold

Cause: Beast bounds header and body of a request, but not what its parser leaves in the caller's buffer: endless trailers or chunk extensions grew an entry by all that was sent. Also without a bound were bodies read at the same time, tasks and texts of accepted submissions, timers of calls with a long Deadline-Ms, buffers for announced frames, connections, and accept loops without a free descriptor.

Change: HttpSession reads into a buffer that all sessions share and keeps only what the parser could not take, within limits of the message, of time and of a budget for all requests. HttpServer closes the connections that have waited the longest when there are too many, and waits before the next accept when descriptors are used up. The entry limits open calls, their owner held tasks; both reject with 429 before anything is done. Links between processes limit frames, time and number before the hello. InputLimits derives the defaults from memoryMb and maxDescriptors. Rejections are counted in input_rejected_total and logged as input_rejected.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -33,8 +33,11 @@
                        .queueAllowancePercent = settings.queueAllowancePercent},
                       incarnation, Clock::now(), *this, log)
     , m_registration({.identity = m_self, .address = settings.peerAddress}, store, io, log)
+    , m_unknownLinks(settings.input.maxUnknownLinks)
     , m_listener(network.listen(settings.peerListen, [this](const FrameLinkPtr &link) {
-        accepted(std::make_shared<NodeLink>(m_io, link, m_self));
+        const auto node = std::make_shared<NodeLink>(m_io, link, m_self);
+        closeOldestUnknown(node);
+        accepted(node);
     }))
 { }
 
@@ -96,6 +99,16 @@
     return m_workerManager.deregistered(worker, Clock::now(), born);
 }
 
+void AgentNode::closeOldestUnknown(const NodeLinkPtr &newest)
+{
+    const NodeLinkPtr oldest = m_unknownLinks.add(newest);
+    if (!oldest)
+        return;
+    oldest->close("too many connections that have not introduced themselves");
+    if (m_onInputRejected)
+        m_onInputRejected("unknown_links", {});
+}
+
 void AgentNode::accepted(const NodeLinkPtr &link)
 {
     link->start(
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fleet/fleetsettings.h"
+#include "fleet/inputlimits.h"
 #include "fleet/memberlist.h"
 #include "fleet/nodelink.h"
 #include "worker/reportpolicy.h"
@@ -36,6 +37,7 @@
     // when the grace period is nearly over.
     void beginStop(std::function<void()> onDone);
 
+    void setOnInputRejected(InputRejected handler) { m_onInputRejected = std::move(handler); }
     // Updates the gauges.
     void measure(Metrics &metrics) const
     {
@@ -67,6 +69,7 @@
     };
 
     void accepted(const NodeLinkPtr &link);
+    void closeOldestUnknown(const NodeLinkPtr &newest);
     void introduce(const NodeLinkPtr &link, const fleet::HelloT &hello);
     void closed(const NodeLinkPtr &link, const std::string &reason);
     void received(EntryNumber entry, fleet::EnvelopeT &envelope);
@@ -88,6 +91,8 @@
     Timers m_timers;
     WorkerManager m_workerManager;
     Registration m_registration;
+    HelloQueue m_unknownLinks;
+    InputRejected m_onInputRejected;
     std::unique_ptr<LinkListener> m_listener;
     std::map<EntryNumber, Entry> m_entries;
     EntryNumber m_nextEntry = 1;
--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -12,11 +12,25 @@
 // Time reserved for delivering the answer to the client.
 constexpr Millis answerMargin = {60};
 constexpr Millis leastRetryAfter = {1'000};
+// One check serves all calls, and no timer outlives its call by more than this: clients choose their waits.
+constexpr Millis expiryCheckInterval = {1'000};
 constexpr std::string_view noAnswerInTime = "no answer from the owner in time";
 
 void EntryNode::call(JobCall call, JobReplyHandler onDone)
 {
     const Millis wait = std::max(call.wait - answerMargin, Millis{10});
+    const size_t weight = call.spec ? call.spec->steps.size() : 0;
+    // Nothing has been done for this call yet, so the rejection is true. A call holds its steps, not its
+    // tasks.
+    if (m_calls.size() >= m_settings.input.maxOpenCalls
+        || m_callWeight + weight > std::max<size_t>(m_settings.input.maxHeldTasks, weight)) {
+        inputRejected("open_calls");
+        onDone({.status = call.kind == fleet::CallKind::Submit ? fleet::CallStatus::Refused
+                                                               : fleet::CallStatus::NotReady,
+                .retryAfter = leastRetryAfter,
+                .reason = "too many calls are open"});
+        return;
+    }
     const uint64_t id = m_nextCall++;
     const Millis now = Clock::now();
     // A submission without a known owner is rejected once its job could no longer meet its deadline.
@@ -25,11 +39,38 @@
     m_calls[id] = {.call = std::move(call),
                    .deadline = now + wait,
                    .ownerDeadline = now + ownerWait,
-                   .onDone = std::move(onDone)};
-    m_timers.after(wait, [this, id] { expire(id, noAnswerInTime); });
+                   .onDone = std::move(onDone),
+                   .weight = weight};
+    m_callWeight += weight;
+    m_callDeadlines.emplace(now + wait, id);
+    scheduleExpiry(now);
     route(id);
 }
 
+void EntryNode::scheduleExpiry(Millis now)
+{
+    if (m_callDeadlines.empty())
+        return;
+    const Millis at = std::min(m_callDeadlines.begin()->first, now + expiryCheckInterval);
+    if (m_expiryAt && *m_expiryAt <= at)
+        return;
+    m_expiryAt = at;
+    m_timers.after(at - now, [this, at] {
+        if (m_expiryAt != at)
+            return;
+        m_expiryAt.reset();
+        expireDue();
+    });
+}
+
+void EntryNode::expireDue()
+{
+    const Millis now = Clock::now();
+    while (!m_callDeadlines.empty() && m_callDeadlines.begin()->first <= now)
+        expire(m_callDeadlines.begin()->second, noAnswerInTime);
+    scheduleExpiry(now);
+}
+
 NodeLinkPtr EntryNode::ownerLink(uint32_t partition) const
 {
     uint64_t bestEpoch = 0;
@@ -169,6 +210,8 @@
     const bool isCancelled = found->second.call.kind == fleet::CallKind::Cancel
         && (reply.status == fleet::CallStatus::Done || reply.status == fleet::CallStatus::NotKnown);
     const JobId job = found->second.call.job;
+    m_callWeight -= found->second.weight;
+    m_callDeadlines.erase({found->second.deadline, id});
     m_calls.erase(found);
     onDone(reply);
     if (isCancelled)
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -40,7 +40,8 @@
     , m_scheduler({.partitions = settings.partitions,
                    .admissionSlackPercent = settings.admissionSlackPercent,
                    .order = settings.queueOrder,
-                   .urgentSlackPercent = settings.urgentSlackPercent},
+                   .urgentSlackPercent = settings.urgentSlackPercent,
+                   .maxHeldTasks = settings.input.maxHeldTasks},
                   m_pool, *this, log)
     , m_owner({.member = settings.name,
                .memberTtl = memberTtl(settings),
@@ -63,9 +64,12 @@
                       .address = settings.peerAddress,
                       .processors = settings.processorShare * settings.processorSpeed},
                      store, io, log)
+    , m_unknownLinks(settings.input.maxUnknownLinks)
     , m_listener(network.listen(settings.peerListen,
                                 [this](const FrameLinkPtr &link) {
-                                    connected(std::make_shared<NodeLink>(m_io, link, m_self), {});
+                                    const auto node = std::make_shared<NodeLink>(m_io, link, m_self);
+                                    closeOldestUnknown(node);
+                                    connected(node, {});
                                 }))
     , m_entries(memberTtl(settings))
     , m_lastActive(Clock::now())
@@ -161,6 +165,21 @@
     m_pool.setEvacuatedZones(std::move(zones));
 }
 
+void EntryNode::inputRejected(std::string_view limit)
+{
+    if (m_onInputRejected)
+        m_onInputRejected(limit, {});
+}
+
+void EntryNode::closeOldestUnknown(const NodeLinkPtr &newest)
+{
+    const NodeLinkPtr oldest = m_unknownLinks.add(newest);
+    if (!oldest)
+        return;
+    oldest->close("too many connections that have not introduced themselves");
+    inputRejected("unknown_links");
+}
+
 void EntryNode::connected(const NodeLinkPtr &link, const std::string &dialledName)
 {
     link->start({.onHello =
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -81,6 +81,9 @@
     // ones.
     uint32_t pendingCount(const std::string &queue) const;
 
+    // The handler is called for each call and connection that is rejected by a limit.
+    void setOnInputRejected(InputRejected handler) { m_onInputRejected = std::move(handler); }
+
     // --- JobEffects ---
     void store(uint32_t partition, JobId job, std::string record, bool mayDrop,
                std::function<void(StoreOutcome, Millis)> onDone) override;
@@ -89,6 +92,7 @@
     void endStored(AgentNumber agent, const RunId &run) override;
     void endDisputed(AgentNumber agent, const RunId &run) override;
     void sendRunSize(AgentNumber agent, const RunId &run, const StepSpec &step) override;
+    void inputRejected(std::string_view limit) override;
 
 private:
     struct Peer
@@ -126,10 +130,13 @@
         // Number of the current attempt; answers to earlier attempts are ignored.
         uint64_t attempt = 0;
         NodeLinkPtr forwardLink;
+        // Size of the call in the units of InputLimits::maxHeldTasks.
+        size_t weight = 0;
     };
 
     // --- entrynode.cpp: connections ---
     void connected(const NodeLinkPtr &link, const std::string &dialledName);
+    void closeOldestUnknown(const NodeLinkPtr &newest);
     void introduce(const NodeLinkPtr &link, const fleet::HelloT &hello);
     void closed(const NodeLinkPtr &link, const std::string &reason);
     void agentConnected(const NodeLinkPtr &link, const fleet::HelloT &hello);
@@ -218,6 +225,9 @@
 
     // --- entrycalls.cpp: client calls ---
     void route(uint64_t id);
+    // Expires the calls whose wait is over, and schedules the next check.
+    void expireDue();
+    void scheduleExpiry(Millis now);
     void perform(JobCall &call, JobReplyHandler onDone);
     void answered(uint64_t id, uint64_t attempt, JobReply reply);
     void finish(uint64_t id, const JobReply &reply);
@@ -244,6 +254,8 @@
     MemberList m_members;
     MembershipPlan m_membershipPlan;
     Registration m_registration;
+    HelloQueue m_unknownLinks;
+    InputRejected m_onInputRejected;
     std::unique_ptr<LinkListener> m_listener;
     QueueTable m_queues;
     bool m_operatorRecordsKnown = false;
@@ -256,6 +268,12 @@
     std::map<AgentNumber, NodeLinkPtr> m_agentLinks;
     std::map<std::string, Peer> m_peers;
     std::map<uint64_t, PendingCall> m_calls;
+    // Ends of the waits of the same calls.
+    std::set<std::pair<Millis, uint64_t>> m_callDeadlines;
+    // When the calls are next checked for expiry; empty if no check is scheduled.
+    std::optional<Millis> m_expiryAt;
+    // Sum over m_calls.
+    size_t m_callWeight = 0;
     uint64_t m_nextCall = 1;
     // Callbacks of the store calls that a peer relays for this entry.
     std::map<uint64_t, StoreTransport::Done> m_storeRelays;
--- a/src/fleet/fleetmetrics.h
+++ b/src/fleet/fleetmetrics.h
@@ -12,6 +12,8 @@
                       "Decisions by event, including those whose log line was dropped.", "event"},
     MetricDescription{"log_lines_dropped_total", MetricKind::Counter,
                       "Lines of the decision log that were dropped."},
+    MetricDescription{"input_rejected_total", MetricKind::Counter,
+                      "Requests, connections and calls that a limit on input has rejected.", "limit"},
     MetricDescription{"job_ms", MetricKind::Summary, "Time from a job's acceptance to its end, in ms."},
     MetricDescription{"run_wait_ms", MetricKind::Summary,
                       "Time from a job's acceptance to the start of a run, in ms."},
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -24,6 +24,7 @@
     settings.stopGrace = reader.millis("stopGraceMs", {6'000}, {.least = 500, .most = 600'000});
     settings.logLinesPerSecond =
         static_cast<uint32_t>(reader.integer("logLinesPerSecond", 800, {.least = 10, .most = 1'000'000}));
+    settings.input = readInputLimits(reader);
     return settings;
 }
 
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/jsonreader.h"
+#include "fleet/inputlimits.h"
 #include "jobs/policies.h"
 #include "net/address.h"
 
@@ -32,6 +33,7 @@
     Millis workerLease;
     Millis stopGrace;
     uint32_t logLinesPerSecond = 800;
+    InputLimits input;
     // Entries: fraction of a processor available to the instance, and the processor's speed relative to a
     // typical one. Partitions are assigned in proportion to the product.
     double processorShare = 0.125;
--- a/src/fleet/nodelink.cpp
+++ b/src/fleet/nodelink.cpp
@@ -7,6 +7,10 @@
 // Allows for three unanswered pings. Must be shorter than the time after which an agent stops the runs of an
 // unresponsive owner.
 constexpr Millis pingTimeout = {1'050};
+// The hello is the first message on a connection, so it takes no longer than the answer to a ping.
+constexpr Millis helloTimeout = {3'000};
+// A hello has a few names. The limit of other messages holds once the peer has introduced itself.
+constexpr uint32_t mostHelloBytes = 16'384;
 
 NodeLink::NodeLink(IoContext &io, FrameLinkPtr link, const NodeIdentity &self)
     : m_timers(io)
@@ -19,6 +23,7 @@
 void NodeLink::start(Handlers handlers)
 {
     m_handlers = std::move(handlers);
+    m_link->limitFrames(mostHelloBytes);
     m_link->start({.onFrame = [self = shared_from_this()](
                                   std::span<const uint8_t> payload) { self->received(payload); },
                    .onClosed =
@@ -53,6 +58,10 @@
               + " ms");
         return;
     }
+    if (!m_introduced && now - m_startedAt > helloTimeout) {
+        close("peer has not introduced itself for " + std::to_string((now - m_startedAt).count) + " ms");
+        return;
+    }
     ping();
     m_timers.after(pingInterval, [weak = weak_from_this()] {
         if (const NodeLinkPtr self = weak.lock())
@@ -89,6 +98,7 @@
     if (const fleet::HelloT *hello = envelope->body.AsHello()) {
         if (!std::exchange(m_introduced, true)) {
             m_peer = *hello;
+            m_link->limitFrames(maxFrameBytes);
             m_handlers.onHello(shared_from_this(), m_peer);
         }
     } else if (const fleet::PingT *ping = envelope->body.AsPing()) {
@@ -97,6 +107,10 @@
         m_lastPongSent = Clock::now();
         send(std::move(pong));
     } else if (const fleet::PongT *pong = envelope->body.AsPong()) {
+        if (Millis{pong->sent_ms} > Clock::now()) {
+            close("pong for a ping that was not sent");
+            return;
+        }
         // The pong only proves that the peer was alive when this side sent the ping. Its arrival time proves
         // nothing: the pong may have been waiting in a buffer while this process was paused.
         m_peerAliveAt = std::max(m_peerAliveAt, Millis{pong->sent_ms});
@@ -107,4 +121,18 @@
     }
 }
 
+NodeLinkPtr HelloQueue::add(const NodeLinkPtr &link)
+{
+    std::erase_if(m_links, [](const std::weak_ptr<NodeLink> &item) {
+        const NodeLinkPtr waiting = item.lock();
+        return !waiting || !waiting->awaitsHello();
+    });
+    m_links.push_back(link);
+    if (m_links.size() <= m_most)
+        return nullptr;
+    const NodeLinkPtr oldest = m_links.front().lock();
+    m_links.pop_front();
+    return oldest;
+}
+
 } // namespace turmericwell
--- a/src/fleet/nodelink.h
+++ b/src/fleet/nodelink.h
@@ -8,6 +8,7 @@
 #include "net/timers.h"
 #include "proto/fleetcodec.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
@@ -64,6 +65,8 @@
     // Pings the peer at once, besides the regular pings.
     void ping();
     const fleet::HelloT &peer() const { return m_peer; }
+    // True until the peer has introduced itself or the link is closed.
+    bool awaitsHello() const { return !m_introduced && !m_closed; }
     // Time at which this side sent its greeting. The peer's greeting may have been under way for longer.
     Millis startedAt() const { return m_startedAt; }
     // Time at which this side last answered a ping of the peer.
@@ -88,4 +91,23 @@
     Millis m_lastPongSent;
 };
 
+// Bounds the accepted connections on which nobody has introduced itself. Any process that reaches the port
+// can open one.
+class HelloQueue
+{
+public:
+    explicit HelloQueue(size_t most)
+        : m_most(most)
+    { }
+
+    // Adds a connection. Returns the oldest one if there are too many, for the caller to close.
+    NodeLinkPtr add(const NodeLinkPtr &link);
+    size_t size() const { return m_links.size(); }
+
+private:
+    const size_t m_most;
+    // Oldest first. Links that no longer wait are removed by the next call of add.
+    std::deque<std::weak_ptr<NodeLink>> m_links;
+};
+
 } // namespace turmericwell
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -129,6 +129,16 @@
     return reply;
 }
 
+// Tasks whose memory the job takes: a job and a step take about that of four tasks and one.
+static size_t taskUnits(const JobSpec &spec)
+{
+    constexpr size_t unitsPerJob = 4;
+    size_t units = unitsPerJob + spec.steps.size();
+    for (const auto &step : spec.steps)
+        units += step->count;
+    return units;
+}
+
 JobScheduler::Job &JobScheduler::addJob(JobSpec spec, uint32_t partition, Millis now)
 {
     const JobId id = spec.id;
@@ -138,6 +148,7 @@
     job.partition = partition;
     job.acceptedAt = now;
     job.dueAt = now + objective(job.spec);
+    job.heldTasks = Share(m_heldTasks, taskUnits(job.spec));
     for (uint32_t number = 0; number < job.spec.steps.size(); ++number) {
         job.stepFirst.push_back(static_cast<uint32_t>(job.tasks.size()));
         const uint32_t count = job.spec.steps[number]->count;
@@ -190,6 +201,15 @@
                 .reason = "the agents have not reported to the new owner yet"});
         return;
     }
+    // A single job is accepted whatever its size.
+    if (m_options.maxHeldTasks > 0 && m_heldTasks > 0
+        && m_heldTasks + taskUnits(spec) > m_options.maxHeldTasks) {
+        m_effects.inputRejected("held_tasks");
+        onDone({.status = fleet::CallStatus::Refused,
+                .retryAfter = minRetryAfter,
+                .reason = "too many tasks are held"});
+        return;
+    }
     if (std::optional<JobReply> rejection = checkAdmission(spec, now)) {
         onDone(std::move(*rejection));
         return;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -81,6 +81,8 @@
     // Reports that the task was ordered again before this end was known.
     virtual void endDisputed(AgentNumber agent, const RunId &run) = 0;
     virtual void sendRunSize(AgentNumber agent, const RunId &run, const StepSpec &step) = 0;
+    // A submission was rejected by the named limit.
+    virtual void inputRejected(std::string_view limit) { static_cast<void>(limit); }
 };
 
 struct JobReply
@@ -127,6 +129,9 @@
     // The predicted wait must also be within this percentage of the wait that is allowed for more urgent
     // jobs; 0 disables the limit.
     uint32_t urgentSlackPercent = 100;
+    // Submissions of new jobs are rejected while the held jobs have more tasks than this together; 0 means no
+    // limit. A step counts as one task, and a job as four.
+    size_t maxHeldTasks = 0;
     // How long ended jobs can be queried before they are deleted.
     Millis retention = {150'000};
 };
@@ -211,6 +216,7 @@
     // Processors that tasks waiting at the other entries require, as those entries report them.
     void setPeersWaitingCpuMilli(int64_t amount) { m_peersWaitingCpuMilli = amount; }
     size_t activeJobs() const { return m_jobs.size(); }
+    size_t heldTasks() const { return m_heldTasks; }
 
 private:
     enum class TaskPhase : uint8_t {
@@ -251,6 +257,38 @@
         bool slowReported = false;
     };
 
+    // Adds to a total for as long as it exists.
+    class Share
+    {
+    public:
+        Share() = default;
+        Share(size_t &total, size_t amount)
+            : m_total(&total)
+            , m_amount(amount)
+        {
+            *m_total += m_amount;
+        }
+        Share(Share &&other) noexcept
+            : m_total(std::exchange(other.m_total, nullptr))
+            , m_amount(other.m_amount)
+        { }
+        Share &operator=(Share &&other) noexcept
+        {
+            std::swap(m_total, other.m_total);
+            std::swap(m_amount, other.m_amount);
+            return *this;
+        }
+        ~Share()
+        {
+            if (m_total)
+                *m_total -= m_amount;
+        }
+
+    private:
+        size_t *m_total = nullptr;
+        size_t m_amount = 0;
+    };
+
     struct UnstoredEnd
     {
         AgentNumber agent = 0;
@@ -300,6 +338,8 @@
         Millis latestStart;
         // Sort key in the queue; valid while queued is set.
         Millis queueKey;
+        // Part of m_heldTasks.
+        Share heldTasks;
     };
 
     struct EndedJob
@@ -474,6 +514,8 @@
     RunTimes m_runTimes;
     UrgentSlack m_urgentSlack;
     std::map<uint32_t, Partition> m_partitions;
+    // Size of m_jobs in the units of JobSchedulerOptions::maxHeldTasks; outlives the jobs.
+    size_t m_heldTasks = 0;
     std::unordered_map<JobId, Job> m_jobs;
     uint64_t m_lastSerial = 0;
     uint64_t m_lastClaim = 0;
--- a/src/net/framelink.cpp
+++ b/src/net/framelink.cpp
@@ -13,6 +13,8 @@
 using asio::ip::tcp;
 
 constexpr size_t readBufferBytes = 8'192;
+// Without a free descriptor each accept fails at once.
+constexpr std::chrono::milliseconds acceptBackoff{50};
 
 FrameHeader decodeFrameHeader(std::span<const uint8_t, frameHeaderBytes> bytes)
 {
@@ -146,7 +148,11 @@
     size_t wanted = frameHeaderBytes;
     while (rest.size() >= frameHeaderBytes) {
         const FrameHeader header = decodeFrameHeader(rest.first<frameHeaderBytes>());
-        const std::string problem = frameHeaderProblem(header);
+        std::string problem = frameHeaderProblem(header);
+        if (problem.empty() && header.payloadBytes > m_mostPayloadBytes)
+            problem = "frame payload of " + std::to_string(header.payloadBytes)
+                + " bytes exceeds the limit of " + std::to_string(m_mostPayloadBytes)
+                + " bytes for a peer that has not introduced itself";
         if (!problem.empty()) {
             finish(problem);
             return false;
@@ -162,7 +168,8 @@
     }
     std::copy(rest.begin(), rest.end(), m_buffer.begin());
     m_received = rest.size();
-    m_buffer.resize(std::max(wanted, readBufferBytes));
+    // The buffer grows as the bytes of a large frame arrive: its header alone takes no memory.
+    m_buffer.resize(std::max(std::min(wanted, 2 * m_received), readBufferBytes));
     return true;
 }
 
@@ -211,6 +218,7 @@
     State(IoContext &context, const Address &address, std::function<void(FrameLinkPtr)> handler)
         : io(context)
         , acceptor(context, tcp::endpoint(asio::ip::make_address(address.host), address.port))
+        , timer(context)
         , onAccept(std::move(handler))
     { }
 
@@ -219,16 +227,22 @@
         acceptor.async_accept(
             asio::make_strand(io),
             [self = shared_from_this()](const boost::system::error_code &error, TcpSocket socket) {
-                if (error == asio::error::operation_aborted)
+                if (error == asio::error::operation_aborted || !self->acceptor.is_open())
                     return;
                 if (!error)
                     self->onAccept(std::make_shared<TcpFrameLink>(std::move(socket)));
-                self->accept();
+                if (!error || error == asio::error::connection_aborted) {
+                    self->accept();
+                    return;
+                }
+                self->timer.expires_after(acceptBackoff);
+                self->timer.async_wait([self](const boost::system::error_code &) { self->accept(); });
             });
     }
 
     IoContext &io;
     tcp::acceptor acceptor;
+    asio::steady_timer timer;
     std::function<void(FrameLinkPtr)> onAccept;
 };
 
@@ -244,6 +258,7 @@
     asio::post(m_state->acceptor.get_executor(), [state = m_state] {
         boost::system::error_code ignored;
         state->acceptor.close(ignored);
+        state->timer.cancel();
     });
 }
 
--- a/src/net/framelink.h
+++ b/src/net/framelink.h
@@ -66,6 +66,9 @@
     // Closes the connection after all queued frames have been written.
     virtual void closeAfterWrites() = 0;
     virtual void close(const std::string &reason) = 0;
+    // Received frames with a larger payload close the connection. The limit is maxFrameBytes until the first
+    // call.
+    virtual void limitFrames(uint32_t mostPayloadBytes) { static_cast<void>(mostPayloadBytes); }
 
     virtual uint64_t bytesSent() const = 0;
     virtual uint64_t bytesReceived() const = 0;
@@ -85,6 +88,7 @@
     void flush() override;
     void closeAfterWrites() override;
     void close(const std::string &reason) override;
+    void limitFrames(uint32_t mostPayloadBytes) override { m_mostPayloadBytes = mostPayloadBytes; }
 
     uint64_t bytesSent() const override { return m_bytesSent; }
     uint64_t bytesReceived() const override { return m_bytesReceived; }
@@ -105,6 +109,7 @@
     // The first m_received bytes have been received but not yet passed to onFrame.
     std::vector<uint8_t> m_buffer;
     size_t m_received = 0;
+    std::atomic<uint32_t> m_mostPayloadBytes = maxFrameBytes;
     // Accessed only on the socket's strand. m_writing holds the frames of the write in progress.
     std::deque<std::vector<uint8_t>> m_queue;
     std::vector<std::vector<uint8_t>> m_writing;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -38,12 +38,32 @@
 // call sends status 500.
 using HttpResponder = std::function<void(HttpResponse)>;
 
+class ByteBudget;
+
+// A request beyond a limit is answered with an error status, or its connection is closed; the handler does
+// not get it.
 struct HttpServerOptions
 {
     uint32_t maxBodyBytes = 4U << 20U;
-    // Limits the wait for and reading of a request, and the writing of a response. The connection is closed
-    // when the limit is exceeded.
+    // For the start line and the headers together, for the header of a chunk, and for the trailers.
+    uint32_t maxHeaderBytes = 32'768;
+    // Limits the wait for the next request on a connection.
     Millis idleTimeout = {60'000};
+    // Limits the reading of a header from its first byte, and that of the rest of the message after it.
+    Millis readTimeout = {60'000};
+    Millis writeTimeout = {60'000};
+    // At the limit, connections that have waited the longest are closed for new ones. 0: no limit.
+    size_t maxConnections = 0;
+    // Further connections from the same address are closed. 0: no limit.
+    size_t maxConnectionsPerClient = 0;
+    // Sizes of the kernel's buffers of each connection; 0: as the kernel chooses.
+    int socketBufferBytes = 0;
+    // Bounds the bytes of requests that are being read or handled; may be null, and shared by several
+    // servers.
+    std::shared_ptr<ByteBudget> budget;
+    // Called with the name of the limit and the client's address for each request or connection that is
+    // rejected by a limit. May be empty; callable from any thread.
+    std::function<void(std::string_view limit, const std::string &client)> onRejected;
 };
 
 // Accepts connections until destroyed or until stopAccepting is called.
@@ -86,6 +106,8 @@
     size_t maxConnections = 8;
     // A response with a larger body fails the request.
     uint64_t maxBodyBytes = 16U << 20U;
+    // The same for its headers, the header of a chunk, and its trailers.
+    uint32_t maxHeaderBytes = 65'536;
     Millis connectTimeout = {1'000};
     // Returns a number that rises with each response of the peer, or nullopt for a response without one. If
     // set, HttpResult::isOutdated marks the responses that may belong to an earlier request.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -82,6 +82,7 @@
     explicit Connection(std::shared_ptr<State> owner)
         : m_owner(std::move(owner))
         , m_stream(asio::make_strand(m_owner->io))
+        , m_buffer(m_owner->options.maxHeaderBytes)
     { }
 
     // Starts a call. The connection holds a reference to the client's state until the call finishes; an idle
@@ -143,6 +144,7 @@
     {
         m_parser.emplace();
         m_parser->body_limit(m_owner->options.maxBodyBytes);
+        m_parser->header_limit(m_owner->options.maxHeaderBytes);
         http::async_read(m_stream, m_buffer, *m_parser,
                          [self = shared_from_this()](const beast::error_code &error, size_t) {
                              if (error)
@@ -205,6 +207,7 @@
 
     std::shared_ptr<State> m_owner;
     beast::tcp_stream m_stream;
+    // Its limit bounds what the parser leaves in it: trailers and headers of chunks without an end.
     beast::flat_buffer m_buffer;
     http::request<http::string_body> m_message;
     std::optional<http::response_parser<http::string_body>> m_parser;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,20 +1,25 @@
-// HTTP server with one session object per connection, each on its own strand.
-#include "net/http.h"
+// HTTP server: accepts a bounded number of connections and enforces their time limits.
+#include "net/httpsession.h"
 
-#include <atomic>
+#include <algorithm>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <mutex>
-#include <set>
+#include <boost/asio/steady_timer.hpp>
 
 namespace turmericwell {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
+namespace http = boost::beast::http;
 using asio::ip::tcp;
 
+// Time limits are checked for all connections together, so that a request costs no timer.
+constexpr std::chrono::milliseconds timeCheckInterval{100};
+// Without a free descriptor each accept fails at once.
+constexpr std::chrono::milliseconds acceptBackoff{50};
+// Part of the connections that is closed together when there are too many, so that the search for them is
+// rare.
+constexpr size_t evictionDivisor = 64;
+constexpr int listenBacklog = 1'024;
+
 std::optional<std::string> percentDecode(std::string_view text)
 {
     std::string result;
@@ -68,7 +73,7 @@
     return result;
 }
 
-static HttpRequest toRequest(http::request<http::string_body> &&message)
+HttpRequest toHttpRequest(http::request<ReceivedBody> &&message)
 {
     HttpRequest result;
     result.method = std::string_view(message.method_string());
@@ -87,189 +92,114 @@
     return result;
 }
 
-namespace {
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
+{
+    State(IoContext &context, const Address &address)
+        : io(context)
+        , acceptor(asio::make_strand(context))
+        , acceptTimer(acceptor.get_executor())
+        , checkTimer(acceptor.get_executor())
+        , endpoint(asio::ip::make_address(address.host), address.port)
+    { }
 
-class HttpSession;
+    void listen();
+    void accept();
+    void accepted(TcpSocket socket);
+    bool hasRoom(const asio::ip::address &client);
+    void checkTimes();
 
-struct ServerShared
-{
-    HttpServerOptions options;
-    HttpServer::Handler handler;
-    std::atomic<size_t> openRequests = 0;
-    std::atomic<bool> stopping = false;
-    // Sessions of the open connections; guarded by the mutex.
-    std::mutex mutex;
-    std::set<HttpSession *> sessions;
+    IoContext &io;
+    // The handlers of the acceptor and of the timers run on one strand.
+    tcp::acceptor acceptor;
+    asio::steady_timer acceptTimer;
+    asio::steady_timer checkTimer;
+    const tcp::endpoint endpoint;
+    std::shared_ptr<HttpServerShared> shared = std::make_shared<HttpServerShared>();
+    bool isCheckingTimes = false;
 };
 
-class HttpSession : public std::enable_shared_from_this<HttpSession>
+void HttpServer::State::listen()
 {
-public:
-    HttpSession(TcpSocket socket, std::shared_ptr<ServerShared> shared)
-        : m_stream(std::move(socket))
-        , m_shared(std::move(shared))
-    {
-        boost::system::error_code ignored;
-        m_stream.socket().set_option(tcp::no_delay(true), ignored);
-        const std::lock_guard lock(m_shared->mutex);
-        m_shared->sessions.insert(this);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    // Connections inherit the sizes. By default the kernel lets these buffers grow to megabytes each.
+    if (const int bytes = shared->options.socketBufferBytes; bytes > 0) {
+        acceptor.set_option(asio::socket_base::receive_buffer_size(bytes));
+        acceptor.set_option(asio::socket_base::send_buffer_size(bytes));
     }
-    ~HttpSession()
-    {
-        const std::lock_guard lock(m_shared->mutex);
-        m_shared->sessions.erase(this);
-    }
-    HttpSession(const HttpSession &) = delete;
-    HttpSession &operator=(const HttpSession &) = delete;
+    acceptor.bind(endpoint);
+    acceptor.listen(listenBacklog);
+    accept();
+}
 
-    void closeIfIdle()
-    {
-        asio::post(m_stream.get_executor(), [self = shared_from_this()] {
-            if (self->m_reading && self->m_buffer.size() == 0 && !self->m_parser->got_some()) {
-                beast::error_code ignored;
-                self->m_stream.socket().cancel(ignored);
+void HttpServer::State::accept()
+{
+    acceptor.async_accept(
+        asio::make_strand(io),
+        [self = shared_from_this()](const boost::system::error_code &error, TcpSocket socket) {
+            if (error == asio::error::operation_aborted || !self->acceptor.is_open())
+                return;
+            if (!error)
+                self->accepted(std::move(socket));
+            if (!error || error == asio::error::connection_aborted) {
+                self->accept();
+                return;
             }
+            self->shared->rejected("descriptors", {});
+            self->shared->evictConnections(1 + self->shared->connectionCount() / evictionDivisor);
+            self->acceptTimer.expires_after(acceptBackoff);
+            self->acceptTimer.async_wait([self](const boost::system::error_code &) { self->accept(); });
         });
-    }
-
-    void read()
-    {
-        m_reading = true;
-        m_parser.emplace();
-        m_parser->body_limit(m_shared->options.maxBodyBytes);
-        m_stream.expires_after(std::chrono::milliseconds(m_shared->options.idleTimeout.count));
-        http::async_read(
-            m_stream, m_buffer, *m_parser,
-            [self = shared_from_this()](const beast::error_code &error, size_t) { self->onRead(error); });
-    }
-
-private:
-    void onRead(const beast::error_code &error)
-    {
-        m_reading = false;
-        if (error == http::error::body_limit) {
-            m_keepAlive = false;
-            write({.status = 413, .body = R"({"outcome":"not_run","reason":"too_large"})"});
-            return;
-        }
-        // Only malformed HTTP gets an error response. After a transport error or time-out the connection is
-        // closed without one.
-        const bool badHttp = error.category() == http::make_error_code(http::error::bad_method).category()
-            && error != http::error::end_of_stream && error != http::error::partial_message;
-        if (error && !badHttp) {
-            close();
-            return;
-        }
-        if (error) {
-            m_keepAlive = false;
-            write(
-                {.status = 400, .body = R"({"outcome":"not_run","reason":"bad_input","detail":"bad HTTP"})"});
-            return;
-        }
-        dispatch();
-    }
-
-    void dispatch()
-    {
-        m_stream.expires_never();
-        m_keepAlive = m_parser->get().keep_alive();
-        ++m_shared->openRequests;
-        // Sends status 500 if the handler discards the responder without calling it.
-        struct Guard
-        {
-            std::shared_ptr<HttpSession> session;
-            std::atomic<bool> answered = false;
-            void answer(HttpResponse response)
-            {
-                if (!answered.exchange(true))
-                    session->postWrite(std::move(response));
-            }
-            ~Guard() { answer({.status = 500, .body = R"({"outcome":"unknown","reason":"internal"})"}); }
-        };
-        auto guard = std::make_shared<Guard>();
-        guard->session = shared_from_this();
-        m_shared->handler(toRequest(m_parser->release()),
-                          [guard](HttpResponse response) { guard->answer(std::move(response)); });
-    }
-
-    void postWrite(HttpResponse response)
-    {
-        asio::post(m_stream.get_executor(),
-                   [self = shared_from_this(), response = std::move(response)]() mutable {
-                       --self->m_shared->openRequests;
-                       self->write(std::move(response));
-                   });
-    }
-
-    void write(HttpResponse response)
-    {
-        m_response = {};
-        m_response.version(11);
-        m_response.result(static_cast<unsigned>(response.status));
-        m_response.set(http::field::content_type, response.contentType);
-        for (const auto &[name, value] : response.headers)
-            m_response.set(name, value);
-        m_response.body() = std::move(response.body);
-        m_response.keep_alive(m_keepAlive && !m_shared->stopping);
-        m_response.prepare_payload();
-        m_stream.expires_after(std::chrono::milliseconds(m_shared->options.idleTimeout.count));
-        http::async_write(m_stream, m_response,
-                          [self = shared_from_this()](const beast::error_code &error, size_t) {
-                              if (error || self->m_response.need_eof())
-                                  self->close();
-                              else
-                                  self->read();
-                          });
-    }
-
-    void close()
-    {
-        beast::error_code ignored;
-        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    }
-
-    beast::tcp_stream m_stream;
-    std::shared_ptr<ServerShared> m_shared;
-    beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::string_body>> m_parser;
-    http::response<http::string_body> m_response;
-    bool m_keepAlive = true;
-    // True while the session waits for a request or reads one.
-    bool m_reading = false;
-};
-
-} // namespace
+}
 
-struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
+void HttpServer::State::accepted(TcpSocket socket)
 {
-    State(IoContext &context, const Address &address)
-        : io(context)
-        , acceptor(context, tcp::endpoint(asio::ip::make_address(address.host), address.port))
-    { }
+    boost::system::error_code error;
+    const tcp::endpoint remote = socket.remote_endpoint(error);
+    // The client may have closed the connection already.
+    if (error || !hasRoom(remote.address()))
+        return;
+    std::make_shared<HttpSession>(std::move(socket), remote.address(), shared)->start();
+    if (!std::exchange(isCheckingTimes, true))
+        checkTimes();
+}
 
-    void accept()
-    {
-        acceptor.async_accept(asio::make_strand(io),
-                              [self = shared_from_this()](const beast::error_code &error, TcpSocket socket) {
-                                  if (error == asio::error::operation_aborted)
-                                      return;
-                                  if (!error)
-                                      std::make_shared<HttpSession>(std::move(socket), self->shared)->read();
-                                  self->accept();
-                              });
+bool HttpServer::State::hasRoom(const asio::ip::address &client)
+{
+    const HttpServerOptions &options = shared->options;
+    if (options.maxConnectionsPerClient > 0
+        && shared->connectionsOf(client) >= options.maxConnectionsPerClient) {
+        shared->rejected("connections_per_client", client);
+        return false;
     }
+    if (options.maxConnections == 0 || shared->connectionCount() < options.maxConnections)
+        return true;
+    shared->rejected("connections", client);
+    return shared->evictConnections(1 + options.maxConnections / evictionDivisor);
+}
 
-    IoContext &io;
-    tcp::acceptor acceptor;
-    std::shared_ptr<ServerShared> shared = std::make_shared<ServerShared>();
-};
+void HttpServer::State::checkTimes()
+{
+    const int64_t now = Clock::now().count;
+    const std::vector<std::shared_ptr<HttpSession>> open = shared->openSessions();
+    for (const std::shared_ptr<HttpSession> &session : open)
+        session->checkTime(now);
+    isCheckingTimes = !open.empty();
+    if (!isCheckingTimes)
+        return;
+    checkTimer.expires_after(timeCheckInterval);
+    checkTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error)
+            self->checkTimes();
+    });
+}
 
 HttpServer::HttpServer(IoContext &io, const Address &address, HttpServerOptions options, Handler handler)
     : m_state(std::make_shared<State>(io, address))
 {
-    m_state->shared->options = options;
+    m_state->shared->options = std::move(options);
     m_state->shared->handler = std::move(handler);
-    m_state->accept();
+    m_state->listen();
 }
 
 HttpServer::~HttpServer()
@@ -284,15 +214,7 @@
 
 void HttpServer::closeIdle()
 {
-    std::vector<std::shared_ptr<HttpSession>> open;
-    {
-        const std::lock_guard lock(m_state->shared->mutex);
-        for (HttpSession *session : m_state->shared->sessions) {
-            if (std::shared_ptr<HttpSession> alive = session->weak_from_this().lock())
-                open.push_back(std::move(alive));
-        }
-    }
-    for (const std::shared_ptr<HttpSession> &session : open)
+    for (const std::shared_ptr<HttpSession> &session : m_state->shared->openSessions())
         session->closeIfIdle();
 }
 
@@ -300,8 +222,9 @@
 {
     closeAfterResponses();
     asio::post(m_state->acceptor.get_executor(), [state = m_state] {
-        beast::error_code ignored;
+        boost::system::error_code ignored;
         state->acceptor.close(ignored);
+        state->acceptTimer.cancel();
     });
 }
 
--- a/tools/lab/daysite.py
+++ b/tools/lab/daysite.py
@@ -159,7 +159,7 @@
                   "listen": {"front": f"{machine.ip}:{ports['front']}", "ready": f"{machine.ip}:{ports['ready']}",
                              "control": f"{machine.ip}:{ports['control']}"},
                   "app": f"{machine.ip}:{ports['app']}", "bounds": bounds,
-                  "limits": {"cpuShare": machine.share, "cores": 1}}
+                  "limits": {"cpuShare": machine.share, "cores": 1, "memoryMb": 120, "maxFds": 3075}}
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"][machine.role]
         settings = json.loads(render((ROOT / role["template"]).read_text(), fields))
         settings["peerAddress"] = ports["peer_proxy"]
