--- a/src/fleet/nodelink.cpp
+++ b/src/fleet/nodelink.cpp
@@ -130,7 +130,7 @@
     m_links.push_back(link);
     if (m_links.size() <= m_most)
         return nullptr;
-    const NodeLinkPtr oldest = m_links.front().lock();
+    NodeLinkPtr oldest = m_links.front().lock();
     m_links.pop_front();
     return oldest;
 }
--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -400,9 +400,7 @@
             if (answered.exchange(true))
                 return;
             asio::post(session->m_socket.get_executor(),
-                       [self = session, response = std::move(response)]() mutable {
-                           self->answer(std::move(response));
-                       });
+                       [self = session, response = std::move(response)] { self->answer(response); });
         }
         ~Guard() { answer({.status = 500, .body = R"({"outcome":"unknown","reason":"internal"})"}); }
     };
--- a/tests/process/test_untrustedclients.py
+++ b/tests/process/test_untrustedclients.py
@@ -4,6 +4,7 @@
 that it answers one ordinary request afterwards. None checks a time or a share of served requests.
 """
 
+import http.client
 import json
 import os
 import select
@@ -125,6 +126,39 @@
             time.sleep(0.2)
         raise AssertionError(f"no ordinary request is served: {statuses}")
 
+    # Guards against default limits that ordinary clients reach: 64 connections at once with the largest requests that such
+    # clients send, twice on each connection.
+    def test_ordinary_clients_reach_no_limit(self):
+        fleet = self.fleet()
+        entry = fleet.entries[0]
+        crowd = Crowd(self, entry.port("clientListen"), 64)
+        body = json.dumps({"spec": "s" * 4_000, "bestEffort": True, "steps": [{"count": 1, "cpu": 100, "estimateMs": 1}]})
+        for first in (0x900, 0xa00):
+            for number, sender in enumerate(crowd.sockets):
+                head = SUBMISSION % (first + number) + f"Content-Length: {262_144}\r\nX-Padding: ".encode()
+                single = Crowd(self, 0, 0)
+                single.sockets = [sender]
+                request = head + b"p" * (16_384 - len(head) - 4) + b"\r\n\r\n" + body.encode().ljust(262_144)
+                # All but the last byte, so that the entry holds all requests at once.
+                single.send(request[:-1], b"", len(request) - 1)
+            self.wait_until_read(entry)
+            for sender in crowd.sockets:
+                sender.setblocking(True)
+                sender.settimeout(20)
+                sender.sendall(b" ")
+            statuses = {sender.recv(4096).split()[1] for sender in crowd.sockets}
+            # The scheduler may reject jobs, which no limit on input has to do with.
+            self.assertLessEqual(statuses, {b"200", b"429"})
+            for sender in crowd.sockets:
+                sender.setblocking(False)
+        connection = http.client.HTTPConnection("127.0.0.1", entry.port("metricsListen"), timeout=10)
+        self.addCleanup(connection.close)
+        connection.request("GET", "/metrics")
+        metrics = connection.getresponse().read().decode()
+        self.assertIn("input_rejected_total", metrics)
+        self.assertEqual([line for line in metrics.splitlines() if line.startswith("turmericwell_input_rejected_total{")], [])
+        self.assert_bounded(fleet, entry)
+
     # Guards against a read buffer that grows with the trailers behind a chunked body: clients outside anyone's control made
     # an entry run out of memory this way.
     def test_endless_trailers(self):
--- a/tests/unit/boundedinputtest.cpp
+++ b/tests/unit/boundedinputtest.cpp
@@ -332,11 +332,13 @@
 {
     SizeServer server({.maxConnections = 10});
     std::vector<tcp::socket> idle;
+    idle.reserve(30);
     for (int i = 0; i < 30; ++i)
         idle.push_back(server.connect());
     BOOST_TEST(server.exchange(withLength("", 5)).ends_with("5"));
     SizeServer perClient({.maxConnectionsPerClient = 2});
     std::vector<tcp::socket> own;
+    own.reserve(2);
     for (int i = 0; i < 2; ++i) {
         own.push_back(perClient.connect());
         asio::write(own.back(), asio::buffer(std::string("G")));
