--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fleet/fleetsettings.h"
+#include "fleet/inputlimits.h"
 #include "fleet/memberlist.h"
 #include "fleet/nodelink.h"
 #include "worker/reportpolicy.h"
@@ -36,6 +37,7 @@
     // when the grace period is nearly over.
     void beginStop(std::function<void()> onDone);
 
+    void setOnInputRejected(InputRejected handler) { m_onInputRejected = std::move(handler); }
     // Updates the gauges.
     void measure(Metrics &metrics) const
     {
@@ -79,6 +81,7 @@
     };
 
     void accepted(const NodeLinkPtr &link);
+    void closeOldestUnknown(const NodeLinkPtr &newest);
     void introduce(const NodeLinkPtr &link, const fleet::HelloT &hello);
     void closed(const NodeLinkPtr &link, const std::string &reason);
     void received(EntryNumber entry, fleet::EnvelopeT &envelope);
@@ -113,6 +116,8 @@
     WorkerManager m_workerManager;
     Registration m_registration;
     RegistrationState m_registrationState = RegistrationState::AwaitsWorker;
+    HelloQueue m_unknownLinks;
+    InputRejected m_onInputRejected;
     std::unique_ptr<LinkListener> m_listener;
     std::map<EntryNumber, Entry> m_entries;
     EntryNumber m_nextEntry = 1;
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -29,6 +29,7 @@
     settings.logLinesPerSecond =
         static_cast<uint32_t>(reader.integer("logLinesPerSecond", 800, {.least = 10, .most = 1'000'000}));
     settings.learnWorkerSpeeds = reader.boolean("learnWorkerSpeeds", false);
+    settings.input = readInputLimits(reader);
     return settings;
 }
 
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -86,6 +86,8 @@
     // Reports that the task was ordered again before this end was known.
     virtual void endDisputed(AgentNumber agent, const RunId &run) = 0;
     virtual void sendRunSize(AgentNumber agent, const RunId &run, const StepSpec &step) = 0;
+    // A submission was rejected by the named limit.
+    virtual void inputRejected(std::string_view limit) { static_cast<void>(limit); }
 };
 
 struct JobReply
@@ -135,6 +137,9 @@
     // Whether the agents estimate the speeds of their workers from the expected run times in the orders.
     bool learnWorkerSpeeds = false;
     LongRunPolicy moveLongRuns;
+    // Submissions of new jobs are rejected while the held jobs have more tasks than this together; 0 means no
+    // limit. A step counts as one task, and a job as four.
+    size_t maxHeldTasks = 0;
     // How long ended jobs can be queried before they are deleted.
     Millis retention = {150'000};
     // Whether tasks wait for free resources near their data, and the factor by which a run takes longer far
@@ -228,6 +233,7 @@
     // Runs that were moved, and runs that took long and were not.
     uint64_t movedRuns() const { return m_movedRuns; }
     uint64_t leftRuns() const { return m_leftRuns; }
+    size_t heldTasks() const { return m_heldTasks; }
 
 private:
     enum class TaskPhase : uint8_t {
@@ -272,6 +278,38 @@
         std::optional<Millis> nearWaitSince;
     };
 
+    // Adds to a total for as long as it exists.
+    class Share
+    {
+    public:
+        Share() = default;
+        Share(size_t &total, size_t amount)
+            : m_total(&total)
+            , m_amount(amount)
+        {
+            *m_total += m_amount;
+        }
+        Share(Share &&other) noexcept
+            : m_total(std::exchange(other.m_total, nullptr))
+            , m_amount(other.m_amount)
+        { }
+        Share &operator=(Share &&other) noexcept
+        {
+            std::swap(m_total, other.m_total);
+            std::swap(m_amount, other.m_amount);
+            return *this;
+        }
+        ~Share()
+        {
+            if (m_total)
+                *m_total -= m_amount;
+        }
+
+    private:
+        size_t *m_total = nullptr;
+        size_t m_amount = 0;
+    };
+
     struct UnstoredEnd
     {
         AgentNumber agent = 0;
@@ -321,6 +359,8 @@
         Millis latestStart;
         // Sort key in the queue; valid while queued is set.
         Millis queueKey;
+        // Part of m_heldTasks.
+        Share heldTasks;
     };
 
     struct EndedJob
@@ -568,6 +608,8 @@
     // Number of decisions to wait for a rack in the present pass.
     uint32_t m_rackWaits = 0;
     std::map<uint32_t, Partition> m_partitions;
+    // Size of m_jobs in the units of JobSchedulerOptions::maxHeldTasks; outlives the jobs.
+    size_t m_heldTasks = 0;
     std::unordered_map<JobId, Job> m_jobs;
     uint64_t m_lastSerial = 0;
     uint64_t m_lastClaim = 0;
