Explain what would happen to a job without submitting it

Cause: operators could see why a job was placed or rejected only after the fact, from the logs of its owner.

Change: JobScheduler::explain tells admission, the worker that would be chosen, near or far, expected start and end, and why other workers are excluded, from the live state and without a change of it. An entry answers POST /v1/explain on its metrics port; turmericwell explain asks it (exit codes 6: would be rejected, 7: another entry owns the job, which is named).

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -14,6 +14,8 @@
     InvalidDeclarations = 3,
     Conflict = 4,
     OutcomeNotKnown = 5,
+    WouldBeRejected = 6,
+    OtherOwner = 7,
 };
 
 ExitCode entryCommand(std::span<const std::string> arguments);
@@ -23,6 +25,7 @@
 ExitCode validateCommand(std::span<const std::string> arguments);
 ExitCode applyCommand(std::span<const std::string> arguments);
 ExitCode showCommand(std::span<const std::string> arguments);
+ExitCode explainCommand(std::span<const std::string> arguments);
 ExitCode timelineCommand(std::span<const std::string> arguments);
 ExitCode benchCommand(std::span<const std::string> arguments);
 ExitCode emulateCommand(std::span<const std::string> arguments);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -26,6 +26,8 @@
     Command{"validate", "check a directory of declarations", turmericwell::validateCommand},
     Command{"apply", "publish a directory of declarations", turmericwell::applyCommand},
     Command{"show", "show the configuration in force and the instances", turmericwell::showCommand},
+    Command{"explain", "explain what would happen to a job, without submitting it",
+            turmericwell::explainCommand},
     Command{"timeline", "merge the events of all processes", turmericwell::timelineCommand},
     Command{"bench", "drive entries with load and measure it", turmericwell::benchCommand},
     Command{"emulate", "play days with faults in virtual time", turmericwell::emulateCommand},
@@ -38,7 +40,7 @@
         out << "  " << command.name << std::string(14 - command.name.size(), ' ') << command.summary << '\n';
     out << "\nturmericwell COMMAND --help describes the options of a command.\n"
            "exit codes: 0 done, 1 failure, 2 bad usage or settings, 3 invalid declarations, 4 conflict,\n"
-           "            5 outcome not known\n";
+           "            5 outcome not known, 6 job would be rejected, 7 another entry owns the job\n";
 }
 
 } // namespace
--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -30,19 +30,40 @@
     route(id);
 }
 
-NodeLinkPtr EntryNode::ownerLink(uint32_t partition) const
+std::string EntryNode::ownerName(uint32_t partition) const
 {
     uint64_t bestEpoch = 0;
-    NodeLinkPtr link;
+    std::string owner;
     for (const auto &[name, peer] : m_peers) {
         for (const auto &owned : peer.report.partitions) {
             if (owned->partition == partition && owned->ready && owned->epoch >= bestEpoch) {
                 bestEpoch = owned->epoch;
-                link = peer.link;
+                owner = name;
             }
         }
     }
-    return link;
+    return owner;
+}
+
+NodeLinkPtr EntryNode::ownerLink(uint32_t partition) const
+{
+    const auto peer = m_peers.find(ownerName(partition));
+    return peer == m_peers.end() ? nullptr : peer->second.link;
+}
+
+JobExplanationAnswer EntryNode::explain(const JobSpec &spec) const
+{
+    JobExplanationAnswer answer{.partition = partitionOf(spec.id, m_settings.partitions)};
+    if (m_scheduler.isServing(answer.partition)) {
+        answer.owner = m_self.name;
+        answer.ownerAddress = m_settings.peerAddress;
+        answer.explanation = m_scheduler.explain(spec, Clock::now());
+        return answer;
+    }
+    answer.owner = ownerName(answer.partition);
+    if (const auto contact = m_contacts.find(answer.owner); contact != m_contacts.end())
+        answer.ownerAddress = contact->second.member.address;
+    return answer;
 }
 
 void EntryNode::perform(JobCall &call, JobReplyHandler onDone)
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -52,6 +52,18 @@
     std::function<void(StopPhase phase)> onPhase;
 };
 
+// What would happen to a job that is submitted now.
+struct JobExplanationAnswer
+{
+    uint32_t partition = 0;
+    // The entry that owns the partition, and the address at which other processes reach it; empty if it is
+    // not known.
+    std::string owner;
+    Address ownerAddress;
+    // Set if the entry that was asked is the owner.
+    std::optional<JobExplanation> explanation;
+};
+
 class EntryNode : public JobEffects
 {
 public:
@@ -77,6 +89,8 @@
 
     // Calls the handler exactly once, within the call's wait time.
     void call(JobCall call, JobReplyHandler onDone);
+    // Changes nothing.
+    JobExplanationAnswer explain(const JobSpec &spec) const;
     // Number of accepted jobs of the queue of which no task has started, at this entry and all connected
     // ones.
     uint32_t pendingCount(const std::string &queue) const;
@@ -228,6 +242,8 @@
     // Ends the submissions of a cancelled best-effort job that wait here: another owner would run the job
     // again.
     void endCancelledSubmissions(JobId job);
+    // The other entry that serves the partition; empty if none is known.
+    std::string ownerName(uint32_t partition) const;
     NodeLinkPtr ownerLink(uint32_t partition) const;
     void performForPeer(const NodeLinkPtr &link, fleet::JobCallT &message);
 
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -74,7 +74,13 @@
 Millis JobScheduler::allowedWait(const JobSpec &spec, Millis slack, Millis now)
 {
     m_urgentSlack.observe(spec.service, spec.priority, slack, now);
-    const std::optional<Millis> urgent = m_urgentSlack.shortest(spec.service, spec.priority, now);
+    return allowedWait(spec, slack, m_urgentSlack, now);
+}
+
+Millis JobScheduler::allowedWait(const JobSpec &spec, Millis slack, const UrgentSlack &urgentSlack,
+                                 Millis now) const
+{
+    const std::optional<Millis> urgent = urgentSlack.shortest(spec.service, spec.priority, now);
     Millis maxWait = slack;
     if (urgent && m_options.urgentSlackPercent > 0)
         maxWait = std::min(slack, *urgent * m_options.urgentSlackPercent / wholePercent);
@@ -130,6 +136,33 @@
     return reply;
 }
 
+AdmissionExplanation JobScheduler::explainAdmission(const JobSpec &spec, Millis now) const
+{
+    AdmissionExplanation result;
+    result.reason = unsupportedFeature(spec);
+    int64_t longestStep = 0;
+    for (const auto &step : spec.steps) {
+        const PlacementNeeds needs{.service = spec.service,
+                                   .size = {step->cpu_milli, step->memory_mb, step->accelerators},
+                                   .requiredLabel = step->required_label};
+        if (result.reason.empty() && !m_pool.canEverFit(needs))
+            result.reason = "no worker can hold a task of this size";
+        longestStep = std::max<int64_t>(longestStep, m_runTimes.estimateMs(spec.queue, step->estimate_ms));
+    }
+    if (!result.reason.empty())
+        return result;
+    result.slack = objective(spec) - Millis{longestStep} - dispatchOverhead;
+    result.predictedWait = predictedWait(spec, queueKey(now + result.slack, now), Millis{longestStep});
+    UrgentSlack observed = m_urgentSlack;
+    observed.observe(spec.service, spec.priority, result.slack, now);
+    result.allowedWait = allowedWait(spec, result.slack, observed, now);
+    if (result.predictedWait > result.allowedWait) {
+        result.reason = "the waiting work would make the job late";
+        result.retryAfter = std::max(minRetryAfter, result.predictedWait);
+    }
+    return result;
+}
+
 JobScheduler::Job &JobScheduler::addJob(JobSpec spec, uint32_t partition, Millis now)
 {
     const JobId id = spec.id;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -18,6 +18,7 @@
 //   estimates nor the waits of their clients show that no run of an earlier submission exists.
 #pragma once
 
+#include "jobs/jobexplanation.h"
 #include "jobs/placementwait.h"
 #include "jobs/policies.h"
 #include "jobs/runtimes.h"
@@ -170,6 +171,9 @@
     // A best-effort job is abandoned when none of its callers waits any longer.
     void submit(JobSpec spec, SubmitOptions options, Millis now, JobReplyHandler onDone);
     JobReply query(JobId job) const;
+    // What would happen to the job if it were submitted now. Nothing is changed. The partition must be served
+    // here. (jobschedulerexplain.cpp)
+    JobExplanation explain(const JobSpec &spec, Millis now) const;
     void cancel(JobId job, Millis now, JobReplyHandler onDone);
     std::map<std::string, uint32_t> pendingByQueue() const;
 
@@ -391,6 +395,10 @@
     Millis predictedWait(const JobSpec &spec, Millis key, Millis estimate) const;
     // Longest predicted wait with which a job of this slack is admitted.
     Millis allowedWait(const JobSpec &spec, Millis slack, Millis now);
+    Millis allowedWait(const JobSpec &spec, Millis slack, const UrgentSlack &urgentSlack, Millis now) const;
+    // What checkAdmission decides, without a record of the submission.
+    AdmissionExplanation explainAdmission(const JobSpec &spec, Millis now) const;
+    StepExplanation explainStep(const JobSpec &spec, uint32_t step, Millis start, Millis now) const;
     static int64_t waitingCpuMilli(const Job &job);
     // Records that the job must not run, and stops runs of it that agents have reported.
     void cancelUnknown(JobId id, Millis now);
--- a/src/jobs/placementwait.cpp
+++ b/src/jobs/placementwait.cpp
@@ -171,12 +171,17 @@
 
 PlacementDecision PlacementWait::decide(const PlacementQuestion &question, Millis now)
 {
-    PlacementDecision decision;
-    const TaskGain gain(question, runTimeDeviation(question.queue));
-    decision.farEnd = {std::llround(gain.nearMs * gain.farFactor)};
     // The rate of releases is also learned while there are free resources near the data.
     if (question.isRackUsable && question.farFactor > 1)
         markAsked(question.service, question.rack, now);
+    return preview(question, now);
+}
+
+PlacementDecision PlacementWait::preview(const PlacementQuestion &question, Millis now) const
+{
+    PlacementDecision decision;
+    const TaskGain gain(question, runTimeDeviation(question.queue));
+    decision.farEnd = {std::llround(gain.nearMs * gain.farFactor)};
     if (question.hasNearRoom) {
         decision.choice = PlacementChoice::Near;
         decision.nearEnd = question.expectedNear;
--- a/src/jobs/placementwait.h
+++ b/src/jobs/placementwait.h
@@ -100,6 +100,8 @@
     void runObserved(std::string_view queue, double ratio, Millis now);
 
     PlacementDecision decide(const PlacementQuestion &question, Millis now);
+    // The same decision, without the rack being observed from now on.
+    PlacementDecision preview(const PlacementQuestion &question, Millis now) const;
     // Expected wait until this amount of processors is given back on the rack; nullopt if unknown.
     std::optional<RackWait> expectedWait(std::string_view service, std::string_view rack, int64_t cpuMilli,
                                          Millis now) const;
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -102,6 +102,21 @@
     int64_t freeMilli = 0;
 };
 
+// What speaks for or against a worker for a task.
+struct PlacementCandidate
+{
+    AgentNumber agent = 0;
+    std::string worker;
+    std::string zone;
+    // Why the worker is not chosen now; empty if it may be.
+    std::string_view exclusion;
+    bool isNear = false;
+    int64_t freeMilli = 0;
+    double slowness = 1;
+    // Without the jitter of WorkerPool::choose. Higher is better.
+    double score = 0;
+};
+
 class WorkerPool
 {
 public:
@@ -138,6 +153,8 @@
     const WorkerState *find(AgentNumber agent) const;
     // Looks at all workers; not to be called for each task.
     RackRoom rackRoom(const PlacementNeeds &needs) const;
+    // All workers of the service, best first and the excluded ones last, as choose() judges them now.
+    std::vector<PlacementCandidate> candidates(const PlacementNeeds &needs, Millis now) const;
 
 private:
     struct Worker
@@ -162,6 +179,10 @@
     static bool isEligible(AgentNumber agent, const PlacementNeeds &needs);
     bool isAvoided(AgentNumber agent, const PlacementNeeds &needs) const;
 
+    std::string_view exclusion(AgentNumber agent, const Worker &worker, const PlacementNeeds &needs,
+                               Millis now) const;
+    static bool hasLabel(const Worker &worker, std::string_view label);
+
     void raiseFreeBound(const Worker &worker);
 
     const PlacementPolicy m_policy;
--- a/tools/lab/fleet.py
+++ b/tools/lab/fleet.py
@@ -30,7 +30,7 @@
         # Held by whoever stops and starts the process.
         self.lock = threading.Lock()
         self._command = command
-        self._settings = settings
+        self.settings_path = settings
         self._log = log
         self._process = None
         self._started_at = 0
@@ -40,7 +40,7 @@
         self._started_at = time.monotonic()
         self._paused_at = None
         with open(self._log, "ab") as log:
-            self._process = subprocess.Popen([*self._command, "--settings", str(self._settings)], stdout=log,
+            self._process = subprocess.Popen([*self._command, "--settings", str(self.settings_path)], stdout=log,
                                              stderr=subprocess.STDOUT)
 
     def signal(self, number):
@@ -134,6 +134,9 @@
         path.write_text(json.dumps(settings))
         return Process(settings["name"], [binary, role], path, path.with_suffix(".log"))
 
+    def metrics_address(self, entry):
+        return json.loads(self.entries[entry].settings_path.read_text())["metricsListen"]
+
     def process(self, name):
         return next(process for process in [*self.entries, *self.agents] if process.name == name)
 
