--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -43,10 +43,10 @@
                    .urgentSlackPercent = settings.urgentSlackPercent,
                    .learnWorkerSpeeds = settings.learnWorkerSpeeds,
                    .moveLongRuns = settings.moveLongRuns,
+                   .maxHeldTasks = settings.input.maxHeldTasks,
                    .placementWait = settings.placementWait ? PlacementWaitPolicy{ExpectedGain{}}
                                                            : PlacementWaitPolicy{NeverWait{}},
-                   .farFactor = settings.farFactor,
-                   .maxHeldTasks = settings.input.maxHeldTasks},
+                   .farFactor = settings.farFactor},
                   m_pool, *this, log)
     , m_owner({.member = settings.name,
                .memberTtl = memberTtl(settings),
--- a/tools/lab/fleet.py
+++ b/tools/lab/fleet.py
@@ -31,7 +31,7 @@
         # Held by whoever stops and starts the process.
         self.lock = threading.Lock()
         self._command = command
-        self._settings = settings
+        self.settings_path = settings
         self._log = log
         self._process = None
         self._started_at = 0
@@ -43,7 +43,7 @@
         self._started_at = time.monotonic()
         self._paused_at = None
         with open(self._log, "ab") as log:
-            self._process = subprocess.Popen([*self._command, "--settings", str(self._settings)], stdout=log,
+            self._process = subprocess.Popen([*self._command, "--settings", str(self.settings_path)], stdout=log,
                                              stderr=subprocess.STDOUT, preexec_fn=self._limit_descriptors)
 
     def _limit_descriptors(self):
@@ -74,7 +74,7 @@
 
     def port(self, setting):
         """The port of an address in the settings."""
-        return int(json.loads(Path(self._settings).read_text())[setting].rpartition(":")[2])
+        return int(json.loads(Path(self.settings_path).read_text())[setting].rpartition(":")[2])
 
     def kill(self):
         if self._process and self._process.poll() is None:
@@ -148,6 +148,9 @@
         path.write_text(json.dumps(settings))
         return Process(settings["name"], [binary, role], path, path.with_suffix(".log"))
 
+    def metrics_address(self, entry):
+        return json.loads(self.entries[entry].settings_path.read_text())["metricsListen"]
+
     def process(self, name):
         return next(process for process in [*self.entries, *self.agents] if process.name == name)
 
