Emulate an outage of all processes and a rolling restart with a slow store

Cause: the emulator could not show how soon service is back after all processes were down at once, nor what is refused while entries restart with a slow store.

--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -2,6 +2,7 @@
 #include "cli/options.h"
 #include "emulator/emulationcheck.h"
 #include "emulator/emulationsites.h"
+#include "emulator/returntoservice.h"
 #include "emulator/unservedjobs.h"
 #include "observe/log.h"
 
@@ -50,6 +51,12 @@
     uint32_t admissionSlackPercent = 45;
     uint32_t queueAllowancePercent = 10;
     uint32_t urgentSlackPercent = 100;
+    // 0 for no such trouble; times after the beginning of the traffic.
+    uint32_t allDownMs = 0;
+    uint32_t startSpreadMs = 100;
+    bool workersDown = false;
+    uint32_t slowRestartMs = 0;
+    uint32_t storeFactor = 65;
     std::string order = "latest-start";
     std::string placement = "most-free";
 };
@@ -64,15 +71,46 @@
     double storeCalls = 0;
     // Messages between processes, for each process and second of the day.
     double messagesPerProcess = 0;
+    // Only on days on which all processes are down, or entries are restarted with a slow store.
+    bool isReturn = false;
+    std::optional<Millis> halfServedAfter;
+    std::optional<Millis> nineTenthsServedAfter;
+    std::optional<KindService> duringTrouble;
 };
 
 constexpr int64_t msPerSecond = 1'000;
+constexpr int64_t wholePercent = 100;
+constexpr Millis firstPlannedTrouble = {3'000};
+// The entries are restarted one after the other within the slow time.
+constexpr int64_t restartedPercent = 80;
+// Jobs that are submitted in this time after the start of all processes are counted by themselves.
+constexpr Millis returnTime = {3'000};
+constexpr double half = 0.5;
+constexpr double nineTenths = 0.9;
 // Troubles begin in the first part of the day, so that the rest shows the recovery.
 constexpr int64_t troubledPercent = 60;
 constexpr Millis firstTrouble = {1'000};
 // Jobs of two steps with the longest tasks end in this time, also if a trouble has interrupted them.
 constexpr Millis finishOfLongTasks = {45'000};
 
+void addPlannedTroubles(const EmulateSettings &settings, EmulationOptions &day)
+{
+    EmulationPlan planned;
+    if (settings.allDownMs > 0)
+        planned = planOf(OutageOfAll{.at = firstPlannedTrouble,
+                                     .length = {settings.allDownMs},
+                                     .startSpread = {settings.startSpreadMs},
+                                     .withWorkers = settings.workersDown});
+    else if (settings.slowRestartMs > 0)
+        planned = planOf(SlowRestart{.at = firstPlannedTrouble,
+                                     .length = {settings.slowRestartMs},
+                                     .storeFactor = settings.storeFactor,
+                                     .gap = Millis{settings.slowRestartMs} * restartedPercent / wholePercent
+                                         / day.size.entries});
+    day.spreadsAnnouncements = !planned.empty();
+    day.plan.insert(day.plan.end(), planned.begin(), planned.end());
+}
+
 EmulationOptions dayOptions(const EmulateSettings &settings, uint64_t seed, bool writesLogs)
 {
     EmulationOptions day = *emulatedSite(settings.site);
@@ -114,9 +152,26 @@
                          .mostStrayAnnouncements = settings.mostStrayAnnouncements,
                          .workerCrashes = settings.workerCrashes,
                          .mostLateOrders = settings.mostLateOrders});
+    addPlannedTroubles(settings, day);
     return day;
 }
 
+void measurePlannedTroubles(const EmulateSettings &settings, const EmulationOptions &day,
+                            const EmulationRecord &record, DayResult &result)
+{
+    if (settings.allDownMs > 0) {
+        const Millis start = firstPlannedTrouble + Millis{settings.allDownMs};
+        result.isReturn = true;
+        result.halfServedAfter = timeUntilServed(record, day, firstPlannedTrouble, start, half);
+        result.nineTenthsServedAfter = timeUntilServed(record, day, firstPlannedTrouble, start, nineTenths);
+        result.duringTrouble = serviceWithin(record, day, {.begin = start, .end = start + returnTime});
+    } else if (settings.slowRestartMs > 0) {
+        result.duringTrouble = serviceWithin(
+            record, day,
+            {.begin = firstPlannedTrouble, .end = firstPlannedTrouble + Millis{settings.slowRestartMs}});
+    }
+}
+
 double messagesPerProcess(const EmulationRecord &record, const EmulationOptions &day)
 {
     const auto processes = static_cast<double>(day.size.entries + day.size.agents);
@@ -128,13 +183,15 @@
 {
     const EmulationOptions day = dayOptions(settings, seed, writesLogs);
     const EmulationRecord record = Emulation(day).run();
-    return {.seed = seed,
-            .plan = day.plan,
-            .service = measureService(record, day),
-            .unserved = countUnserved(record, day),
-            .broken = checkPromises(record, day),
-            .storeCalls = record.storeCalls,
-            .messagesPerProcess = messagesPerProcess(record, day)};
+    DayResult result{.seed = seed,
+                     .plan = day.plan,
+                     .service = measureService(record, day),
+                     .unserved = countUnserved(record, day),
+                     .broken = checkPromises(record, day),
+                     .storeCalls = record.storeCalls,
+                     .messagesPerProcess = messagesPerProcess(record, day)};
+    measurePlannedTroubles(settings, day, record, result);
+    return result;
 }
 
 json::object toJson(const UnservedCounts &unserved)
@@ -148,6 +205,22 @@
             {"example_of_standing_still", jobIdText(unserved.exampleOfStandingStill)}};
 }
 
+json::value returnToJson(const DayResult &day)
+{
+    if (!day.duringTrouble)
+        return nullptr;
+    const auto time = [](const std::optional<Millis> &value) {
+        return value ? json::value(value->count) : json::value(nullptr);
+    };
+    return json::object{{"asked", day.duringTrouble->asked},
+                        {"in_time", day.duringTrouble->inTime},
+                        {"late", day.duringTrouble->late},
+                        {"refused", day.duringTrouble->refused},
+                        {"not_served", day.duringTrouble->notServed},
+                        {"half_served_after_ms", time(day.halfServedAfter)},
+                        {"nine_tenths_served_after_ms", time(day.nineTenthsServedAfter)}};
+}
+
 json::object toJson(const DayResult &day)
 {
     const KindService total = day.service.total();
@@ -179,6 +252,7 @@
             {"restart_delays_ms", json::value_from(day.service.restartDelays)},
             {"store_calls", day.storeCalls},
             {"messages_per_process_s", day.messagesPerProcess},
+            {"planned_trouble", returnToJson(day)},
             {"broken", std::move(broken)},
             {"plan", std::move(plan)}};
 }
@@ -196,6 +270,23 @@
     std::cout << '\n';
 }
 
+void printReturn(const DayResult &day)
+{
+    if (!day.duringTrouble)
+        return;
+    const KindService &service = *day.duringTrouble;
+    const auto text = [](const std::optional<Millis> &time) {
+        return time ? std::to_string(time->count) + " ms" : std::string("never");
+    };
+    std::cout << "  of " << service.asked << " jobs of the planned trouble " << service.inTime << " in time, "
+              << service.late << " late, " << service.refused << " refused, "
+              << service.notServed - service.refused << " not served otherwise";
+    if (day.isReturn)
+        std::cout << "; half of the service after " << text(day.halfServedAfter) << ", nine tenths after "
+                  << text(day.nineTenthsServedAfter);
+    std::cout << '\n';
+}
+
 void printDay(const DayResult &day)
 {
     const KindService total = day.service.total();
@@ -205,6 +296,7 @@
               << day.service.workInTime << " of " << day.service.workBound << ", median "
               << day.service.medianRatio << " and p99 " << day.service.p99Ratio << " times the longest task; "
               << day.service.wasted << " wasted\n";
+    printReturn(day);
     printUnserved(day.unserved);
     if (day.broken.empty())
         return;
@@ -289,6 +381,14 @@
         "orders that may wait at an agent, in percent of its worker's processors")(
         "urgent-slack-percent", options::value(&settings.urgentSlackPercent),
         "part of the wait allowed to more urgent jobs that a job may add to; 0 for no limit")(
+        "all-down-ms", options::value(&settings.allDownMs),
+        "besides, all processes lose power for this long, 3 s after the beginning of the traffic")(
+        "start-spread-ms", options::value(&settings.startSpreadMs),
+        "they are back at different times within this span")(
+        "workers-down", options::bool_switch(&settings.workersDown), "the workers lose power with them")(
+        "slow-restart-ms", options::value(&settings.slowRestartMs),
+        "besides, the store is slow for this long while all entries are restarted in turn")(
+        "store-factor", options::value(&settings.storeFactor), "how many times slower the store then is")(
         "order", options::value(&settings.order), "latest-start (default) or arrival")(
         "placement", options::value(&settings.placement), "most-free (default), least-free or any")(
         "json", options::bool_switch(&asJson), "prints one JSON object a day")(
--- a/src/emulator/emulatedworker.cpp
+++ b/src/emulator/emulatedworker.cpp
@@ -53,6 +53,10 @@
 void EmulatedWorker::carryOut(double lostShare, Millis timeout, const std::function<void()> &effect,
                               const std::function<void()> &noAnswer)
 {
+    if (!hasPower()) {
+        m_events.after(timeout, noAnswer);
+        return;
+    }
     if (draw(trouble().late)) {
         std::uniform_int_distribution<int64_t> lateness(leastLateness.count, mostLateness.count);
         m_events.after({lateness(m_random)}, effect);
@@ -133,6 +137,8 @@
         m_network.postTo(host, agent, [onDone, result, content] { onDone(result, content); });
     };
     m_events.after(timeout, [answer] { answer(OrderAnswer::NoAnswer, {}); });
+    if (!hasPower())
+        return;
     const bool isLost = draw(trouble().losesAnswers);
     m_events.after(callTime,
                    [this, answer, isLost, agent, wait = call.wait, deadline = call.deadline,
@@ -312,6 +318,13 @@
         hold.cut();
 }
 
+void EmulatedWorker::losePower(Millis until)
+{
+    crash();
+    m_powerlessUntil = until;
+    m_events.at(until, [this] { m_bornAt = m_events.now() - Millis{firstBorn}; });
+}
+
 WorkerAnnouncement EmulatedWorker::announcement()
 {
     return {.worker = m_name,
--- a/src/emulator/emulatedworker.h
+++ b/src/emulator/emulatedworker.h
@@ -85,6 +85,9 @@
     void setTrouble(const WorkerTrouble &trouble, Millis until);
     // Everything that runs is lost; the worker starts again under the same name.
     void crash();
+    // As crash, and it answers no call until then.
+    void losePower(Millis until);
+    bool hasPower() const { return m_events.now() >= m_powerlessUntil; }
     // Kills what has no lease any more.
     void checkLeases();
     // Most processors in use at any time, over the capacity.
@@ -132,6 +135,7 @@
     std::mt19937_64 m_random;
     WorkerTrouble m_trouble;
     Millis m_troubleUntil;
+    Millis m_powerlessUntil;
     std::optional<WorkerAnnouncement> m_formerAnnouncement;
     // The newest answer to a list poll, and the life of the agent to which it was sent on a connection that
     // may carry it once more.
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -167,6 +167,22 @@
     m_events.after(length, [this, name] { startProcess(name); });
 }
 
+void Emulation::killAll(const KillAll &kill, Millis length)
+{
+    const std::vector<ProcessName> names = allProcesses();
+    for (size_t index = 0; index < names.size(); ++index) {
+        // Coprime to the usual numbers of processes, so that entries and agents start in mixed order.
+        constexpr int64_t stride = 37;
+        const auto count = static_cast<int64_t>(names.size());
+        const int64_t place = static_cast<int64_t>(index) * stride % count;
+        killFor(names[index], length + kill.startSpread * place / count, kill.losesPower);
+    }
+    if (!kill.withWorkers)
+        return;
+    for (const auto &worker : m_workers)
+        worker->losePower(m_events.now() + length);
+}
+
 void Emulation::stopProcess(const ProcessName &name)
 {
     const HostNumber host = hostOf(name);
@@ -236,6 +252,8 @@
 {
     EmulatedWorker &worker = *m_workers[number];
     m_events.after(worker.heartbeatInterval(), [this, number] { announceWorker(number); });
+    if (!worker.hasPower())
+        return;
     if (m_options.workersCallNextAgent) {
         announceToNextAgents(number, 0);
         return;
@@ -326,10 +344,7 @@
                                stopProcess({fleet::ProcessRole::Entry, index});
                            });
                    },
-                   [&](const KillAll &kill) {
-                       for (const ProcessName &name : allProcesses())
-                           killFor(name, planned.length, kill.losesPower);
-                   },
+                   [&](const KillAll &kill) { killAll(kill, planned.length); },
                    [&](const CutLink &cut) {
                        m_network.cut(hostOf(cut.from), hostOf(cut.to), until);
                        if (cut.bothWays)
@@ -389,8 +404,14 @@
 {
     for (const ProcessName &name : allProcesses())
         startProcess(name);
-    for (uint32_t number = 0; number < m_workers.size(); ++number)
-        announceWorker(number);
+    for (uint32_t number = 0; number < m_workers.size(); ++number) {
+        const Millis interval = m_workers[number]->heartbeatInterval();
+        const auto count = static_cast<int64_t>(m_workers.size());
+        if (m_options.spreadsAnnouncements)
+            m_events.after(interval * int64_t{number} / count, [this, number] { announceWorker(number); });
+        else
+            announceWorker(number);
+    }
     superviseWorkers();
     const Millis traffic = m_events.now() + m_options.settleTime;
     const Millis end = traffic + m_options.length + m_options.finish;
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -32,6 +32,8 @@
     uint32_t urgentSlackPercent = 100;
     QueueOrder queueOrder;
     PlacementPolicy placement;
+    // Workers announce themselves at different times instead of all at once.
+    bool spreadsAnnouncements = false;
     // A worker whose agent does not acknowledge an announcement calls the next agent.
     bool workersCallNextAgent = false;
     // Writes the decision logs to standard output.
@@ -67,6 +69,7 @@
     void startProcess(const ProcessName &name);
     void endProcess(HostNumber host, bool resetsConnections);
     void killFor(const ProcessName &name, Millis length, bool losesPower);
+    void killAll(const KillAll &kill, Millis length);
     void stopProcess(const ProcessName &name);
     void pollProcesses();
     void superviseWorkers();
--- a/src/emulator/emulationcheck.cpp
+++ b/src/emulator/emulationcheck.cpp
@@ -329,6 +329,27 @@
     return took;
 }
 
+std::vector<JobResult> jobResults(const EmulationRecord &record, const EmulationOptions &options)
+{
+    std::map<JobId, Millis> lastEnds;
+    for (const RunEvent &event : record.runs) {
+        if (event.kind == RunEventKind::Done)
+            lastEnds[event.run.task.job] = event.at;
+    }
+    std::vector<JobResult> results;
+    for (const JobOutcome &job : record.jobs) {
+        KindService counts;
+        countJob(job, lastEnds, objectiveOf(job, options), counts);
+        if (counts.refused > 0)
+            results.push_back(JobResult::Refused);
+        else if (counts.notServed > 0)
+            results.push_back(JobResult::NotServed);
+        else
+            results.push_back(counts.late > 0 ? JobResult::Late : JobResult::InTime);
+    }
+    return results;
+}
+
 EmulationService measureService(const EmulationRecord &record, const EmulationOptions &options)
 {
     EmulationService service;
--- a/src/emulator/emulationcheck.h
+++ b/src/emulator/emulationcheck.h
@@ -76,6 +76,11 @@
 // under these rules.
 double workBound(const EmulationRecord &record, const EmulationOptions &options);
 
+enum class JobResult : uint8_t { InTime, Late, Refused, NotServed };
+
+// What became of each job of the record, in the record's order.
+std::vector<JobResult> jobResults(const EmulationRecord &record, const EmulationOptions &options);
+
 EmulationService measureService(const EmulationRecord &record, const EmulationOptions &options);
 
 } // namespace turmericwell
--- a/src/emulator/emulationplan.cpp
+++ b/src/emulator/emulationplan.cpp
@@ -312,6 +312,24 @@
     return PlanDraw(options).plan();
 }
 
+EmulationPlan planOf(const OutageOfAll &outage)
+{
+    return {{.at = outage.at,
+             .length = outage.length,
+             .trouble = KillAll{.losesPower = outage.losesPower,
+                                .withWorkers = outage.withWorkers,
+                                .startSpread = outage.startSpread}}};
+}
+
+EmulationPlan planOf(const SlowRestart &restart)
+{
+    return {
+        {.at = restart.at,
+         .length = restart.length,
+         .trouble = TroubleStore{.trouble = StoreIsSlow{.factor = restart.storeFactor}}},
+        {.at = restart.at, .length = restart.length, .trouble = RestartEntriesInTurn{.gap = restart.gap}}};
+}
+
 static std::string text(const ProcessName &process)
 {
     return (process.role == fleet::ProcessRole::Entry ? "entry-" : "agent-") + std::to_string(process.index);
@@ -372,7 +390,8 @@
                 return "entries are restarted in turn, every " + std::to_string(restart.gap.count) + " ms";
             },
             [](const KillAll &kill) {
-                return std::string(kill.losesPower ? "all lose power" : "all are killed");
+                return std::string(kill.losesPower ? "all lose power" : "all are killed")
+                    + (kill.withWorkers ? ", the workers too" : "");
             },
             [](const CutLink &cut) {
                 return text(cut.from) + (cut.bothWays ? " and " : " cannot send to ") + text(cut.to)
--- a/src/emulator/emulationplan.h
+++ b/src/emulator/emulationplan.h
@@ -46,6 +46,10 @@
 struct KillAll
 {
     bool losesPower = false;
+    // Workers lose power with their agents and have nothing left when they are back.
+    bool withWorkers = false;
+    // The processes are back at different times up to this long after the end of the trouble.
+    Millis startSpread = {0};
 };
 // One way only, or both.
 struct CutLink
@@ -155,6 +159,27 @@
     uint32_t mostLateOrders = 0;
 };
 
+// All processes are down at once.
+struct OutageOfAll
+{
+    Millis at;
+    Millis length = {1'000};
+    Millis startSpread = {100};
+    bool losesPower = true;
+    bool withWorkers = false;
+};
+// The store is slow while all entries are restarted, one after the other.
+struct SlowRestart
+{
+    Millis at;
+    Millis length = {6'000};
+    int64_t storeFactor = 65;
+    Millis gap = {600};
+};
+
+EmulationPlan planOf(const OutageOfAll &outage);
+EmulationPlan planOf(const SlowRestart &restart);
+
 // Equal options give equal plans.
 EmulationPlan drawPlan(const PlanOptions &options);
 // For logs and reports.
