Serve a partition that is given up until its next owner has loaded it

Cause: with a slow store, each change of owner left a partition without an owner for four to five calls in sequence, and a rolling restart moves each partition several times: a third of the jobs was refused while workers were free. The former owner goes on as an owner whose membership has lapsed, by the evidence of decision 23, until the next owner reports that it has loaded the records; that one counts former owners from then on, and requests the first page together with the append that sets its epoch. The page is used only if the ends of the partition show that it lacks nothing.

--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -57,6 +57,7 @@
     bool workersDown = false;
     uint32_t slowRestartMs = 0;
     uint32_t storeFactor = 65;
+    bool serveUntilTaken = false;
     std::string order = "latest-start";
     std::string placement = "most-free";
 };
@@ -133,6 +134,7 @@
     day.queueOrder = *parseQueueOrder(settings.order);
     day.placement = *parsePlacementPolicy(settings.placement);
     day.workersCallNextAgent = settings.mostStrayAnnouncements > 0;
+    day.servesUntilTaken = settings.serveUntilTaken;
     day.writesLogs = writesLogs;
     if (settings.entries > 0)
         day.size.entries = settings.entries;
@@ -389,6 +391,8 @@
         "slow-restart-ms", options::value(&settings.slowRestartMs),
         "besides, the store is slow for this long while all entries are restarted in turn")(
         "store-factor", options::value(&settings.storeFactor), "how many times slower the store then is")(
+        "serve-until-taken", options::bool_switch(&settings.serveUntilTaken),
+        "entries serve a partition that they give up until its next owner has loaded it")(
         "order", options::value(&settings.order), "latest-start (default) or arrival")(
         "placement", options::value(&settings.placement), "most-free (default), least-free or any")(
         "json", options::bool_switch(&asJson), "prints one JSON object a day")(
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -124,6 +124,7 @@
             .stopGrace = stopGrace,
             .admissionSlackPercent = m_options.admissionSlackPercent,
             .urgentSlackPercent = m_options.urgentSlackPercent,
+            .servesUntilTaken = m_options.servesUntilTaken,
             .queueOrder = m_options.queueOrder,
             .placement = m_options.placement,
             .queueAllowancePercent = m_options.queueAllowancePercent};
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -32,6 +32,7 @@
     uint32_t urgentSlackPercent = 100;
     QueueOrder queueOrder;
     PlacementPolicy placement;
+    bool servesUntilTaken = false;
     // Workers announce themselves at different times instead of all at once.
     bool spreadsAnnouncements = false;
     // A worker whose agent does not acknowledge an announcement calls the next agent.
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -164,7 +164,9 @@
 {
     for (const auto &owned : report.partitions) {
         const std::optional<uint64_t> own = m_scheduler.epochOf(owned->partition);
-        if (own && *own < owned->epoch)
+        if (!own || *own >= owned->epoch)
+            continue;
+        if (owned->ready || !m_owner.nextOwnerLoads(owned->partition))
             m_owner.superseded(owned->partition, *own);
     }
 }
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -44,7 +44,8 @@
                   m_pool, *this, log)
     , m_owner({.member = settings.name,
                .memberTtl = memberTtl(settings),
-               .withoutStoreLimit = EntryPresence::withoutStoreLimit},
+               .withoutStoreLimit = EntryPresence::withoutStoreLimit,
+               .servesUntilTaken = settings.servesUntilTaken},
               store, io, log, m_scheduler,
               {.onOpening = [this](uint32_t partition) { partitionOpening(partition); },
                .onLoaded = [this](uint32_t partition,
@@ -123,7 +124,7 @@
                       {"partitions", m_scheduler.owned().size()},
                       {"open_requests", state.openRequests}});
     if (m_stop->releasesPartitions() && !std::exchange(m_releasing, true)) {
-        m_owner.release([this] {
+        m_owner.release(state.hasSuccessor, [this] {
             m_log.always(Clock::now(), "partitions_released", {});
             sendReport();
         });
@@ -237,7 +238,7 @@
         contact != m_contacts.end() && !m_presence.isRegistered(*number))
         m_members.restore(contact->second.member);
     for (const fleet::OwnedPartitionT &owned : m_scheduler.owned()) {
-        if (!owned.ready || !isReached(hello.node, owned.partition))
+        if (!owned.ready || !isReached(hello.node, owned.partition) || m_owner.isBeingTaken(owned.partition))
             continue;
         updatePlacement(owned.partition);
         claim(*number, owned.partition, owned.epoch);
--- a/src/fleet/entrysubsets.cpp
+++ b/src/fleet/entrysubsets.cpp
@@ -26,6 +26,9 @@
     updateTakeover(partition, m_presence.mayHoldRuns(now));
     claimAtAgents(partition);
     sendReport();
+    // A former owner that has given the partition up closes it when it hears of this.
+    if (m_settings.servesUntilTaken)
+        pingPeersSoon();
 }
 
 void EntryNode::releaseAtAgents(uint32_t partition, uint64_t epoch)
@@ -86,7 +89,7 @@
 void EntryNode::claimAtAgents(uint32_t partition)
 {
     const std::optional<uint64_t> epoch = m_scheduler.epochOf(partition);
-    if (!epoch || !m_scheduler.isServing(partition))
+    if (!epoch || !m_scheduler.isServing(partition) || m_owner.isBeingTaken(partition))
         return;
     for (const auto &[number, link] : m_agentLinks) {
         if (isReached(m_presence.name(number), partition) && !m_scheduler.hasReported(partition, number))
@@ -129,7 +132,8 @@
 void EntryNode::updateTakeover(uint32_t partition, const std::set<AgentNumber> &candidates)
 {
     const std::optional<Millis> openedAt = m_owner.openedAt(partition);
-    if (!openedAt)
+    const std::optional<Millis> loadedAt = m_owner.loadedAt(partition);
+    if (!openedAt || !loadedAt)
         return;
     // A process that registered before the partition was opened, and has not been read, may be a former
     // owner, or an agent that holds its runs.
@@ -138,9 +142,11 @@
     std::set<AgentNumber> mayHoldRuns = m_presence.removedSince(*openedAt);
     mayHoldRuns.insert(candidates.begin(), candidates.end());
     m_scheduler.setExpectedAgents(partition, expectedAgents(partition, mayHoldRuns), allMembersKnown);
+    // A former owner that has given the partition up goes on until it hears that the records are loaded here.
+    const Millis takenAt = m_settings.servesUntilTaken ? *loadedAt : *openedAt;
     m_scheduler.setFormerOwnersEnd(partition,
-                                   allMembersKnown ? m_entries.formerOwnersEnd(*openedAt)
-                                                   : *openedAt + EntryPresence::withoutStoreLimit);
+                                   allMembersKnown ? m_entries.formerOwnersEnd(takenAt)
+                                                   : takenAt + EntryPresence::withoutStoreLimit);
 }
 
 void EntryNode::updatePlacement(uint32_t partition)
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -42,6 +42,7 @@
         reader.integer("admissionSlackPercent", settings.admissionSlackPercent, {.least = 1, .most = 1'000}));
     settings.urgentSlackPercent = static_cast<uint32_t>(
         reader.integer("urgentSlackPercent", settings.urgentSlackPercent, {.least = 0, .most = 1'000}));
+    settings.servesUntilTaken = reader.boolean("serveUntilTaken", settings.servesUntilTaken);
     reader.finish();
     return settings;
 }
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -41,6 +41,9 @@
     // Entries: percentage of the wait allowed to more urgent jobs up to which a new job may lengthen that
     // wait; 0 means no limit.
     uint32_t urgentSlackPercent = 100;
+    // Entries: a partition that is given up is served until its next owner has loaded it. Must be the
+    // same at all entries, since a new owner waits for former owners accordingly.
+    bool servesUntilTaken = false;
     // Entries: order of the waiting jobs, and policy for choosing a worker.
     QueueOrder queueOrder;
     PlacementPolicy placement;
--- a/src/fleet/partitionevidence.cpp
+++ b/src/fleet/partitionevidence.cpp
@@ -27,7 +27,9 @@
 void PartitionOwner::checkMemberships(const EntryPresence &entries, Millis now)
 {
     for (auto &[partition, owned] : m_owned) {
-        const Millis age = now - m_memberships[owned.membership]->lastJoinSentAt();
+        const Millis assignedAt =
+            owned.isGivenUp ? owned.assignedJoinSentAt : m_memberships[owned.membership]->lastJoinSentAt();
+        const Millis age = now - assignedAt;
         if (!owned.membershipLapsed && age < m_options.memberTtl)
             continue;
         const bool allEntriesHeard = entries.isEachHeardSince(now - EntryPresence::evidenceAge);
--- a/src/fleet/partitionowner.cpp
+++ b/src/fleet/partitionowner.cpp
@@ -130,8 +130,9 @@
 void PartitionOwner::leaveEndedMemberships()
 {
     for (auto number = m_endedMemberships.begin(); number != m_endedMemberships.end();) {
-        const bool holds = std::any_of(m_owned.begin(), m_owned.end(),
-                                       [&](const auto &item) { return item.second.membership == *number; });
+        const bool holds = std::any_of(m_owned.begin(), m_owned.end(), [&](const auto &item) {
+            return item.second.membership == *number && !item.second.isGivenUp;
+        });
         if (holds) {
             ++number;
             continue;
@@ -161,6 +162,27 @@
         m_memberships[number]->joinNow();
 }
 
+std::optional<Millis> PartitionOwner::loadedAt(uint32_t partition) const
+{
+    const auto found = m_owned.find(partition);
+    return found == m_owned.end() ? std::nullopt : found->second.loadedAt;
+}
+
+bool PartitionOwner::nextOwnerLoads(uint32_t partition)
+{
+    const auto found = m_owned.find(partition);
+    if (found == m_owned.end() || !found->second.isGivenUp)
+        return false;
+    found->second.isBeingTaken = true;
+    return true;
+}
+
+bool PartitionOwner::isBeingTaken(uint32_t partition) const
+{
+    const auto found = m_owned.find(partition);
+    return found != m_owned.end() && found->second.isBeingTaken;
+}
+
 std::optional<Millis> PartitionOwner::openedAt(uint32_t partition) const
 {
     const auto found = m_owned.find(partition);
@@ -173,13 +195,16 @@
         return;
     std::vector<uint32_t> revoked;
     for (const auto &[partition, owned] : m_owned) {
-        if (owned.membership == membership && !partitions.contains(partition))
+        if (owned.membership == membership && !owned.isGivenUp && !partitions.contains(partition))
             revoked.push_back(partition);
     }
     handOver(revoked);
     const uint64_t before = std::exchange(m_generations[membership], generation);
     const bool hasMissedGenerations = generation > before + 1;
     for (const uint32_t partition : partitions) {
+        // Another entry has opened it meanwhile, so the present epoch is outdated.
+        if (isBeingTaken(partition))
+            close(partition);
         // A partition that moves from one membership of this entry to another stays open.
         if (const auto owned = m_owned.find(partition);
             owned != m_owned.end() && generation >= owned->second.assignedGeneration) {
@@ -187,6 +212,8 @@
             const bool hasLapsed = std::exchange(owned->second.membershipLapsed, false);
             owned->second.membership = membership;
             owned->second.assignedGeneration = generation;
+            owned->second.assignedJoinSentAt = m_memberships[membership]->lastJoinSentAt();
+            owned->second.isGivenUp = false;
             if ((hasMissedGenerations || hasLapsed || !isRetained) && !owned->second.closeBy)
                 confirm(partition);
         }
@@ -205,6 +232,7 @@
     owned.membership = membership;
     owned.assignedGeneration = epoch;
     owned.openedAt = Clock::now();
+    owned.assignedJoinSentAt = m_memberships[membership]->lastJoinSentAt();
     owned.queue = std::make_unique<AppendQueue>(AppendQueueOptions{.topic = jobsTopic,
                                                                    .partition = partition,
                                                                    .producer = producerName,
@@ -219,8 +247,16 @@
     };
     m_scheduler.openPartition(partition, epoch);
     m_handlers.onOpening(partition);
+    if (m_options.servesUntilTaken)
+        loadFirstPage(partition, epoch);
     owned.queue->open([this, partition, epoch](AppendOutcome outcome) {
-        if (outcome == AppendOutcome::Stored)
+        const auto found = m_owned.find(partition);
+        if (outcome != AppendOutcome::Stored || found == m_owned.end() || found->second.epoch != epoch)
+            return;
+        found->second.isEpochSet = true;
+        if (m_options.servesUntilTaken)
+            useFirstPage(partition, epoch);
+        else
             loadPage(partition, epoch, {});
     });
 }
@@ -231,6 +267,41 @@
     m_scheduler.closePartition(partition, Clock::now());
     m_owned.erase(partition);
     m_handlers.onClosed(partition, epoch);
+    if (m_hasLeft)
+        m_timers.after({0}, [this] { finishRelease(); });
+}
+
+// Load pattern: a store that takes 60 to 80 times as long as usual. The records that a new owner must know
+// are those up to its epoch, after which former owners are fenced. A page that was read at the end of the
+// partition at which the epoch was set, or later, shows all of them, so it need not be requested after the
+// epoch was set.
+void PartitionOwner::loadFirstPage(uint32_t partition, uint64_t epoch)
+{
+    m_store.newest({.topic = jobsTopic, .partition = partition}, pageTimeout,
+                   [this, partition, epoch, guard = m_timers.guard()](const NewestAnswer &answer) {
+                       if (guard.expired())
+                           return;
+                       const auto found = m_owned.find(partition);
+                       if (found == m_owned.end() || found->second.epoch != epoch)
+                           return;
+                       found->second.firstPage = answer;
+                       useFirstPage(partition, epoch);
+                   });
+}
+
+void PartitionOwner::useFirstPage(uint32_t partition, uint64_t epoch)
+{
+    Owned &owned = m_owned.at(partition);
+    if (!owned.isEpochSet || !owned.firstPage)
+        return;
+    const NewestAnswer page = *std::exchange(owned.firstPage, std::nullopt);
+    const uint64_t end = owned.queue->endAtOpening();
+    // Without the end of the partition nothing tells which records the page may lack.
+    const bool isComplete = page.status == StoreStatus::Done && end > 0 && page.end >= end;
+    if (isComplete)
+        pageLoaded(partition, epoch, {}, page);
+    else
+        loadPage(partition, epoch, {});
 }
 
 void PartitionOwner::loadPage(uint32_t partition, uint64_t epoch, const std::string &after)
@@ -275,6 +346,7 @@
         return;
     }
     m_scheduler.loaded(partition, now);
+    found->second.loadedAt = now;
     m_log.always(now, "partition_owned",
                  {{"partition", partition},
                   {"epoch", epoch},
@@ -364,8 +436,31 @@
     leaveAll(member, maxMemberships, [this] { joinNow(); });
 }
 
+// Load pattern: a slow store while entries are restarted in turn. Each change of owner takes several calls,
+// in which nobody would serve the partition. The former owner goes on by the evidence of an owner whose
+// membership has lapsed, until the next one has loaded the records.
+void PartitionOwner::giveUp(std::span<const uint32_t> partitions)
+{
+    for (const uint32_t partition : partitions) {
+        Owned &owned = m_owned.at(partition);
+        if (!owned.loadedAt || owned.suspended) {
+            close(partition);
+            continue;
+        }
+        owned.isGivenUp = true;
+        owned.membershipLapsed = true;
+        m_scheduler.setOwnershipConfirmed(partition, false);
+        m_log.always(Clock::now(), "partition_given_up", {{"partition", partition}, {"epoch", owned.epoch}});
+    }
+    leaveEndedMemberships();
+}
+
 void PartitionOwner::handOver(std::span<const uint32_t> partitions)
 {
+    if (m_options.servesUntilTaken && !m_releasing) {
+        giveUp(partitions);
+        return;
+    }
     const Millis now = Clock::now();
     for (const uint32_t partition : partitions) {
         Owned &owned = m_owned.at(partition);
@@ -420,14 +515,39 @@
         m_memberships[number]->leave(left);
 }
 
-void PartitionOwner::release(std::function<void()> onDone)
+void PartitionOwner::release(bool hasSuccessor, std::function<void()> onDone)
 {
     m_releasing = true;
     std::vector<uint32_t> partitions;
     for (const auto &[partition, owned] : m_owned)
         partitions.push_back(partition);
     m_onReleased = std::move(onDone);
-    handOver(partitions);
+    if (m_options.servesUntilTaken && hasSuccessor) {
+        giveUp(partitions);
+        leaveWhileServing();
+    } else {
+        handOver(partitions);
+    }
+}
+
+void PartitionOwner::leaveWhileServing()
+{
+    const auto left = afterCalls(m_activeMemberships + 1, [this] {
+        m_hasLeft = true;
+        finishRelease();
+    });
+    for (uint32_t number = 0; number < m_activeMemberships; ++number)
+        m_memberships[number]->leave([left, guard = m_timers.guard()] {
+            if (!guard.expired())
+                left();
+        });
+    left();
+}
+
+void PartitionOwner::finishRelease()
+{
+    if (m_onReleased && m_owned.empty())
+        std::exchange(m_onReleased, {})();
 }
 
 } // namespace turmericwell
--- a/src/fleet/partitionowner.h
+++ b/src/fleet/partitionowner.h
@@ -27,6 +27,9 @@
     Millis memberTtl = {1'500};
     // An entry whose memberships have ended goes on as an owner for at most this long after its last join.
     Millis withoutStoreLimit = {20'000};
+    // Partitions that are given up are served until another entry has loaded them, instead of being frozen
+    // while their records are stored, and the first page of records is requested together with the opening.
+    bool servesUntilTaken = false;
 };
 
 class PartitionOwner
@@ -67,12 +70,21 @@
     void checkMemberships(const EntryPresence &entries, Millis now);
     // When the store assigned the partition to this entry; nullopt if it has not.
     std::optional<Millis> openedAt(uint32_t partition) const;
+    // When its records had been loaded; nullopt before.
+    std::optional<Millis> loadedAt(uint32_t partition) const;
+    // Called when another entry has reported the partition with a higher epoch and has not loaded it. Returns
+    // true if this entry goes on until then, because it has given the partition up.
+    bool nextOwnerLoads(uint32_t partition);
+    // True if another entry loads the partition. Its expected agents are those that were registered when it
+    // opened the partition, so this entry must not begin to use others.
+    bool isBeingTaken(uint32_t partition) const;
     // Called when another entry owns the partition with a higher epoch than the given one.
     void superseded(uint32_t partition, uint64_t epoch);
     // Ends the memberships of another entry.
     void evictMember(const std::string &member);
-    // Stores the waiting records, then releases all partitions and leaves the group.
-    void release(std::function<void()> onDone);
+    // Releases all partitions and leaves the group: with a successor and servesUntilTaken at once, and the
+    // partitions are served until they are taken; otherwise after the waiting records have been stored.
+    void release(bool hasSuccessor, std::function<void()> onDone);
     void store(uint32_t partition, JobId job, std::string record, bool mayDrop,
                std::function<void(StoreOutcome, Millis)> onDone);
     // Stores the level of the partition's agent subset. onStored is not called if the ownership is lost
@@ -91,8 +103,20 @@
         uint64_t assignedGeneration = 0;
         std::unique_ptr<AppendQueue> queue;
         Millis openedAt;
+        std::optional<Millis> loadedAt;
+        // When the last join was sent whose answer assigned the partition to this entry.
+        Millis assignedJoinSentAt;
+        // The store may assign the partition to another entry, and this one serves it until that one has
+        // loaded it, as far as checkMemberships allows. Set from then on while not assigned again.
+        bool isGivenUp = false;
+        // Another entry has reported that it opens the partition.
+        bool isBeingTaken = false;
         // Set while the partition is being handed over: time at which it is closed at the latest.
         std::optional<Millis> closeBy;
+        // First page of the records, requested together with the opening; empty until it is answered, or
+        // after it has been used.
+        std::optional<NewestAnswer> firstPage;
+        bool isEpochSet = false;
         uint32_t records = 0;
         std::optional<uint32_t> subsetLevel;
         // Offset of the record with that level. An older record does not replace it.
@@ -122,12 +146,20 @@
     // again, so that the next assignment has a new generation.
     void epochInUse(uint32_t partition, uint64_t epoch);
     void close(uint32_t partition);
+    void loadFirstPage(uint32_t partition, uint64_t epoch);
+    // Uses the first page once the epoch is set, or reads it again if it may lack records that a former owner
+    // appended before.
+    void useFirstPage(uint32_t partition, uint64_t epoch);
     void loadPage(uint32_t partition, uint64_t epoch, const std::string &after);
     void pageLoaded(uint32_t partition, uint64_t epoch, const std::string &after, const NewestAnswer &answer);
     void loadSubsetLevel(uint32_t partition, const StoreRecord &record, Millis now);
     // Stores the waiting records for the next owners. Each partition is closed once its records are stored or
     // the time limit is reached.
     void handOver(std::span<const uint32_t> partitions);
+    // Allows the store to assign the partitions to other entries while this one goes on serving them.
+    void giveUp(std::span<const uint32_t> partitions);
+    void leaveWhileServing();
+    void finishRelease();
     void finishHandOvers();
 
     const PartitionOwnerOptions m_options;
@@ -143,6 +175,8 @@
     // Set by release; called when all partitions are closed and all memberships have left the group.
     std::function<void()> m_onReleased;
     bool m_releasing = false;
+    // All memberships have left the group, and partitions may still be served until they are taken.
+    bool m_hasLeft = false;
     bool m_handOverScheduled = false;
     // The memberships below m_activeMemberships take part in the group.
     std::vector<std::unique_ptr<GroupMember>> m_memberships;
--- a/src/store/appendqueue.cpp
+++ b/src/store/appendqueue.cpp
@@ -97,6 +97,8 @@
 {
     switch (answer.status) {
     case StoreStatus::Done:
+        if (m_opening)
+            m_endAtOpening = answer.end;
         handleStored();
         return;
     case StoreStatus::Fenced:
--- a/src/store/appendqueue.h
+++ b/src/store/appendqueue.h
@@ -67,6 +67,9 @@
     // Called at most once instead of onFenced, when another queue has appended with the same epoch.
     std::function<void()> onEpochInUse;
 
+    // End of the partition when the epoch was set, or a little later; 0 if the store has not told.
+    uint64_t endAtOpening() const { return m_endAtOpening; }
+
     bool isIdle() const { return m_batch.empty() && m_waiting.empty(); }
 
 private:
@@ -104,6 +107,7 @@
     std::vector<std::function<void()>> m_confirmations;
     bool m_inFlight = false;
     bool m_opening = false;
+    uint64_t m_endAtOpening = 0;
     bool m_fenced = false;
     // An attempt of the current append had no answer and may have been carried out.
     bool m_uncertain = false;
--- a/tests/unit/partitionownertest.cpp
+++ b/tests/unit/partitionownertest.cpp
@@ -27,7 +27,8 @@
     }
     void newest(const NewestCall &, Millis, std::function<void(NewestAnswer)> onDone) override
     {
-        onDone({.status = StoreStatus::Done, .records = records});
+        ++pages;
+        onDone({.status = StoreStatus::Done, .records = records, .end = pageEnd});
     }
     void join(const JoinCall &, Millis, std::function<void(JoinAnswer)> onDone) override
     {
@@ -59,6 +60,10 @@
     // The generation increases when the entry leaves.
     bool isMember = false;
     uint32_t joins = 0;
+    // End of the partitions as the answers to pages and appends tell it.
+    uint64_t pageEnd = 0;
+    uint64_t end = 0;
+    uint32_t pages = 0;
 
 private:
     AppendAnswer statusOf(const AppendCall &call) const
@@ -67,12 +72,16 @@
             return {.status = StoreStatus::Fenced};
         if (call.epoch == usedEpoch)
             return {.status = StoreStatus::WrongSequence, .expectedSequence = 5};
-        return {.status = StoreStatus::Done};
+        return {.status = StoreStatus::Done, .end = end};
     }
 };
 
 struct OwnerFixture
 {
+    explicit OwnerFixture(bool servesUntilTakenValue = false)
+        : servesUntilTaken(servesUntilTakenValue)
+    { }
+
     // One other entry, which last answered a ping at the given time.
     static EntryPresence otherHeardAt(Millis time)
     {
@@ -92,6 +101,7 @@
         }
     }
 
+    const bool servesUntilTaken;
     EventQueue events{{100'000}, 1};
     IoContext io{1};
     StructuredLog log;
@@ -104,7 +114,7 @@
     std::vector<uint32_t> resumed;
     std::vector<std::optional<uint32_t>> levels;
     PartitionOwner owner{
-        {.member = "entry-1"},
+        {.member = "entry-1", .servesUntilTaken = servesUntilTaken},
         store,
         io,
         log,
@@ -116,6 +126,25 @@
          .onResumed = [this](uint32_t partition) { resumed.push_back(partition); }}};
 };
 
+// Goes on serving partitions that are given up.
+struct ServingOwnerFixture : OwnerFixture
+{
+    ServingOwnerFixture()
+        : OwnerFixture(true)
+    {
+        owner.start();
+        owner.setMemberships(1);
+        pass({20});
+    }
+
+    void revoke(uint32_t partition)
+    {
+        ++store.generation;
+        std::erase(store.assigned, partition);
+        pass({300});
+    }
+};
+
 struct PartitionOwnerFixture : OwnerFixture
 {
     PartitionOwnerFixture()
@@ -189,13 +218,98 @@
     while (events.now() < overdue)
         events.runNext(overdue);
     bool released = false;
-    owner.release([&released] { released = true; });
+    owner.release(false, [&released] { released = true; });
     pass({700});
     BOOST_TEST(released);
     BOOST_TEST(closed.size() == 2U);
     BOOST_TEST(scheduler.owned().empty());
 }
 
+// Guards against a partition that nobody serves while its next owner opens and loads it with a slow store.
+BOOST_FIXTURE_TEST_CASE(givenUpPartitionIsServedUntilItIsTaken, ServingOwnerFixture)
+{
+    revoke(0);
+    BOOST_TEST(scheduler.isServing(0));
+    BOOST_TEST(closed.empty());
+    BOOST_TEST(owner.nextOwnerLoads(0));
+    BOOST_TEST(owner.isBeingTaken(0));
+    BOOST_TEST(!owner.nextOwnerLoads(1));
+    BOOST_TEST(scheduler.isServing(0));
+    owner.superseded(0, 1);
+    BOOST_TEST((closed == std::vector<uint32_t>{0}));
+}
+
+// Guards against a former owner that goes on although the next one may not reach it: it needs the evidence of
+// an owner whose membership has lapsed, from the moment at which it has given the partition up.
+BOOST_FIXTURE_TEST_CASE(givenUpPartitionIsSuspendedWithoutEvidence, ServingOwnerFixture)
+{
+    revoke(0);
+    owner.checkMemberships(otherHeardAt(events.now() - Millis{100}), events.now());
+    BOOST_TEST(suspended.empty());
+    owner.checkMemberships(otherHeardAt(events.now() - Millis{1'001}), events.now());
+    BOOST_TEST((suspended == std::vector<uint32_t>{0}));
+    BOOST_TEST(!scheduler.isServing(0));
+    BOOST_TEST(scheduler.isServing(1));
+}
+
+// Guards against a given-up partition that is served without a limit, since later joins of the entry say
+// nothing about it.
+BOOST_FIXTURE_TEST_CASE(givenUpPartitionIsServedForTwentySecondsAtMost, ServingOwnerFixture)
+{
+    revoke(0);
+    pass({20'000});
+    owner.checkMemberships(otherHeardAt(events.now()), events.now());
+    BOOST_TEST((suspended == std::vector<uint32_t>{0}));
+}
+
+// Guards against an owner that goes on with an epoch which another entry has replaced, after the partition
+// came back.
+BOOST_FIXTURE_TEST_CASE(partitionThatWasBeingTakenIsOpenedAgain, ServingOwnerFixture)
+{
+    revoke(0);
+    BOOST_TEST(owner.nextOwnerLoads(0));
+    store.generation = 9;
+    store.assigned = {0, 1};
+    pass({600});
+    BOOST_TEST((closed == std::vector<uint32_t>{0}));
+    BOOST_TEST(scheduler.epochOf(0).value_or(0) == 9U);
+}
+
+// Guards against an entry that ends its stop, or closes its partitions, before they are taken.
+BOOST_FIXTURE_TEST_CASE(releaseWithASuccessorEndsWhenAllPartitionsAreTaken, ServingOwnerFixture)
+{
+    bool released = false;
+    owner.release(true, [&released] { released = true; });
+    pass({100});
+    BOOST_TEST(!released);
+    BOOST_TEST(scheduler.isServing(0));
+    owner.superseded(0, 1);
+    owner.superseded(1, 1);
+    pass({10});
+    BOOST_TEST(released);
+}
+
+// Guards against accepted jobs that a new owner does not know: a page that was read before the epoch was set
+// may lack records of the former owner, unless the end of the partition shows that there are none.
+BOOST_FIXTURE_TEST_CASE(earlyPageIsUsedOnlyIfItIsComplete, ServingOwnerFixture)
+{
+    const auto pagesToOpenAgain = [&](uint64_t end, uint64_t pageEnd) {
+        store.end = end;
+        store.pageEnd = pageEnd;
+        const uint32_t before = store.pages;
+        owner.superseded(0, store.generation);
+        ++store.generation;
+        pass({400});
+        BOOST_TEST(scheduler.isServing(0));
+        return store.pages - before;
+    };
+    BOOST_TEST(pagesToOpenAgain(7, 6) == 2U);
+    BOOST_TEST(pagesToOpenAgain(7, 7) == 1U);
+    BOOST_TEST(pagesToOpenAgain(7, 8) == 1U);
+    // The store has not told the end.
+    BOOST_TEST(pagesToOpenAgain(0, 0) == 2U);
+}
+
 // Guards against a partition that stays open here after the store assigned it to another entry.
 BOOST_FIXTURE_TEST_CASE(revokedPartitionIsClosedOnce, PartitionOwnerFixture)
 {
--- a/tests/unit/returntoservicetest.cpp
+++ b/tests/unit/returntoservicetest.cpp
@@ -1,10 +1,36 @@
 // Tests how soon all processes serve again after they were down at once.
 #include "emulator/returntoservice.h"
+#include "emulator/emulationsites.h"
 
 #include <boost/test/unit_test.hpp>
 
 namespace turmericwell {
 
+namespace {
+
+// Ten entries and sixty agents at half of their capacity, with best-effort jobs only.
+EmulationOptions dayOfManyAgents(uint64_t seed)
+{
+    EmulationOptions day = *emulatedSite("himal");
+    day.seed = seed;
+    day.size = {.entries = 10, .agents = 60};
+    day.partitions = 16;
+    day.traffic.load = 3.8;
+    day.traffic.keptShare = 0;
+    day.traffic.deadline = {1'500};
+    day.length = {10'000};
+    day.finish = {3'000};
+    day.spreadsAnnouncements = true;
+    return day;
+}
+
+std::string firstBroken(const std::vector<BrokenPromise> &broken)
+{
+    return broken.empty() ? std::string() : broken.front().what;
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(ReturnToServiceTest)
 
 // Guards against a measurement that finds a day served that is not, or the other way round.
@@ -39,6 +65,22 @@
     BOOST_TEST(service.refused == 70U);
 }
 
+// Guards against a third of the jobs being refused while entries are restarted in turn and the store is slow:
+// each partition that changed its owner stood still for several calls to the store.
+BOOST_AUTO_TEST_CASE(partitionsAreServedWhileTheyChangeOwnersSlowly)
+{
+    EmulationOptions day = dayOfManyAgents(1);
+    day.servesUntilTaken = true;
+    constexpr Millis begin = {3'000};
+    constexpr Millis length = {6'000};
+    day.plan = planOf(SlowRestart{.at = begin, .length = length, .storeFactor = 65, .gap = {1'000}});
+    const EmulationRecord record = Emulation(day).run();
+    BOOST_TEST(firstBroken(checkPromises(record, day)) == "");
+    const KindService service = serviceWithin(record, day, {.begin = begin, .end = begin + length});
+    BOOST_TEST(service.asked > 2'500U);
+    BOOST_TEST(service.refused * 50 < service.asked);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace turmericwell
