--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -36,6 +36,9 @@
     PlacementPolicy placement;
     bool learnWorkerSpeeds = false;
     LongRunPolicy moveLongRuns;
+    bool servesUntilTaken = false;
+    // Workers announce themselves at different times instead of all at once.
+    bool spreadsAnnouncements = false;
     // A worker whose agent does not acknowledge an announcement calls the next agent.
     bool workersCallNextAgent = false;
     // Writes the decision logs to standard output.
@@ -71,6 +74,7 @@
     void startProcess(const ProcessName &name);
     void endProcess(HostNumber host, bool resetsConnections);
     void killFor(const ProcessName &name, Millis length, bool losesPower);
+    void killAll(const KillAll &kill, Millis length);
     void stopProcess(const ProcessName &name);
     void pollProcesses();
     void superviseWorkers();
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -58,6 +58,7 @@
         reader.integer("urgentSlackPercent", settings.urgentSlackPercent, {.least = 0, .most = 1'000}));
     settings.placementWait = reader.boolean("placementWait", settings.placementWait);
     settings.farFactor = reader.number("farFactor", settings.farFactor, 1, mostFarFactor);
+    settings.servesUntilTaken = reader.boolean("serveUntilTaken", settings.servesUntilTaken);
     reader.finish();
     return settings;
 }
