Admit jobs by forecast, and divide scarce workers by fair shares

One predicted wait for all kinds rejected jobs beside free workers, admitted jobs that were rejected only after they had waited, and told all clients to return after the same second. With the new setting admission: forecast, a job is taken if room before its latest start is probable and no admitted job is delayed, or as late from spare room; otherwise it is rejected at once with a return time that is booked against the expected room. With the setting shares, queues and zones are divided by weighted max-min fairness over the demands that all owners report (EntryReport.demands). Both are off by default.

--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -52,6 +52,7 @@
     uint32_t urgentSlackPercent = 100;
     std::string order = "latest-start";
     std::string placement = "most-free";
+    std::string admission = "slack";
 };
 
 struct DayResult
@@ -94,6 +95,7 @@
     day.urgentSlackPercent = settings.urgentSlackPercent;
     day.queueOrder = *parseQueueOrder(settings.order);
     day.placement = *parsePlacementPolicy(settings.placement);
+    day.admission = *parseAdmissionPolicy(settings.admission);
     day.workersCallNextAgent = settings.mostStrayAnnouncements > 0;
     day.writesLogs = writesLogs;
     if (settings.entries > 0)
@@ -291,7 +293,8 @@
         "part of the wait allowed to more urgent jobs that a job may add to; 0 for no limit")(
         "order", options::value(&settings.order), "latest-start (default) or arrival")(
         "placement", options::value(&settings.placement), "most-free (default), least-free or any")(
-        "json", options::bool_switch(&asJson), "prints one JSON object a day")(
+        "admission", options::value(&settings.admission),
+        "slack (default) or forecast")("json", options::bool_switch(&asJson), "prints one JSON object a day")(
         "log", options::bool_switch(&writesLogs), "writes the decision logs of all processes");
     const CommandLine line =
         parseCommandLine(arguments, "emulate", description, "",
@@ -302,8 +305,9 @@
         std::cerr << "turmericwell emulate: --site: \"" << settings.site << "\" is not known\n";
         return ExitCode::BadUsage;
     }
-    if (!parseQueueOrder(settings.order) || !parsePlacementPolicy(settings.placement)) {
-        std::cerr << "turmericwell emulate: --order or --placement is not known\n";
+    if (!parseQueueOrder(settings.order) || !parsePlacementPolicy(settings.placement)
+        || !parseAdmissionPolicy(settings.admission)) {
+        std::cerr << "turmericwell emulate: --order, --placement or --admission is not known\n";
         return ExitCode::BadUsage;
     }
     if (writesLogs && settings.days > 1) {
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -126,6 +126,7 @@
             .urgentSlackPercent = m_options.urgentSlackPercent,
             .queueOrder = m_options.queueOrder,
             .placement = m_options.placement,
+            .admission = m_options.admission,
             .queueAllowancePercent = m_options.queueAllowancePercent};
 }
 
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -32,6 +32,7 @@
     uint32_t urgentSlackPercent = 100;
     QueueOrder queueOrder;
     PlacementPolicy placement;
+    AdmissionPolicy admission;
     // A worker whose agent does not acknowledge an announcement calls the next agent.
     bool workersCallNextAgent = false;
     // Writes the decision logs to standard output.
--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -45,13 +45,13 @@
     return link;
 }
 
-void EntryNode::perform(JobCall &call, JobReplyHandler onDone)
+void EntryNode::perform(JobCall &call, const std::string &zone, JobReplyHandler onDone)
 {
     const Millis now = Clock::now();
     checkOwnership(now);
     switch (call.kind) {
     case fleet::CallKind::Submit:
-        m_scheduler.submit(JobSpec(*call.spec), {.wait = call.wait}, now, std::move(onDone));
+        m_scheduler.submit(JobSpec(*call.spec), {.wait = call.wait, .zone = zone}, now, std::move(onDone));
         return;
     case fleet::CallKind::Cancel:
         m_scheduler.cancel(call.job, now, std::move(onDone));
@@ -72,7 +72,7 @@
     const uint32_t partition = partitionOf(pending.call.job, m_settings.partitions);
     if (m_scheduler.isServing(partition)) {
         pending.inProgress = true;
-        perform(pending.call,
+        perform(pending.call, m_settings.zone,
                 [this, id, attempt](JobReply reply) { answered(id, attempt, std::move(reply)); });
         advanceSoon();
         return;
@@ -195,19 +195,20 @@
     }
     JobCall call{
         .kind = message.kind, .job = message.job, .spec = std::move(message.spec), .wait = {message.wait_ms}};
-    perform(call, [weak = std::weak_ptr(link), number = message.call](const JobReply &reply) {
-        const NodeLinkPtr peer = weak.lock();
-        if (!peer)
-            return;
-        fleet::JobAnswerT answer;
-        answer.call = number;
-        answer.status = reply.status;
-        answer.phase = reply.phase;
-        answer.running = reply.running;
-        answer.retry_after_ms = reply.retryAfter.count;
-        answer.reason = reply.reason;
-        peer->send(std::move(answer));
-    });
+    perform(call, link->peer().zone,
+            [weak = std::weak_ptr(link), number = message.call](const JobReply &reply) {
+                const NodeLinkPtr peer = weak.lock();
+                if (!peer)
+                    return;
+                fleet::JobAnswerT answer;
+                answer.call = number;
+                answer.status = reply.status;
+                answer.phase = reply.phase;
+                answer.running = reply.running;
+                answer.retry_after_ms = reply.retryAfter.count;
+                answer.reason = reply.reason;
+                peer->send(std::move(answer));
+            });
     advanceSoon();
 }
 
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -43,6 +43,7 @@
     if (member.isLost) {
         m_log.always(now, "entry_marked_lost", {{"entry", name}, {"connected", m_peers.contains(name)}});
         m_entries.lost(name, now);
+        endDemand(name);
         if (m_peers.contains(name) && isAmongFirstEntries())
             m_members.restore(member);
     } else {
@@ -76,6 +77,8 @@
         m_presence.removed(*number, Clock::now());
     else
         m_entries.lost(name, Clock::now());
+    if (!number)
+        endDemand(name);
     // Another entry has lost its connection to this agent and removed the registration, but the agent is
     // alive.
     if (number && m_presence.isActive(*number)) {
@@ -179,6 +182,39 @@
     const auto all = static_cast<int64_t>(std::max<size_t>(1, m_presence.registeredCount()));
     const auto used = std::min(all, static_cast<int64_t>(m_presence.wantedCount()));
     m_scheduler.setPeersWaitingCpuMilli(waiting * used / all);
+    if (!std::holds_alternative<ForecastAdmission>(m_settings.admission))
+        return;
+    std::vector<PeerReport> reports;
+    for (const auto &[name, other] : m_peers) {
+        const int64_t amount = std::max<int64_t>(0, other.report.waiting_cpu_milli);
+        reports.push_back({.waitingMilli = amount * used / all, .receivedAt = other.receivedAt});
+    }
+    m_scheduler.setPeerReports(std::move(reports));
+}
+
+void EntryNode::endDemand(const std::string &entry)
+{
+    if (FairShares *shares = m_scheduler.shares())
+        shares->ownerGone(entry);
+}
+
+void EntryNode::receivedDemands(const fleet::HelloT &peer, const fleet::EntryReportT &report)
+{
+    FairShares *shares = m_scheduler.shares();
+    if (!shares)
+        return;
+    std::vector<QueueDemand> demands;
+    for (const auto &item : report.demands)
+        demands.push_back({.queue = item->queue,
+                           .waitingMilli = item->waiting_cpu_milli,
+                           .runningMilli = item->running_cpu_milli});
+    const Millis now = Clock::now();
+    const DemandOutcome outcome =
+        shares->report(peer.node, peer.incarnation, !report.partitions.empty(), std::move(demands), now);
+    if (outcome != DemandOutcome::Taken)
+        m_log.write(
+            now, "demand_report_ignored",
+            {{"entry", peer.node}, {"incarnation", peer.incarnation}, {"cause", demandOutcomeText(outcome)}});
 }
 
 void EntryNode::updateMemberships(Millis now)
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -40,6 +40,8 @@
     , m_scheduler({.partitions = settings.partitions,
                    .admissionSlackPercent = settings.admissionSlackPercent,
                    .order = settings.queueOrder,
+                   .admission = settings.admission,
+                   .shares = settings.shares,
                    .urgentSlackPercent = settings.urgentSlackPercent},
                   m_pool, *this, log)
     , m_owner({.member = settings.name,
@@ -141,6 +143,10 @@
     metrics.set("jobs_active", static_cast<double>(m_scheduler.activeJobs()));
     metrics.set("waiting_cpu_milli", static_cast<double>(m_scheduler.waitingCpuMilli()));
     metrics.set("partitions_owned", static_cast<double>(m_scheduler.owned().size()));
+    if (const FairShares *shares = m_scheduler.shares()) {
+        for (const auto &[queue, share] : shares->shares())
+            metrics.set("queue_share_cpu_milli", queue, share);
+    }
     metrics.set("configuration_version", static_cast<double>(m_queues.version()));
 }
 
@@ -287,6 +293,13 @@
         report.pending.push_back(std::move(item));
     }
     report.waiting_cpu_milli = m_scheduler.waitingCpuMilli();
+    for (const QueueDemand &demand : m_scheduler.shareDemands(Clock::now())) {
+        auto item = std::make_unique<fleet::QueueDemandT>();
+        item->queue = demand.queue;
+        item->waiting_cpu_milli = demand.waitingMilli;
+        item->running_cpu_milli = demand.runningMilli;
+        report.demands.push_back(std::move(item));
+    }
     report.stopping = isStopping();
     report.store_reachable = !m_transport.isDirectFailing();
     return report;
@@ -403,9 +416,11 @@
         if (peer == m_peers.end() || peer->second.link != link)
             return;
         closeSuperseded(*report);
+        receivedDemands(link->peer(), *report);
         const bool hasStopped =
             report->stopping && report->partitions.empty() && !peer->second.report.partitions.empty();
         peer->second.report = std::move(*report);
+        peer->second.receivedAt = Clock::now();
         updatePeersWaiting();
         if (hasStopped)
             m_owner.joinNow();
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -95,6 +95,8 @@
     {
         NodeLinkPtr link;
         fleet::EntryReportT report;
+        // When `report` was received.
+        Millis receivedAt;
         // When this entry sent its first report on the connection. The peer has handled it before it answers
         // a ping that was sent later.
         Millis reportedAt;
@@ -169,6 +171,10 @@
     void dialAll();
     void updateAgentPresence(Millis now);
     void updatePeersWaiting();
+    // The entry is no member any more: its work is reported by others, or has ended.
+    void endDemand(const std::string &entry);
+    // Takes the demands of another owner for the shares, if it may report them.
+    void receivedDemands(const fleet::HelloT &peer, const fleet::EntryReportT &report);
     // Joins or leaves the group of owners as fits the present entries.
     void updateMemberships(Millis now);
     // Of many entries that notice a loss at the same time, only a few act on it.
@@ -218,7 +224,8 @@
 
     // --- entrycalls.cpp: client calls ---
     void route(uint64_t id);
-    void perform(JobCall &call, JobReplyHandler onDone);
+    // The zone is that of the entry that received the call from the client.
+    void perform(JobCall &call, const std::string &zone, JobReplyHandler onDone);
     void answered(uint64_t id, uint64_t attempt, JobReply reply);
     void finish(uint64_t id, const JobReply &reply);
     // Gives the call its last answer. The cause is the reason of a call that may have been carried out.
--- a/src/fleet/fleetmetrics.h
+++ b/src/fleet/fleetmetrics.h
@@ -25,6 +25,14 @@
     MetricDescription{"partitions_owned", MetricKind::Gauge,
                       "Partitions of the job table that this entry serves."},
     MetricDescription{"configuration_version", MetricKind::Gauge, "Version of the active configuration."},
+    MetricDescription{"jobs_admitted_total", MetricKind::Counter, "Jobs admitted by forecast, by reason.",
+                      "reason"},
+    MetricDescription{"jobs_rejected_total", MetricKind::Counter,
+                      "Jobs rejected by forecast or shares, by reason.", "reason"},
+    MetricDescription{"queue_share_cpu_milli", MetricKind::Gauge,
+                      "Share of each queue in the processors of all workers, in thousandths of a core; only "
+                      "while shares are set.",
+                      "queue"},
     MetricDescription{"runs", MetricKind::Gauge,
                       "Runs held by this agent, including those waiting to start."},
 };
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -4,8 +4,13 @@
 
 #include "net/settingsreader.h"
 
+#include <array>
+
 namespace turmericwell {
 
+constexpr double leastShareWeight = 0.001;
+constexpr double mostShareWeight = 1'000;
+
 static FleetSettings readCommon(JsonReader &reader)
 {
     constexpr int64_t mostPartitions = 1'024;
@@ -27,6 +32,40 @@
     return settings;
 }
 
+// Weights of 0 would starve a queue or zone.
+static std::map<std::string, double, std::less<>> readWeights(JsonReader &reader, std::string_view key)
+{
+    std::map<std::string, double, std::less<>> weights;
+    for (const auto &[name, weight] : reader.numberMap(key)) {
+        if (weight <= 0 || weight > mostShareWeight)
+            reader.problem(std::string(key) + "." + name, "a weight must be above 0 and at most 1000");
+        else
+            weights[name] = weight;
+    }
+    return weights;
+}
+
+static SharesSettings readShares(JsonReader &reader)
+{
+    SharesSettings shares;
+    shares.defaultWeight = reader.number("default", 1, leastShareWeight, mostShareWeight);
+    shares.queues = readWeights(reader, "queues");
+    shares.zones = readWeights(reader, "zones");
+    double guaranteed = 0;
+    for (const auto &[name, part] : reader.numberMap("guaranteed")) {
+        shares.guaranteed[name] = part;
+        guaranteed += part;
+    }
+    if (guaranteed > 1)
+        reader.problem("guaranteed", "the guaranteed shares add up to more than 1");
+    for (const auto &[name, weight] : reader.numberMap("accounts"))
+        reader.problem("accounts." + name, "is not a known account: calls name no client account");
+    if (reader.boolean("preempt", false))
+        reader.problem("preempt", "preemption is not supported");
+    reader.finish();
+    return shares;
+}
+
 FleetSettings parseFleetEntrySettings(const std::string &file, std::string_view text, Problems &problems)
 {
     const boost::json::value value = parseJsonText(file, text, problems);
@@ -42,6 +81,10 @@
         reader.integer("admissionSlackPercent", settings.admissionSlackPercent, {.least = 1, .most = 1'000}));
     settings.urgentSlackPercent = static_cast<uint32_t>(
         reader.integer("urgentSlackPercent", settings.urgentSlackPercent, {.least = 0, .most = 1'000}));
+    constexpr std::array<std::string_view, 2> admissionNames = {"slack", "forecast"};
+    for (JsonReader &shares : reader.object("shares"))
+        settings.shares = readShares(shares);
+    settings.admission = *parseAdmissionPolicy(reader.word("admission", "slack", admissionNames));
     reader.finish();
     return settings;
 }
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "config/jsonreader.h"
+#include "jobs/fairshares.h"
 #include "jobs/policies.h"
 #include "net/address.h"
 
+#include <optional>
 #include <string>
 
 namespace turmericwell {
@@ -44,6 +46,10 @@
     // Entries: order of the waiting jobs, and policy for choosing a worker.
     QueueOrder queueOrder;
     PlacementPolicy placement;
+    // Entries: rule by which a job is admitted or rejected, and the shares of queues and zones under
+    // scarcity.
+    AdmissionPolicy admission;
+    std::optional<SharesSettings> shares;
     // Agents: size of the start orders that may wait at the agent beyond the worker's free resources, in
     // percent of the worker's processors.
     uint32_t queueAllowancePercent = 10;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -24,7 +24,20 @@
     , m_pool(pool)
     , m_effects(effects)
     , m_log(log)
-{ }
+{
+    if (std::holds_alternative<ForecastAdmission>(m_options.admission))
+        useForecast();
+    if (m_options.shares)
+        m_shares.emplace(*m_options.shares);
+}
+
+int64_t largestStepMilli(const JobSpec &spec)
+{
+    int64_t largest = 0;
+    for (const auto &step : spec.steps)
+        largest = std::max(largest, int64_t{step->cpu_milli} * step->count);
+    return largest;
+}
 
 static std::string_view unsupportedFeature(const JobSpec &spec)
 {
@@ -50,9 +63,7 @@
     const int64_t capacity = m_pool.capacityMilli(spec.service);
     if (capacity <= 0)
         return {INT32_MAX};
-    int64_t needed = 0;
-    for (const auto &step : spec.steps)
-        needed = std::max(needed, int64_t{step->cpu_milli} * step->count);
+    const int64_t needed = largestStepMilli(spec);
     // If the free processors suffice for the waiting work and this job, the queue is not waiting for
     // processors.
     if (m_pool.freeMilli(spec.service) - m_waitingCpuMilli >= needed)
@@ -91,30 +102,39 @@
     return static_cast<size_t>(known) * 2 < partition.expected.size();
 }
 
-std::optional<JobReply> JobScheduler::checkAdmission(const JobSpec &spec, Millis now)
+JobScheduler::Admission JobScheduler::checkAdmission(const JobSpec &spec, const std::string &zone, Millis now)
 {
     JobReply reply{.status = fleet::CallStatus::Refused, .retryAfter = minRetryAfter};
     reply.reason = unsupportedFeature(spec);
     if (!reply.reason.empty())
-        return reply;
+        return {.rejection = reply};
     for (const auto &step : spec.steps) {
         const PlacementNeeds needs{.service = spec.service,
                                    .size = {step->cpu_milli, step->memory_mb, step->accelerators},
                                    .requiredLabel = step->required_label};
         if (!m_pool.canEverFit(needs)) {
             reply.reason = "no worker can hold a task of this size";
-            return reply;
+            return {.rejection = reply};
         }
     }
+    if (m_admission)
+        return checkForecast(spec, zone, now);
     int64_t longestStep = 0;
     for (const auto &step : spec.steps)
         longestStep = std::max<int64_t>(longestStep, m_runTimes.estimateMs(spec.queue, step->estimate_ms));
     const Millis slack = objective(spec) - Millis{longestStep} - dispatchOverhead;
     const Millis wait = predictedWait(spec, queueKey(now + slack, now), Millis{longestStep});
     const Millis allowed = allowedWait(spec, slack, now);
-    if (wait <= allowed)
-        return std::nullopt;
-    reply.reason = "the waiting work would make the job late";
+    const bool inTime = wait <= allowed;
+    if (inTime && (wait.count == 0 || isWithinShares(spec, zone, slack, now))) {
+        if (m_shares)
+            m_shares->admitted(spec.queue, zone, largestStepMilli(spec));
+        return {};
+    }
+    recordRejected(spec, zone, now);
+    if (inTime)
+        m_log.count("jobs_rejected_total", shareUsedUp);
+    reply.reason = std::string(inTime ? shareUsedUp : "the waiting work would make the job late");
     reply.retryAfter = std::max(minRetryAfter, wait);
     m_log.write(now, "job_refused",
                 {{"job", jobIdText(spec.id)},
@@ -126,7 +146,7 @@
                  {"waiting_cpu_milli", m_waitingCpuMilli},
                  {"peers_waiting_cpu_milli", m_peersWaitingCpuMilli},
                  {"turnover_ms", m_runTimes.turnover(spec.service, Millis{longestStep})}});
-    return reply;
+    return {.rejection = reply};
 }
 
 JobScheduler::Job &JobScheduler::addJob(JobSpec spec, uint32_t partition, Millis now)
@@ -190,15 +210,18 @@
                 .reason = "the agents have not reported to the new owner yet"});
         return;
     }
-    if (std::optional<JobReply> rejection = checkAdmission(spec, now)) {
-        onDone(std::move(*rejection));
+    Admission admission = checkAdmission(spec, options.zone, now);
+    if (admission.rejection) {
+        onDone(std::move(*admission.rejection));
         return;
     }
-    if (spec.best_effort) {
-        acceptBestEffort(std::move(spec), partition, options, now, std::move(onDone));
+    Job &job = addJob(std::move(spec), partition, now);
+    job.expectedLate = admission.isLate;
+    job.zone = options.zone;
+    if (job.spec.best_effort) {
+        acceptBestEffort(job, options, now, std::move(onDone));
         return;
     }
-    Job &job = addJob(std::move(spec), partition, now);
     job.submitters.push_back(std::move(onDone));
     writeRecord(job);
 }
@@ -210,15 +233,13 @@
         std::count_if(partition.expected.begin(), partition.expected.end(), hasNotReported));
 }
 
-void JobScheduler::acceptBestEffort(JobSpec spec, uint32_t number, SubmitOptions options, Millis now,
-                                    JobReplyHandler onDone)
+void JobScheduler::acceptBestEffort(Job &job, SubmitOptions options, Millis now, JobReplyHandler onDone)
 {
-    const JobId id = spec.id;
-    Job &job = addJob(std::move(spec), number, now);
+    const JobId id = job.spec.id;
     job.submitters.push_back(std::move(onDone));
     job.accepted = true;
     job.expiresAt = now + options.wait;
-    const Partition &partition = m_partitions.at(number);
+    const Partition &partition = m_partitions.at(job.partition);
     job.runBase = static_cast<uint32_t>(partition.epoch) * runsPerEpoch;
     // Late reports on the runs of a submission that was given up must not be taken for the present runs.
     if (const auto givenUp = m_givenUp.find(id); givenUp != m_givenUp.end())
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -18,6 +18,8 @@
 //   estimates nor the waits of their clients show that no run of an earlier submission exists.
 #pragma once
 
+#include "jobs/admissioncontrol.h"
+#include "jobs/fairshares.h"
 #include "jobs/policies.h"
 #include "jobs/runtimes.h"
 #include "jobs/urgentslack.h"
@@ -27,6 +29,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <span>
@@ -46,6 +49,12 @@
 // times.
 Millis declaredSlack(const JobSpec &spec);
 
+// Processors that the job's largest step requires, in thousandths of a core.
+int64_t largestStepMilli(const JobSpec &spec);
+
+// Reason of a rejection.
+inline constexpr std::string_view shareUsedUp = "the share of the job's queue or zone is used up";
+
 enum class StoreOutcome : uint8_t {
     Stored,
     // The record is not stored and will not be stored later.
@@ -96,6 +105,8 @@
 {
     // How long the caller waits for the answer.
     Millis wait;
+    // Availability zone of the entry that received the call; empty if it is not known.
+    std::string zone;
 };
 
 using JobReplyHandler = std::function<void(JobReply)>;
@@ -124,6 +135,9 @@
     // percent, and a job that ends late uses resources that a job in time could have had.
     uint32_t admissionSlackPercent = 45;
     QueueOrder order;
+    AdmissionPolicy admission;
+    // Shares of queues and zones under scarcity; empty for none.
+    std::optional<SharesSettings> shares;
     // The predicted wait must also be within this percentage of the wait that is allowed for more urgent
     // jobs; 0 disables the limit.
     uint32_t urgentSlackPercent = 100;
@@ -210,6 +224,13 @@
     int64_t waitingCpuMilli() const { return m_waitingCpuMilli; }
     // Processors that tasks waiting at the other entries require, as those entries report them.
     void setPeersWaitingCpuMilli(int64_t amount) { m_peersWaitingCpuMilli = amount; }
+    // The same by peer and with the times of the reports, for admission by forecast.
+    void setPeerReports(std::vector<PeerReport> reports);
+    // Null unless shares are set.
+    FairShares *shares() { return m_shares ? &*m_shares : nullptr; }
+    const FairShares *shares() const { return m_shares ? &*m_shares : nullptr; }
+    // Work of this owner by queue, for the reports to the other owners; empty unless shares are set.
+    std::vector<QueueDemand> shareDemands(Millis now) const;
     size_t activeJobs() const { return m_jobs.size(); }
 
 private:
@@ -260,6 +281,8 @@
     struct Job
     {
         JobSpec spec;
+        // Availability zone in which it was submitted; empty if it is not known.
+        std::string zone;
         // Distinguishes jobs of the same identifier: a job that was given up may be submitted again while the
         // store still writes a record of its predecessor.
         uint64_t serial = 0;
@@ -292,6 +315,8 @@
         bool recordInFlight = false;
         bool recordDirty = false;
         bool queued = false;
+        // Admitted although it will be late.
+        bool expectedLate = false;
         // Run numbers start above this value, which exceeds every number that a former owner can have used.
         uint32_t runBase = 0;
         std::vector<JobReplyHandler> submitters;
@@ -373,8 +398,15 @@
     // True if a new owner knows the workers of so few agents that it cannot judge whether there is capacity
     // for a job.
     bool lacksCapacityView(const Partition &partition, Millis now) const;
-    // Returns the reply for a job that is rejected; nullopt if the job is admitted.
-    std::optional<JobReply> checkAdmission(const JobSpec &spec, Millis now);
+    struct Admission
+    {
+        // Empty if the job is admitted.
+        std::optional<JobReply> rejection;
+        // The job will be late, and uses only what jobs in time leave.
+        bool isLate = false;
+    };
+
+    Admission checkAdmission(const JobSpec &spec, const std::string &zone, Millis now);
     // Predicted time until the job's tasks are started, given the work that is queued ahead of them.
     Millis predictedWait(const JobSpec &spec, Millis key, Millis estimate) const;
     // Longest predicted wait with which a job of this slack is admitted.
@@ -399,8 +431,7 @@
     void deleteRecord(uint32_t partition, JobId id);
     void recordStored(const RecordWrite &write, StoreOutcome outcome, Millis now);
     void finishAcceptance(Job &job, StoreOutcome outcome, Millis now);
-    void acceptBestEffort(JobSpec spec, uint32_t partition, SubmitOptions options, Millis now,
-                          JobReplyHandler onDone);
+    void acceptBestEffort(Job &job, SubmitOptions options, Millis now, JobReplyHandler onDone);
     // Number of agents that may have runs of the partition and have not reported to this owner.
     static size_t unreportedAgents(const Partition &partition);
     void retire(JobId id, Millis now);
@@ -443,6 +474,31 @@
     std::string_view claimReportProblem(uint32_t number, uint64_t epoch, std::span<const RunId> running,
                                         std::span<const AgentEnd> ended) const;
 
+    // --- jobscheduleradmission.cpp: admission by forecast (m_admission is set) and by shares ---
+    void useForecast();
+    Admission checkForecast(const JobSpec &spec, const std::string &zone, Millis now);
+    // The job was rejected after it had waited, or at once.
+    void recordRejected(const JobSpec &spec, const std::string &zone, Millis now);
+    // True if the shares leave room for the job, or none are set. Its start may be delayed by `slack`.
+    bool isWithinShares(const JobSpec &spec, const std::string &zone, Millis slack, Millis now);
+    bool isLent(const TaskClass &taskClass, const ForecastNeed &need, const ForecastResult &forecast,
+                Millis now);
+    std::vector<OwnWork> ownWork() const;
+    // True if the job is late, but little of it is left to be started and its end is still worth something.
+    bool isWorthFinishing(const Job &job, Millis now) const;
+    Millis lastUsefulStart(const Job &job) const;
+    // True if the job, which waits and will be late, is still expected to be worth something.
+    bool isWorthWaiting(const Job &job, Millis now);
+    // Time after which a job that was refused after it had waited is to be submitted again.
+    Millis retryAfterWaiting(const Job &job, Millis now);
+    Millis criticalPath(const JobSpec &spec) const;
+    Forecast::Options describeClass(const TaskClass &taskClass, Millis now) const;
+    void addOwnWork(const TaskClass &taskClass, Forecast &forecast, Millis now) const;
+    // Part of this owner in the running work of the service.
+    double ownFraction(std::string_view service, const ReachableResources &resources) const;
+    // Part of the agents of the newest partitions whose workers are known.
+    double knownAgentsFraction(Millis now) const;
+
     // --- jobschedulerdispatch.cpp: queue and placement ---
     Millis queueKey(Millis latestStart, Millis acceptedAt) const;
     void enqueue(Job &job);
@@ -473,6 +529,9 @@
     StructuredLog &m_log;
     RunTimes m_runTimes;
     UrgentSlack m_urgentSlack;
+    // Null unless jobs are admitted by forecast.
+    std::unique_ptr<AdmissionControl> m_admission;
+    std::optional<FairShares> m_shares;
     std::map<uint32_t, Partition> m_partitions;
     std::unordered_map<JobId, Job> m_jobs;
     uint64_t m_lastSerial = 0;
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -82,7 +82,10 @@
     job.queued = true;
     job.latestStart = job.dueAt - remainingCriticalPath(job) - dispatchOverhead;
     job.queueKey = queueKey(job.latestStart, job.acceptedAt);
-    m_onTime.emplace(job.queueKey, job.spec.id);
+    if (job.expectedLate)
+        m_late.emplace(job.acceptedAt, job.spec.id);
+    else
+        m_onTime.emplace(job.queueKey, job.spec.id);
 }
 
 void JobScheduler::dequeue(Job &job)
@@ -101,7 +104,13 @@
     while (!m_onTime.empty() && m_onTime.begin()->first < now) {
         const JobId id = m_onTime.begin()->second;
         m_onTime.erase(m_onTime.begin());
-        m_late.emplace(m_jobs.at(id).acceptedAt, id);
+        Job &job = m_jobs.at(id);
+        if (m_admission && isWorthFinishing(job, now)) {
+            job.queueKey = lastUsefulStart(job);
+            m_onTime.emplace(job.queueKey, id);
+        } else {
+            m_late.emplace(job.acceptedAt, id);
+        }
     }
 }
 
@@ -112,11 +121,15 @@
         const Job &job = m_jobs.at(id);
         // A refusal says that the job does not run, which is not known yet.
         const bool mayHaveRuns = job.mayHaveFormerRuns && !m_partitions.at(job.partition).reconciled;
-        if (job.spec.best_effort && !job.anyOrdered && !job.recorded && !mayHaveRuns)
+        if (!job.spec.best_effort || job.anyOrdered || job.recorded || mayHaveRuns)
+            continue;
+        if (!m_admission || !isWorthWaiting(job, now))
             rejected.push_back(id);
     }
     for (const JobId id : rejected) {
         Job &job = m_jobs.at(id);
+        recordRejected(job.spec, job.zone, now);
+        const Millis retryAfter = m_admission ? retryAfterWaiting(job, now) : rejectionRetryAfter;
         m_log.write(now, "job_refused",
                     {{"job", jobIdText(id)},
                      {"queue", job.spec.queue},
@@ -127,7 +140,7 @@
         m_jobs.erase(id);
         for (const JobReplyHandler &submitter : submitters) {
             submitter({.status = fleet::CallStatus::Refused,
-                       .retryAfter = rejectionRetryAfter,
+                       .retryAfter = retryAfter,
                        .reason = "no worker had room in time"});
         }
     }
--- a/src/jobs/policies.cpp
+++ b/src/jobs/policies.cpp
@@ -23,4 +23,13 @@
     return std::nullopt;
 }
 
+std::optional<AdmissionPolicy> parseAdmissionPolicy(std::string_view name)
+{
+    if (name == "slack")
+        return SlackAdmission{};
+    if (name == "forecast")
+        return ForecastAdmission{};
+    return std::nullopt;
+}
+
 } // namespace turmericwell
--- a/src/jobs/policies.h
+++ b/src/jobs/policies.h
@@ -34,8 +34,19 @@
 };
 using PlacementPolicy = std::variant<MostFreeShare, LeastFreeShare, AnyFitting>;
 
+// Admits a job if one predicted wait, the same for all kinds of jobs, is within a part of the job's slack.
+struct SlackAdmission
+{
+};
+// Admits a job if it is forecast to be on time, or late from spare room.
+struct ForecastAdmission
+{
+};
+using AdmissionPolicy = std::variant<SlackAdmission, ForecastAdmission>;
+
 // Parse the names that settings and command lines use; nullopt if the name is unknown.
 std::optional<QueueOrder> parseQueueOrder(std::string_view name);
 std::optional<PlacementPolicy> parsePlacementPolicy(std::string_view name);
+std::optional<AdmissionPolicy> parseAdmissionPolicy(std::string_view name);
 
 } // namespace turmericwell
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -5,6 +5,7 @@
 // resources.
 #pragma once
 
+#include "jobs/forecast.h"
 #include "jobs/policies.h"
 #include "jobs/taskid.h"
 #include "turmericwell/millis.h"
@@ -99,7 +100,7 @@
 
     void report(AgentNumber agent, WorkerState state);
     void remove(AgentNumber agent);
-    void setEvacuatedZones(std::set<std::string> zones) { m_evacuated = std::move(zones); }
+    void setEvacuatedZones(std::set<std::string> zones);
     const std::set<std::string> &evacuatedZones() const { return m_evacuated; }
 
     // Returns a worker on which the task fits now; nullopt if there is none.
@@ -121,6 +122,10 @@
     int64_t freeMilli(std::string_view service) const;
     // Processors that tasks queued at these workers' agents require.
     int64_t queuedCpuMilli(std::string_view service) const;
+    // Resources for tasks of this size on the usable workers that have the required label. Sums are kept for
+    // the sizes that are asked for, so that a call looks only at the workers that have changed since the last
+    // one for the same size. Agents that the needs exclude are not left out.
+    ReachableResources reachable(const PlacementNeeds &needs);
     // Whether the task would fit on any usable worker that is not avoided, if that worker were empty.
     bool canEverFit(const PlacementNeeds &needs) const;
     const WorkerState *find(AgentNumber agent) const;
@@ -150,12 +155,37 @@
 
     void raiseFreeBound(const Worker &worker);
 
+    // Sums over all workers for tasks of one size.
+    struct ReachableSum
+    {
+        std::string service;
+        std::string requiredLabel;
+        Resources size;
+        ReachableResources total;
+        std::map<AgentNumber, ReachableResources> byAgent;
+        // Entries of m_changes that the sum includes.
+        uint64_t changesSeen = 0;
+        uint64_t lastUse = 0;
+    };
+    // More sizes than this replace the one that was not asked for the longest.
+    static constexpr size_t mostReachableSums = 24;
+
+    ReachableSum &reachableSum(const PlacementNeeds &needs);
+    void updateReachable(ReachableSum &sum, AgentNumber agent) const;
+    void recordChange(AgentNumber agent);
+
     const PlacementPolicy m_policy;
     std::map<AgentNumber, Worker> m_workers;
     // Upper bound of the free processors of any worker, by service. Placing a task does not lower the bound;
     // an unsuccessful search does.
     std::map<std::string, int64_t, std::less<>> m_maxFreeMilli;
     std::set<std::string> m_evacuated;
+    std::vector<ReachableSum> m_reachable;
+    uint64_t m_reachableUses = 0;
+    // Agents whose resources have changed, oldest first, and the number of earlier changes that were
+    // forgotten. Empty while no sum is kept.
+    std::vector<AgentNumber> m_changes;
+    uint64_t m_changesForgotten = 0;
     std::minstd_rand m_random{1};
 };
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -176,6 +176,12 @@
     m_state->change(name, [value](Metric &metric) { metric.values[""] = value; });
 }
 
+void Metrics::set(std::string_view name, std::string_view labelValue, double value)
+{
+    m_state->change(name,
+                    [&](Metric &metric) { metric.values.insert_or_assign(std::string(labelValue), value); });
+}
+
 void Metrics::observe(std::string_view name, double value)
 {
     m_state->change(name, [value](Metric &metric) { metric.summary.add(value); });
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -32,6 +32,8 @@
     void count(std::string_view name, std::string_view labelValue = "", uint64_t amount = 1);
     // Sets a gauge, or a counter whose total is maintained by the caller.
     void set(std::string_view name, double value);
+    // The same with a label value.
+    void set(std::string_view name, std::string_view labelValue, double value);
     // Adds a sample to a summary.
     void observe(std::string_view name, double value);
     // All metrics in the Prometheus text format, ordered by name.
--- a/src/observe/structuredlog.cpp
+++ b/src/observe/structuredlog.cpp
@@ -160,6 +160,12 @@
     decisionLogger().log(log4cplus::INFO_LOG_LEVEL, line);
 }
 
+void StructuredLog::count(std::string_view counter, std::string_view labelValue) const
+{
+    if (m_metrics)
+        m_metrics->count(counter, labelValue);
+}
+
 void StructuredLog::observe(std::string_view summary, Millis sample) const
 {
     if (m_metrics)
--- a/src/observe/structuredlog.h
+++ b/src/observe/structuredlog.h
@@ -75,6 +75,8 @@
     void setMetrics(Metrics *metrics) { m_metrics = metrics; }
     // Adds a sample to the named summary; does nothing without metrics.
     void observe(std::string_view summary, Millis sample) const;
+    // Adds 1 to the named counter; does nothing without metrics.
+    void count(std::string_view counter, std::string_view labelValue) const;
     uint64_t droppedLines() const { return m_droppedTotal; }
 
 private:
