--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -63,6 +63,7 @@
     std::string placement = "most-free";
     bool learnWorkerSpeeds = false;
     std::string moveLongRuns = "by-ratio";
+    std::string admission = "slack";
 };
 
 struct DayResult
@@ -139,6 +140,7 @@
     day.placement = *parsePlacementPolicy(settings.placement);
     day.learnWorkerSpeeds = settings.learnWorkerSpeeds;
     day.moveLongRuns = *parseLongRunPolicy(settings.moveLongRuns);
+    day.admission = *parseAdmissionPolicy(settings.admission);
     day.workersCallNextAgent = settings.mostStrayAnnouncements > 0;
     day.servesUntilTaken = settings.serveUntilTaken;
     day.writesLogs = writesLogs;
@@ -406,7 +408,8 @@
         "learn-worker-speeds", options::bool_switch(&settings.learnWorkerSpeeds),
         "agents estimate the speeds of their workers, and entries place tasks by them")(
         "move-long-runs", options::value(&settings.moveLongRuns), "by-ratio (default) or by-evidence")(
-        "json", options::bool_switch(&asJson), "prints one JSON object a day")(
+        "admission", options::value(&settings.admission),
+        "slack (default) or forecast")("json", options::bool_switch(&asJson), "prints one JSON object a day")(
         "log", options::bool_switch(&writesLogs), "writes the decision logs of all processes");
     const CommandLine line =
         parseCommandLine(arguments, "emulate", description, "",
@@ -417,8 +420,9 @@
         std::cerr << "turmericwell emulate: --site: \"" << settings.site << "\" is not known\n";
         return ExitCode::BadUsage;
     }
-    if (!parseQueueOrder(settings.order) || !parsePlacementPolicy(settings.placement)) {
-        std::cerr << "turmericwell emulate: --order or --placement is not known\n";
+    if (!parseQueueOrder(settings.order) || !parsePlacementPolicy(settings.placement)
+        || !parseAdmissionPolicy(settings.admission)) {
+        std::cerr << "turmericwell emulate: --order, --placement or --admission is not known\n";
         return ExitCode::BadUsage;
     }
     if (!parseLongRunPolicy(settings.moveLongRuns)) {
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -129,6 +129,7 @@
             .placement = m_options.placement,
             .learnWorkerSpeeds = m_options.learnWorkerSpeeds,
             .moveLongRuns = m_options.moveLongRuns,
+            .admission = m_options.admission,
             .queueAllowancePercent = m_options.queueAllowancePercent,
             .leaveWithoutWorker = m_options.leaveWithoutWorker};
 }
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -39,6 +39,7 @@
     bool servesUntilTaken = false;
     // Workers announce themselves at different times instead of all at once.
     bool spreadsAnnouncements = false;
+    AdmissionPolicy admission;
     // A worker whose agent does not acknowledge an announcement calls the next agent.
     bool workersCallNextAgent = false;
     // Writes the decision logs to standard output.
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -40,6 +40,8 @@
     , m_scheduler({.partitions = settings.partitions,
                    .admissionSlackPercent = settings.admissionSlackPercent,
                    .order = settings.queueOrder,
+                   .admission = settings.admission,
+                   .shares = settings.shares,
                    .urgentSlackPercent = settings.urgentSlackPercent,
                    .learnWorkerSpeeds = settings.learnWorkerSpeeds,
                    .moveLongRuns = settings.moveLongRuns,
@@ -154,6 +156,10 @@
     metrics.set("workers_with_known_speed", static_cast<double>(m_pool.workersWithKnownSpeed()));
     metrics.set("runs_moved_total", static_cast<double>(m_scheduler.movedRuns()));
     metrics.set("runs_left_total", static_cast<double>(m_scheduler.leftRuns()));
+    if (const FairShares *shares = m_scheduler.shares()) {
+        for (const auto &[queue, share] : shares->shares())
+            metrics.set("queue_share_cpu_milli", queue, share);
+    }
     metrics.set("configuration_version", static_cast<double>(m_queues.version()));
 }
 
@@ -323,6 +329,13 @@
         report.pending.push_back(std::move(item));
     }
     report.waiting_cpu_milli = m_scheduler.waitingCpuMilli();
+    for (const QueueDemand &demand : m_scheduler.shareDemands(Clock::now())) {
+        auto item = std::make_unique<fleet::QueueDemandT>();
+        item->queue = demand.queue;
+        item->waiting_cpu_milli = demand.waitingMilli;
+        item->running_cpu_milli = demand.runningMilli;
+        report.demands.push_back(std::move(item));
+    }
     report.stopping = isStopping();
     report.store_reachable = !m_transport.isDirectFailing();
     return report;
@@ -447,9 +460,11 @@
         if (peer == m_peers.end() || peer->second.link != link)
             return;
         closeSuperseded(*report);
+        receivedDemands(link->peer(), *report);
         const bool hasStopped =
             report->stopping && report->partitions.empty() && !peer->second.report.partitions.empty();
         peer->second.report = std::move(*report);
+        peer->second.receivedAt = Clock::now();
         updatePeersWaiting();
         if (hasStopped)
             m_owner.joinNow();
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -3,9 +3,11 @@
 
 #include "config/jsonreader.h"
 #include "fleet/inputlimits.h"
+#include "jobs/fairshares.h"
 #include "jobs/policies.h"
 #include "net/address.h"
 
+#include <optional>
 #include <string>
 
 namespace turmericwell {
@@ -57,6 +59,10 @@
     // longer far from its data.
     bool placementWait = false;
     double farFactor = 1;
+    // Entries: rule by which a job is admitted or rejected, and the shares of queues and zones under
+    // scarcity.
+    AdmissionPolicy admission;
+    std::optional<SharesSettings> shares;
     // Agents: size of the start orders that may wait at the agent beyond the worker's free resources, in
     // percent of the worker's processors.
     uint32_t queueAllowancePercent = 10;
--- a/src/observe/structuredlog.cpp
+++ b/src/observe/structuredlog.cpp
@@ -160,16 +160,16 @@
     decisionLogger().log(log4cplus::INFO_LOG_LEVEL, line);
 }
 
-void StructuredLog::observe(std::string_view summary, Millis sample) const
+void StructuredLog::count(std::string_view counter, std::string_view labelValue) const
 {
     if (m_metrics)
-        m_metrics->observe(summary, static_cast<double>(sample.count));
+        m_metrics->count(counter, labelValue);
 }
 
-void StructuredLog::count(std::string_view counter, std::string_view labelValue) const
+void StructuredLog::observe(std::string_view summary, Millis sample) const
 {
     if (m_metrics)
-        m_metrics->count(counter, labelValue);
+        m_metrics->observe(summary, static_cast<double>(sample.count));
 }
 
 void StructuredLog::write(Millis now, std::string_view event, std::initializer_list<LogField> fields)
