Join at once after a restart of an established fleet

Cause: after all processes were down, each entry waited 300 to 350 ms for processes that the member list named already, while all calls were refused.

--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -58,6 +58,7 @@
     uint32_t slowRestartMs = 0;
     uint32_t storeFactor = 65;
     bool serveUntilTaken = false;
+    bool joinKnownFleetAtOnce = false;
     std::string order = "latest-start";
     std::string placement = "most-free";
 };
@@ -135,6 +136,7 @@
     day.placement = *parsePlacementPolicy(settings.placement);
     day.workersCallNextAgent = settings.mostStrayAnnouncements > 0;
     day.servesUntilTaken = settings.serveUntilTaken;
+    day.joinsKnownFleetAtOnce = settings.joinKnownFleetAtOnce;
     day.writesLogs = writesLogs;
     if (settings.entries > 0)
         day.size.entries = settings.entries;
@@ -391,6 +393,8 @@
         "slow-restart-ms", options::value(&settings.slowRestartMs),
         "besides, the store is slow for this long while all entries are restarted in turn")(
         "store-factor", options::value(&settings.storeFactor), "how many times slower the store then is")(
+        "join-known-fleet-at-once", options::bool_switch(&settings.joinKnownFleetAtOnce),
+        "entries that restart join without waiting for other processes to appear")(
         "serve-until-taken", options::bool_switch(&settings.serveUntilTaken),
         "entries serve a partition that they give up until its next owner has loaded it")(
         "order", options::value(&settings.order), "latest-start (default) or arrival")(
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -125,6 +125,7 @@
             .admissionSlackPercent = m_options.admissionSlackPercent,
             .urgentSlackPercent = m_options.urgentSlackPercent,
             .servesUntilTaken = m_options.servesUntilTaken,
+            .joinsKnownFleetAtOnce = m_options.joinsKnownFleetAtOnce,
             .queueOrder = m_options.queueOrder,
             .placement = m_options.placement,
             .queueAllowancePercent = m_options.queueAllowancePercent};
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -33,6 +33,7 @@
     QueueOrder queueOrder;
     PlacementPolicy placement;
     bool servesUntilTaken = false;
+    bool joinsKnownFleetAtOnce = false;
     // Workers announce themselves at different times instead of all at once.
     bool spreadsAnnouncements = false;
     // A worker whose agent does not acknowledge an announcement calls the next agent.
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -6,6 +6,10 @@
 namespace turmericwell {
 
 constexpr Millis dialTimeout = {700};
+// In milliseconds of the wall clock, from which incarnations are drawn. A registration that is older than
+// this process by more belongs to a fleet that had started before, not to one that starts with this process.
+// A wrong clock leads to a join that is corrected later.
+constexpr uint64_t establishedAge = 5'000;
 // Timeout of the connection attempt to a lost entry, after which its memberships are ended on its behalf.
 constexpr Millis redialTimeout = {250};
 // An entry whose registration has been read counts as present for this long before it is connected.
@@ -16,6 +20,10 @@
 
 void EntryNode::memberFound(const Member &member)
 {
+    // Until the whole list has been read; later registrations tell nothing about the others.
+    const bool isFormer = member.identity.incarnation + establishedAge < m_self.incarnation;
+    if (m_settings.joinsKnownFleetAtOnce && !m_members.isSynced() && isFormer && !member.isLost)
+        m_membershipPlan.setFleetKnown();
     if (member.identity.name == m_self.name) {
         selfFound(member);
         return;
@@ -63,6 +71,8 @@
         m_registration.start();
     } else if (member.identity.incarnation == m_self.incarnation) {
         m_entries.selfRegistered(now);
+        if (m_settings.joinsKnownFleetAtOnce)
+            m_timers.after({0}, [this] { updateMemberships(Clock::now()); });
     }
 }
 
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -43,6 +43,7 @@
     settings.urgentSlackPercent = static_cast<uint32_t>(
         reader.integer("urgentSlackPercent", settings.urgentSlackPercent, {.least = 0, .most = 1'000}));
     settings.servesUntilTaken = reader.boolean("serveUntilTaken", settings.servesUntilTaken);
+    settings.joinsKnownFleetAtOnce = reader.boolean("joinKnownFleetAtOnce", settings.joinsKnownFleetAtOnce);
     reader.finish();
     return settings;
 }
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -44,6 +44,9 @@
     // Entries: a partition that is given up is served until its next owner has loaded it. Must be the
     // same at all entries, since a new owner waits for former owners accordingly.
     bool servesUntilTaken = false;
+    // Entries: after a restart, the group of owners is joined without waiting for further processes to appear
+    // if the member list names an established fleet.
+    bool joinsKnownFleetAtOnce = false;
     // Entries: order of the waiting jobs, and policy for choosing a worker.
     QueueOrder queueOrder;
     PlacementPolicy placement;
--- a/src/fleet/membershipplan.cpp
+++ b/src/fleet/membershipplan.cpp
@@ -47,10 +47,11 @@
         m_wantedSince = now;
     }
     // Without an owner the partitions are not served, so an entry that holds none joins soon.
-    const Millis delay = m_current == 0 ? joinDelay : changeDelay;
+    const Millis firstDelay = m_isFleetKnown ? Millis{0} : joinDelay;
+    const Millis delay = m_current == 0 ? firstDelay : changeDelay;
     if (m_wanted == m_current || now - m_wantedSince < delay)
         return std::nullopt;
-    const bool isFleetSettled = now - m_agentsSince >= joinDelay || now - m_firstCallAt >= maxJoinDelay;
+    const bool isFleetSettled = now - m_agentsSince >= firstDelay || now - m_firstCallAt >= maxJoinDelay;
     if (m_current == 0 && !isFleetSettled)
         return std::nullopt;
     m_current = m_wanted;
--- a/src/fleet/membershipplan.h
+++ b/src/fleet/membershipplan.h
@@ -29,9 +29,15 @@
                         uint32_t current);
 
 // Delays changes until the set of entries has settled, since each change moves partitions.
+//
+// Load pattern: all processes of an established fleet start again at once. The registrations of their former
+// processes name the entries and agents before any of these has registered again.
 class MembershipPlan
 {
 public:
+    // Called when the member list has been read and names an established fleet: the first memberships are
+    // joined without a wait for further processes.
+    void setFleetKnown() { m_isFleetKnown = true; }
     // Returns the number of memberships to hold from now on if it changes. `wanted` fits the present entries;
     // `agents` is the number of registered agents.
     std::optional<uint32_t> advance(uint32_t wanted, size_t agents, Millis now);
@@ -46,6 +52,7 @@
     static constexpr Millis maxJoinDelay = {1'500};
     static constexpr Millis changeDelay = {3'000};
 
+    bool m_isFleetKnown = false;
     uint32_t m_current = 0;
     uint32_t m_wanted = 0;
     Millis m_wantedSince;
--- a/tests/unit/returntoservicetest.cpp
+++ b/tests/unit/returntoservicetest.cpp
@@ -1,6 +1,7 @@
 // Tests how soon all processes serve again after they were down at once.
 #include "emulator/returntoservice.h"
 #include "emulator/emulationsites.h"
+#include "fleet/membershipplan.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -65,6 +66,35 @@
     BOOST_TEST(service.refused == 70U);
 }
 
+// Guards against entries that wait for processes which the member list names already, while all calls are
+// refused.
+BOOST_AUTO_TEST_CASE(entryOfAnEstablishedFleetJoinsAtOnce)
+{
+    MembershipPlan plan;
+    plan.setFleetKnown();
+    BOOST_TEST(plan.advance(2, 60, {1'000}).value_or(9) == 2U);
+    // Later changes wait as usual.
+    BOOST_TEST(!plan.advance(1, 60, {1'100}).has_value());
+    BOOST_TEST(!plan.advance(1, 60, {4'050}).has_value());
+    BOOST_TEST(plan.advance(1, 60, {4'100}).value_or(9) == 1U);
+}
+
+// Guards against seconds without service after all processes were down at once, with the workers up.
+BOOST_AUTO_TEST_CASE(serviceIsBackSoonAfterAllProcessesWereDown)
+{
+    EmulationOptions day = dayOfManyAgents(1);
+    day.servesUntilTaken = true;
+    day.joinsKnownFleetAtOnce = true;
+    constexpr Millis at = {3'000};
+    constexpr Millis length = {1'000};
+    day.plan = planOf(OutageOfAll{.at = at, .length = length});
+    const EmulationRecord record = Emulation(day).run();
+    BOOST_TEST(firstBroken(checkPromises(record, day)) == "");
+    constexpr Millis never = {60'000};
+    BOOST_TEST(timeUntilServed(record, day, at, at + length, 0.5).value_or(never).count <= 600);
+    BOOST_TEST(timeUntilServed(record, day, at, at + length, 0.9).value_or(never).count <= 1'200);
+}
+
 // Guards against a third of the jobs being refused while entries are restarted in turn and the store is slow:
 // each partition that changed its owner stood still for several calls to the store.
 BOOST_AUTO_TEST_CASE(partitionsAreServedWhileTheyChangeOwnersSlowly)
