--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -37,6 +37,7 @@
     bool learnWorkerSpeeds = false;
     LongRunPolicy moveLongRuns;
     bool servesUntilTaken = false;
+    bool joinsKnownFleetAtOnce = false;
     // Workers announce themselves at different times instead of all at once.
     bool spreadsAnnouncements = false;
     AdmissionPolicy admission;
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -99,6 +99,7 @@
     for (JsonReader &shares : reader.object("shares"))
         settings.shares = readShares(shares);
     settings.admission = *parseAdmissionPolicy(reader.word("admission", "slack", admissionNames));
+    settings.joinsKnownFleetAtOnce = reader.boolean("joinKnownFleetAtOnce", settings.joinsKnownFleetAtOnce);
     reader.finish();
     return settings;
 }
