--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 #include <xxhash.h>
 
 namespace turmericwell {
@@ -20,7 +21,7 @@
 
 JobScheduler::JobScheduler(JobSchedulerOptions options, WorkerPool &pool, JobEffects &effects,
                            StructuredLog &log)
-    : m_options(options)
+    : m_options(std::move(options))
     , m_pool(pool)
     , m_effects(effects)
     , m_log(log)
@@ -176,7 +177,7 @@
     return {.status = fleet::CallStatus::Done, .phase = phase};
 }
 
-void JobScheduler::submit(JobSpec spec, SubmitOptions options, Millis now, JobReplyHandler onDone)
+void JobScheduler::submit(JobSpec spec, const SubmitOptions &options, Millis now, JobReplyHandler onDone)
 {
     const uint32_t partition = partitionOf(spec.id, m_options.partitions);
     if (!isServing(partition)) {
@@ -233,7 +234,8 @@
         std::count_if(partition.expected.begin(), partition.expected.end(), hasNotReported));
 }
 
-void JobScheduler::acceptBestEffort(Job &job, SubmitOptions options, Millis now, JobReplyHandler onDone)
+void JobScheduler::acceptBestEffort(Job &job, const SubmitOptions &options, Millis now,
+                                    JobReplyHandler onDone)
 {
     const JobId id = job.spec.id;
     job.submitters.push_back(std::move(onDone));
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -174,7 +174,7 @@
 
     // --- calls of clients ---
     // A best-effort job is abandoned when none of its callers waits any longer.
-    void submit(JobSpec spec, SubmitOptions options, Millis now, JobReplyHandler onDone);
+    void submit(JobSpec spec, const SubmitOptions &options, Millis now, JobReplyHandler onDone);
     JobReply query(JobId job) const;
     void cancel(JobId job, Millis now, JobReplyHandler onDone);
     std::map<std::string, uint32_t> pendingByQueue() const;
@@ -431,7 +431,7 @@
     void deleteRecord(uint32_t partition, JobId id);
     void recordStored(const RecordWrite &write, StoreOutcome outcome, Millis now);
     void finishAcceptance(Job &job, StoreOutcome outcome, Millis now);
-    void acceptBestEffort(Job &job, SubmitOptions options, Millis now, JobReplyHandler onDone);
+    void acceptBestEffort(Job &job, const SubmitOptions &options, Millis now, JobReplyHandler onDone);
     // Number of agents that may have runs of the partition and have not reported to this owner.
     static size_t unreportedAgents(const Partition &partition);
     void retire(JobId id, Millis now);
