Don't wait for agents that have left while they stay connected

Cause: an agent that stops while the store is down stays until its registration is removed. Change: an agent that has left isn't expected to hold runs, also while it is connected; it tells so on each new connection. Two test simulations had types of the same name with other members; those of admission are renamed.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -91,8 +91,7 @@
             onDone();
             return;
         }
-        for (const auto &[number, entry] : m_entries)
-            entry.link->send(fleet::LeavingT());
+        announceLeaving();
         withdrawBefore(deadline, std::move(onDone));
         return;
     }
@@ -160,6 +159,8 @@
     // The entry counts the contact from the arrival of this side's greeting, which is later than its sending.
     // The arrival of the entry's greeting here says nothing of when the entry was alive.
     m_workerManager.entryConnected(number, link->startedAt());
+    if (m_hasLeft)
+        link->send(fleet::LeavingT());
     sendReport(number, entry, m_workerManager.report(), now);
 }
 
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -100,6 +100,7 @@
     void updateRegistration();
     // New owners then do not wait for this agent, also if it ends before they start.
     void leaveWithoutWorker();
+    void announceLeaving();
     void withdrawUntilRemoved();
     // Repeats the withdrawal until the store has accepted it or the deadline has come. The instance may be
     // gone for good after the stop, and new owners would then wait for its report.
@@ -123,6 +124,8 @@
     EntryNumber m_nextEntry = 1;
     Millis m_lastConnectedToEntry;
     bool m_isStopping = false;
+    // The entries have been told that nothing runs here and that no order is accepted.
+    bool m_hasLeft = false;
 };
 
 } // namespace turmericwell
--- a/src/fleet/agentpresence.cpp
+++ b/src/fleet/agentpresence.cpp
@@ -135,9 +135,12 @@
 {
     std::set<AgentNumber> result;
     for (const auto &[number, agent] : m_agents) {
-        const bool mayBeAlive = agent.isRegistered && !agent.leaving;
+        // It has said that it accepts no orders and that nothing runs there. It may be connected for as long
+        // as its registration cannot be removed.
+        if (agent.leaving)
+            continue;
         const bool hadContact = now - agent.lastContact < contactExpiry;
-        if (agent.wanted && (agent.connected || hadContact || mayBeAlive))
+        if (agent.wanted && (agent.connected || hadContact || agent.isRegistered))
             result.insert(number);
     }
     return result;
--- a/src/fleet/agentregistration.cpp
+++ b/src/fleet/agentregistration.cpp
@@ -42,10 +42,16 @@
                  {{"without_worker_ms", m_workerManager.withoutWorkerFor(now)}});
     m_registrationState = RegistrationState::Withdrawing;
     m_workerManager.setRegistered(false);
-    // Sent before the registration is removed: an entry that takes the agent for active restores it.
+    announceLeaving();
+    withdrawUntilRemoved();
+}
+
+// Comes before the registration is removed: an entry that takes the agent for active restores it.
+void AgentNode::announceLeaving()
+{
+    m_hasLeft = true;
     for (const auto &[number, entry] : m_entries)
         entry.link->send(fleet::LeavingT());
-    withdrawUntilRemoved();
 }
 
 void AgentNode::withdrawUntilRemoved()
@@ -83,6 +89,7 @@
 {
     m_log.always(Clock::now(), "agent_rejoining", {});
     m_registrationState = RegistrationState::Rejoining;
+    m_hasLeft = false;
     closeLinks("the agent registers again");
     m_registration.raiseIncarnation();
     m_registration.start([this] {
--- a/tests/unit/admissionsimulation.h
+++ b/tests/unit/admissionsimulation.h
@@ -16,7 +16,7 @@
 
 namespace turmericwell {
 
-struct SimulatedKind
+struct OfferedKind
 {
     std::string queue;
     uint32_t priority = 0;
@@ -36,10 +36,10 @@
     int64_t toMs = 0;
 };
 
-struct SimulationOptions
+struct AdmissionSimulationOptions
 {
     JobSchedulerOptions scheduler;
-    std::vector<SimulatedKind> kinds;
+    std::vector<OfferedKind> kinds;
     std::vector<SimulatedBurst> bursts;
     // Part of the partitions that each owner serves; they add up to 1.
     std::vector<double> owners = {0.25, 0.25, 0.25, 0.25};
@@ -84,7 +84,7 @@
 class AdmissionSimulation
 {
 public:
-    explicit AdmissionSimulation(SimulationOptions options)
+    explicit AdmissionSimulation(AdmissionSimulationOptions options)
         : m_options(std::move(options))
         , m_random(m_options.seed)
         , m_agents(m_options.workers)
@@ -262,7 +262,7 @@
     {
         std::uniform_real_distribution<double> spread(-1, 1);
         std::uniform_real_distribution<double> uniform(0, 1);
-        const SimulatedKind &made = m_options.kinds[kind];
+        const OfferedKind &made = m_options.kinds[kind];
         Submission job{.id = ++m_lastJob, .kind = kind, .zone = zone, .firstMs = m_ms};
         for (uint32_t task = 0; task < made.tasks; ++task) {
             const double factor = uniform(m_random) < m_options.longTasks ? m_options.longFactor : 1;
@@ -280,7 +280,7 @@
 
     JobSpec specOf(const Submission &job) const
     {
-        const SimulatedKind &kind = m_options.kinds[job.kind];
+        const OfferedKind &kind = m_options.kinds[job.kind];
         JobSpec spec;
         spec.id = job.id;
         spec.queue = kind.queue;
@@ -344,7 +344,7 @@
     bool couldHold(const Submission &job) const
     {
         int64_t slots = 0;
-        const SimulatedKind &kind = m_options.kinds[job.kind];
+        const OfferedKind &kind = m_options.kinds[job.kind];
         for (const Agent &agent : m_agents)
             slots += agent.queued.empty() ? agent.free / kind.cpuMilli : 0;
         // Resources that were freed within the last messages are promised to waiting jobs.
@@ -529,7 +529,7 @@
         }
     }
 
-    SimulationOptions m_options;
+    AdmissionSimulationOptions m_options;
     std::minstd_rand m_random;
     int64_t m_ms = 0;
     JobId m_lastJob = 0;
--- a/tests/unit/agentpresencetest.cpp
+++ b/tests/unit/agentpresencetest.cpp
@@ -22,6 +22,22 @@
     BOOST_TEST(presence.takeGone(start + Millis{100}).size() == 1);
 }
 
+// Guards against new owners that wait 2.5 s for an agent that stays connected after it has left, because the
+// store is down and its registration cannot be removed.
+BOOST_AUTO_TEST_CASE(leavingAgentIsNotWaitedForWhileItIsConnected)
+{
+    AgentPresence presence;
+    const AgentNumber agent = presence.registered("agent-1", 1, start);
+    presence.setWanted(agent, true, start);
+    presence.connected(agent, start);
+    BOOST_TEST(presence.mayHoldRuns(start).contains(agent));
+    presence.setLeaving(agent);
+    BOOST_TEST(!presence.mayHoldRuns(start).contains(agent));
+    // Its next process may hold runs.
+    presence.registered("agent-1", 2, start);
+    BOOST_TEST(presence.mayHoldRuns(start).contains(agent));
+}
+
 // Guards against a second run of a task: an agent drained, restarted, registered and accepted runs from the
 // previous owner, and the next owner did not wait for its report.
 BOOST_AUTO_TEST_CASE(agentThatRegistersAgainMayHoldRuns)
--- a/tests/unit/fairsharestest.cpp
+++ b/tests/unit/fairsharestest.cpp
@@ -225,9 +225,9 @@
 namespace {
 
 // Two kinds of equal size: the first one alone uses all processors from 1 s on, the second starts at 4 s.
-SimulationOptions lending()
+AdmissionSimulationOptions lending()
 {
-    SimulationOptions options;
+    AdmissionSimulationOptions options;
     options.workers = 8;
     options.longTasks = 0;
     options.estimateError = 0.2;
@@ -257,7 +257,7 @@
 // against a share that is regained later than one second, or not at all, as with first come first served.
 BOOST_AUTO_TEST_CASE(borrowedShareIsReclaimedWithinASecond)
 {
-    SimulationOptions options = lending();
+    AdmissionSimulationOptions options = lending();
     options.scheduler.admission = ForecastAdmission{};
     AdmissionSimulation without(options);
     const std::vector<SimulatedOutcome> first = without.run();
@@ -286,7 +286,7 @@
 // the other owners, and against a total above the capacity.
 BOOST_AUTO_TEST_CASE(ownerWithHalfOfTheDemandGetsHalfOfTheShares)
 {
-    SimulationOptions options = lending();
+    AdmissionSimulationOptions options = lending();
     options.owners = {0.5, 0.25, 0.25};
     options.scheduler.admission = ForecastAdmission{};
     options.scheduler.shares = SharesSettings{};
@@ -300,7 +300,7 @@
 // Guards against a share that is never regained: the others' part is known to both sides from the agents.
 BOOST_AUTO_TEST_CASE(shareIsRegainedWhileOneOwnerIsCutOff)
 {
-    SimulationOptions options = lending();
+    AdmissionSimulationOptions options = lending();
     options.owners = {0.5, 0.25, 0.25};
     options.isolateOwnerAt = 3'900;
     options.scheduler.admission = ForecastAdmission{};
--- a/tests/unit/forecasttest.cpp
+++ b/tests/unit/forecasttest.cpp
@@ -35,9 +35,9 @@
             .runTime = {100}};
 }
 
-SimulationOptions baseLoad()
+AdmissionSimulationOptions baseLoad()
 {
-    SimulationOptions options;
+    AdmissionSimulationOptions options;
     // The kinds ask for about 28, 40 and 22 of 128 processors.
     options.workers = 8;
     options.kinds = {
@@ -64,7 +64,7 @@
 };
 
 // Plays the same arrivals against the present rule and against the forecast.
-Comparison compare(SimulationOptions options)
+Comparison compare(AdmissionSimulationOptions options)
 {
     Comparison result;
     options.resubmissions = 1;
@@ -334,7 +334,7 @@
         for (size_t kind = 0; kind < 3; ++kind) {
             BOOST_TEST_CONTEXT("burst of kind " << kind << " at " << factor)
             {
-                SimulationOptions options = baseLoad();
+                AdmissionSimulationOptions options = baseLoad();
                 options.longTasks = 0.03;
                 options.bursts = {{.kind = kind, .factor = factor, .fromMs = 3'000, .toMs = 8'000}};
                 const Comparison outcome = compare(options);
@@ -353,7 +353,7 @@
 // rates that follow the waves too slowly.
 BOOST_AUTO_TEST_CASE(wavesByZoneAreServedBetterThanBefore)
 {
-    SimulationOptions options = baseLoad();
+    AdmissionSimulationOptions options = baseLoad();
     options.waves = 0.55;
     options.bursts = {{.kind = 1, .factor = 2, .fromMs = 2'000, .toMs = 10'000}};
     const Comparison outcome = compare(options);
@@ -365,7 +365,7 @@
 // or that takes the reports of the others for waiting work of now.
 BOOST_AUTO_TEST_CASE(ownerWithHalfOfTheDemandServesLikeTheOthers)
 {
-    SimulationOptions options = baseLoad();
+    AdmissionSimulationOptions options = baseLoad();
     options.owners = {0.5, 0.125, 0.125, 0.25};
     options.bursts = {{.kind = 1, .factor = 2.5, .fromMs = 3'000, .toMs = 8'000}};
     const Comparison outcome = compare(options);
@@ -376,7 +376,7 @@
 // that reports of waiting work stay at what they were.
 BOOST_AUTO_TEST_CASE(isolatedOwnerGoesOnAdmitting)
 {
-    SimulationOptions options = baseLoad();
+    AdmissionSimulationOptions options = baseLoad();
     options.owners = {0.5, 0.25, 0.25};
     options.isolateOwnerAt = 4'000;
     options.bursts = {{.kind = 1, .factor = 2.5, .fromMs = 3'000, .toMs = 6'000}};
