Move a run in the end whatever the move gains

Change: a run is moved from 6 times its expected time on if less than 0.5% of the queue's runs take so long, and from 16 times on in any case; both double with each move.

--- a/src/jobs/longruns.cpp
+++ b/src/jobs/longruns.cpp
@@ -34,6 +34,13 @@
 constexpr double leastFault = 0.5;
 constexpr double nearlyCertainFault = 0.9;
 constexpr double noValue = 0.05;
+// Each accepted job has to end, so a run is moved in the end whatever a move gains: from this multiple of its
+// expected time on if next to no run of the queue takes so long, and from the greater one in any case. Both
+// double with each move, so that a task that is inherently long is not moved forever.
+constexpr double leastEndlessRatio = 6;
+constexpr double negligibleShare = 0.005;
+constexpr double certainEndlessRatio = 16;
+constexpr uint32_t maxMoveDoublings = 16;
 
 bool isLongRun(Millis elapsed, double expectedMs)
 {
@@ -88,6 +95,12 @@
     return std::min(maxEvidence, std::max(byQuiet, byRuns));
 }
 
+static bool isEndless(const LongRun &run, double ratio, double queueShare)
+{
+    const double perMove = ratio / static_cast<double>(1U << std::min(run.moves, maxMoveDoublings));
+    return perMove >= certainEndlessRatio || (perMove >= leastEndlessRatio && queueShare < negligibleShare);
+}
+
 LongRunDecision decideLongRun(const LongRun &run, const WorkerEvidence &worker, const RunRatios &ratios)
 {
     const auto elapsed = static_cast<double>(run.elapsed.count);
@@ -106,6 +119,10 @@
     const double sound = (1 - slownessPrior) * decision.queueShare;
     const double sum = stalled + slow + sound;
     decision.workerAtFault = (stalled + slow) / sum;
+    if (isEndless(run, ratio, decision.queueShare)) {
+        decision.action = LongRunAction::Move;
+        return decision;
+    }
     // Most runs are left, at the cost of a few look-ups.
     if (decision.workerAtFault < leastFault)
         return decision;
--- a/tests/unit/longrunstest.cpp
+++ b/tests/unit/longrunstest.cpp
@@ -115,6 +115,27 @@
     BOOST_TEST((decideLongRun(run, soundWorker, unknown).action == LongRunAction::Move));
 }
 
+// Guards against accepted jobs that never end (emulated seeds 46001 to 46040): a run hangs beside runs that
+// end, and its job is so late that a move gains its caller nothing.
+BOOST_AUTO_TEST_CASE(endlessRunOfAWorthlessJobIsMoved)
+{
+    const auto actionAt = [](const RunRatios &ratios, Millis elapsed, uint32_t moves) {
+        LongRun run = longRun(100, elapsed);
+        run.untilDue = Millis{-60'000};
+        run.moves = moves;
+        return decideLongRun(run, soundWorker, ratios).action;
+    };
+    RunRatios even;
+    for (int run = 0; run < 1'500; ++run)
+        even.observe(1);
+    BOOST_TEST((actionAt(even, {700}, 0) == LongRunAction::Move));
+    BOOST_TEST((actionAt(even, {700}, 1) == LongRunAction::Leave));
+    BOOST_TEST((actionAt(even, {1'400}, 1) == LongRunAction::Move));
+    // Tasks of this queue may take that long.
+    BOOST_TEST((actionAt(heavyTailed(), {700}, 0) == LongRunAction::Leave));
+    BOOST_TEST((actionAt(heavyTailed(), {1'700}, 0) == LongRunAction::Move));
+}
+
 // Guards against lost jobs and discarded work on workers of different speeds with 3% of long tasks: fewer
 // runs are stopped, less work is discarded, and no fewer jobs are on time than with the present rule.
 BOOST_AUTO_TEST_CASE(heavyTailedTasksOnMixedSpeeds)
