Move hanging runs of jobs that must complete from a fixed multiple on, and split two files

Change: runs of jobs that must complete are moved from 6 times the expected time on, as by the rule by ratio. The effects of an entry's scheduler, the sums of reachable resources and the views of candidates stand in files of their own.

--- a/src/jobs/jobschedulerlongruns.cpp
+++ b/src/jobs/jobschedulerlongruns.cpp
@@ -185,7 +185,8 @@
                 .limit = job.dueAt - job.acceptedAt,
                 .untilDue = wanted.untilDue,
                 .tasks = static_cast<uint32_t>(job.tasks.size()),
-                .moves = task.moves};
+                .moves = task.moves,
+                .mustComplete = !job.spec.best_effort};
     const RunRatios &ratios = ratiosOf(job.spec.queue);
     // Most runs are left whatever the other worker is, and it is searched only for the rest.
     if (decideLongRun(run, evidence, ratios).action == LongRunAction::Leave)
--- a/src/jobs/longruns.h
+++ b/src/jobs/longruns.h
@@ -30,6 +30,8 @@
     // Number of tasks of the job, and of earlier moves of this one.
     uint32_t tasks = 1;
     uint32_t moves = 0;
+    // The job has to complete, however late. A best-effort job is given up once no caller waits for it.
+    bool mustComplete = false;
 };
 
 // What the owner knows about a worker, apart from the run in question.
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -159,8 +159,7 @@
 
 bool WorkerPool::isNear(const Worker &worker, std::string_view dataRack)
 {
-    const auto &labels = worker.state.labels;
-    return dataRack.empty() || std::find(labels.begin(), labels.end(), dataRack) != labels.end();
+    return dataRack.empty() || hasLabel(worker, dataRack);
 }
 
 bool WorkerPool::isNear(AgentNumber agent, std::string_view dataRack) const
@@ -450,99 +449,6 @@
     return total;
 }
 
-// Number of tasks of the size that fit into the resources.
-static int64_t tasksThatFit(const Resources &available, const Resources &size)
-{
-    int64_t count = INT32_MAX;
-    if (size.cpuMilli > 0)
-        count = std::min(count, available.cpuMilli / size.cpuMilli);
-    if (size.memoryMb > 0)
-        count = std::min(count, available.memoryMb / size.memoryMb);
-    if (size.accelerators > 0)
-        count = std::min(count, available.accelerators / size.accelerators);
-    return std::max<int64_t>(0, count);
-}
-
-void WorkerPool::recordChange(AgentNumber agent)
-{
-    if (m_reachable.empty())
-        return;
-    // Walking all workers costs less than this many changes.
-    if (m_changes.size() > 2 * m_workers.size() + 64) {
-        m_changesForgotten += m_changes.size() + 1;
-        m_changes.clear();
-    } else {
-        m_changes.push_back(agent);
-    }
-}
-
-void WorkerPool::setEvacuatedZones(std::set<std::string> zones)
-{
-    m_evacuated = std::move(zones);
-    m_reachable.clear();
-}
-
-void WorkerPool::updateReachable(ReachableSum &sum, AgentNumber agent) const
-{
-    ReachableResources resources;
-    if (const auto found = m_workers.find(agent); found != m_workers.end()
-        && admissible(found->second, {.service = sum.service, .requiredLabel = sum.requiredLabel})) {
-        const WorkerState &state = found->second.state;
-        const int64_t capacity = tasksThatFit(state.capacity, sum.size) * sum.size.cpuMilli;
-        const int64_t free = tasksThatFit(freeResources(found->second), sum.size) * sum.size.cpuMilli;
-        if (capacity > 0)
-            resources = {.capacityMilli = capacity,
-                         .freeMilli = std::min(capacity, free),
-                         .queuedMilli = state.queuedCpuMilli,
-                         .workers = 1};
-    }
-    ReachableResources &known = sum.byAgent[agent];
-    sum.total.capacityMilli += resources.capacityMilli - known.capacityMilli;
-    sum.total.freeMilli += resources.freeMilli - known.freeMilli;
-    sum.total.queuedMilli += resources.queuedMilli - known.queuedMilli;
-    sum.total.workers += resources.workers - known.workers;
-    if (m_workers.contains(agent))
-        known = resources;
-    else
-        sum.byAgent.erase(agent);
-}
-
-WorkerPool::ReachableSum &WorkerPool::reachableSum(const PlacementNeeds &needs)
-{
-    const auto found = std::find_if(m_reachable.begin(), m_reachable.end(), [&](const ReachableSum &sum) {
-        return sum.service == needs.service && sum.requiredLabel == needs.requiredLabel
-            && sum.size.cpuMilli == needs.size.cpuMilli && sum.size.memoryMb == needs.size.memoryMb
-            && sum.size.accelerators == needs.size.accelerators;
-    });
-    if (found != m_reachable.end())
-        return *found;
-    if (m_reachable.size() >= mostReachableSums) {
-        const auto byUse = [](const ReachableSum &a, const ReachableSum &b) { return a.lastUse < b.lastUse; };
-        m_reachable.erase(std::min_element(m_reachable.begin(), m_reachable.end(), byUse));
-    }
-    m_reachable.push_back({.service = std::string(needs.service),
-                           .requiredLabel = std::string(needs.requiredLabel),
-                           .size = needs.size});
-    return m_reachable.back();
-}
-
-ReachableResources WorkerPool::reachable(const PlacementNeeds &needs)
-{
-    ReachableSum &sum = reachableSum(needs);
-    if (sum.lastUse == 0 || sum.changesSeen < m_changesForgotten) {
-        sum.total = {};
-        sum.byAgent.clear();
-        for (const auto &[agent, worker] : m_workers)
-            updateReachable(sum, agent);
-    } else {
-        for (size_t index = sum.changesSeen - m_changesForgotten; index < m_changes.size(); ++index)
-            updateReachable(sum, m_changes[index]);
-    }
-    sum.changesSeen = m_changesForgotten + m_changes.size();
-    sum.lastUse = ++m_reachableUses;
-    return sum.total;
-}
-
 bool WorkerPool::isEligible(AgentNumber agent, const PlacementNeeds &needs)
 {
     return (!needs.eligible || needs.eligible->contains(agent))
@@ -562,89 +468,6 @@
     });
 }
 
-RackRoom WorkerPool::rackRoom(const PlacementNeeds &needs) const
-{
-    RackRoom room;
-    for (const auto &[agent, worker] : m_workers) {
-        if (!admissible(worker, needs) || !isEligible(agent, needs))
-            continue;
-        ++room.workers;
-        room.capacityMilli += worker.state.capacity.cpuMilli;
-        room.freeMilli += std::max<int64_t>(0, freeResources(worker).cpuMilli);
-        const auto &labels = worker.state.labels;
-        if (std::find(labels.begin(), labels.end(), needs.dataRack) == labels.end())
-            continue;
-        ++room.rackWorkers;
-        room.largestOnRackMilli = std::max(room.largestOnRackMilli, worker.state.capacity.cpuMilli);
-    }
-    return room;
-}
-
-bool WorkerPool::hasLabel(const Worker &worker, std::string_view label)
-{
-    const auto &labels = worker.state.labels;
-    return std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
-std::string_view WorkerPool::exclusion(AgentNumber agent, const Worker &worker, const PlacementNeeds &needs,
-                                       Millis now) const
-{
-    const WorkerState &state = worker.state;
-    if (!state.usable)
-        return "the worker is not usable";
-    if (state.draining)
-        return "the worker drains";
-    if (m_evacuated.contains(state.zone))
-        return "work is withdrawn from the zone";
-    if (!needs.requiredLabel.empty() && !hasLabel(worker, needs.requiredLabel))
-        return "the required label is missing";
-    if (needs.eligible && !needs.eligible->contains(agent))
-        return "the agent has not reported to the owner";
-    if (needs.excluded && needs.excluded->contains(agent))
-        return "the agent does not serve the partition";
-    if (!state.capacity.holds(needs.size))
-        return "the worker is too small";
-    if (!freeResources(worker).holds(needs.size))
-        return "not enough free resources";
-    const double slow = slowness(worker, now);
-    const bool isTooSlow = slow > 1 && needs.slack.count > 0
-        && static_cast<double>(needs.estimate.count) * (slow - 1) > static_cast<double>(needs.slack.count);
-    return isTooSlow ? "too slow for the deadline" : "";
-}
-
-std::vector<PlacementCandidate> WorkerPool::candidates(const PlacementNeeds &needs, Millis now) const
-{
-    std::vector<PlacementCandidate> result;
-    for (const auto &[agent, worker] : m_workers) {
-        if (worker.state.service != needs.service)
-            continue;
-        const int64_t free = std::max<int64_t>(0, freeResources(worker).cpuMilli);
-        PlacementCandidate candidate{.agent = agent,
-                                     .worker = worker.state.worker,
-                                     .zone = worker.state.zone,
-                                     .exclusion = exclusion(agent, worker, needs, now),
-                                     .isNear = needs.dataRack.empty() || hasLabel(worker, needs.dataRack),
-                                     .freeMilli = free,
-                                     .slowness = slowness(worker, now)};
-        const double share =
-            static_cast<double>(free) / static_cast<double>(worker.state.capacity.cpuMilli + 1);
-        candidate.score = std::visit(Overloaded{[&](const MostFreeShare &) { return share; },
-                                                [&](const LeastFreeShare &) { return -share; },
-                                                [&](const AnyFitting &) { return 0.0; }},
-                                     m_policy);
-        if (!needs.dataRack.empty() && candidate.isNear)
-            candidate.score += 1;
-        candidate.score -= candidate.slowness - 1;
-        if (worker.avoidUntil > now)
-            candidate.score -= 4;
-        result.push_back(std::move(candidate));
-    }
-    std::stable_sort(result.begin(), result.end(), [](const auto &a, const auto &b) {
-        return std::pair(!a.exclusion.empty(), -a.score) < std::pair(!b.exclusion.empty(), -b.score);
-    });
-    return result;
-}
-
 const WorkerState *WorkerPool::find(AgentNumber agent) const
 {
     const auto found = m_workers.find(agent);
--- a/tests/unit/longrunstest.cpp
+++ b/tests/unit/longrunstest.cpp
@@ -131,6 +131,11 @@
     BOOST_TEST((actionAt(even, {700}, 0) == LongRunAction::Move));
     BOOST_TEST((actionAt(even, {700}, 1) == LongRunAction::Leave));
     BOOST_TEST((actionAt(even, {1'400}, 1) == LongRunAction::Move));
+    // A new owner knows nothing of the queue (emulated seed 47014).
+    LongRun kept = longRun(100, {700});
+    kept.untilDue = Millis{-60'000};
+    kept.mustComplete = true;
+    BOOST_TEST((decideLongRun(kept, soundWorker, RunRatios()).action == LongRunAction::Move));
     // Tasks of this queue may take that long.
     BOOST_TEST((actionAt(heavyTailed(), {700}, 0) == LongRunAction::Leave));
     BOOST_TEST((actionAt(heavyTailed(), {1'700}, 0) == LongRunAction::Move));
