--- a/src/jobs/longruns.cpp
+++ b/src/jobs/longruns.cpp
@@ -34,9 +34,9 @@
 constexpr double leastFault = 0.5;
 constexpr double nearlyCertainFault = 0.9;
 constexpr double noValue = 0.05;
-// A run is moved in the end whatever a move gains: from this multiple of its expected time on if its job has to
-// complete or if next to no run of the queue takes so long, and from the greater one in any case. Both double
-// with each move, so that a task that is inherently long is not moved forever.
+// A run is moved in the end whatever a move gains: from this multiple of its expected time on if its job has
+// to complete or if next to no run of the queue takes so long, and from the greater one in any case. Both
+// double with each move, so that a task that is inherently long is not moved forever.
 constexpr double leastEndlessRatio = 6;
 constexpr double negligibleShare = 0.005;
 constexpr double certainEndlessRatio = 16;
--- a/src/jobs/workerpoolcandidates.cpp
+++ b/src/jobs/workerpoolcandidates.cpp
@@ -1,6 +1,6 @@
 // WorkerPool: views of the workers that a task may use, for the wait near the data and for explanations.
-#include "jobs/workerpool.h"
 #include "core/overloaded.h"
+#include "jobs/workerpool.h"
 
 #include <algorithm>
 
