--- a/tests/unit/jobschedulerfixture.h
+++ b/tests/unit/jobschedulerfixture.h
@@ -52,7 +52,7 @@
 struct JobSchedulerFixture
 {
     explicit JobSchedulerFixture(uint64_t epoch = 1, JobSchedulerOptions options = {.partitions = 1})
-        : scheduler(options, pool, effects, log)
+        : scheduler(std::move(options), pool, effects, log)
     {
         scheduler.openPartition(0, epoch);
         for (AgentNumber agent = 1; agent <= 2; ++agent)
