End the calls of clients that have left, and the jobs that nobody waits for

What callers saw: two clients that sent eight submissions on a connection and closed it without waiting, again and again, left ordinary callers 4 of 12 answers with 200, twenty left none of 13, with 2,589 descriptors held (arm64, beside other load; a trial script). With long tasks the workers stayed busy until the deadlines of the requests were over.

Cause: nothing ended a caller's wait before its job or its deadline did. While a request was handled, the connection was not looked at, so its descriptor was held although the client had closed it; the owner did not learn that nobody waited, and went on with the job. The handlers of calls that had expired at their entry also stayed with the job until its end: 5,000 submissions of one job with a deadline of 0.1 s kept 5,000 handlers.

Change: the HTTP server looks every 300 ms at the connections whose request is being handled. A client that has ended its side gets an interim response (100), which a closed connection answers with a reset, while a client that still reads skips it. At the limit of connections, those whose client has ended its side go first. The entry then ends the call and tells the owner (CallKind CallerLeft), which gives up a best-effort job for which nobody waits: at once if nothing was ordered, otherwise unless it is submitted again within 2.5 s, as clients do whose connection has broken. JobWaiters keeps one waiter for each open call and drops those whose wait is over.

--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -16,7 +16,7 @@
 constexpr Millis expiryCheckInterval = {1'000};
 constexpr std::string_view noAnswerInTime = "no answer from the owner in time";
 
-void EntryNode::call(JobCall call, JobReplyHandler onDone)
+uint64_t EntryNode::call(JobCall call, JobReplyHandler onDone)
 {
     const Millis wait = std::max(call.wait - answerMargin, Millis{10});
     const size_t weight = call.spec ? call.spec->steps.size() : 0;
@@ -29,7 +29,7 @@
                                                                : fleet::CallStatus::NotReady,
                 .retryAfter = leastRetryAfter,
                 .reason = "too many calls are open"});
-        return;
+        return 0;
     }
     const uint64_t id = m_nextCall++;
     const Millis now = Clock::now();
@@ -45,6 +45,26 @@
     m_callDeadlines.emplace(now + wait, id);
     scheduleExpiry(now);
     route(id);
+    return id;
+}
+
+void EntryNode::clientLeft(uint64_t id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const PendingCall &pending = found->second;
+    const JobId job = pending.call.job;
+    if (pending.inProgress && pending.forwardLink) {
+        fleet::JobCallT message;
+        message.call = CallNumber{.id = id, .attempt = pending.attempt}.packed();
+        message.kind = fleet::CallKind::CallerLeft;
+        message.job = job;
+        pending.forwardLink->send(std::move(message));
+    } else if (pending.inProgress) {
+        m_scheduler.callerLeft(job, {.call = id}, Clock::now());
+    }
+    finish(id, {.status = fleet::CallStatus::Unknown, .reason = "the client has left"});
 }
 
 void EntryNode::scheduleExpiry(Millis now)
@@ -107,20 +127,23 @@
     return answer;
 }
 
-void EntryNode::perform(JobCall &call, const std::string &zone, JobReplyHandler onDone)
+void EntryNode::perform(JobCall &call, const CallOptions &options, JobReplyHandler onDone)
 {
     const Millis now = Clock::now();
     checkOwnership(now);
     switch (call.kind) {
     case fleet::CallKind::Submit:
-        m_scheduler.submit(JobSpec(*call.spec), {.wait = call.wait, .zone = zone}, now, std::move(onDone));
+        m_scheduler.submit(JobSpec(*call.spec), options, now, std::move(onDone));
         return;
     case fleet::CallKind::Cancel:
-        m_scheduler.cancel(call.job, now, std::move(onDone));
+        m_scheduler.cancel(call.job, options, now, std::move(onDone));
         return;
     case fleet::CallKind::Query:
         onDone(m_scheduler.query(call.job));
         return;
+    case fleet::CallKind::CallerLeft:
+        m_scheduler.callerLeft(call.job, options.caller, now);
+        return;
     }
 }
 
@@ -134,7 +157,7 @@
     const uint32_t partition = partitionOf(pending.call.job, m_settings.partitions);
     if (m_scheduler.isServing(partition)) {
         pending.inProgress = true;
-        perform(pending.call, m_settings.zone,
+        perform(pending.call, {.wait = pending.call.wait, .zone = m_settings.zone, .caller = {.call = id}},
                 [this, id, attempt](JobReply reply) { answered(id, attempt, std::move(reply)); });
         advanceSoon();
         return;
@@ -259,20 +282,23 @@
     }
     JobCall call{
         .kind = message.kind, .job = message.job, .spec = std::move(message.spec), .wait = {message.wait_ms}};
-    perform(call, link->peer().zone,
-            [weak = std::weak_ptr(link), number = message.call](const JobReply &reply) {
-                const NodeLinkPtr peer = weak.lock();
-                if (!peer)
-                    return;
-                fleet::JobAnswerT answer;
-                answer.call = number;
-                answer.status = reply.status;
-                answer.phase = reply.phase;
-                answer.running = reply.running;
-                answer.retry_after_ms = reply.retryAfter.count;
-                answer.reason = reply.reason;
-                peer->send(std::move(answer));
-            });
+    const CallOptions options{
+        .wait = call.wait,
+        .zone = link->peer().zone,
+        .caller = {.entry = link->peer().node, .call = CallNumber::unpack(message.call).id}};
+    perform(call, options, [weak = std::weak_ptr(link), number = message.call](const JobReply &reply) {
+        const NodeLinkPtr peer = weak.lock();
+        if (!peer)
+            return;
+        fleet::JobAnswerT answer;
+        answer.call = number;
+        answer.status = reply.status;
+        answer.phase = reply.phase;
+        answer.running = reply.running;
+        answer.retry_after_ms = reply.retryAfter.count;
+        answer.reason = reply.reason;
+        peer->send(std::move(answer));
+    });
     advanceSoon();
 }
 
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -87,8 +87,10 @@
     // Updates the gauges.
     void measure(Metrics &metrics) const;
 
-    // Calls the handler exactly once, within the call's wait time.
-    void call(JobCall call, JobReplyHandler onDone);
+    // Calls the handler exactly once, within the call's wait time. Returns the number of the call.
+    uint64_t call(JobCall call, JobReplyHandler onDone);
+    // The client of the call has left. Ends the call, if it is still open, and tells the job's owner.
+    void clientLeft(uint64_t call);
     // Changes nothing.
     JobExplanationAnswer explain(const JobSpec &spec) const;
     // Number of accepted jobs of the queue of which no task has started, at this entry and all connected
@@ -248,8 +250,8 @@
     // Expires the calls whose wait is over, and schedules the next check.
     void expireDue();
     void scheduleExpiry(Millis now);
-    // The zone is that of the entry that received the call from the client.
-    void perform(JobCall &call, const std::string &zone, JobReplyHandler onDone);
+    // Carries out a call of a client of this entry, or of the one that the options name.
+    void perform(JobCall &call, const CallOptions &options, JobReplyHandler onDone);
     void answered(uint64_t id, uint64_t attempt, JobReply reply);
     void finish(uint64_t id, const JobReply &reply);
     // Gives the call its last answer. The cause is the reason of a call that may have been carried out.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -11,6 +11,8 @@
 
 constexpr Millis minRetryAfter = {1'000};
 constexpr int64_t wholePercent = 100;
+// A client whose connection has broken submits its job again within this time.
+constexpr Millis callerReturnTime = {2'500};
 // Bounds the memory for identifiers that were never submitted; the oldest are forgotten.
 constexpr size_t mostUnknownCancelledJobs = 20'000;
 
@@ -222,7 +224,7 @@
     return {.status = fleet::CallStatus::Done, .phase = phase};
 }
 
-void JobScheduler::submit(JobSpec spec, const SubmitOptions &options, Millis now, JobReplyHandler onDone)
+void JobScheduler::submit(JobSpec spec, const CallOptions &options, Millis now, JobReplyHandler onDone)
 {
     const uint32_t partition = partitionOf(spec.id, m_options.partitions);
     if (!isServing(partition)) {
@@ -246,7 +248,7 @@
         if (known->accepted && !known->spec.best_effort)
             onDone({.status = fleet::CallStatus::Done, .running = known->anyStarted});
         else
-            known->submitters.push_back(std::move(onDone));
+            known->submitters.add(options.caller, now + options.wait, std::move(onDone), now);
         known->expiresAt = std::max(known->expiresAt, now + options.wait);
         return;
     }
@@ -277,7 +279,7 @@
         acceptBestEffort(job, options, now, std::move(onDone));
         return;
     }
-    job.submitters.push_back(std::move(onDone));
+    job.submitters.add(options.caller, now + options.wait, std::move(onDone), now);
     writeRecord(job);
 }
 
@@ -288,11 +290,10 @@
         std::count_if(partition.expected.begin(), partition.expected.end(), hasNotReported));
 }
 
-void JobScheduler::acceptBestEffort(Job &job, const SubmitOptions &options, Millis now,
-                                    JobReplyHandler onDone)
+void JobScheduler::acceptBestEffort(Job &job, const CallOptions &options, Millis now, JobReplyHandler onDone)
 {
     const JobId id = job.spec.id;
-    job.submitters.push_back(std::move(onDone));
+    job.submitters.add(options.caller, now + options.wait, std::move(onDone), now);
     job.accepted = true;
     job.expiresAt = now + options.wait;
     const Partition &partition = m_partitions.at(job.partition);
@@ -332,7 +333,7 @@
         .status = fleet::CallStatus::Done, .phase = JobPhase::Active, .running = found->second.anyStarted};
 }
 
-void JobScheduler::cancel(JobId id, Millis now, JobReplyHandler onDone)
+void JobScheduler::cancel(JobId id, const CallOptions &options, Millis now, JobReplyHandler onDone)
 {
     if (!isServing(partitionOf(id, m_options.partitions))) {
         onDone(
@@ -351,11 +352,28 @@
         onDone(reply);
         return;
     }
-    job->cancellers.push_back(std::move(onDone));
+    job->cancellers.add(options.caller, now + options.wait, std::move(onDone), now);
     if (job->phase == JobPhase::Active)
         endJob(*job, JobPhase::Cancelled);
 }
 
+void JobScheduler::callerLeft(JobId id, const CallerId &caller, Millis now)
+{
+    Job *job = findJob(id);
+    if (!job)
+        return;
+    job->cancellers.remove(caller);
+    if (!job->submitters.remove(caller) || !job->spec.best_effort)
+        return;
+    const bool mayHaveRuns = job->anyOrdered || job->mayHaveFormerRuns;
+    const Millis kept = mayHaveRuns ? now + callerReturnTime : now;
+    job->expiresAt = job->submitters.isEmpty() ? std::min(job->expiresAt, kept) : job->submitters.latestEnd();
+    m_log.write(now, "caller_left",
+                {{"job", jobIdText(id)},
+                 {"others", job->submitters.size()},
+                 {"kept_ms", std::max(Millis{0}, job->expiresAt - now)}});
+}
+
 void JobScheduler::cancelUnknown(JobId id, Millis now)
 {
     const UnknownCancelledJob cancelled{.partition = partitionOf(id, m_options.partitions),
@@ -456,10 +474,10 @@
 
 void JobScheduler::finishAcceptance(Job &job, StoreOutcome outcome, Millis now)
 {
-    std::vector<JobReplyHandler> submitters = std::exchange(job.submitters, {});
     if (outcome != StoreOutcome::Stored) {
         m_log.write(now, "job_not_stored", {{"job", jobIdText(job.spec.id)}, {"queue", job.spec.queue}});
-        std::move(job.cancellers.begin(), job.cancellers.end(), std::back_inserter(submitters));
+        job.submitters.take(std::move(job.cancellers));
+        const std::vector<JobReplyHandler> submitters = job.submitters.takeAll();
         m_jobs.erase(job.spec.id);
         for (const JobReplyHandler &submitter : submitters) {
             submitter({.status = fleet::CallStatus::Refused,
@@ -475,10 +493,8 @@
                  {"tasks", job.tasks.size()},
                  {"store_ms", now - job.acceptedAt},
                  {"due_in_ms", job.dueAt - now}});
-    if (job.spec.best_effort) {
-        job.submitters = std::move(submitters);
-    } else {
-        for (const JobReplyHandler &submitter : submitters)
+    if (!job.spec.best_effort) {
+        for (const JobReplyHandler &submitter : job.submitters.takeAll())
             submitter({.status = fleet::CallStatus::Done});
     }
     if (job.phase == JobPhase::Active)
@@ -517,8 +533,8 @@
         m_endedOrder.push_back(id);
     }
     const JobReply submitterReply = job.abandoned ? reply : endedReply(job.spec.best_effort, job.phase);
-    const std::vector<JobReplyHandler> cancellers = std::move(job.cancellers);
-    const std::vector<JobReplyHandler> submitters = std::move(job.submitters);
+    const std::vector<JobReplyHandler> cancellers = job.cancellers.takeAll();
+    const std::vector<JobReplyHandler> submitters = job.submitters.takeAll();
     dequeue(job);
     m_jobs.erase(id);
     for (const JobReplyHandler &canceller : cancellers)
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -21,6 +21,7 @@
 #include "jobs/admissioncontrol.h"
 #include "jobs/fairshares.h"
 #include "jobs/jobexplanation.h"
+#include "jobs/jobwaiters.h"
 #include "jobs/longruns.h"
 #include "jobs/placementwait.h"
 #include "jobs/policies.h"
@@ -100,25 +101,15 @@
     virtual void inputRejected(std::string_view limit) { static_cast<void>(limit); }
 };
 
-struct JobReply
-{
-    fleet::CallStatus status = fleet::CallStatus::NotReady;
-    JobPhase phase = JobPhase::Active;
-    bool running = false;
-    Millis retryAfter;
-    std::string reason;
-};
-
-struct SubmitOptions
+struct CallOptions
 {
     // How long the caller waits for the answer.
     Millis wait;
     // Availability zone of the entry that received the call; empty if it is not known.
     std::string zone;
+    CallerId caller = {};
 };
 
-using JobReplyHandler = std::function<void(JobReply)>;
-
 struct AgentEnd
 {
     RunId run;
@@ -194,12 +185,15 @@
 
     // --- calls of clients ---
     // A best-effort job is abandoned when none of its callers waits any longer.
-    void submit(JobSpec spec, const SubmitOptions &options, Millis now, JobReplyHandler onDone);
+    void submit(JobSpec spec, const CallOptions &options, Millis now, JobReplyHandler onDone);
     JobReply query(JobId job) const;
     // What would happen to the job if it were submitted now. Nothing is changed. The partition must be served
     // here. (jobschedulerexplain.cpp)
     JobExplanation explain(const JobSpec &spec, Millis now) const;
-    void cancel(JobId job, Millis now, JobReplyHandler onDone);
+    void cancel(JobId job, const CallOptions &options, Millis now, JobReplyHandler onDone);
+    // The caller waits no longer and gets no answer. A best-effort job for which nobody waits is given up: at
+    // once if it has not been ordered, and otherwise unless it is submitted again soon.
+    void callerLeft(JobId job, const CallerId &caller, Millis now);
     std::map<std::string, uint32_t> pendingByQueue() const;
 
     // --- reports of agents (jobschedulerruns.cpp, jobscheduleragents.cpp) ---
@@ -382,8 +376,8 @@
         bool expectedLate = false;
         // Run numbers start above this value, which exceeds every number that a former owner can have used.
         uint32_t runBase = 0;
-        std::vector<JobReplyHandler> submitters;
-        std::vector<JobReplyHandler> cancellers;
+        JobWaiters submitters;
+        JobWaiters cancellers;
         // Latest start of the remaining tasks with which the job meets its deadline.
         Millis latestStart;
         // Sort key in the queue; valid while queued is set.
@@ -500,7 +494,7 @@
     void deleteRecord(uint32_t partition, JobId id);
     void recordStored(const RecordWrite &write, StoreOutcome outcome, Millis now);
     void finishAcceptance(Job &job, StoreOutcome outcome, Millis now);
-    void acceptBestEffort(Job &job, const SubmitOptions &options, Millis now, JobReplyHandler onDone);
+    void acceptBestEffort(Job &job, const CallOptions &options, Millis now, JobReplyHandler onDone);
     // Number of agents that may have runs of the partition and have not reported to this owner.
     static size_t unreportedAgents(const Partition &partition);
     void retire(JobId id, Millis now);
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -133,7 +133,7 @@
                      {"reason", "no room in time"},
                      {"waited_ms", now - job.acceptedAt}});
         dequeue(job);
-        const std::vector<JobReplyHandler> submitters = std::move(job.submitters);
+        const std::vector<JobReplyHandler> submitters = job.submitters.takeAll();
         m_jobs.erase(id);
         for (const JobReplyHandler &submitter : submitters) {
             submitter({.status = fleet::CallStatus::Refused,
--- a/src/jobs/jobschedulerpartitions.cpp
+++ b/src/jobs/jobschedulerpartitions.cpp
@@ -160,7 +160,7 @@
         return;
     m_log.always(now, "partition_closed", {{"partition", number}, {"epoch", found->second.epoch}});
     m_partitions.erase(found);
-    std::vector<JobReplyHandler> undecided;
+    JobWaiters undecided;
     for (auto item = m_jobs.begin(); item != m_jobs.end();) {
         Job &job = item->second;
         if (job.partition != number) {
@@ -168,8 +168,8 @@
             continue;
         }
         dequeue(job);
-        std::move(job.submitters.begin(), job.submitters.end(), std::back_inserter(undecided));
-        std::move(job.cancellers.begin(), job.cancellers.end(), std::back_inserter(undecided));
+        undecided.take(std::move(job.submitters));
+        undecided.take(std::move(job.cancellers));
         item = m_jobs.erase(item);
     }
     std::erase_if(m_ended, [&](const auto &item) { return item.second.partition == number; });
@@ -180,7 +180,7 @@
         return partitionOf(item.first.task.job, m_options.partitions) == number;
     });
     std::erase_if(m_endedOrder, [&](JobId id) { return !m_ended.contains(id); });
-    for (const JobReplyHandler &handler : undecided)
+    for (const JobReplyHandler &handler : undecided.takeAll())
         handler({.status = fleet::CallStatus::Unknown, .reason = "ownership moved"});
 }
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,6 +16,21 @@
 
 namespace turmericwell {
 
+// Whether the client of a request still waits for the response. Thread-safe.
+class ClientPresence
+{
+public:
+    // The handler is called once if the client closes its connection before it has the response, and at once
+    // if it has done so already.
+    void setOnLeft(std::function<void()> handler);
+    void setLeft();
+
+private:
+    std::mutex m_mutex;
+    bool m_hasLeft = false;
+    std::function<void()> m_onLeft;
+};
+
 struct HttpRequest
 {
     std::string method;
@@ -24,6 +40,8 @@
     // Keyed by header name in lower case.
     std::map<std::string, std::string> headers;
     std::string body;
+    // Only of requests that an HttpServer has received.
+    std::shared_ptr<ClientPresence> client = {};
 };
 
 struct HttpResponse
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -20,6 +20,33 @@
 constexpr size_t evictionDivisor = 64;
 constexpr int listenBacklog = 1'024;
 
+// Clients that leave while their request is handled are looked for at this interval.
+constexpr int64_t peerCheckIntervalMs = 300;
+
+void ClientPresence::setOnLeft(std::function<void()> handler)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_hasLeft) {
+            m_onLeft = std::move(handler);
+            return;
+        }
+    }
+    handler();
+}
+
+void ClientPresence::setLeft()
+{
+    std::function<void()> handler;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_hasLeft = true;
+        handler = std::exchange(m_onLeft, {});
+    }
+    if (handler)
+        handler();
+}
+
 std::optional<std::string> percentDecode(std::string_view text)
 {
     std::string result;
@@ -107,6 +134,7 @@
     void accepted(TcpSocket socket);
     bool hasRoom(const asio::ip::address &client);
     void checkTimes();
+    static void checkPeers(std::span<const std::shared_ptr<HttpSession>> sessions, int64_t nowMs);
 
     IoContext &io;
     // The handlers of the acceptor and of the timers run on one strand.
@@ -116,6 +144,7 @@
     const tcp::endpoint endpoint;
     std::shared_ptr<HttpServerShared> shared = std::make_shared<HttpServerShared>();
     bool isCheckingTimes = false;
+    int64_t nextPeerCheckMs = 0;
 };
 
 void HttpServer::State::listen()
@@ -184,6 +213,10 @@
     const std::vector<std::shared_ptr<HttpSession>> open = shared->openSessions();
     for (const std::shared_ptr<HttpSession> &session : open)
         session->checkTime(now);
+    if (now >= nextPeerCheckMs) {
+        nextPeerCheckMs = now + peerCheckIntervalMs;
+        checkPeers(open, now);
+    }
     isCheckingTimes = !open.empty();
     if (!isCheckingTimes)
         return;
@@ -194,6 +227,20 @@
     });
 }
 
+void HttpServer::State::checkPeers(std::span<const std::shared_ptr<HttpSession>> sessions, int64_t nowMs)
+{
+    std::vector<std::shared_ptr<HttpSession>> due;
+    for (const std::shared_ptr<HttpSession> &session : sessions) {
+        if (session->isPeerCheckDue(nowMs))
+            due.push_back(session);
+    }
+    HttpServerShared::updatePeers(due);
+    for (const std::shared_ptr<HttpSession> &session : due) {
+        if (session->hasPeerEnded())
+            session->checkPeer();
+    }
+}
+
 HttpServer::HttpServer(IoContext &io, const Address &address, HttpServerOptions options, Handler handler)
     : m_state(std::make_shared<State>(io, address))
 {
--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
+#include <poll.h>
 
 namespace turmericwell {
 
@@ -34,6 +35,14 @@
 constexpr int64_t mostHoldingMs = 1'000;
 constexpr int64_t evictionIntervalMs = 100;
 constexpr size_t keptCapacity = 1'024;
+// Most requests are answered sooner, and need no look at the connection.
+constexpr int64_t peerCheckDelayMs = 300;
+constexpr std::string_view interimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+// A client that has ended its side is closed before all others.
+constexpr int64_t endedPeerRank = INT64_MIN;
+
+// POLLRDHUP: the other side sends no more. POLLHUP, POLLERR: it takes nothing either.
+static constexpr short peerEndEvents = POLLRDHUP | POLLHUP | POLLERR;
 
 void HttpServerShared::rejected(std::string_view limit, const asio::ip::address &client) const
 {
@@ -66,10 +75,24 @@
     return open;
 }
 
+void HttpServerShared::updatePeers(std::span<const std::shared_ptr<HttpSession>> sessions)
+{
+    std::vector<pollfd> polled;
+    polled.reserve(sessions.size());
+    for (const std::shared_ptr<HttpSession> &session : sessions)
+        polled.push_back({.fd = session->handle(), .events = POLLRDHUP, .revents = 0});
+    if (polled.empty() || ::poll(polled.data(), polled.size(), 0) <= 0)
+        return;
+    for (size_t i = 0; i < polled.size(); ++i)
+        sessions[i]->setPeerEnded((polled[i].revents & peerEndEvents) != 0);
+}
+
 bool HttpServerShared::evictConnections(size_t most)
 {
     std::vector<std::pair<int64_t, std::shared_ptr<HttpSession>>> ranked;
-    for (std::shared_ptr<HttpSession> &session : openSessions()) {
+    std::vector<std::shared_ptr<HttpSession>> open = openSessions();
+    updatePeers(open);
+    for (std::shared_ptr<HttpSession> &session : open) {
         if (const std::optional<int64_t> rank = session->evictionRank())
             ranked.emplace_back(*rank, std::move(session));
     }
@@ -94,6 +117,7 @@
 HttpSession::HttpSession(TcpSocket socket, const asio::ip::address &client,
                          std::shared_ptr<HttpServerShared> shared)
     : m_socket(std::move(socket))
+    , m_handle(m_socket.native_handle())
     , m_client(client)
     , m_shared(std::move(shared))
 {
@@ -168,6 +192,31 @@
     });
 }
 
+bool HttpSession::isPeerCheckDue(int64_t nowMs) const
+{
+    return m_phase == Phase::Handling && nowMs - m_sinceMs >= peerCheckDelayMs;
+}
+
+// A client that has closed the connection answers any data with a reset, while one that has only ended its
+// side skips the interim response and reads on.
+void HttpSession::checkPeer()
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (self->m_phase != Phase::Handling)
+            return;
+        pollfd polled{.fd = self->m_handle, .events = POLLRDHUP, .revents = 0};
+        if (::poll(&polled, 1, 0) <= 0)
+            return;
+        const bool hasLeft = (polled.revents & (POLLHUP | POLLERR)) != 0;
+        if (hasLeft || !self->m_takesInterim) {
+            self->close();
+        } else if (!std::exchange(self->m_peerProbed, true)) {
+            boost::system::error_code error;
+            self->m_socket.write_some(asio::buffer(interimResponse), error);
+        }
+    });
+}
+
 void HttpSession::evict()
 {
     m_evicting = true;
@@ -181,6 +230,8 @@
 std::optional<int64_t> HttpSession::evictionRank() const
 {
     const Phase phase = m_phase;
+    if (phase == Phase::Handling && m_peerEnded && !m_evicting)
+        return endedPeerRank;
     const bool mayClose = phase == Phase::Idle || phase == Phase::Header || phase == Phase::Body
         || phase == Phase::Writing || phase == Phase::Draining;
     if (!mayClose || m_evicting)
@@ -387,8 +438,13 @@
 
 void HttpSession::dispatch()
 {
+    constexpr unsigned http11 = 11;
     enter(Phase::Handling);
     m_keepAlive = m_parser->get().keep_alive();
+    m_takesInterim = m_parser->get().version() >= http11;
+    m_peerEnded = false;
+    m_peerProbed = false;
+    m_presence = std::make_shared<ClientPresence>();
     ++m_shared->openRequests;
     // Sends status 500 if the handler discards the responder without calling it.
     struct Guard
@@ -407,6 +463,7 @@
     auto guard = std::make_shared<Guard>();
     guard->session = shared_from_this();
     HttpRequest request = toHttpRequest(m_parser->release());
+    request.client = m_presence;
     m_parser.reset();
     // The charge of the request stays until it is answered: the handler may hold parts of it.
     m_shared->handler(std::move(request),
@@ -416,6 +473,7 @@
 void HttpSession::answer(const HttpResponse &response)
 {
     --m_shared->openRequests;
+    m_presence.reset();
     m_served = true;
     write(response);
 }
@@ -485,8 +543,11 @@
     if (m_phase == Phase::Closed)
         return;
     enter(Phase::Closed);
+    m_handle = -1;
     boost::system::error_code ignored;
     m_socket.close(ignored);
+    if (const std::shared_ptr<ClientPresence> presence = std::exchange(m_presence, nullptr))
+        presence->setLeft();
 }
 
 } // namespace turmericwell
--- a/src/net/httpsession.h
+++ b/src/net/httpsession.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <mutex>
 #include <set>
+#include <span>
 
 namespace turmericwell {
 
@@ -35,6 +36,8 @@
     size_t connectionCount();
     size_t connectionsOf(const boost::asio::ip::address &client);
     std::vector<std::shared_ptr<HttpSession>> openSessions();
+    // Finds out which clients have closed their side of the connection while their request is handled.
+    static void updatePeers(std::span<const std::shared_ptr<HttpSession>> sessions);
     // Closes up to `most` connections, in the order of HttpSession::evictionRank. Returns false if none may
     // be closed.
     bool evictConnections(size_t most);
@@ -102,7 +105,14 @@
     void closeIfIdle();
     // Closes the connection if its time limit is exceeded.
     void checkTime(int64_t nowMs);
-    // Closes the connection unless a request is being handled.
+    // True if a request has been handled for long enough that its client may have left.
+    bool isPeerCheckDue(int64_t nowMs) const;
+    int handle() const { return m_handle; }
+    bool hasPeerEnded() const { return m_peerEnded; }
+    void setPeerEnded(bool hasEnded) { m_peerEnded = hasEnded; }
+    // Closes the connection if the client that has ended its side does not read any more either.
+    void checkPeer();
+    // Closes the connection unless a request is being handled whose client may still wait.
     void evict();
     // Position in the order in which connections are closed to make room for others: the lowest first, and
     // nullopt for a connection that must stay.
@@ -143,6 +153,8 @@
     void close();
 
     TcpSocket m_socket;
+    // Descriptor of the socket; -1 once it is closed.
+    std::atomic<int> m_handle;
     const boost::asio::ip::address m_client;
     std::shared_ptr<HttpServerShared> m_shared;
     std::optional<Parser> m_parser;
@@ -161,6 +173,14 @@
     // Has served a request.
     std::atomic<bool> m_served = false;
     std::atomic<bool> m_evicting = false;
+    // The client has ended its side of the connection while its request is handled.
+    std::atomic<bool> m_peerEnded = false;
+    // An interim response has been sent to find out whether such a client still reads.
+    bool m_peerProbed = false;
+    // The client understands interim responses.
+    bool m_takesInterim = false;
+    // Of the request that is being handled.
+    std::shared_ptr<ClientPresence> m_presence;
     std::atomic<Phase> m_phase = Phase::Idle;
     // When the phase began, and its time limit, on the steady clock.
     std::atomic<int64_t> m_sinceMs = 0;
--- a/tests/unit/jobschedulertest.cpp
+++ b/tests/unit/jobschedulertest.cpp
@@ -305,7 +305,8 @@
     load();
     submitAndStart(1, 2);
     replies.clear();
-    scheduler.cancel(1, now, [this](JobReply reply) { replies.push_back(std::move(reply)); });
+    scheduler.cancel(1, {.wait = Millis{10'000}}, now,
+                     [this](JobReply reply) { replies.push_back(std::move(reply)); });
     BOOST_TEST(replies.empty());
     storeAll();
     BOOST_TEST_REQUIRE(replies.size() == 1U);
@@ -863,7 +864,7 @@
 {
     load();
     submit(job(1, 1, true));
-    scheduler.cancel(1, now, [](const JobReply &) {});
+    scheduler.cancel(1, {.wait = Millis{10'000}}, now, [](const JobReply &) {});
     scheduler.advance(now);
     BOOST_TEST_REQUIRE(replies.size() == 1U);
     BOOST_TEST((replies[0].status == fleet::CallStatus::NotKnown));
@@ -883,7 +884,8 @@
     const RunId after{.task = {.job = 1, .index = 1}, .number = 1};
     scheduler.claimReport(1, 0, 1, std::span(&before, 1), {}, now);
     std::vector<JobReply> cancelled;
-    scheduler.cancel(1, now, [&](const JobReply &reply) { cancelled.push_back(reply); });
+    scheduler.cancel(1, {.wait = Millis{10'000}}, now,
+                     [&](const JobReply &reply) { cancelled.push_back(reply); });
     BOOST_TEST_REQUIRE(cancelled.size() == 1U);
     BOOST_TEST((cancelled[0].status == fleet::CallStatus::NotKnown));
     scheduler.claimReport(2, 0, 1, std::span(&after, 1), {}, now);
@@ -928,7 +930,7 @@
 BOOST_FIXTURE_TEST_CASE(keptJobThatWasCancelledBeforeItsSubmissionIsRefused, JobSchedulerFixture)
 {
     load();
-    scheduler.cancel(1, now, [](const JobReply &) {});
+    scheduler.cancel(1, {.wait = Millis{10'000}}, now, [](const JobReply &) {});
     submit(job(1, 1, false));
     BOOST_TEST_REQUIRE(replies.size() == 1U);
     BOOST_TEST((replies[0].status == fleet::CallStatus::Refused));
