Leave half of a worker's slots to tasks that are not small

What callers saw: jobs with 9,999 tasks that ask for no processors, all ready at once, left ordinary callers 429 "no worker can hold a task of this size" for as long as the tasks ran, although the worker's 16 cores were free.

Cause: a worker lists at most 500 ends, so its agent takes 500 runs whatever their size. Tasks of no size fit anywhere, took all 500 slots, and the agent then reported the worker as not usable. The orders that came back were sent again with the text of the job.

Change: a task is small if more than 250 of its size would fit on the worker by their processors. Small tasks use at most 250 of the 500 slots. The agent reports its free slots (WorkerReport.free_runs), the owner places by them, and the agent rejects what exceeds them.

Evidence: test_many_ready_tasks_of_no_size failed on ([429 x 95]) and passes now (agent 10 MB, entry 15 MB at the peak).

--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -391,7 +391,8 @@
             .queuedCpuMilli = report.queued_cpu_milli,
             .ordersReceived = report.orders,
             .speedPermille = report.speed_permille,
-            .speedSamples = report.speed_samples};
+            .speedSamples = report.speed_samples,
+            .freeRuns = report.free_runs};
 }
 
 void EntryNode::receivedFromAgent(AgentNumber agent, fleet::EnvelopeT &envelope)
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -1,6 +1,7 @@
 // WorkerPool: accounting of free resources, and choice among the workers that fit a task.
 #include "jobs/workerpool.h"
 #include "core/overloaded.h"
+#include "jobs/runslots.h"
 
 #include <algorithm>
 #include <cmath>
@@ -192,6 +193,8 @@
     if (found == m_workers.end())
         return;
     found->second.state.free += size;
+    if (found->second.state.freeRuns > 0)
+        ++found->second.state.freeRuns;
     found->second.quietCpuMs = 0;
     found->second.activitySince = std::max(found->second.activitySince, now);
     raiseFreeBound(found->second);
@@ -227,6 +230,14 @@
     return available;
 }
 
+bool WorkerPool::hasRunSlot(const Worker &worker, const Resources &size)
+{
+    if (worker.state.freeRuns == 0)
+        return true;
+    const auto sent = static_cast<int64_t>(worker.unreportedOrders.size());
+    return hasSlotFor(worker.state.freeRuns - sent, isSmallTask(size, worker.state.capacity));
+}
+
 void WorkerPool::recordTimeRatio(AgentNumber agent, double timeRatio, Millis now)
 {
     const auto found = m_workers.find(agent);
@@ -324,7 +335,9 @@
     if (!admissible(worker, needs) || !isEligible(agent, needs))
         return;
     const Resources available = freeResources(worker);
-    if (!available.holds(needs.size) || (search.mayAvoid && isAvoided(agent, needs)))
+    if (!available.holds(needs.size) || !hasRunSlot(worker, needs.size))
+        return;
+    if (search.mayAvoid && isAvoided(agent, needs))
         return;
     if (needs.workerLimit > 0 && needs.siblings) {
         const auto placed = needs.siblings->find(agent);
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -70,6 +70,8 @@
     // Speed of the worker in thousandths, and the number of runs that it is based on; 0 if unknown.
     uint32_t speedPermille = 0;
     uint32_t speedSamples = 0;
+    // Number of further runs that the worker can take; 0 if it is not limited.
+    uint32_t freeRuns = 0;
 };
 
 struct PlacementNeeds
@@ -265,6 +267,8 @@
 
     bool admissible(const Worker &worker, const PlacementNeeds &needs) const;
     Resources freeResources(const Worker &worker) const;
+    // Whether the worker has room for another run of this size, apart from its resources.
+    static bool hasRunSlot(const Worker &worker, const Resources &size);
     static bool isEligible(AgentNumber agent, const PlacementNeeds &needs);
     bool isAvoided(AgentNumber agent, const PlacementNeeds &needs) const;
 
--- a/src/jobs/workerpoolcandidates.cpp
+++ b/src/jobs/workerpoolcandidates.cpp
@@ -49,6 +49,8 @@
         return "the worker is too small";
     if (!freeResources(worker).holds(needs.size))
         return "not enough free resources";
+    if (!hasRunSlot(worker, needs.size))
+        return "too many runs";
     const double slow = slowness(worker, now);
     const bool isTooSlow = slow > 1 && needs.slack.count > 0
         && static_cast<double>(needs.estimate.count) * (slow - 1) > static_cast<double>(needs.slack.count);
--- a/src/worker/workermanager.cpp
+++ b/src/worker/workermanager.cpp
@@ -52,6 +52,13 @@
     return static_cast<size_t>(retained + active);
 }
 
+int64_t WorkerManager::freeSlots() const
+{
+    const auto queued = std::count_if(m_runs.begin(), m_runs.end(),
+                                      [](const auto &item) { return item.second.phase == RunPhase::Queued; });
+    return static_cast<int64_t>(mostListedEnds) - static_cast<int64_t>(pendingEnds()) - queued;
+}
+
 bool WorkerManager::isUsable() const
 {
     return !rejectReason();
@@ -133,6 +140,8 @@
         if (static_cast<size_t>(queued) >= m_options.maxQueued)
             reason = RejectReason::NoRoom;
     }
+    if (!reason && !hasSlotFor(freeSlots(), isSmallTask(order.size, worker()->capacity)))
+        reason = RejectReason::NoRoom;
     if (reason) {
         m_log.write(now, "run_refused",
                     {{"job", jobIdText(id.task.job)},
@@ -429,6 +438,8 @@
     report.free_memory_mb = static_cast<int32_t>(free.memoryMb);
     report.free_accelerators = static_cast<int32_t>(free.accelerators);
     report.queued_cpu_milli = queuedResources().cpuMilli;
+    // 0 would mean that the number is not limited.
+    report.free_runs = static_cast<uint32_t>(std::max<int64_t>(1, freeSlots()));
     // A change of the speed makes no report due: it is sent with the next one.
     if (m_speedEstimate.speed > 0) {
         report.speed_permille = static_cast<uint32_t>(std::lround(m_speedEstimate.speed * permille));
--- a/src/worker/workermanager.h
+++ b/src/worker/workermanager.h
@@ -239,6 +239,8 @@
     bool allSizesKnown() const;
     // Ends that the worker may not discard yet, and those that its active runs will add.
     size_t pendingEnds() const;
+    // Runs that may still be ordered, whatever their size.
+    int64_t freeSlots() const;
     Millis workerNow(Millis now) const;
     void recordClock(Millis workerClock, Millis now);
     // Ends may be confirmed by number only while no sign suggests that the worker has started to number them
--- a/src/worker/workerstate.h
+++ b/src/worker/workerstate.h
@@ -1,6 +1,7 @@
 // Messages between an agent and its worker: announcements, lists of runs, calls and their answers.
 #pragma once
 
+#include "jobs/runslots.h"
 #include "jobs/workerpool.h"
 #include "proto/fleetcodec.h"
 
@@ -44,7 +45,7 @@
 };
 
 // A worker lists at most this many ends: those with the lowest numbers of the ones that it may not discard.
-constexpr size_t mostListedEnds = 500;
+constexpr size_t mostListedEnds = mostRunsOfWorker;
 
 struct WorkerLists
 {
--- a/tests/process/test_untrustedjobs.py
+++ b/tests/process/test_untrustedjobs.py
@@ -71,6 +71,21 @@
             self.submit_and_leave(entry.port("clientListen"), FEW_DESCRIPTORS, first, body)
         self.assert_bounded(fleet, entry, FEW_DESCRIPTORS)
 
+    # Guards against tasks of no size that all start at once: the orders carry the text of the job, and a worker lists a
+    # bounded number of ends.
+    def test_many_ready_tasks_of_no_size(self):
+        fleet = self.fleet(task_ms=crowd_task_ms)
+        entry, agent = fleet.entries[0], fleet.agents[0]
+        crowd = Crowd(self, entry.port("clientListen"), 8)
+        body = job_body(spec="s" * 4_000, count=9_999, cpu=0, memMb=0)
+        for number, sender in enumerate(crowd.sockets):
+            single = Crowd(self, 0, 0)
+            single.sockets = [sender]
+            request = crowd_request("POST", 0x4000 + number, body)
+            single.send(request, b"", len(request))
+        self.assert_bounded(fleet, agent)
+        self.assert_bounded(fleet, entry)
+
 
 if __name__ == "__main__":
     unittest.main()
