Bound the input of the project's own entry as that of fleet entries

What callers saw: 100 connections that each sent most of a body of 4 MB made `turmericwell entry` grow to 410 MB.

Cause: its port, and that of `turmericwell agent`, were opened with the defaults of HttpServerOptions, which have no budget of bytes and no limit of connections.

Change: InputLimits moves from src/fleet to src/net, and the entry reads the same settings (memoryMb 120, maxDescriptors 3,075 and what follows from them; bodies of 4 MB as before). The agent's port gets the limits of internal ports. Rejections are counted in input_rejected_total.

--- a/src/agentd/agentserver.cpp
+++ b/src/agentd/agentserver.cpp
@@ -2,6 +2,7 @@
 // the footprint of the process.
 #include "agentd/agentserver.h"
 
+#include "net/inputlimits.h"
 #include "observe/log.h"
 #include "observe/timeline.h"
 
@@ -23,9 +24,9 @@
     , m_core(settings.core)
     , m_events({.process = settings.name, .zone = settings.zone})
     , m_timer(io)
-    , m_http(io, settings.listen, {}, [this](const HttpRequest &request, const HttpResponder &respond) {
-        handleHttp(request, respond);
-    })
+    , m_http(
+          io, settings.listen, internalPortOptions({}, {}),
+          [this](const HttpRequest &request, const HttpResponder &respond) { handleHttp(request, respond); })
 {
     m_events.record({.kind = EventKind::ProcessStarted});
     for (const Address &address : m_settings.entries)
--- a/src/entry/entrymetrics.h
+++ b/src/entry/entrymetrics.h
@@ -11,6 +11,8 @@
     MetricDescription{"events_total", MetricKind::Counter, "Events of the timeline by kind.", "kind"},
     MetricDescription{"refusals_total", MetricKind::Counter,
                       "Refused submissions and refused task starts by reason.", "reason"},
+    MetricDescription{"input_rejected_total", MetricKind::Counter,
+                      "Requests and connections that a limit on input has rejected.", "limit"},
     MetricDescription{"answers_total", MetricKind::Counter, "Answers to submissions by outcome.", "outcome"},
     MetricDescription{"submission_ms", MetricKind::Summary,
                       "Time from a submission's arrival at its owner to its answer, in ms."},
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -54,7 +54,11 @@
     m_dispatcher.setWallClock(Clock::wall(), Clock::now());
     m_linkListener = std::make_unique<FrameListener>(m_io, m_settings.linkListen,
                                                      [this](const FrameLinkPtr &link) { acceptLink(link); });
-    m_frontend = std::make_unique<Frontend>(m_io, m_settings.listen, frontendHandlers());
+    const InputRejected onRejected = [this](std::string_view limit, const std::string &) {
+        m_metrics.count("input_rejected_total", limit);
+    };
+    m_frontend = std::make_unique<Frontend>(
+        m_io, m_settings.listen, clientPortOptions(m_settings.input, onRejected), frontendHandlers());
     m_membership.start();
     m_config.start();
     tick();
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -44,6 +44,7 @@
     settings.policy = reader.word("policy", settings.policy, policyNames);
     settings.drain = reader.millis("drainMs", settings.drain, {.least = 0, .most = 60'000});
     settings.stopTimeout = reader.millis("stopMs", settings.stopTimeout, {.least = 0, .most = 600'000});
+    settings.input = readInputLimits(reader, settings.input);
     if (settings.dedupWindow >= settings.logRetention)
         reader.problem("dedupWindowMs", "must be below logRetentionMs");
     if (settings.logPollWait >= settings.freshness)
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -3,6 +3,7 @@
 
 #include "config/jsonreader.h"
 #include "net/address.h"
+#include "net/inputlimits.h"
 
 #include <string>
 #include <vector>
@@ -42,6 +43,8 @@
     std::string policy = "credits";
     Millis drain = {1'000};
     Millis stopTimeout = {30'000};
+    // Of the port for callers and operators. Jobs carry the payloads of all their tasks.
+    InputLimits input = {.maxRequestBodyBytes = 4U << 20U};
 };
 
 EntrySettings parseEntrySettings(const std::string &file, std::string_view text, Problems &problems);
--- a/src/entry/frontend.cpp
+++ b/src/entry/frontend.cpp
@@ -3,9 +3,9 @@
 
 namespace turmericwell {
 
-Frontend::Frontend(IoContext &io, const Address &listen, Handlers handlers)
+Frontend::Frontend(IoContext &io, const Address &listen, HttpServerOptions options, Handlers handlers)
     : m_handlers(std::move(handlers))
-    , m_http(io, listen, {},
+    , m_http(io, listen, std::move(options),
              [this](const HttpRequest &request, const HttpResponder &respond) { handle(request, respond); })
 { }
 
--- a/src/entry/frontend.h
+++ b/src/entry/frontend.h
@@ -26,7 +26,7 @@
         std::function<std::string()> eventsText;
     };
 
-    Frontend(IoContext &io, const Address &listen, Handlers handlers);
+    Frontend(IoContext &io, const Address &listen, HttpServerOptions options, Handlers handlers);
 
     void stopAccepting() { m_http.stopAccepting(); }
     size_t openRequests() const { return m_http.openRequests(); }
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "fleet/fleetsettings.h"
-#include "fleet/inputlimits.h"
 #include "fleet/memberlist.h"
 #include "fleet/nodelink.h"
+#include "net/inputlimits.h"
 #include "worker/reportpolicy.h"
 #include "worker/workermanager.h"
 
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "config/jsonreader.h"
-#include "fleet/inputlimits.h"
 #include "jobs/fairshares.h"
 #include "jobs/policies.h"
 #include "net/address.h"
+#include "net/inputlimits.h"
 
 #include <optional>
 #include <string>
--- a/src/fleet/inputlimits.cpp
+++ b/src/net/inputlimits.cpp
@@ -1,5 +1,5 @@
 // Derivation and parsing of the limits on input.
-#include "fleet/inputlimits.h"
+#include "net/inputlimits.h"
 
 #include <algorithm>
 
@@ -67,18 +67,17 @@
         reader.integer(key, static_cast<int64_t>(defaultValue), {.least = least, .most = INT32_MAX}));
 }
 
-InputLimits readInputLimits(JsonReader &reader)
+InputLimits readInputLimits(JsonReader &reader, const InputLimits &defaults)
 {
-    const InputLimits smallest;
     const auto memoryMb = static_cast<uint32_t>(
-        reader.integer("memoryMb", smallest.memoryMb, {.least = 16, .most = 1'048'576}));
+        reader.integer("memoryMb", defaults.memoryMb, {.least = 16, .most = 1'048'576}));
     const auto descriptors = static_cast<uint32_t>(
-        reader.integer("maxDescriptors", smallest.maxDescriptors, {.least = 128, .most = 1'048'576}));
+        reader.integer("maxDescriptors", defaults.maxDescriptors, {.least = 128, .most = 1'048'576}));
     InputLimits limits = InputLimits::derived(memoryMb, descriptors);
     limits.maxRequestHeaderBytes = static_cast<uint32_t>(reader.integer(
         "maxRequestHeaderBytes", limits.maxRequestHeaderBytes, {.least = 1'024, .most = 1'048'576}));
     limits.maxRequestBodyBytes = static_cast<uint32_t>(reader.integer(
-        "maxRequestBodyBytes", limits.maxRequestBodyBytes, {.least = 1'024, .most = 67'108'864}));
+        "maxRequestBodyBytes", defaults.maxRequestBodyBytes, {.least = 1'024, .most = 67'108'864}));
     limits.requestReadTimeout =
         reader.millis("requestReadTimeoutMs", limits.requestReadTimeout, {.least = 100, .most = 600'000});
     limits.idleTimeout =
--- a/src/fleet/inputlimits.h
+++ b/src/net/inputlimits.h
@@ -46,7 +46,9 @@
     InputLimits withinDescriptors(uint64_t processDescriptors) const;
 };
 
-InputLimits readInputLimits(JsonReader &reader);
+// The defaults of settings that are missing are those of `defaults`, or follow from the memory and the
+// descriptors.
+InputLimits readInputLimits(JsonReader &reader, const InputLimits &defaults = {});
 
 using InputRejected = std::function<void(std::string_view limit, const std::string &client)>;
 
--- a/tests/process/test_untrustedclients.py
+++ b/tests/process/test_untrustedclients.py
@@ -11,7 +11,7 @@
 sys.path.insert(0, str(ROOT / "tools"))
 
 from lab.fleet import HOST, PREFIX  # noqa: E402
-from untrusted import FEW_DESCRIPTORS, KILOBYTE, MEGABYTE, Crowd, UntrustedTestCase  # noqa: E402
+from untrusted import FEW_DESCRIPTORS, KILOBYTE, MEGABYTE, Crowd, UntrustedTestCase, wait_until_read  # noqa: E402
 
 SUBMISSION = f"POST {PREFIX}%016x HTTP/1.1\r\nHost: {HOST}\r\nDeadline-Ms: 20000\r\n".encode()
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -35,7 +35,7 @@
                 request = head + b"p" * (16_384 - len(head) - 4) + b"\r\n\r\n" + body.encode().ljust(262_144)
                 # All but the last byte, so that the entry holds all requests at once.
                 single.send(request[:-1], b"", len(request) - 1)
-            self.wait_until_read(entry)
+            wait_until_read(entry.pid())
             for sender in crowd.sockets:
                 sender.setblocking(True)
                 sender.settimeout(20)
--- a/tests/process/untrusted.py
+++ b/tests/process/untrusted.py
@@ -32,6 +32,18 @@
     return len(os.listdir(f"/proc/{pid}/fd"))
 
 
+def wait_until_read(pid):
+    """Waits until the process works no more on what was sent, at most 10 s."""
+    end = time.monotonic() + 10
+    before, quiet = None, 0
+    while quiet < 4 and time.monotonic() < end:
+        # Ticks of user and system time; the regular work of a process takes less than a fifth of a processor.
+        used = sum(int(field) for field in Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[11:13])
+        quiet = quiet + 1 if before is not None and used - before < 2 else 0
+        before = used
+        time.sleep(0.1)
+
+
 class Crowd:
     """Connections that send without waiting for what the other side thinks of it."""
 
@@ -85,19 +97,8 @@
         fleet.start()
         return fleet
 
-    def wait_until_read(self, process):
-        """Waits until the process works no more on what was sent, at most 10 s."""
-        end = time.monotonic() + 10
-        before, quiet = None, 0
-        while quiet < 4 and time.monotonic() < end and not process.has_ended():
-            # Ticks of user and system time; the regular work of a process takes less than a fifth of a processor.
-            used = sum(int(field) for field in Path(f"/proc/{process.pid()}/stat").read_text().rpartition(")")[2].split()[11:13])
-            quiet = quiet + 1 if before is not None and used - before < 2 else 0
-            before = used
-            time.sleep(0.1)
-
     def assert_bounded(self, fleet, process, most_descriptors=3_075):
-        self.wait_until_read(process)
+        wait_until_read(process.pid())
         self.assertFalse(process.has_ended(), process.log_text()[-2000:])
         peak, resident = (status_value(process.pid(), key) // KILOBYTE for key in ("VmHWM", "VmRSS"))
         opened = descriptors(process.pid())
--- a/tests/unit/boundedinputtest.cpp
+++ b/tests/unit/boundedinputtest.cpp
@@ -1,9 +1,9 @@
 // Tests of the limits on input: the budget of buffered bytes, the settings and what is derived from them, the
 // limit of held tasks, and the HTTP server and client beside peers that break the limits.
 #include "fleet/fleetsettings.h"
-#include "fleet/inputlimits.h"
 #include "jobschedulerfixture.h"
 #include "net/http.h"
+#include "net/inputlimits.h"
 #include "platform/wirewords.h"
 
 #include <boost/asio/read.hpp>
