Bound the deadline of a caller of the project's own interface

What callers saw: nothing yet; found by reading. deadlineMs was taken as it came, up to 2^63 - 1 ms: such a submission is held for ever, and the sum of its deadline and the present time overflows.

Cause: the field had a lower bound only.

Change: a longer deadline than an hour counts as one hour; the caller can ask again with the same key.

--- a/src/entry/callerapi.cpp
+++ b/src/entry/callerapi.cpp
@@ -1,6 +1,7 @@
 // Parsing and formatting of the caller interface.
 #include "entry/callerapi.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace turmericwell {
@@ -9,6 +10,8 @@
 
 static constexpr size_t maxKeyBytes = 256;
 static constexpr size_t maxJobTasks = 10'000;
+// A caller that waits longer can ask again with the same key.
+constexpr Millis mostBudget = {3'600'000};
 
 static BadRequest badInput(std::string detail, int status = 400)
 {
@@ -69,7 +72,7 @@
 static Millis budgetFor(const CommonFields &fields, const CallDeclaration *call)
 {
     if (fields.deadlineMs > 0)
-        return {fields.deadlineMs};
+        return std::min(Millis{fields.deadlineMs}, mostBudget);
     return call ? call->deadline : CallDeclaration{}.deadline;
 }
 
