Refuse cancels of unknown jobs instead of forgetting earlier ones

What callers saw: an ordinary client cancelled a job before its submission arrived and got 410. After 24,000 cancels of jobs that nobody knows, by others, the submission came and the job ran.

Cause: an owner keeps such cancels for 150 s, at most 20,000 of them, and dropped the oldest for a new one. A cancel that is repeated also stayed the oldest with a later end, which kept the others from eviction.

Change: at the limit (JobSchedulerOptions::maxUnknownCancels) a further cancel of an unknown job is refused, with 503 and Retry-After; nothing is promised for it. A repeated one moves to the end of the order of eviction.

Evidence: test_acknowledged_cancel_beside_many_cancels failed on (200 != 410) and passes now; cancelsOfUnknownJobsAreKeptOrRefused.

--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -146,6 +146,12 @@
     // Submissions of new jobs are rejected while the held jobs have more tasks than this together; 0 means no
     // limit. A step counts as one task, and a job as four.
     size_t maxHeldTasks = 0;
+    // Cancels of jobs that are not known here, each of which is remembered for the time of `retention`; 56
+    // bytes each. Further ones are refused: a cancel that was acknowledged must not be forgotten.
+    size_t maxUnknownCancels = 20'000;
+    // Ended jobs and held ones, of which each takes about 150 bytes until its retention has passed. Further
+    // jobs are rejected; 0 means no limit.
+    size_t maxKnownJobs = 0;
     // How long ended jobs can be queried before they are deleted.
     Millis retention = {150'000};
     // Whether tasks wait for free resources near their data, and the factor by which a run takes longer far
@@ -412,6 +418,8 @@
     {
         uint32_t partition = 0;
         Millis evictAt;
+        // The job was cancelled again, so that its place in the order of eviction is too early.
+        bool isRenewed = false;
     };
 
     // A run whose job is unknown to this owner. If the job is submitted again, it adopts the run.
@@ -475,8 +483,11 @@
     AdmissionExplanation explainAdmission(const JobSpec &spec, Millis now) const;
     StepExplanation explainStep(const JobSpec &spec, uint32_t step, Millis start, Millis now) const;
     static int64_t waitingCpuMilli(const Job &job);
-    // Records that the job must not run, and stops runs of it that agents have reported.
-    void cancelUnknown(JobId id, Millis now);
+    // Records that the job must not run, and stops runs of it that agents have reported. Returns false, and
+    // does nothing, if there are too many such records.
+    bool cancelUnknown(JobId id, Millis now);
+    // Removes the records whose time is over.
+    void evictUnknownCancels(Millis now);
     Job &addJob(JobSpec spec, uint32_t partition, Millis now);
     struct RecordWrite
     {
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -339,13 +339,7 @@
     std::erase_if(m_rackViews,
                   [&](const auto &item) { return now - item.second.takenAt > PlacementWait::retention; });
     std::erase_if(m_givenUp, [&](const auto &item) { return item.second.evictAt <= now; });
-    while (!m_unknownCancelledOrder.empty()) {
-        const auto oldest = m_unknownCancelled.find(m_unknownCancelledOrder.front());
-        if (oldest->second.evictAt > now)
-            break;
-        m_unknownCancelled.erase(oldest);
-        m_unknownCancelledOrder.pop_front();
-    }
+    evictUnknownCancels(now);
     while (!m_endedOrder.empty()) {
         const JobId id = m_endedOrder.front();
         const auto found = m_ended.find(id);
--- a/tests/process/test_untrustedjobs.py
+++ b/tests/process/test_untrustedjobs.py
@@ -1,6 +1,7 @@
 """Jobs and cancels of clients that nobody controls, after the requests were taken: what an entry and an agent keep of them."""
 
 import json
+import socket
 import sys
 import unittest
 from pathlib import Path
@@ -34,6 +35,23 @@
     return LONG_MS if task.startswith(CROWD_PREFIX) else 50
 
 
+def exchange(port, requests):
+    """Sends the requests on one connection in groups, and returns the status codes of the answers."""
+    statuses, received = [], b""
+    with socket.create_connection(("127.0.0.1", port), timeout=20) as connection:
+        for begin in range(0, len(requests), 50):
+            group = requests[begin:begin + 50]
+            connection.sendall(b"".join(group))
+            while received.count(b"HTTP/1.1 ") < len(group) or not received.endswith(b"}"):
+                data = connection.recv(65536)
+                if not data:
+                    raise ConnectionError("closed by the entry")
+                received += data
+            statuses += [int(answer[:3]) for answer in received.split(b"HTTP/1.1 ")[1:]]
+            received = b""
+    return statuses
+
+
 class UntrustedJobsTest(UntrustedTestCase):
     build = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
 
@@ -86,6 +104,23 @@
         self.assert_bounded(fleet, agent)
         self.assert_bounded(fleet, entry)
 
+    # Guards against a cancel that is acknowledged and then forgotten, because many cancels of unknown jobs came after it: the
+    # job would run when its submission arrives.
+    def test_acknowledged_cancel_beside_many_cancels(self):
+        fleet = self.fleet()
+        entry = fleet.entries[0]
+        job = "5ca1ab1e00000001"
+        status, _ = fleet.call("DELETE", job)
+        self.assertIn(status, (200, 410))
+        first = 0x6000_0000
+        for begin in range(0, 24_000, 6_000):
+            requests = [crowd_request("DELETE", first + begin + number) for number in range(6_000)]
+            self.assertLessEqual(set(exchange(entry.port("clientListen"), requests)), {200, 410, 429, 503})
+        status, _ = fleet.submit(job, best_effort=True, timeout=3)
+        self.assertEqual(status, 410)
+        self.assertEqual([row for row in fleet.history if row[2].startswith(job)], [])
+        self.assert_bounded(fleet, entry)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/boundedinputtest.cpp
+++ b/tests/unit/boundedinputtest.cpp
@@ -249,6 +249,40 @@
     BOOST_TEST(scheduler.heldTasks() == 0U);
 }
 
+// Guards against a cancel that is acknowledged and forgotten, and against one of a job that nobody knows
+// which is repeated to keep the records of others.
+BOOST_AUTO_TEST_CASE(cancelsOfUnknownJobsAreKeptOrRefused)
+{
+    JobSchedulerFixture fixture;
+    JobScheduler scheduler({.partitions = 1, .maxUnknownCancels = 3, .retention = {10'000}}, fixture.pool,
+                           fixture.effects, fixture.log);
+    scheduler.openPartition(0, 1);
+    scheduler.loaded(0, fixture.now);
+    scheduler.setExpectedAgents(0, {}, true);
+    fleet::CallStatus status = fleet::CallStatus::Unknown;
+    const auto cancel = [&](JobId id) {
+        scheduler.cancel(id, {.wait = {1'000}}, fixture.now,
+                         [&](const JobReply &reply) { status = reply.status; });
+        return status;
+    };
+    for (JobId id = 1; id <= 3; ++id)
+        BOOST_CHECK(cancel(id) == fleet::CallStatus::NotKnown);
+    BOOST_CHECK(cancel(4) == fleet::CallStatus::Refused);
+    fixture.now = fixture.now + Millis{6'000};
+    BOOST_CHECK(cancel(1) == fleet::CallStatus::NotKnown);
+    fixture.now = fixture.now + Millis{6'000};
+    scheduler.advance(fixture.now);
+    // Those of 2 and 3 are over, that of 1 is not.
+    BOOST_CHECK(cancel(5) == fleet::CallStatus::NotKnown);
+    BOOST_CHECK(cancel(6) == fleet::CallStatus::NotKnown);
+    BOOST_CHECK(cancel(7) == fleet::CallStatus::Refused);
+    std::vector<JobReply> replies;
+    scheduler.submit(JobSchedulerFixture::job(1, 1, true), {.wait = {1'000}}, fixture.now,
+                     [&](JobReply reply) { replies.push_back(std::move(reply)); });
+    BOOST_TEST_REQUIRE(replies.size() == 1U);
+    BOOST_CHECK(replies[0].status == fleet::CallStatus::NotKnown);
+}
+
 // Guards against trailers, headers, lines and chunk extensions that are read without a limit.
 BOOST_AUTO_TEST_CASE(serverRejectsEndlessParts)
 {
