Count the texts of a job among the tasks that an owner holds

What callers saw: nothing yet; found by reading. A job with one task counted as six tasks of about 200 bytes, whatever its text and the names in its steps, which may take 69,000 bytes: 30,720 tasks of the smallest instance allowed for more than its memory.

Change: 256 bytes of text and dependencies count as one task.

Evidence: textsOfHeldJobsAreBounded fails without the count (833,984 bytes held with a limit of 1,000 tasks, bound 256,000) and passes with it.

--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -184,14 +184,20 @@
     return result;
 }
 
-// Tasks whose memory the job takes: a job and a step take about that of four tasks and one.
+// Tasks whose memory the job takes: a job and a step take about that of four tasks and one, and a text that
+// of one for each 256 bytes.
 static size_t taskUnits(const JobSpec &spec)
 {
     constexpr size_t unitsPerJob = 4;
+    constexpr size_t textBytesPerUnit = 256;
     size_t units = unitsPerJob + spec.steps.size();
-    for (const auto &step : spec.steps)
+    size_t textBytes = spec.payload.size();
+    for (const auto &step : spec.steps) {
         units += step->count;
-    return units;
+        textBytes += step->required_label.size() + step->data_rack.size() + step->image.size()
+            + step->after.size() * sizeof(step->after[0]);
+    }
+    return units + textBytes / textBytesPerUnit;
 }
 
 JobScheduler::Job &JobScheduler::addJob(JobSpec spec, uint32_t partition, Millis now)
--- a/tests/unit/boundedinputtest.cpp
+++ b/tests/unit/boundedinputtest.cpp
@@ -249,6 +249,33 @@
     BOOST_TEST(scheduler.heldTasks() == 0U);
 }
 
+// Guards against memory for the texts of jobs that wait: the names of a step take more than its tasks.
+BOOST_AUTO_TEST_CASE(textsOfHeldJobsAreBounded)
+{
+    JobSchedulerFixture fixture;
+    JobScheduler scheduler({.partitions = 1, .maxHeldTasks = 1'000}, fixture.pool, fixture.effects,
+                           fixture.log);
+    scheduler.openPartition(0, 1);
+    scheduler.loaded(0, fixture.now);
+    scheduler.setExpectedAgents(0, {1, 2}, true);
+    size_t textBytes = 0;
+    size_t accepted = 0;
+    for (JobId id = 1; id <= 200; ++id) {
+        JobSpec spec = JobSchedulerFixture::job(id, 1, true);
+        spec.steps[0]->cpu_milli = 0;
+        spec.steps[0]->image = std::string(1'024, 'i');
+        spec.payload = std::string(4'000, 'p');
+        bool isRejected = false;
+        scheduler.submit(std::move(spec), {.wait = {1'000}}, fixture.now,
+                         [&](const JobReply &) { isRejected = true; });
+        accepted += isRejected ? 0 : 1;
+        textBytes += isRejected ? 0 : 5'024;
+    }
+    BOOST_TEST(accepted > 10U);
+    // As much as 1,000 tasks take.
+    BOOST_TEST(textBytes <= 256'000U);
+}
+
 // Guards against a cancel that is acknowledged and forgotten, and against one of a job that nobody knows
 // which is repeated to keep the records of others.
 BOOST_AUTO_TEST_CASE(cancelsOfUnknownJobsAreKeptOrRefused)
