Bound the jobs that an owner knows, ended ones included

What callers saw: nothing yet; a known gap of docs/design/bounded-input.md. Ended jobs were kept for 150 s without a limit of their number, so memory followed the rate at which clients can end jobs.

Change: maxKnownJobs (1,024 per MB of memoryMb; 122,880 on the smallest instance, 819 jobs a second over 150 s). Further jobs are rejected with 429; a job that is known is not.

Evidence: endedJobsAreBounded fails without the limit (0 of 3 rejected) and passes with it.

--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -46,6 +46,7 @@
                    .learnWorkerSpeeds = settings.learnWorkerSpeeds,
                    .moveLongRuns = settings.moveLongRuns,
                    .maxHeldTasks = settings.input.maxHeldTasks,
+                   .maxKnownJobs = settings.input.maxKnownJobs,
                    .placementWait = settings.placementWait ? PlacementWaitPolicy{ExpectedGain{}}
                                                            : PlacementWaitPolicy{NeverWait{}},
                    .farFactor = settings.farFactor},
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -271,6 +271,13 @@
                 .reason = "too many tasks are held"});
         return;
     }
+    if (m_options.maxKnownJobs > 0 && m_jobs.size() + m_ended.size() >= m_options.maxKnownJobs) {
+        m_effects.inputRejected("known_jobs");
+        onDone({.status = fleet::CallStatus::Refused,
+                .retryAfter = minRetryAfter,
+                .reason = "too many ended jobs are kept"});
+        return;
+    }
     Admission admission = checkAdmission(spec, options.zone, now);
     if (admission.rejection) {
         onDone(std::move(*admission.rejection));
--- a/src/net/inputlimits.cpp
+++ b/src/net/inputlimits.cpp
@@ -16,6 +16,8 @@
 constexpr size_t connectionsPerMb = 32;
 // A held task takes about 200 bytes, and is looked at in each pass over the queue.
 constexpr size_t tasksPerMb = 256;
+// An ended job takes about 150 bytes, so these take about a seventh of the memory.
+constexpr size_t knownJobsPerMb = 1'024;
 // Holds 64 requests of the largest ordinary size on the smallest instance. The buffers of chunked bodies may
 // take twice their size.
 constexpr uint32_t bufferedDivisor = 4;
@@ -44,6 +46,7 @@
     limits.maxBufferedRequestMb = std::max(2U, memoryMb / bufferedDivisor);
     limits.maxOpenCalls = memoryMb * connectionsPerMb;
     limits.maxHeldTasks = memoryMb * tasksPerMb;
+    limits.maxKnownJobs = memoryMb * knownJobsPerMb;
     limits.maxUnknownLinks = std::clamp<size_t>(maxDescriptors / 16, 16, 512);
     limits.maxInternalConnections = std::clamp<size_t>(maxDescriptors / 64, 16, 64);
     return limits;
@@ -103,6 +106,7 @@
                            + " bytes");
     limits.maxOpenCalls = readCount(reader, "maxOpenCalls", limits.maxOpenCalls);
     limits.maxHeldTasks = readCount(reader, "maxHeldTasks", limits.maxHeldTasks);
+    limits.maxKnownJobs = readCount(reader, "maxKnownJobs", limits.maxKnownJobs);
     return limits;
 }
 
--- a/src/net/inputlimits.h
+++ b/src/net/inputlimits.h
@@ -35,6 +35,8 @@
     size_t maxOpenCalls = 3'840;
     // Tasks of the jobs that this entry holds as an owner, and steps of the calls that wait at it.
     size_t maxHeldTasks = 30'720;
+    // Jobs that this entry knows as an owner: the held ones, and the ended ones that clients may ask for.
+    size_t maxKnownJobs = 122'880;
     // Accepted connections from other processes that have not introduced themselves.
     size_t maxUnknownLinks = 192;
     // Connections to each of the ports that are not meant for clients.
--- a/tests/unit/boundedinputtest.cpp
+++ b/tests/unit/boundedinputtest.cpp
@@ -164,6 +164,7 @@
     for (int i = 0; i < 64; ++i)
         BOOST_TEST(budget.reserve(0, 262'144 + 16'384 + 32'768));
     BOOST_TEST(limits.maxOpenCalls >= limits.maxConnections);
+    BOOST_TEST(limits.maxKnownJobs == none.maxKnownJobs);
     BOOST_TEST(limits.maxConnections + limits.maxUnknownLinks + 2 * limits.maxInternalConnections < 3'075U);
 }
 
@@ -195,6 +196,7 @@
         {R"(,"memoryMb":64,"maxBufferedRequestMb":65)", "maxBufferedRequestMb"},
         {R"(,"maxOpenCalls":0)", "maxOpenCalls"},
         {R"(,"maxHeldTasks":1.5)", "maxHeldTasks"},
+        {R"(,"maxKnownJobs":-1)", "maxKnownJobs"},
         {R"(,"maxFoo":1)", "maxFoo"},
     };
     for (const auto &[text, key] : invalid) {
@@ -310,6 +312,34 @@
     BOOST_CHECK(replies[0].status == fleet::CallStatus::NotKnown);
 }
 
+// Guards against ended jobs without a limit of their number, and against rejecting a job that is known.
+BOOST_AUTO_TEST_CASE(endedJobsAreBounded)
+{
+    JobSchedulerFixture fixture;
+    JobScheduler scheduler({.partitions = 1, .maxKnownJobs = 5, .retention = {10'000}}, fixture.pool,
+                           fixture.effects, fixture.log);
+    scheduler.openPartition(0, 1);
+    scheduler.loaded(0, fixture.now);
+    scheduler.setExpectedAgents(0, {}, true);
+    std::vector<fleet::CallStatus> statuses;
+    const auto endJob = [&](JobId id) {
+        scheduler.submit(JobSchedulerFixture::job(id, 1, true), {.wait = {60'000}}, fixture.now,
+                         [&](const JobReply &reply) { statuses.push_back(reply.status); });
+        scheduler.cancel(id, {.wait = {1'000}}, fixture.now, [](const JobReply &) {});
+        scheduler.advance(fixture.now);
+    };
+    for (JobId id = 1; id <= 8; ++id)
+        endJob(id);
+    BOOST_TEST(std::count(statuses.begin(), statuses.end(), fleet::CallStatus::Refused) == 3);
+    BOOST_CHECK(scheduler.query(5).status == fleet::CallStatus::Done);
+    BOOST_CHECK(scheduler.query(6).status == fleet::CallStatus::NotKnown);
+    fixture.now = fixture.now + Millis{11'000};
+    scheduler.advance(fixture.now);
+    statuses.clear();
+    endJob(9);
+    BOOST_TEST(std::count(statuses.begin(), statuses.end(), fleet::CallStatus::Refused) == 0);
+}
+
 // Guards against trailers, headers, lines and chunk extensions that are read without a limit.
 BOOST_AUTO_TEST_CASE(serverRejectsEndlessParts)
 {
