Leave connections and calls to others beside clients that wait for long

What callers saw: an entry with 200 descriptors, and 400 clients that wait for tasks of ten minutes: no ordinary client got a connection, for as long as the crowd waited.

Cause: a connection whose request is being handled is never closed for another one, and as many calls could be open (3,840 on the smallest instance) as there are connections (2,563).

Change: maxOpenCalls is three quarters of maxConnections by default.

The check "maxOpenCalls >= maxConnections" of defaultsOfTheSmallestInstance required this fault. It is replaced: below maxConnections, at least three quarters of it, and at least 16 calls on each of 64 connections.

--- a/src/fleet/entrycalls.cpp
+++ b/src/fleet/entrycalls.cpp
@@ -14,16 +14,17 @@
 constexpr Millis leastRetryAfter = {1'000};
 // One check serves all calls, and no timer outlives its call by more than this: clients choose their waits.
 constexpr Millis expiryCheckInterval = {1'000};
+// Longer than ordinary clients wait for a best-effort job.
+constexpr Millis leastDisplacedAge = {5'000};
 constexpr std::string_view noAnswerInTime = "no answer from the owner in time";
 
 uint64_t EntryNode::call(JobCall call, JobReplyHandler onDone)
 {
     const Millis wait = std::max(call.wait - answerMargin, Millis{10});
     const size_t weight = call.spec ? call.spec->steps.size() : 0;
-    // Nothing has been done for this call yet, so the rejection is true. A call holds its steps, not its
-    // tasks.
-    if (m_calls.size() >= m_settings.input.maxOpenCalls
-        || m_callWeight + weight > std::max<size_t>(m_settings.input.maxHeldTasks, weight)) {
+    const Millis now = Clock::now();
+    // Nothing has been done for this call yet, so the rejection is true.
+    if (!hasRoomForCall(weight) && !(displaceCall(now) && hasRoomForCall(weight))) {
         inputRejected("open_calls");
         onDone({.status = call.kind == fleet::CallKind::Submit ? fleet::CallStatus::Refused
                                                                : fleet::CallStatus::NotReady,
@@ -32,11 +33,11 @@
         return 0;
     }
     const uint64_t id = m_nextCall++;
-    const Millis now = Clock::now();
     // A submission without a known owner is rejected once its job could no longer meet its deadline.
     const Millis ownerWait =
         call.kind == fleet::CallKind::Submit ? std::min(wait, declaredSlack(*call.spec)) : wait;
     m_calls[id] = {.call = std::move(call),
+                   .openedAt = now,
                    .deadline = now + wait,
                    .ownerDeadline = now + ownerWait,
                    .onDone = std::move(onDone),
@@ -48,12 +49,39 @@
     return id;
 }
 
+// A call holds its steps, not its tasks.
+bool EntryNode::hasRoomForCall(size_t weight) const
+{
+    return m_calls.size() < m_settings.input.maxOpenCalls
+        && m_callWeight + weight <= std::max<size_t>(m_settings.input.maxHeldTasks, weight);
+}
+
+// Load pattern: as many submissions of best-effort jobs as may be open, all of which wait for hours. Their
+// clients may submit the jobs again.
+bool EntryNode::displaceCall(Millis now)
+{
+    // The calls are in the order of their arrival.
+    for (const auto &[id, pending] : m_calls) {
+        if (now - pending.openedAt < leastDisplacedAge)
+            return false;
+        if (!pending.call.spec || !pending.call.spec->best_effort)
+            continue;
+        inputRejected("displaced_calls");
+        abandon(id, "the entry has too many open calls");
+        return true;
+    }
+    return false;
+}
+
 void EntryNode::clientLeft(uint64_t id)
 {
-    const auto found = m_calls.find(id);
-    if (found == m_calls.end())
-        return;
-    const PendingCall &pending = found->second;
+    if (m_calls.contains(id))
+        abandon(id, "the client has left");
+}
+
+void EntryNode::abandon(uint64_t id, std::string_view cause)
+{
+    const PendingCall &pending = m_calls.at(id);
     const JobId job = pending.call.job;
     if (pending.inProgress && pending.forwardLink) {
         fleet::JobCallT message;
@@ -64,7 +92,7 @@
     } else if (pending.inProgress) {
         m_scheduler.callerLeft(job, {.call = id}, Clock::now());
     }
-    finish(id, {.status = fleet::CallStatus::Unknown, .reason = "the client has left"});
+    finish(id, {.status = fleet::CallStatus::Unknown, .reason = std::string(cause)});
 }
 
 void EntryNode::scheduleExpiry(Millis now)
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -138,6 +138,7 @@
     struct PendingCall
     {
         JobCall call;
+        Millis openedAt;
         Millis deadline;
         Millis ownerDeadline;
         JobReplyHandler onDone;
@@ -254,6 +255,12 @@
     void perform(JobCall &call, const CallOptions &options, JobReplyHandler onDone);
     void answered(uint64_t id, uint64_t attempt, JobReply reply);
     void finish(uint64_t id, const JobReply &reply);
+    // Ends a call without waiting for its outcome: nobody waits for it any longer.
+    void abandon(uint64_t id, std::string_view cause);
+    bool hasRoomForCall(size_t weight) const;
+    // Abandons the best-effort submission that has waited the longest. Returns false if none has waited for
+    // long.
+    bool displaceCall(Millis now);
     // Gives the call its last answer. The cause is the reason of a call that may have been carried out.
     void expire(uint64_t id, std::string_view cause);
     // Gives all open calls their last answer: the process ends before their wait is over.
--- a/src/net/inputlimits.cpp
+++ b/src/net/inputlimits.cpp
@@ -37,6 +37,12 @@
     return descriptors > own ? descriptors - own : 1;
 }
 
+// The other connections are for clients whose calls are rejected, and for those that come then.
+static size_t openCallsFor(size_t connections)
+{
+    return std::max<size_t>(1, connections - connections / 4);
+}
+
 InputLimits InputLimits::derived(uint32_t memoryMb, uint32_t maxDescriptors)
 {
     InputLimits limits;
@@ -44,7 +50,7 @@
     limits.maxDescriptors = maxDescriptors;
     limits.maxConnections = std::min(connectionsFor(maxDescriptors), memoryMb * connectionsPerMb);
     limits.maxBufferedRequestMb = std::max(2U, memoryMb / bufferedDivisor);
-    limits.maxOpenCalls = memoryMb * connectionsPerMb;
+    limits.maxOpenCalls = openCallsFor(limits.maxConnections);
     limits.maxHeldTasks = memoryMb * tasksPerMb;
     limits.maxKnownJobs = memoryMb * knownJobsPerMb;
     limits.maxUnknownLinks = std::clamp<size_t>(maxDescriptors / 16, 16, 512);
@@ -59,6 +65,7 @@
         return limits;
     const InputLimits fewer = derived(memoryMb, static_cast<uint32_t>(processDescriptors));
     limits.maxConnections = std::min(limits.maxConnections, fewer.maxConnections);
+    limits.maxOpenCalls = std::min(limits.maxOpenCalls, fewer.maxOpenCalls);
     limits.maxUnknownLinks = std::min(limits.maxUnknownLinks, fewer.maxUnknownLinks);
     limits.maxInternalConnections = std::min(limits.maxInternalConnections, fewer.maxInternalConnections);
     return limits;
--- a/src/net/inputlimits.h
+++ b/src/net/inputlimits.h
@@ -31,8 +31,8 @@
     // 0: no limit.
     size_t maxConnectionsPerClient = 0;
     uint32_t maxBufferedRequestMb = 30;
-    // Calls of clients that wait for their answer at this entry.
-    size_t maxOpenCalls = 3'840;
+    // Calls of clients that wait for their answer at this entry. Each takes a connection.
+    size_t maxOpenCalls = 1'923;
     // Tasks of the jobs that this entry holds as an owner, and steps of the calls that wait at it.
     size_t maxHeldTasks = 30'720;
     // Jobs that this entry knows as an owner: the held ones, and the ended ones that clients may ask for.
--- a/tests/process/test_untrustedjobs.py
+++ b/tests/process/test_untrustedjobs.py
@@ -89,6 +89,19 @@
             self.submit_and_leave(entry.port("clientListen"), FEW_DESCRIPTORS, first, body)
         self.assert_bounded(fleet, entry, FEW_DESCRIPTORS)
 
+    # Guards against an entry whose connections are all taken by clients that wait for their answers.
+    def test_clients_that_wait_for_long(self):
+        fleet = self.fleet(most_descriptors=FEW_DESCRIPTORS, task_ms=crowd_task_ms)
+        entry = fleet.entries[0]
+        crowd = Crowd(self, entry.port("clientListen"), 2 * FEW_DESCRIPTORS)
+        body = job_body(cpu=1, memMb=1)
+        for number, sender in enumerate(crowd.sockets):
+            single = Crowd(self, 0, 0)
+            single.sockets = [sender]
+            request = crowd_request("POST", 0x3000 + number, body)
+            single.send(request, b"", len(request))
+        self.assert_bounded(fleet, entry, FEW_DESCRIPTORS)
+
     # Guards against tasks of no size that all start at once: the orders carry the text of the job, and a worker lists a
     # bounded number of ends.
     def test_many_ready_tasks_of_no_size(self):
--- a/tests/unit/boundedinputtest.cpp
+++ b/tests/unit/boundedinputtest.cpp
@@ -163,7 +163,10 @@
     ByteBudget budget(uint64_t{limits.maxBufferedRequestMb} << 20U);
     for (int i = 0; i < 64; ++i)
         BOOST_TEST(budget.reserve(0, 262'144 + 16'384 + 32'768));
-    BOOST_TEST(limits.maxOpenCalls >= limits.maxConnections);
+    // Each open call takes a connection. The others are left to clients that would not be heard otherwise.
+    BOOST_TEST(limits.maxOpenCalls < limits.maxConnections);
+    BOOST_TEST(limits.maxOpenCalls >= limits.maxConnections / 4 * 3);
+    BOOST_TEST(limits.maxOpenCalls >= 64 * 16U);
     BOOST_TEST(limits.maxKnownJobs == none.maxKnownJobs);
     BOOST_TEST(limits.maxConnections + limits.maxUnknownLinks + 2 * limits.maxInternalConnections < 3'075U);
 }
@@ -173,6 +176,7 @@
 {
     const InputLimits limits = InputLimits::derived(512, 3'075).withinDescriptors(200);
     BOOST_TEST(limits.maxConnections + limits.maxUnknownLinks + 2 * limits.maxInternalConnections < 200U);
+    BOOST_TEST(limits.maxOpenCalls < limits.maxConnections);
     BOOST_TEST(InputLimits::derived(512, 3'075).withinDescriptors(65'536).maxConnections == 2'563U);
 }
 
