Allow long messages only to processes that are known

What operators would see: somebody who reaches the port between processes introduces himself under 60 names and sends half of a long frame on each connection. The entry and the agent grew to 504 and 506 MB.

Cause: the introduction alone raised the length of a frame from 16,384 bytes to 8 MB, and took the connection out of the queue that bounds connections of unknown processes. Any name was good.

Change: a connection stays in that queue, and its frames stay at 16,384 bytes, until the peer is confirmed: at an entry when it is a registered process, now or later; at an agent with its first claim of a partition, and then up to 131,072 bytes. The port still does not authenticate.

--- a/src/fleet/agentnode.cpp
+++ b/src/fleet/agentnode.cpp
@@ -13,6 +13,8 @@
 // The worker is on the same instance and answers within a few milliseconds. A timeout that is too short loses
 // a run; one that is too long makes its job late.
 constexpr Millis orderTimeout = {60};
+// Of messages from owners. An order carries the text of a job (4,000 bytes) and a checkpoint.
+constexpr uint32_t mostOrderBytes = 131'072;
 // Added to the wait time that the list poll asks the worker for.
 constexpr Millis listPollMargin = {60};
 
@@ -113,7 +115,7 @@
     const NodeLinkPtr oldest = m_unknownLinks.add(newest);
     if (!oldest)
         return;
-    oldest->close("too many connections that have not introduced themselves");
+    oldest->close("too many connections of unknown processes");
     if (m_onInputRejected)
         m_onInputRejected("unknown_links", {});
 }
@@ -231,6 +233,7 @@
     } else if (const fleet::EndDisputedT *disputed = envelope.body.AsEndDisputed()) {
         m_workerManager.endDisputed(fromWire(disputed->run), now);
     } else if (const fleet::ClaimT *claim = envelope.body.AsClaim()) {
+        m_entries.at(entry).link->confirmPeer(mostOrderBytes);
         m_workerManager.claim(entry, claim->partition, claim->epoch, now, claim->number);
     } else if (const fleet::ReleaseT *release = envelope.body.AsRelease()) {
         m_workerManager.release(entry, release->partition, release->epoch, now);
--- a/src/fleet/agentnode.h
+++ b/src/fleet/agentnode.h
@@ -117,7 +117,7 @@
     WorkerManager m_workerManager;
     Registration m_registration;
     RegistrationState m_registrationState = RegistrationState::AwaitsWorker;
-    HelloQueue m_unknownLinks;
+    UnconfirmedLinks m_unknownLinks;
     InputRejected m_onInputRejected;
     std::unique_ptr<LinkListener> m_listener;
     std::map<EntryNumber, Entry> m_entries;
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -48,6 +48,8 @@
     const std::string &name = member.identity.name;
     Contact &contact = m_contacts[name];
     contact.member = member;
+    if (const auto peer = m_peers.find(name); peer != m_peers.end())
+        peer->second.link->confirmPeer();
     if (member.isLost) {
         m_log.always(
             now, "entry_marked_lost",
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -192,7 +192,7 @@
     const NodeLinkPtr oldest = m_unknownLinks.add(newest);
     if (!oldest)
         return;
-    oldest->close("too many connections that have not introduced themselves");
+    oldest->close("too many connections of unknown processes");
     inputRejected("unknown_links");
 }
 
@@ -236,8 +236,11 @@
 
 void EntryNode::introduce(const NodeLinkPtr &link, const fleet::HelloT &hello)
 {
-    if (const auto contact = m_contacts.find(hello.node); contact != m_contacts.end())
+    // The registration of a new entry may be read later, and confirms it then.
+    if (const auto contact = m_contacts.find(hello.node); contact != m_contacts.end()) {
         contact->second.backoff.reset();
+        link->confirmPeer();
+    }
     // After this entry was cut off from all, the others are probably in reach again as well.
     if (m_agentLinks.empty() && m_peers.empty())
         dialAll();
--- a/src/fleet/entrynode.h
+++ b/src/fleet/entrynode.h
@@ -286,7 +286,7 @@
     MemberList m_members;
     MembershipPlan m_membershipPlan;
     Registration m_registration;
-    HelloQueue m_unknownLinks;
+    UnconfirmedLinks m_unknownLinks;
     InputRejected m_onInputRejected;
     std::unique_ptr<LinkListener> m_listener;
     QueueTable m_queues;
--- a/src/fleet/nodelink.cpp
+++ b/src/fleet/nodelink.cpp
@@ -9,8 +9,8 @@
 constexpr Millis pingTimeout = {1'050};
 // The hello is the first message on a connection, so it takes no longer than the answer to a ping.
 constexpr Millis helloTimeout = {3'000};
-// A hello has a few names. The limit of other messages holds once the peer has introduced itself.
-constexpr uint32_t mostHelloBytes = 16'384;
+// A hello has a few names, and ordinary messages are not longer either.
+constexpr uint32_t mostUnconfirmedBytes = 16'384;
 
 NodeLink::NodeLink(IoContext &io, FrameLinkPtr link, const NodeIdentity &self)
     : m_timers(io)
@@ -23,7 +23,7 @@
 void NodeLink::start(Handlers handlers)
 {
     m_handlers = std::move(handlers);
-    m_link->limitFrames(mostHelloBytes);
+    m_link->limitFrames(mostUnconfirmedBytes);
     m_link->start({.onFrame = [self = shared_from_this()](
                                   std::span<const uint8_t> payload) { self->received(payload); },
                    .onClosed =
@@ -48,6 +48,12 @@
     m_link->close(reason);
 }
 
+void NodeLink::confirmPeer(uint32_t mostMessageBytes)
+{
+    m_confirmed = true;
+    m_link->limitFrames(mostMessageBytes);
+}
+
 void NodeLink::checkPeer()
 {
     if (m_closed)
@@ -98,7 +104,6 @@
     if (const fleet::HelloT *hello = envelope->body.AsHello()) {
         if (!std::exchange(m_introduced, true)) {
             m_peer = *hello;
-            m_link->limitFrames(maxFrameBytes);
             m_handlers.onHello(shared_from_this(), m_peer);
         }
     } else if (const fleet::PingT *ping = envelope->body.AsPing()) {
@@ -121,11 +126,11 @@
     }
 }
 
-NodeLinkPtr HelloQueue::add(const NodeLinkPtr &link)
+NodeLinkPtr UnconfirmedLinks::add(const NodeLinkPtr &link)
 {
     std::erase_if(m_links, [](const std::weak_ptr<NodeLink> &item) {
-        const NodeLinkPtr waiting = item.lock();
-        return !waiting || !waiting->awaitsHello();
+        const NodeLinkPtr unconfirmed = item.lock();
+        return !unconfirmed || !unconfirmed->isUnconfirmed();
     });
     m_links.push_back(link);
     if (m_links.size() <= m_most)
--- a/src/fleet/nodelink.h
+++ b/src/fleet/nodelink.h
@@ -65,8 +65,11 @@
     // Pings the peer at once, besides the regular pings.
     void ping();
     const fleet::HelloT &peer() const { return m_peer; }
-    // True until the peer has introduced itself or the link is closed.
-    bool awaitsHello() const { return !m_introduced && !m_closed; }
+    // Lets a peer that is known to be a process of the system send longer messages.
+    void confirmPeer(uint32_t mostMessageBytes = maxFrameBytes);
+    // True until the peer is confirmed or the link is closed. Any process may introduce itself, so that alone
+    // does not confirm it.
+    bool isUnconfirmed() const { return !m_confirmed && !m_closed; }
     // Time at which this side sent its greeting. The peer's greeting may have been under way for longer.
     Millis startedAt() const { return m_startedAt; }
     // Time at which this side last answered a ping of the peer.
@@ -83,6 +86,7 @@
     Handlers m_handlers;
     fleet::HelloT m_peer;
     bool m_introduced = false;
+    bool m_confirmed = false;
     bool m_closed = false;
     const Millis m_startedAt;
     // Latest time at which the peer is known to have been alive: when this side sent the newest ping that the
@@ -91,12 +95,11 @@
     Millis m_lastPongSent;
 };
 
-// Bounds the accepted connections on which nobody has introduced itself. Any process that reaches the port
-// can open one.
-class HelloQueue
+// Bounds the accepted connections whose peer is not known. Any process that reaches the port can open one.
+class UnconfirmedLinks
 {
 public:
-    explicit HelloQueue(size_t most)
+    explicit UnconfirmedLinks(size_t most)
         : m_most(most)
     { }
 
@@ -106,7 +109,7 @@
 
 private:
     const size_t m_most;
-    // Oldest first. Links that no longer wait are removed by the next call of add.
+    // Oldest first. Links that are confirmed or closed are removed by the next call of add.
     std::deque<std::weak_ptr<NodeLink>> m_links;
 };
 
--- a/src/net/inputlimits.h
+++ b/src/net/inputlimits.h
@@ -37,7 +37,7 @@
     size_t maxHeldTasks = 30'720;
     // Jobs that this entry knows as an owner: the held ones, and the ended ones that clients may ask for.
     size_t maxKnownJobs = 122'880;
-    // Accepted connections from other processes that have not introduced themselves.
+    // Accepted connections from processes that are not known.
     size_t maxUnknownLinks = 192;
     // Connections to each of the ports that are not meant for clients.
     size_t maxInternalConnections = 48;
