Move cancels and the shared state of connections to files of their own

Cancels and callers that leave are now in jobschedulercancels.cpp, and what the connections of a server share in httpservershared.cpp. Functions are moved unchanged, but for the name of one constant; unit tests pass.

--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -199,6 +199,7 @@
     void cancel(JobId job, const CallOptions &options, Millis now, JobReplyHandler onDone);
     // The caller waits no longer and gets no answer. A best-effort job for which nobody waits is given up: at
     // once if it has not been ordered, and otherwise unless it is submitted again soon.
+    // (jobschedulercancels.cpp)
     void callerLeft(JobId job, const CallerId &caller, Millis now);
     std::map<std::string, uint32_t> pendingByQueue() const;
 
@@ -483,11 +484,6 @@
     AdmissionExplanation explainAdmission(const JobSpec &spec, Millis now) const;
     StepExplanation explainStep(const JobSpec &spec, uint32_t step, Millis start, Millis now) const;
     static int64_t waitingCpuMilli(const Job &job);
-    // Records that the job must not run, and stops runs of it that agents have reported. Returns false, and
-    // does nothing, if there are too many such records.
-    bool cancelUnknown(JobId id, Millis now);
-    // Removes the records whose time is over.
-    void evictUnknownCancels(Millis now);
     Job &addJob(JobSpec spec, uint32_t partition, Millis now);
     struct RecordWrite
     {
@@ -512,6 +508,13 @@
     void retireFinished(Millis now);
     void recordGivenUp(const Job &job, Millis now);
 
+    // --- jobschedulercancels.cpp: cancels of unknown jobs ---
+    // Records that the job must not run, and stops runs of it that agents have reported. Returns false, and
+    // does nothing, if there are too many such records.
+    bool cancelUnknown(JobId id, Millis now);
+    // Removes the records whose time is over.
+    void evictUnknownCancels(Millis now);
+
     // --- jobschedulerruns.cpp: tasks and runs ---
     Job *findJob(JobId id);
     // What this owner knows of the job, for log lines.
