Bound the run numbers of an owner, and record a higher limit before it is passed

Cause: a loaded job's run numbers start at the epoch times 1,000, so that ends of former owners are told by their numbers. Nothing kept an owner within its 1,000 numbers, and each order takes one, also one that is returned for want of room, about 20 times a second. After 50 s the numbers were those of the next epoch, whose owner took the former run (10,198) for a newer one than its own (10,001) and did not dispute its end, so that no lapse of the lease was waited for.

Change: RunNumbers bounds an owner to the range of its epoch. An owner that has used it up stores a higher limit in the job's record (run_limit) before it orders the task again, and the next owner starts above the limit. run_ended tells whether the end is disputed; run_numbers_extended tells that a task needs more numbers.

--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -288,6 +288,7 @@
         acceptBestEffort(job, options, now, std::move(onDone));
         return;
     }
+    job.runNumbers = RunNumbers::forNewJob(m_partitions.at(partition).epoch);
     job.submitters.add(options.caller, now + options.wait, std::move(onDone), now);
     writeRecord(job);
 }
@@ -306,10 +307,10 @@
     job.accepted = true;
     job.expiresAt = now + options.wait;
     const Partition &partition = m_partitions.at(job.partition);
-    job.runBase = static_cast<uint32_t>(partition.epoch) * runsPerEpoch;
+    job.runNumbers = RunNumbers::forKnownJob(partition.epoch, 0);
     // Late reports on the runs of a submission that was given up must not be taken for the present runs.
     if (const auto givenUp = m_givenUp.find(id); givenUp != m_givenUp.end())
-        job.runBase = std::max(job.runBase, givenUp->second.lastRun);
+        job.runNumbers.raiseBase(givenUp->second.lastRun);
     m_log.write(now, "job_accepted",
                 {{"job", jobIdText(id)},
                  {"queue", job.spec.queue},
@@ -368,6 +369,7 @@
     if (job.phase == JobPhase::Active) {
         record.spec = std::make_unique<JobSpec>(job.spec);
         record.failed_runs = job.failedRuns;
+        record.run_limit = job.runNumbers.limitToRecord();
         for (uint32_t number = 0; number < job.tasks.size(); ++number) {
             if (job.tasks[number].phase == TaskPhase::Done)
                 record.done_tasks.push_back(number);
@@ -381,7 +383,8 @@
                       .epoch = m_partitions.at(job.partition).epoch,
                       .phase = job.phase,
                       .ends = std::exchange(job.unstoredEnds, {}),
-                      .repeatedTasks = record.repeated_tasks};
+                      .repeatedTasks = record.repeated_tasks,
+                      .runLimit = record.run_limit};
     m_effects.store(job.partition, job.spec.id, encodeJobRecord(record), !job.accepted,
                     [this, write = std::move(write)](StoreOutcome outcome, Millis doneAt) {
                         recordStored(write, outcome, doneAt);
@@ -408,6 +411,7 @@
             m_effects.endStored(end.agent, end.run);
         for (const uint32_t number : write.repeatedTasks)
             job->tasks[number].awaitsRecord = false;
+        job->runNumbers.limitRecorded(write.runLimit);
     }
     if (!job->accepted) {
         finishAcceptance(*job, outcome, now);
@@ -497,7 +501,7 @@
 void JobScheduler::recordGivenUp(const Job &job, Millis now)
 {
     GivenUpJob &givenUp = m_givenUp[job.spec.id];
-    givenUp.lastRun = std::max(givenUp.lastRun, job.runBase);
+    givenUp.lastRun = std::max(givenUp.lastRun, job.runNumbers.base());
     for (const Task &task : job.tasks)
         givenUp.lastRun = std::max(givenUp.lastRun, task.run);
     givenUp.partition = job.partition;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -25,6 +25,7 @@
 #include "jobs/longruns.h"
 #include "jobs/placementwait.h"
 #include "jobs/policies.h"
+#include "jobs/runnumbers.h"
 #include "jobs/runtimes.h"
 #include "jobs/urgentslack.h"
 #include "jobs/workerpool.h"
@@ -381,8 +382,7 @@
         bool queued = false;
         // Admitted although it will be late.
         bool expectedLate = false;
-        // Run numbers start above this value, which exceeds every number that a former owner can have used.
-        uint32_t runBase = 0;
+        RunNumbers runNumbers;
         JobWaiters submitters;
         JobWaiters cancellers;
         // Latest start of the remaining tasks with which the job meets its deadline.
@@ -458,10 +458,6 @@
     using QueueKey = std::pair<Millis, JobId>;
     using JobQueue = std::set<QueueKey>;
 
-    // The owner's epoch times this is the base of the run numbers of best-effort and loaded jobs, so that
-    // they exceed those of any former owner.
-    static constexpr uint32_t runsPerEpoch = 1'000;
-
     // --- jobscheduler.cpp: calls of clients, records ---
     // True if a new owner knows the workers of so few agents that it cannot judge whether there is capacity
     // for a job.
@@ -495,6 +491,7 @@
         std::vector<UnstoredEnd> ends;
         // Indices of the tasks that the record shows as repeated.
         std::vector<uint32_t> repeatedTasks;
+        uint32_t runLimit = 0;
     };
 
     void writeRecord(Job &job);
@@ -602,6 +599,8 @@
         WaitsForRack,
     };
     Placement placeTask(Job &job, Task &task, Millis now);
+    // True if the task may be ordered once more. If not, a record with a higher limit is written.
+    bool hasRunNumber(Job &job, const Task &task, Millis now);
     // --- jobschedulerlocality.cpp: placement near the data ---
     // What this owner knows of a rack for the tasks of a partition.
     struct RackView
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -166,7 +166,7 @@
 {
     const StepSpec &step = *job.spec.steps[task.step];
     const Partition &partition = m_partitions.at(job.partition);
-    if (!partition.mayPlace)
+    if (!partition.mayPlace || !hasRunNumber(job, task, now))
         return Placement::NoRoom;
     if (waitsForRack(job, task, now))
         return Placement::WaitsForRack;
@@ -198,7 +198,7 @@
     task.agent = *agent;
     task.stopOrdered = false;
     job.hasRepeatedRuns = job.hasRepeatedRuns || task.run > 0;
-    task.run = std::max(task.run, job.runBase) + 1;
+    task.run = job.runNumbers.next(task.run);
     m_pool.orderSent(*agent, needs.size);
     const RunId run = runId(job, task);
     m_log.write(now, "run_ordered",
@@ -224,6 +224,21 @@
     return Placement::Placed;
 }
 
+bool JobScheduler::hasRunNumber(Job &job, const Task &task, Millis now)
+{
+    if (job.runNumbers.hasNext(task.run))
+        return true;
+    if (job.runNumbers.extend()) {
+        m_log.write(now, "run_numbers_extended",
+                    {{"job", jobIdText(job.spec.id)},
+                     {"task", taskIdText(runId(job, task).task)},
+                     {"run", task.run},
+                     {"limit", job.runNumbers.limitToRecord()}});
+        writeRecord(job);
+    }
+    return false;
+}
+
 bool JobScheduler::placeTasks(Job &job, Millis now)
 {
     bool all = true;
--- a/src/jobs/jobschedulerpartitions.cpp
+++ b/src/jobs/jobschedulerpartitions.cpp
@@ -67,7 +67,7 @@
     job.accepted = true;
     job.recorded = true;
     job.expiresAt = now + loadedJobGracePeriod;
-    job.runBase = static_cast<uint32_t>(m_partitions[partition].epoch) * runsPerEpoch;
+    job.runNumbers = RunNumbers::forKnownJob(m_partitions[partition].epoch, record->run_limit);
     job.hasRepeatedRuns = record->repeated_runs;
     job.failedRuns = record->failed_runs;
     for (const uint32_t number : record->done_tasks) {
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -83,7 +83,7 @@
         return false;
     if (task) {
         // Runs that a former owner ordered are known only from the stored record.
-        const bool isOfFormerOwner = end.run.number < job->runBase;
+        const bool isOfFormerOwner = job->runNumbers.isOfFormerOwner(end.run.number);
         return !job->spec.best_effort
             && (end.run.number < task->run || (isOfFormerOwner && task->isRepeated));
     }
@@ -215,6 +215,7 @@
     m_orphans.erase(run);
     Job *job = findJob(run.task.job);
     Task *task = job ? findTask(*job, run.task) : nullptr;
+    const bool disputed = isDisputed(end, job, task);
     m_log.write(now, "run_ended",
                 {{"job", jobIdText(run.task.job)},
                  {"task", taskIdText(run.task)},
@@ -225,8 +226,9 @@
                  {"known", task != nullptr},
                  {"job_state", jobState(run.task.job)},
                  {"current_run", task ? task->run : 0},
-                 {"current_agent", task ? task->agent : 0}});
-    if (isDisputed(end, job, task))
+                 {"current_agent", task ? task->agent : 0},
+                 {"disputed", disputed}});
+    if (disputed)
         m_effects.endDisputed(agent, run);
     if (!task) {
         m_effects.endStored(agent, run);
