Let a task return to a worker on which it has failed, once it has waited for another

Cause: a worker on which a run had failed was left out for the task as long as any other one could hold the task if it were empty. And, found with that mended: an avoided worker comes after all that have room, and workers show a tenth more than their room for orders that may wait at their agents, so that the task was ordered there and returned, 20 times a second (run 426 after 21 s; run_rejected with NoRoom after each run_ordered).

Change: the wait for another worker ends after 1.5 s, doubled with each further failure, 8 s after a run that was moved. Then the worker may be chosen after others with room, and like them if the task's last order was returned for want of room.

--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -295,6 +295,11 @@
         bool awaitsRecord = false;
         // Agents on whose workers a run failed or took too long.
         std::set<AgentNumber> avoided;
+        // Until then the task waits for a worker that is not avoided, if one could hold it.
+        Millis avoidUntil;
+        // Its last order was returned for want of room: what workers show as free includes the queues of
+        // their agents.
+        bool lacksRoom = false;
         // The current run is being stopped and will be restarted on another worker.
         bool stopOrdered = false;
         // The current run has been recorded as slow in the worker pool.
@@ -526,6 +531,8 @@
     void openReadySteps(Job &job);
     void taskDone(Job &job, Task &task, Millis now);
     void taskFailed(Job &job, Task &task, AgentNumber agent, const RunId &run, Millis now);
+    // Leaves the worker to others while the task can wait for another one.
+    static void avoidWorker(Task &task, AgentNumber agent, Millis now);
     // Makes the task ready to be ordered again. The cause is logged.
     void requeueTask(Job &job, Task &task, std::string_view cause, Millis now);
     // Records that the task is ordered again although its previous run may have ended without a report, so
@@ -656,7 +663,7 @@
     WorkerEvidence evidenceOf(const Job &job, const Task &task, Millis now) const;
     // The runs of this owner, by agent.
     void collectRuns(Millis now);
-    void moveRun(Job &job, Task &task);
+    void moveRun(Job &job, Task &task, Millis now);
     void expireJobs(Millis now);
     void purge(Millis now);
 
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -179,13 +179,16 @@
         }
     }
     // A late task may go to any worker with free resources. Once a run of the task has been moved, the
-    // avoided workers stay excluded even if the task is late.
-    const bool mayAvoid = job.latestStart >= now || task.moves > 0;
+    // avoided workers are left out even if the task is late. A task that has waited for another worker in
+    // vain may go to any one, too.
+    const bool isWaitOver = now >= task.avoidUntil;
+    const bool mayAvoid = (job.latestStart >= now || task.moves > 0) && !(isWaitOver && task.lacksRoom);
     PlacementNeeds needs = placementNeeds(job, task, now);
     needs.siblings = &siblings;
     needs.eligible = &partition.reported;
     needs.excluded = &partition.excluded;
     needs.avoided = mayAvoid ? &task.avoided : nullptr;
+    needs.waitsForOthers = !isWaitOver;
     const std::optional<AgentNumber> agent = m_pool.choose(needs, now);
     if (!agent)
         return Placement::NoRoom;
--- a/src/jobs/jobschedulerlongruns.cpp
+++ b/src/jobs/jobschedulerlongruns.cpp
@@ -77,11 +77,11 @@
     m_runTimes.observe(job.spec.queue, step.estimate_ms, {std::max<int64_t>(1, std::llround(learned))});
 }
 
-void JobScheduler::moveRun(Job &job, Task &task)
+void JobScheduler::moveRun(Job &job, Task &task, Millis now)
 {
     ++m_movedRuns;
     ++task.moves;
-    task.avoided.insert(task.agent);
+    avoidWorker(task, task.agent, now);
     task.stopOrdered = true;
     m_effects.stop(task.agent, job.partition, m_partitions.at(job.partition).epoch, runId(job, task));
 }
@@ -121,7 +121,7 @@
                  {"elapsed_ms", elapsed},
                  {"estimate_ms", std::llround(estimate)},
                  {"slowness", m_pool.slowness(task.agent, now)}});
-    moveRun(job, task);
+    moveRun(job, task, now);
 }
 
 void JobScheduler::collectRuns(Millis now)
@@ -224,7 +224,7 @@
                  {"queue_share", decision.queueShare},
                  {"worker_at_fault", decision.workerAtFault},
                  {"gain", decision.gain}});
-    moveRun(job, task);
+    moveRun(job, task, now);
 }
 
 void JobScheduler::checkRuns(Millis now)
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -8,6 +8,11 @@
 // An orphan is stopped after this time. Entries resubmit the jobs of a failed owner as soon as they know the
 // new owner.
 constexpr Millis orphanGracePeriod = {600};
+// How long a task waits for another worker after its first failed run; twice as long after each further one.
+// With four attempts it outlasts a worker that fails everything for several seconds.
+constexpr Millis firstWaitForAnotherWorker = {1'500};
+// A worker that has stalled a run is likely to stall the next one, too.
+constexpr Millis longestWaitForAnotherWorker = {8'000};
 
 JobScheduler::Job *JobScheduler::findJob(JobId id)
 {
@@ -159,6 +164,17 @@
         openReadySteps(job);
 }
 
+void JobScheduler::avoidWorker(Task &task, AgentNumber agent, Millis now)
+{
+    task.avoided.insert(agent);
+    task.lacksRoom = false;
+    constexpr uint32_t maxDoublings = 3;
+    const uint32_t doublings = std::min(std::max(task.failures, 1U) - 1, maxDoublings);
+    const Millis wait =
+        task.moves > 0 ? longestWaitForAnotherWorker : firstWaitForAnotherWorker * (int64_t{1} << doublings);
+    task.avoidUntil = now + std::min(wait, longestWaitForAnotherWorker);
+}
+
 void JobScheduler::taskFailed(Job &job, Task &task, AgentNumber agent, const RunId &run, Millis now)
 {
     const uint32_t number = job.stepFirst[task.step] + task.index;
@@ -168,7 +184,7 @@
     if (std::none_of(job.failedRuns.begin(), job.failedRuns.end(), counted)) {
         job.failedRuns.emplace_back(number, run.number);
         ++task.failures;
-        task.avoided.insert(agent);
+        avoidWorker(task, agent, now);
         m_pool.runFailed(agent, now);
     }
     const bool isAtWork = task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Running;
@@ -300,6 +316,7 @@
         m_partitions.at(job->partition).reported.erase(agent);
     if (reason == RejectReason::Unhealthy)
         m_pool.runFailed(agent, now);
+    task->lacksRoom = reason == RejectReason::NoRoom;
     requeueTask(*job, *task, "the order was rejected", now);
 }
 
--- a/src/jobs/workerpool.cpp
+++ b/src/jobs/workerpool.cpp
@@ -337,7 +337,8 @@
     const Resources available = freeResources(worker);
     if (!available.holds(needs.size) || !hasRunSlot(worker, needs.size))
         return;
-    if (search.mayAvoid && isAvoided(agent, needs))
+    const bool avoided = isAvoided(agent, needs);
+    if (search.leavesOutAvoided && avoided)
         return;
     if (needs.workerLimit > 0 && needs.siblings) {
         const auto placed = needs.siblings->find(agent);
@@ -353,7 +354,7 @@
     double score = placementScore(worker, available) + *bySpeed;
     if (!needs.dataRack.empty() && isNearData)
         score += 1;
-    if (worker.avoidUntil > search.now)
+    if (worker.avoidUntil > search.now || avoided)
         score -= search.usesSpeeds ? onTimeWeight : avoidancePenalty;
     if (!search.best || score > search.bestScore) {
         search.best = agent;
@@ -382,8 +383,12 @@
     const auto bound = m_maxFreeMilli.find(needs.service);
     if (bound == m_maxFreeMilli.end() || bound->second < needs.size.cpuMilli)
         return std::nullopt;
-    const bool mayAvoid = needs.avoided && !needs.avoided->empty() && canEverFit(needs);
-    Search search{.needs = needs, .now = now, .usesSpeeds = usesSpeedsFor(needs, now), .mayAvoid = mayAvoid};
+    const bool leavesOutAvoided =
+        needs.avoided && !needs.avoided->empty() && needs.waitsForOthers && canEverFit(needs);
+    Search search{.needs = needs,
+                  .now = now,
+                  .usesSpeeds = usesSpeedsFor(needs, now),
+                  .leavesOutAvoided = leavesOutAvoided};
     if (search.usesSpeeds && m_workers.size() > maxScannedWorkers) {
         considerSome(search);
         const bool isLikelyOnTime = search.bestScore > onTimeWeight / 2;
--- a/src/jobs/workerpool.h
+++ b/src/jobs/workerpool.h
@@ -104,8 +104,10 @@
     const std::set<AgentNumber> *eligible = nullptr;
     // Agents that may not be chosen although they are eligible; null for none.
     const std::set<AgentNumber> *excluded = nullptr;
-    // Agents that are chosen only if the task fits on no other worker, not even an empty one; null for none.
+    // Agents that are chosen only if no other worker has room for the task; null for none.
     const std::set<AgentNumber> *avoided = nullptr;
+    // Avoided agents are not chosen at all if another worker could hold the task when it is empty.
+    bool waitsForOthers = true;
 };
 
 // What has happened on a worker since a run was last seen to end there.
@@ -231,7 +233,7 @@
         const PlacementNeeds &needs;
         Millis now;
         bool usesSpeeds = false;
-        bool mayAvoid = false;
+        bool leavesOutAvoided = false;
         std::optional<AgentNumber> best;
         double bestScore = 0;
     };
