Store the cancel of an unknown or best-effort job before it is acknowledged

Cause: the cancel of a job that its owner does not know was kept in that process's memory only. The same held for the cancel of a best-effort job that it does know, since such jobs have no record.

Change: both are stored before they are answered, as a record of the phase Cancelled, without a queue if the job was unknown, so that the next owner refuses the submission. If the store does not take the record the cancel is answered as refused. Runs of a cancelled best-effort job are stopped at once, not only after the record is stored.

--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -418,7 +418,7 @@
         Millis evictAt;
     };
 
-    // A job that was cancelled while this owner did not know it. Its submission may be on its way: an entry
+    // A job that was cancelled while its owner did not know it. Its submission may be on its way: an entry
     // submits the jobs of a failed owner again.
     struct UnknownCancelledJob
     {
@@ -426,6 +426,11 @@
         Millis evictAt;
         // The job was cancelled again, so that its place in the order of eviction is too early.
         bool isRenewed = false;
+        // The store contains the cancel, or a record of it is on its way there.
+        bool recorded = false;
+        bool recordInFlight = false;
+        // Are answered once the cancel is stored.
+        JobWaiters cancellers;
     };
 
     // A run whose job is unknown to this owner. If the job is submitted again, it adopts the run.
@@ -511,9 +516,11 @@
     void recordGivenUp(const Job &job, Millis now);
 
     // --- jobschedulercancels.cpp: cancels of unknown jobs ---
-    // Records that the job must not run, and stops runs of it that agents have reported. Returns false, and
-    // does nothing, if there are too many such records.
-    bool cancelUnknown(JobId id, Millis now);
+    // Stores that the job must not run, so that later owners know it as well, and stops runs of it that
+    // agents have reported.
+    void cancelUnknown(JobId id, const CallOptions &options, Millis now, JobReplyHandler onDone);
+    void storeUnknownCancel(JobId id, UnknownCancelledJob &cancelled);
+    void unknownCancelStored(JobId id, StoreOutcome outcome);
     // Removes the records whose time is over.
     void evictUnknownCancels(Millis now);
 
--- a/src/jobs/jobschedulerpartitions.cpp
+++ b/src/jobs/jobschedulerpartitions.cpp
@@ -54,6 +54,13 @@
         m_log.always(now, "record_unreadable", {{"job", jobIdText(id)}, {"bytes", bytes.size()}});
         return;
     }
+    // Only the cancel of a job that its owner did not know has no queue.
+    if (record->phase == JobPhase::Cancelled && record->queue.empty()) {
+        m_unknownCancelled[id] = {
+            .partition = partition, .evictAt = now + m_options.retention, .recorded = true};
+        m_unknownCancelledOrder.push_back(id);
+        return;
+    }
     if (record->phase != JobPhase::Active) {
         m_ended[id] = {.phase = record->phase,
                        .evictAt = now + m_options.retention,
@@ -174,6 +181,10 @@
     }
     std::erase_if(m_ended, [&](const auto &item) { return item.second.partition == number; });
     std::erase_if(m_givenUp, [&](const auto &item) { return item.second.partition == number; });
+    for (auto &[id, cancelled] : m_unknownCancelled) {
+        if (cancelled.partition == number)
+            undecided.take(std::move(cancelled.cancellers));
+    }
     std::erase_if(m_unknownCancelled, [&](const auto &item) { return item.second.partition == number; });
     std::erase_if(m_unknownCancelledOrder, [&](JobId id) { return !m_unknownCancelled.contains(id); });
     std::erase_if(m_orphans, [&](const auto &item) {
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -133,13 +133,15 @@
 {
     job.phase = phase;
     dequeue(job);
+    // The cancel of a client is acknowledged once it holds for later owners as well.
+    const bool mustBeStored = !job.spec.best_effort || (phase == JobPhase::Cancelled && !job.abandoned);
     // The Job object must outlive the handling of the event that ended the job, so it is removed later.
-    if (job.spec.best_effort)
+    if (!mustBeStored)
         m_finished.push_back(job.spec.id);
     // Clients may submit a job again that was given up, so the next owner must not take it for cancelled.
     if (job.abandoned && job.recorded)
         deleteRecord(job.partition, job.spec.id);
-    else if (!job.spec.best_effort || job.recorded)
+    else if (mustBeStored || job.recorded)
         writeRecord(job);
 }
 
--- a/tests/unit/boundedinputtest.cpp
+++ b/tests/unit/boundedinputtest.cpp
@@ -296,6 +296,7 @@
     const auto cancel = [&](JobId id) {
         scheduler.cancel(id, {.wait = {1'000}}, fixture.now,
                          [&](const JobReply &reply) { status = reply.status; });
+        fixture.storeAll();
         return status;
     };
     for (JobId id = 1; id <= 3; ++id)
@@ -330,6 +331,7 @@
         scheduler.submit(JobSchedulerFixture::job(id, 1, true), {.wait = {60'000}}, fixture.now,
                          [&](const JobReply &reply) { statuses.push_back(reply.status); });
         scheduler.cancel(id, {.wait = {1'000}}, fixture.now, [](const JobReply &) {});
+        fixture.storeAll();
         scheduler.advance(fixture.now);
     };
     for (JobId id = 1; id <= 8; ++id)
