Wait for a run that may start late before its task is ordered again

Seen: a start got no answer, its agent froze for 4 s, and the worker crashed and started again under its name.

Cause: agentGone() takes all runs of a silent agent for ended 2.5 s after the last contact. That holds for runs that had started, whose leases have ended, but not for a start that was never answered: a worker may carry it out 12 s later, and a new life has seen no fencing token.

Change: a task whose run was ordered and is not known to have started when its agent is gone is ordered again 13 s after that order, or when the agent reports. Runs that had started are replaced as before, and so are orders that crossed the Leaving of an agent (agentLeft()). A best-effort job that is given up and submitted again waits as well.

--- a/src/fleet/agentpresence.h
+++ b/src/fleet/agentpresence.h
@@ -55,6 +55,8 @@
     // Returns the agents that have been without a connection for so long that their runs have ended. Each
     // agent is returned once per lost connection.
     std::vector<AgentNumber> takeGone(Millis now);
+    // The agent has said that it accepts no orders and that nothing runs there.
+    bool isLeaving(AgentNumber number) const { return m_agents.at(number).leaving; }
     // The wanted agents that may hold runs.
     std::set<AgentNumber> mayHoldRuns(Millis now) const;
     // Number of registered agents, wanted or not, that were not removed from the member list.
--- a/src/fleet/entrymembers.cpp
+++ b/src/fleet/entrymembers.cpp
@@ -336,8 +336,13 @@
 void EntryNode::updateAgentPresence(Millis now)
 {
     for (const AgentNumber number : m_presence.takeGone(now)) {
-        m_log.always(now, "agent_gone", {{"agent", m_presence.name(number)}, {"number", number}});
-        m_scheduler.agentGone(number, now);
+        const bool hasLeft = m_presence.isLeaving(number);
+        m_log.always(now, "agent_gone",
+                     {{"agent", m_presence.name(number)}, {"number", number}, {"left", hasLeft}});
+        if (hasLeft)
+            m_scheduler.agentLeft(number, now);
+        else
+            m_scheduler.agentGone(number, now);
     }
     const std::vector<uint32_t> unreconciled = m_scheduler.unreconciledPartitions();
     if (unreconciled.empty())
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -309,8 +309,11 @@
     const Partition &partition = m_partitions.at(job.partition);
     job.runNumbers = RunNumbers::forKnownJob(partition.epoch, 0);
     // Late reports on the runs of a submission that was given up must not be taken for the present runs.
-    if (const auto givenUp = m_givenUp.find(id); givenUp != m_givenUp.end())
+    if (const auto givenUp = m_givenUp.find(id); givenUp != m_givenUp.end()) {
         job.runNumbers.raiseBase(givenUp->second.lastRun);
+        for (Task &task : job.tasks)
+            task.notBefore = givenUp->second.notBefore;
+    }
     m_log.write(now, "job_accepted",
                 {{"job", jobIdText(id)},
                  {"queue", job.spec.queue},
@@ -502,8 +505,10 @@
 {
     GivenUpJob &givenUp = m_givenUp[job.spec.id];
     givenUp.lastRun = std::max(givenUp.lastRun, job.runNumbers.base());
-    for (const Task &task : job.tasks)
+    for (const Task &task : job.tasks) {
         givenUp.lastRun = std::max(givenUp.lastRun, task.run);
+        givenUp.notBefore = std::max(givenUp.notBefore, task.notBefore);
+    }
     givenUp.partition = job.partition;
     givenUp.evictAt = now + m_options.retention;
 }
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -223,8 +223,11 @@
     void leaseBound(AgentNumber agent, const fleet::LeaseBoundT &bound, Millis now);
     // The connection to the agent is lost. It receives no orders until it has reported again.
     void agentDisconnected(AgentNumber agent);
-    // None of the runs that this entry ordered from the agent exists any longer.
+    // None of the runs that have started at the agent exists any longer. Those that are not known to have
+    // started may still start: their tasks are ordered again once that cannot be, or once the agent reports.
     void agentGone(AgentNumber agent, Millis now);
+    // The agent has drained and left: it has accepted no order that is not known to have started.
+    void agentLeft(AgentNumber agent, Millis now);
     // Sets the agents that may have runs of the partition, which is reconciled once all of them have
     // reported. If allKnown is false the set is incomplete, and the partition is reconciled only after
     // reconciliationTimeout.
@@ -270,6 +273,9 @@
         Waiting,
         // A run ordered by the partition's former owner may exist at an agent that has not reported.
         Unreconciled,
+        // A run that was ordered from an agent that is gone is not known to have started, and may still
+        // start.
+        MayStartLate,
         Ordered,
         Running,
         Done,
@@ -284,6 +290,9 @@
         // Number of the latest run; 0 before the first.
         uint32_t run = 0;
         uint32_t failures = 0;
+        Millis orderedAt;
+        // End of MayStartLate; 0 if no run may start late.
+        Millis notBefore;
         Millis startedAt;
         std::string checkpoint;
         // Number of runs that were stopped because they took too long.
@@ -414,6 +423,8 @@
     {
         // Highest run number of its tasks; a new submission uses higher ones.
         uint32_t lastRun = 0;
+        // A run of its tasks may still start until then.
+        Millis notBefore;
         uint32_t partition = 0;
         Millis evictAt;
     };
@@ -555,6 +566,9 @@
     void stopOrphans(Millis now);
 
     // --- jobscheduleragents.cpp: claims, lost agents, reconciliation ---
+    void endRunsOf(AgentNumber agent, bool ordersMayStart, Millis now);
+    // The agent has reported, and stops a run that starts late.
+    void endLateStarts(Job &job, AgentNumber agent, Millis now);
     void reconcilePartition(uint32_t number, Partition &partition, Millis now);
     // True if no run of a former owner can exist at the agent, or its report names those that do.
     static bool isAccountedFor(const Partition &partition, AgentNumber agent, Millis now);
--- a/src/jobs/jobscheduleragents.cpp
+++ b/src/jobs/jobscheduleragents.cpp
@@ -8,6 +8,10 @@
 
 // The steady clocks of two instances differ by at most this share.
 constexpr int64_t clockDifferencePercent = 2;
+// A worker may carry out a start that it has not answered up to this long after it was sent, and the run then
+// lasts for a lease on a slow clock.
+constexpr Millis latestUnansweredStart = {12'000};
+constexpr Millis longestLease = {1'020};
 // A bound counts in whole milliseconds on either side.
 constexpr Millis clockGranularity = {1};
 
@@ -74,9 +78,10 @@
     for (const AgentEnd &end : ended)
         runEnded(agent, end, now);
     std::vector<std::pair<JobId, RunId>> lost;
-    for (const auto &[id, job] : m_jobs) {
+    for (auto &[id, job] : m_jobs) {
         if (job.partition != number)
             continue;
+        endLateStarts(job, agent, now);
         for (const Task &task : job.tasks) {
             const bool isOrdered = task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Running;
             if (isOrdered && task.agent == agent && !reported.contains(runId(job, task)))
@@ -93,6 +98,14 @@
     partition.reported.insert(agent);
 }
 
+void JobScheduler::endLateStarts(Job &job, AgentNumber agent, Millis now)
+{
+    for (Task &task : job.tasks) {
+        if (task.phase == TaskPhase::MayStartLate && task.agent == agent)
+            requeueTask(job, task, "the agent does not report the run", now);
+    }
+}
+
 void JobScheduler::leaseBound(AgentNumber agent, const fleet::LeaseBoundT &bound, Millis now)
 {
     const auto found = m_partitions.find(bound.partition);
@@ -129,7 +142,17 @@
     }
 }
 
+void JobScheduler::agentLeft(AgentNumber agent, Millis now)
+{
+    endRunsOf(agent, false, now);
+}
+
 void JobScheduler::agentGone(AgentNumber agent, Millis now)
+{
+    endRunsOf(agent, true, now);
+}
+
+void JobScheduler::endRunsOf(AgentNumber agent, bool ordersMayStart, Millis now)
 {
     agentDisconnected(agent);
     std::erase_if(m_orphans, [&](const auto &item) { return item.second.agent == agent; });
@@ -142,8 +165,15 @@
                          {"task", taskIdText(runId(job, task).task)},
                          {"run", task.run},
                          {"agent", agent}});
-            requeueTask(job, task, "the agent is gone", now);
+            const bool mayStartLate = ordersMayStart && task.phase == TaskPhase::Ordered;
+            requeueTask(job, task,
+                        mayStartLate ? "the agent is gone and the run may start late" : "the agent is gone",
+                        now);
             recordRepeatedRun(job, task);
+            if (!mayStartLate)
+                continue;
+            task.phase = TaskPhase::MayStartLate;
+            task.notBefore = task.orderedAt + latestUnansweredStart + longestLease;
         }
     }
 }
--- a/src/jobs/jobschedulerdispatch.cpp
+++ b/src/jobs/jobschedulerdispatch.cpp
@@ -199,6 +199,8 @@
     job.anyOrdered = true;
     task.phase = TaskPhase::Ordered;
     task.agent = *agent;
+    task.orderedAt = now;
+    task.notBefore = {};
     task.stopOrdered = false;
     job.hasRepeatedRuns = job.hasRepeatedRuns || task.run > 0;
     task.run = job.runNumbers.next(task.run);
@@ -245,10 +247,14 @@
 bool JobScheduler::placeTasks(Job &job, Millis now)
 {
     bool all = true;
-    bool anyWaitsForRack = false;
+    // A task that waits for its time or its rack does not make the job one that has no room.
+    bool anyWaits = false;
     // Tasks stand in the order of their steps.
     std::optional<uint32_t> unplaceableStep;
     for (Task &task : job.tasks) {
+        if (task.phase == TaskPhase::MayStartLate && now >= task.notBefore)
+            task.phase = TaskPhase::Waiting;
+        anyWaits = anyWaits || task.phase == TaskPhase::MayStartLate;
         if (task.phase == TaskPhase::Unreconciled || task.awaitsRecord)
             all = false;
         if (task.phase != TaskPhase::Waiting || task.awaitsRecord || task.step == unplaceableStep)
@@ -256,13 +262,13 @@
         // The tasks of a step are similar: if one does not fit on any worker, the others rarely do. Another
         // step may need other workers.
         const Placement placement = placeTask(job, task, now);
-        anyWaitsForRack = anyWaitsForRack || placement == Placement::WaitsForRack;
+        anyWaits = anyWaits || placement == Placement::WaitsForRack;
         if (placement == Placement::NoRoom) {
             all = false;
             unplaceableStep = task.step;
         }
     }
-    if (all && !anyWaitsForRack)
+    if (all && !anyWaits)
         dequeue(job);
     return all;
 }
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -57,7 +57,8 @@
             Task &task = job.tasks[job.stepFirst[number] + index];
             if (task.phase != TaskPhase::Blocked)
                 continue;
-            task.phase = opened;
+            const bool mayStartLate = opened == TaskPhase::Waiting && task.notBefore.count > 0;
+            task.phase = mayStartLate ? TaskPhase::MayStartLate : opened;
             if (job.mayHaveFormerRuns && isReconciled)
                 recordRepeatedRun(job, task);
         }
