--- a/src/cli/emulatecommand.cpp
+++ b/src/cli/emulatecommand.cpp
@@ -48,6 +48,8 @@
     uint32_t entries = 0;
     uint32_t agents = 0;
     uint32_t partitions = 0;
+    uint32_t runsPerEpoch = RunNumbers::defaultRangeSize;
+    double withdrawnShare = 0;
     uint32_t admissionSlackPercent = 45;
     uint32_t queueAllowancePercent = 10;
     uint32_t leaveWithoutWorkerMs = 0;
@@ -152,6 +154,8 @@
         day.size.agents = settings.agents;
     if (settings.partitions > 0)
         day.partitions = settings.partitions;
+    day.runsPerEpoch = std::max(1U, settings.runsPerEpoch);
+    day.traffic.withdrawnShare = settings.withdrawnShare;
     day.plan = drawPlan({.seed = seed,
                          .size = day.size,
                          .begin = firstTrouble,
@@ -357,7 +361,12 @@
         "agents", options::value(&settings.agents),
         "number of agents, each with a worker; the site's own if 0. The rates stay the same: see load")(
         "partitions", options::value(&settings.partitions), "partitions of the jobs; the site's own if 0")(
-        "load", options::value(&settings.load), "multiplies the rates of the site")(
+        "runs-per-epoch", options::value(&settings.runsPerEpoch),
+        "run numbers that an owner may use without a record; with few of them each day has tasks that pass "
+        "them")(
+        "withdrawn-share", options::value(&settings.withdrawnShare),
+        "share of the jobs without an answer after 0.25 s that their client leaves and cancels at another "
+        "entry")("load", options::value(&settings.load), "multiplies the rates of the site")(
         "kept-share", options::value(&settings.keptShare), "share of the jobs that have to be kept")(
         "troubles", options::value(&settings.mostTroubles), "most troubles in a day; 0 for none")(
         "isolations", options::value(&settings.mostIsolations),
--- a/src/emulator/emulatedclients.cpp
+++ b/src/emulator/emulatedclients.cpp
@@ -8,6 +8,7 @@
 
 constexpr Millis clientDelay = {3};
 constexpr Millis cancelDelay = {300};
+constexpr Millis withdrawalDelay = {250};
 constexpr Millis leastAskDelay = {500};
 constexpr Millis mostAskDelay = {6'000};
 constexpr Millis watchInterval = {200};
@@ -106,6 +107,8 @@
     outcome.sentAt = m_events.now();
     outcome.deadlineSince = outcome.sentAt;
     submit(job);
+    if (m_traffic.withdrawnShare > 0 && draw() < m_traffic.withdrawnShare)
+        m_events.after(withdrawalDelay, [this, job] { withdraw(job); });
 }
 
 void EmulatedClients::makeTasksLong(JobOutcome &outcome, Work &work)
@@ -272,6 +275,16 @@
     });
 }
 
+void EmulatedClients::withdraw(JobId job)
+{
+    JobOutcome &outcome = m_outcomes.at(job);
+    if (outcome.tries != 1)
+        return;
+    ++outcome.tries;
+    outcome.onlyRefused = false;
+    cancel(job);
+}
+
 void EmulatedClients::ask(JobId job)
 {
     const HostNumber entry = drawEntry();
--- a/src/emulator/emulatedclients.h
+++ b/src/emulator/emulatedclients.h
@@ -39,6 +39,9 @@
     // Share of the jobs that the clients want to be kept, and of these that they cancel.
     double keptShare = 0.3;
     double cancelledShare = 0.05;
+    // Share of the jobs that their clients leave when there is no answer to the first try in a short time.
+    // They cancel them at another entry, and the try may still arrive.
+    double withdrawnShare = 0;
     // Share of the jobs that have a second step of as many tasks, which depends on the first.
     double twoStepShare = 0;
     // Share of the kept jobs that a client asks for, at any entry, some seconds after they were accepted.
@@ -128,6 +131,8 @@
     void makeTasksLong(JobOutcome &outcome, Work &work);
     void submit(JobId job);
     void cancel(JobId job);
+    // Leaves the first try without an answer, and cancels the job.
+    void withdraw(JobId job);
     void ask(JobId job);
     void answered(JobId job, uint32_t attempt, const JobReply &reply);
     void unanswered(JobId job, uint32_t attempt);
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -119,6 +119,7 @@
             .peerAddress = address,
             .worker = workerAddressOf(hostOf(name)),
             .partitions = m_options.partitions,
+            .runsPerEpoch = m_options.runsPerEpoch,
             .leastMemberTtl = {1'000},
             .workerLease = {1'000},
             .stopGrace = stopGrace,
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -17,6 +17,8 @@
     uint64_t seed = 1;
     EmulatedSize size;
     uint32_t partitions = 8;
+    // With few of them, owners pass their ranges of run numbers as they do in practice after long waits.
+    uint32_t runsPerEpoch = RunNumbers::defaultRangeSize;
     Resources workerCapacity = {16'000, 32'000, 0};
     EmulatedTraffic traffic;
     // Time from the start of all processes to the first submission. Agents find out that nothing runs on a
--- a/src/fleet/entrynode.cpp
+++ b/src/fleet/entrynode.cpp
@@ -49,7 +49,8 @@
                    .maxKnownJobs = settings.input.maxKnownJobs,
                    .placementWait = settings.placementWait ? PlacementWaitPolicy{ExpectedGain{}}
                                                            : PlacementWaitPolicy{NeverWait{}},
-                   .farFactor = settings.farFactor},
+                   .farFactor = settings.farFactor,
+                   .runsPerEpoch = settings.runsPerEpoch},
                   m_pool, *this, log)
     , m_owner({.member = settings.name,
                .memberTtl = memberTtl(settings),
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -4,6 +4,7 @@
 #include "config/jsonreader.h"
 #include "jobs/fairshares.h"
 #include "jobs/policies.h"
+#include "jobs/runnumbers.h"
 #include "net/address.h"
 #include "net/inputlimits.h"
 
@@ -31,6 +32,9 @@
     Address worker;
     Address metricsListen;
     uint32_t partitions = 8;
+    // Entries: run numbers that an owner may use without a record. No key of the settings file: all versions
+    // of the program have to use the same.
+    uint32_t runsPerEpoch = RunNumbers::defaultRangeSize;
     Millis leastMemberTtl;
     Millis workerLease;
     Millis stopGrace;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -288,7 +288,7 @@
         acceptBestEffort(job, options, now, std::move(onDone));
         return;
     }
-    job.runNumbers = RunNumbers::forNewJob(m_partitions.at(partition).epoch);
+    job.runNumbers = RunNumbers::forNewJob(m_partitions.at(partition).epoch, m_options.runsPerEpoch);
     job.submitters.add(options.caller, now + options.wait, std::move(onDone), now);
     writeRecord(job);
 }
@@ -307,7 +307,7 @@
     job.accepted = true;
     job.expiresAt = now + options.wait;
     const Partition &partition = m_partitions.at(job.partition);
-    job.runNumbers = RunNumbers::forKnownJob(partition.epoch, 0);
+    job.runNumbers = RunNumbers::forKnownJob(partition.epoch, 0, m_options.runsPerEpoch);
     // Late reports on the runs of a submission that was given up must not be taken for the present runs.
     if (const auto givenUp = m_givenUp.find(id); givenUp != m_givenUp.end()) {
         job.runNumbers.raiseBase(givenUp->second.lastRun);
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -159,6 +159,8 @@
     // from its data (at least 1).
     PlacementWaitPolicy placementWait;
     double farFactor = 1;
+    // Run numbers that an owner may use without a record; the same at all owners.
+    uint32_t runsPerEpoch = RunNumbers::defaultRangeSize;
     // Limits the cost of a pass: further tasks are placed without a wait.
     uint32_t mostRackWaits = 256;
 };
--- a/src/jobs/jobschedulerpartitions.cpp
+++ b/src/jobs/jobschedulerpartitions.cpp
@@ -74,7 +74,8 @@
     job.accepted = true;
     job.recorded = true;
     job.expiresAt = now + loadedJobGracePeriod;
-    job.runNumbers = RunNumbers::forKnownJob(m_partitions[partition].epoch, record->run_limit);
+    job.runNumbers =
+        RunNumbers::forKnownJob(m_partitions[partition].epoch, record->run_limit, m_options.runsPerEpoch);
     job.hasRepeatedRuns = record->repeated_runs;
     job.failedRuns = record->failed_runs;
     for (const uint32_t number : record->done_tasks) {
--- a/src/jobs/runnumbers.h
+++ b/src/jobs/runnumbers.h
@@ -14,15 +14,16 @@
 class RunNumbers
 {
 public:
-    // Numbers of the range of an epoch, and of each extension.
-    static constexpr uint32_t rangeSize = 1'000;
+    // Numbers of the range of an epoch, and of each extension. All owners have to use the same size.
+    static constexpr uint32_t defaultRangeSize = 1'000;
 
     RunNumbers() = default;
     // Of a job that no former owner has known.
-    static RunNumbers forNewJob(uint64_t epoch);
+    static RunNumbers forNewJob(uint64_t epoch, uint32_t rangeSize = defaultRangeSize);
     // Of a job whose former owners used numbers up to the end of the range of the epoch before this one, and
     // up to recordedLimit, which is 0 in records of earlier versions.
-    static RunNumbers forKnownJob(uint64_t epoch, uint32_t recordedLimit);
+    static RunNumbers forKnownJob(uint64_t epoch, uint32_t recordedLimit,
+                                  uint32_t rangeSize = defaultRangeSize);
 
     // Runs of former owners have numbers up to this one.
     uint32_t base() const { return m_base; }
@@ -41,8 +42,9 @@
     void limitRecorded(uint32_t limit);
 
 private:
-    RunNumbers(uint32_t base, uint32_t limit);
+    RunNumbers(uint32_t base, uint32_t limit, uint32_t rangeSize);
 
+    uint32_t m_rangeSize = defaultRangeSize;
     uint32_t m_base = 0;
     // No higher number may be used.
     uint32_t m_limit = 0;
--- a/tests/process/test_emulation.py
+++ b/tests/process/test_emulation.py
@@ -13,6 +13,16 @@
               "0.6")
 # Agents hear announcements that are not of their worker, and workers repeat answers to list polls.
 STRAY_ANNOUNCEMENTS = ("--stray-announcements", "4", "--length-s", "10")
+# Workers crash while orders are on their way, beside troubles of their agents.
+LATE_ORDERS = ("--troubles", "5", "--isolations", "1", "--group-cuts", "1", "--agent-series", "1", "--stray-announcements", "3",
+               "--late-orders", "2", "--two-step-share", "0.3", "--asked-share", "0.5", "--kept-share", "0.5", "--length-s",
+               "10")
+# Clients leave a try without an answer and cancel the job at another entry.
+WITHDRAWALS = ("--troubles", "6", "--isolations", "2", "--group-cuts", "1", "--length-s", "10", "--kept-share", "0.5",
+               "--withdrawn-share", "0.5")
+# Owners pass their ranges of run numbers.
+FEW_RUN_NUMBERS = ("--troubles", "6", "--isolations", "2", "--group-cuts", "1", "--zone-cuts", "1", "--kept-share", "0.6",
+                   "--two-step-share", "0.3", "--length-s", "10", "--runs-per-epoch", "2")
 # Seeds that have broken a promise, with their options; each names the cause that was mended.
 REGRESSIONS = (
     ((7, 10, 15, 24), ("--site", "himal"), "a restarted worker had started runs that its agent took for lost"),
@@ -32,14 +42,19 @@
      "a late order was carried out by the next life of its worker"),
     ((610002,), ("--site", "qalhat", "--kept-share", "0.5", "--agent-series", "3", "--group-cuts", "2", "--length-s", "10"),
      "the stop of a stalled run was lost with its agent's process"),
+    ((800033,), ("--site", "himal", *LATE_ORDERS), "late orders were carried out while their agent was paused"),
+    ((800033,), ("--site", "qalhat", *LATE_ORDERS), "the same"),
+    ((970039,), ("--site", "himal", *WITHDRAWALS), "the cancel of an ended best-effort job was not stored"),
 )
 # Seeds that show a fault which is not mended yet; they are named and not played. KNOWN-RED.txt has what was seen.
-KNOWN_RED = (("himal", 800033), ("qalhat", 800033), ("himal", 910051))
+KNOWN_RED = (("himal", 910051), ("qalhat", 800042))
 MORE_DAYS = (
     ("--site", "himal", "--days", "8", "--first-seed", "100", "--troubles", "12"),
     ("--site", "qalhat", "--days", "8", "--first-seed", "200", "--troubles", "12", "--kept-share", "0.7"),
     ("--site", "himal", "--days", "8", "--first-seed", "300", *ISOLATIONS),
     ("--site", "qalhat", "--days", "8", "--first-seed", "400", "--troubles", "6", *STRAY_ANNOUNCEMENTS),
+    ("--site", "himal", "--days", "8", "--first-seed", "500", *WITHDRAWALS),
+    ("--site", "qalhat", "--days", "8", "--first-seed", "600", *FEW_RUN_NUMBERS),
 )
 
 
--- a/tests/unit/runnumberstest.cpp
+++ b/tests/unit/runnumberstest.cpp
@@ -112,7 +112,7 @@
 // Guards against run numbers that overflow with a high epoch or after many orders.
 BOOST_AUTO_TEST_CASE(numbersStayInTheirRangeAtItsEnds)
 {
-    const uint64_t lastEpoch = UINT32_MAX / RunNumbers::rangeSize - 1;
+    const uint64_t lastEpoch = UINT32_MAX / RunNumbers::defaultRangeSize - 1;
     RunNumbers numbers = RunNumbers::forKnownJob(lastEpoch, 0);
     BOOST_TEST(numbers.base() == 4'294'966'000U);
     numbers.limitRecorded(UINT32_MAX);
