--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -625,7 +625,8 @@
     // Goes through the jobs in order until `budget` of them could not be placed. Returns the number of jobs
     // looked at.
     size_t placeInOrder(std::span<const QueueKey> jobs, uint32_t &budget, Millis now);
-    // Returns false if a task could not be placed. Tasks that wait for a rack do not count.
+    // Returns false if a task could not be placed. Tasks that wait for a rack, or that may start late, do not
+    // count.
     bool placeTasks(Job &job, Millis now);
     // What the task needs, apart from the workers that it may use.
     PlacementNeeds placementNeeds(const Job &job, const Task &task, Millis now) const;
--- a/src/jobs/jobschedulerruns.cpp
+++ b/src/jobs/jobschedulerruns.cpp
@@ -11,7 +11,7 @@
 // How long a task waits for another worker after its first failed run; twice as long after each further one.
 // With four attempts it outlasts a worker that fails everything for several seconds.
 constexpr Millis firstWaitForAnotherWorker = {1'500};
-// A worker that has stalled a run is likely to stall the next one, too.
+// Also after a run that was moved, since a worker that has stalled one is likely to stall the next, too.
 constexpr Millis longestWaitForAnotherWorker = {8'000};
 
 JobScheduler::Job *JobScheduler::findJob(JobId id)
