--- a/tests/unit/jobcancelstest.cpp
+++ b/tests/unit/jobcancelstest.cpp
@@ -79,9 +79,7 @@
 }
 
 // Guards against the same for a best-effort job that has ended before its cancel: a submission that waits at
-// another entry would make the next owner run it again (turmericwell emulate --first-seed 970039 --troubles 6
-// --isolations 2
-// --group-cuts 1 --length-s 10 --kept-share 0.5 --withdrawn-share 0.5).
+// another entry would make the next owner run it again (day 970039 of tests/process/test_emulation.py).
 BOOST_FIXTURE_TEST_CASE(cancelOfAnEndedBestEffortJobHoldsForTheNextOwner, JobCancelsFixture)
 {
     submit(job(1, 1, true));
